--- /dev/null
+++ b/src/adapters/http/httpApp.ts
@@ -0,0 +1,174 @@
+/** An HTTP listener on nestjs and fastify that hands every body over as bytes and answers refusals by their code. */
+import {
+    type ArgumentsHost,
+    Catch,
+    type ExceptionFilter,
+    HttpException,
+    type Provider,
+    type Type,
+} from "@nestjs/common";
+import { NestFactory } from "@nestjs/core";
+import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
+import { fastify, type FastifyReply, type FastifyRequest } from "fastify";
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
+import "reflect-metadata";
+import { createRefusal, getRefusal, type Refusal, RefusalError, ResultCodes } from "../../domain/resultCodes.js";
+import type { Log } from "../../ports/log.js";
+import { parseAddress } from "../rpc/tcpNetwork.js";
+
+/** Largest request body, in bytes. */
+export const MAX_BODY_BYTES = 2 * 1024 * 1024;
+/** Largest sum of a request's header bytes. */
+export const MAX_HEADER_BYTES = 16 * 1024;
+/** How long a client may take to send its headers, and its whole request. Milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+
+class RootModule {}
+
+/** The nestjs controllers of a listener and what they are given. */
+export interface HttpAppOptions {
+    readonly controllers: readonly Type[];
+    readonly providers: readonly Provider[];
+    readonly log: Log;
+}
+
+/** A listener that is running. */
+export interface HttpApp {
+    readonly address: string;
+    close(): Promise<void>;
+}
+
+/** Starts a listener at `address`, such as 127.0.0.1:8080; port 0 takes a free one. */
+export async function startHttpApp(address: string, options: HttpAppOptions): Promise<HttpApp> {
+    const server = fastify({
+        bodyLimit: MAX_BODY_BYTES,
+        http: {
+            maxHeaderSize: MAX_HEADER_BYTES,
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+        },
+        forceCloseConnections: "idle",
+        return503OnClosing: false,
+        clientErrorHandler: answerUnparsable,
+        frameworkErrors: (error, _request, reply) => sendRefusal(reply, getHttpRefusal(error)),
+    });
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser("*", { parseAs: "buffer" }, (_request, body, done) => done(null, body));
+    const module = { module: RootModule, controllers: [...options.controllers], providers: [...options.providers] };
+    const adapter = new FastifyAdapter(server as never);
+    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, {
+        bodyParser: false,
+        logger: false,
+        abortOnError: false,
+    });
+    app.useGlobalFilters(new RefusalFilter(options.log));
+    const { host, port } = parseAddress(address);
+    await app.listen(port, host);
+    const bound = server.server.address() as { address: string; port: number; };
+    return { address: `${bound.address}:${bound.port}`, close: () => closeGently(app, server.server) };
+}
+
+/** Stops listening and resolves when every open request has had its answer. */
+async function closeGently(app: NestFastifyApplication, server: Server): Promise<void> {
+    const timer = setInterval(() => server.closeIdleConnections(), IDLE_TURN_MS);
+    await app.close();
+    clearInterval(timer);
+}
+
+const IDLE_TURN_MS = 50;
+
+/** Answers by the refusal's row of the table, in the shape that chat-completions clients expect of an error. */
+export function sendRefusal(reply: FastifyReply, refusal: Refusal): void {
+    const row = ResultCodes[refusal.code];
+    if (refusal.retryAfterMs !== undefined) {
+        void reply.header("Retry-After", String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1000))));
+    }
+    void reply.header("x-loomwinch-ran", refusal.ran);
+    void reply.status(row.status).send(createErrorBody(refusal));
+}
+
+/** The JSON body of an error answer. */
+export function createErrorBody(refusal: Refusal): { error: Record<string, unknown>; } {
+    const row = ResultCodes[refusal.code];
+    return {
+        error: {
+            message: refusal.detail === undefined ? row.message : `${row.message} (${refusal.detail})`,
+            type: refusal.code,
+            code: `LW${row.number}`,
+            ran: refusal.ran,
+            ...(refusal.retryAfterMs === undefined ? {} : { retry_after_ms: Math.ceil(refusal.retryAfterMs) }),
+        },
+    };
+}
+
+@Catch()
+class RefusalFilter implements ExceptionFilter {
+    constructor(private readonly log: Log) {}
+
+    catch(error: unknown, host: ArgumentsHost): void {
+        const reply = host.switchToHttp().getResponse<FastifyReply>();
+        const refusal = getHttpRefusal(error);
+        if (refusal.code === "internal") {
+            this.log.error("internal_error", { detail: refusal.detail });
+        }
+        if (!reply.sent) {
+            sendRefusal(reply, refusal);
+        }
+    }
+}
+
+function getHttpRefusal(error: unknown): Refusal {
+    if (error instanceof RefusalError) {
+        return error.refusal;
+    }
+    const status = error instanceof HttpException ? error.getStatus() : (error as { statusCode?: number; }).statusCode;
+    switch (status) {
+        case 404:
+            return createRefusal("notFound");
+        case 413:
+            return createRefusal("bodyTooLarge");
+        case 400:
+        case 414:
+        case 415:
+            return createRefusal("malformedRequest", (error as Error).message);
+        default:
+            return getRefusal(error);
+    }
+}
+
+/** What could not even be parsed as HTTP gets its numbered answer too. */
+function answerUnparsable(error: { code?: string; }, socket: Socket): void {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const tooLarge = error.code === "HPE_HEADER_OVERFLOW";
+    const refusal = tooLarge
+        ? createRefusal("badHeader", `headers over ${MAX_HEADER_BYTES} bytes`)
+        : createRefusal("malformedRequest");
+    const body = JSON.stringify(createErrorBody(refusal));
+    const status = tooLarge ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    const head = [`HTTP/1.1 ${status}`, "Content-Type: application/json", `Content-Length: ${Buffer.byteLength(body)}`];
+    socket.end(`${head.join("\r\n")}\r\nx-loomwinch-ran: no\r\nConnection: close\r\n\r\n${body}`);
+}
+
+/** The JSON of a body, or a refusal that says where it is broken. */
+export function parseJsonBody(request: FastifyRequest): unknown {
+    const body = request.body;
+    if (!Buffer.isBuffer(body) || body.length === 0) {
+        throw new RefusalError(createRefusal("malformedBody", "a JSON body is needed"));
+    }
+    try {
+        return JSON.parse(body.toString("utf8")) as unknown;
+    }
+    catch (error) {
+        throw new RefusalError(createRefusal("malformedBody", (error as Error).message));
+    }
+}
+
+/** The token of an `Authorization: Bearer` header, if there is one. */
+export function tryGetBearer(request: FastifyRequest): string | undefined {
+    return /^Bearer ([\x21-\x7e]{1,256})$/i.exec(request.headers.authorization ?? "")?.[1];
+}
--- /dev/null
+++ b/src/adapters/keyValueLog.ts
@@ -0,0 +1,64 @@
+/** Logs through bunyan, one line of key=value pairs an event. */
+import bunyan from "bunyan";
+import { Log, type LogFields } from "../ports/log.js";
+
+/** Fields of every event, in the order they are written. */
+export interface LogIdentity {
+    readonly role: string;
+    readonly name: string;
+    readonly zone: string;
+}
+
+const SKIPPED = new Set(["v", "level", "time", "msg", "pid", "hostname", "name", "role", "zone"]);
+
+/** Writes bunyan's records as key=value lines. */
+class KeyValueStream {
+    constructor(private readonly out: NodeJS.WritableStream) {}
+
+    write(record: Record<string, unknown>): void {
+        const time = (record["time"] as Date).toISOString();
+        const level = bunyan.nameFromLevel[record["level"] as number];
+        const pairs = [
+            `time=${time}`,
+            `level=${level}`,
+            `role=${String(record["role"])}`,
+            `name=${String(record["name"])}`,
+            `zone=${String(record["zone"])}`,
+        ];
+        pairs.push(`event=${formatValue(record["msg"])}`);
+        for (const [key, value] of Object.entries(record)) {
+            if (!SKIPPED.has(key) && value !== undefined) {
+                pairs.push(`${key}=${formatValue(value)}`);
+            }
+        }
+        this.out.write(`${pairs.join(" ")}\n`);
+    }
+}
+
+/** Quotes a value where it would not read back as one word. */
+export function formatValue(value: unknown): string {
+    const text = String(value);
+    return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
+
+export class KeyValueLog extends Log {
+    private readonly logger: bunyan;
+
+    constructor(identity: LogIdentity, level: "info" | "warn" | "error", out: NodeJS.WritableStream = process.stderr) {
+        super();
+        this.logger = bunyan.createLogger({
+            ...identity,
+            streams: [{ level, type: "raw", stream: new KeyValueStream(out) as unknown as NodeJS.WritableStream }],
+        });
+    }
+
+    override info(event: string, fields: LogFields = {}): void {
+        this.logger.info(fields, event);
+    }
+    override warn(event: string, fields: LogFields = {}): void {
+        this.logger.warn(fields, event);
+    }
+    override error(event: string, fields: LogFields = {}): void {
+        this.logger.error(fields, event);
+    }
+}
--- /dev/null
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -0,0 +1,186 @@
+/** The processes' network over TCP: one listener, and one connection kept to each address that is called. */
+import { randomBytes } from "node:crypto";
+import { connect as connectSocket, createServer, type Server, type Socket } from "node:net";
+import { createRefusal, formatRefusal, getRefusal, RefusalError } from "../../domain/resultCodes.js";
+import { type Log } from "../../ports/log.js";
+import { Peer, PeerHandlers, type PeerIdentity, PeerNetwork } from "../../ports/peer.js";
+import { computeProof, type HandshakeNonces, helloMethod, isProofEqual, proveMethod } from "./handshake.js";
+import { TcpPeer } from "./tcpPeer.js";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const HANDSHAKE_TIMEOUT_MS = 3_000;
+/** After a failed connection, how long calls to that address fail at once. */
+const RETRY_PAUSE_MS = 150;
+const NONCE_BYTES = 12;
+
+/** What a network needs to know of its process. */
+export interface TcpNetworkOptions {
+    readonly identity: PeerIdentity;
+    /** The fleet secret; every process of the fleet holds the same. */
+    readonly secret: string;
+    readonly handlers: PeerHandlers;
+    readonly log: Log;
+    /** Where another address than the declared one reaches a process from this box. */
+    readonly addressMap?: Readonly<Record<string, string>>;
+    readonly maxConnections?: number;
+}
+
+interface KnownPeer {
+    peer: Promise<TcpPeer>;
+    failedAt?: number;
+}
+
+export class TcpNetwork extends PeerNetwork {
+    private readonly known = new Map<string, KnownPeer>();
+    private readonly accepted = new Set<TcpPeer>();
+    private server: Server | undefined;
+    private closed = false;
+
+    constructor(private readonly options: TcpNetworkOptions) {
+        super();
+    }
+
+    /** Listens for other processes; answers the port. */
+    async listen(host: string, port: number): Promise<number> {
+        const server = createServer(socket => void this.runAccepted(socket));
+        server.maxConnections = this.options.maxConnections ?? 4096;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+        this.server = server;
+        return (server.address() as { port: number; }).port;
+    }
+
+    override connect(address: string): Promise<Peer> {
+        const known = this.known.get(address);
+        if (
+            known !== undefined && (known.failedAt === undefined || performance.now() - known.failedAt < RETRY_PAUSE_MS)
+        ) {
+            return known.peer;
+        }
+        const entry: KnownPeer = { peer: this.dial(address) };
+        this.known.set(address, entry);
+        entry.peer.then(
+            peer => peer.onClose(() => this.known.delete(address)),
+            () => {
+                entry.failedAt = performance.now();
+            },
+        );
+        return entry.peer;
+    }
+
+    /** Closes the listener and every connection. */
+    close(): void {
+        this.closed = true;
+        this.server?.close();
+        this.accepted.forEach(peer => peer.close());
+        this.known.forEach(entry => void entry.peer.then(peer => peer.close(), () => undefined));
+    }
+
+    private async dial(address: string): Promise<TcpPeer> {
+        if (this.closed) {
+            throw new RefusalError(createRefusal("peerGone", "this process is stopping"));
+        }
+        const socket = await openSocket(this.options.addressMap?.[address] ?? address);
+        const peer: TcpPeer = new TcpPeer(socket, this.options.handlers, () => peer.identity.name !== "");
+        void peer.run();
+        try {
+            await this.introduce(peer);
+        }
+        catch (error) {
+            peer.close();
+            throw new RefusalError({ ...getRefusal(error), ran: "no" });
+        }
+        return peer;
+    }
+
+    private async introduce(peer: TcpPeer): Promise<void> {
+        const { identity, secret } = this.options;
+        const nonce = randomBytes(NONCE_BYTES).toString("hex");
+        const answer = await peer.call(helloMethod, { identity, nonce }, HANDSHAKE_TIMEOUT_MS);
+        const nonces = { dialer: nonce, acceptor: answer.nonce };
+        if (!isProofEqual(answer.proof, computeProof(secret, "acceptor", nonces, answer.identity))) {
+            throw new RefusalError(createRefusal("peerUntrusted", "the other side does not know the fleet secret"));
+        }
+        peer.identity = answer.identity;
+        await peer.call(proveMethod, { proof: computeProof(secret, "dialer", nonces, identity) }, HANDSHAKE_TIMEOUT_MS);
+    }
+
+    private async runAccepted(socket: Socket): Promise<void> {
+        const session = this.createAcceptedSession(socket);
+        this.accepted.add(session.peer);
+        const timer = setTimeout(() => session.closeUnlessTrusted(), HANDSHAKE_TIMEOUT_MS);
+        await session.peer.run();
+        clearTimeout(timer);
+        this.accepted.delete(session.peer);
+        if (session.peer.closedBy !== undefined) {
+            this.options.log.warn("peer_closed", {
+                peer: session.peer.identity.name,
+                reason: formatRefusal(session.peer.closedBy),
+            });
+        }
+    }
+
+    private createAcceptedSession(socket: Socket): { peer: TcpPeer; closeUnlessTrusted: () => void; } {
+        const { secret } = this.options;
+        let claimed: { identity: PeerIdentity; nonces: HandshakeNonces; } | undefined;
+        let trusted = false;
+        const handshake = new PeerHandlers();
+        handshake.add(helloMethod, params => {
+            const nonce = randomBytes(NONCE_BYTES).toString("hex");
+            const nonces = { dialer: params.nonce, acceptor: nonce };
+            claimed = { identity: params.identity, nonces };
+            const identity = this.options.identity;
+            return { identity, nonce, proof: computeProof(secret, "acceptor", nonces, identity) };
+        });
+        handshake.add(proveMethod, params => {
+            if (
+                claimed === undefined
+                || !isProofEqual(params.proof, computeProof(secret, "dialer", claimed.nonces, claimed.identity))
+            ) {
+                setImmediate(() => peer.close());
+                throw new RefusalError(createRefusal("peerUntrusted"));
+            }
+            trusted = true;
+            peer.identity = claimed.identity;
+            return { ok: true as const };
+        });
+        const handlers = new PeerHandlers();
+        handlers.handle = (name, params, from) =>
+            name === helloMethod.name || name === proveMethod.name
+                ? handshake.handle(name, params, from)
+                : this.options.handlers.handle(name, params, from);
+        const isAllowed = (method: string): boolean =>
+            trusted || method === helloMethod.name || method === proveMethod.name;
+        const peer = new TcpPeer(socket, handlers, isAllowed);
+        return { peer, closeUnlessTrusted: () => trusted || peer.close() };
+    }
+}
+
+/** Splits "127.0.0.1:7100" or "[::1]:7100". */
+export function parseAddress(address: string): { host: string; port: number; } {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(address.slice(colon + 1)) };
+}
+
+function openSocket(address: string): Promise<Socket> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+        const socket = connectSocket({ host, port });
+        const fail = (): void => {
+            socket.destroy();
+            reject(new RefusalError(createRefusal("peerGone", `no connection to ${address}`)));
+        };
+        const timer = setTimeout(fail, CONNECT_TIMEOUT_MS);
+        socket.once("error", () => {
+            clearTimeout(timer);
+            fail();
+        });
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            socket.on("error", () => undefined);
+            resolve(socket);
+        });
+    });
+}
--- /dev/null
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -0,0 +1,168 @@
+/** One connection to another process: JSON-RPC 2.0, a message a line, both sides calling and answering. */
+import {
+    createJSONRPCErrorResponse,
+    createJSONRPCSuccessResponse,
+    JSONRPCClient,
+    JSONRPCErrorException,
+    type JSONRPCRequest,
+    type JSONRPCResponse,
+    JSONRPCServer,
+} from "json-rpc-2.0";
+import type { Socket } from "node:net";
+import { createRefusal, getRefusal, type Refusal, RefusalError, ResultCodes } from "../../domain/resultCodes.js";
+import { Peer, type PeerHandlers, type PeerIdentity, type PeerMethod } from "../../ports/peer.js";
+import { readLines } from "./lineReader.js";
+
+/** Most bytes that may wait to be written; a peer that reads slower than that is cut off. */
+export const MAX_WAITING_BYTES = 64 * 1024 * 1024;
+
+const noIdentity: PeerIdentity = { name: "", role: "operator", zone: "", incarnation: "" };
+
+/** Decides whether a call may be answered yet; used until the handshake is done. */
+export type CallGate = (method: string) => boolean;
+
+export class TcpPeer extends Peer {
+    override identity: PeerIdentity = noIdentity;
+    /** The refusal that closed the connection, where this side closed it. */
+    closedBy: Refusal | undefined;
+    private readonly client: JSONRPCClient;
+    private readonly server = new JSONRPCServer();
+    private readonly closeHandlers = new Set<() => void>();
+    private open = true;
+
+    constructor(
+        private readonly socket: Socket,
+        private readonly handlers: PeerHandlers,
+        private readonly gate: CallGate,
+    ) {
+        super();
+        socket.setNoDelay(true);
+        this.client = new JSONRPCClient(request => this.sendMessage(request));
+        this.server.applyMiddleware(async (_next, request) => this.answer(request));
+    }
+
+    /** Reads the connection until it ends. This is the connection's one task. */
+    async run(): Promise<void> {
+        try {
+            for await (const line of readLines(this.socket)) {
+                this.receive(line);
+            }
+        }
+        catch (error) {
+            this.closedBy ??= getRefusal(error);
+        }
+        finally {
+            this.close();
+        }
+    }
+
+    override async call<P, R>(method: PeerMethod<P, R>, params: P, timeoutMs: number): Promise<R> {
+        if (!this.open) {
+            throw new RefusalError(createRefusal("peerGone", method.name));
+        }
+        try {
+            const timeoutRefusal = createRefusal("peerTimeout", method.name, "unknown");
+            const answer: unknown = await this.client
+                .timeout(
+                    timeoutMs,
+                    id => ({ jsonrpc: "2.0", id, error: { code: 0, message: "", data: timeoutRefusal } }),
+                )
+                .request(method.name, params as never);
+            return answer as R;
+        }
+        catch (error) {
+            throw new RefusalError(getPeerRefusal(error, method.name));
+        }
+    }
+
+    override notify<P>(method: PeerMethod<P, void>, params: P): void {
+        if (this.open) {
+            this.client.notify(method.name, params as never);
+        }
+    }
+
+    override onClose(handler: () => void): () => void {
+        if (!this.open) {
+            handler();
+            return () => undefined;
+        }
+        this.closeHandlers.add(handler);
+        return () => this.closeHandlers.delete(handler);
+    }
+
+    override isOpen(): boolean {
+        return this.open;
+    }
+
+    /** Closes the connection; calls without an answer yet end with peerGone. */
+    close(): void {
+        if (!this.open) {
+            return;
+        }
+        this.open = false;
+        this.socket.destroy();
+        this.client.rejectAllPendingRequests("connection lost");
+        this.closeHandlers.forEach(handler => handler());
+    }
+
+    private receive(line: string): void {
+        let message: JSONRPCRequest | JSONRPCResponse;
+        try {
+            message = JSON.parse(line) as JSONRPCRequest | JSONRPCResponse;
+        }
+        catch {
+            throw new RefusalError(createRefusal("peerMalformed", "not JSON"));
+        }
+        if (message === null || typeof message !== "object" || message.jsonrpc !== "2.0") {
+            throw new RefusalError(createRefusal("peerMalformed", "not a JSON-RPC 2.0 message"));
+        }
+        if ("method" in message) {
+            void this.receiveCall(message);
+        }
+        else {
+            this.client.receive(message);
+        }
+    }
+
+    private async receiveCall(request: JSONRPCRequest): Promise<void> {
+        const response = await this.server.receive(request);
+        if (response) {
+            this.sendMessage(response);
+        }
+    }
+
+    private async answer(request: JSONRPCRequest) {
+        try {
+            if (!this.gate(request.method)) {
+                throw new RefusalError(createRefusal("peerUntrusted", request.method));
+            }
+            const result = await this.handlers.handle(request.method, request.params, this);
+            return request.id === undefined ? null : createJSONRPCSuccessResponse(request.id, result ?? {});
+        }
+        catch (error) {
+            const refusal = getRefusal(error);
+            const code = ResultCodes[refusal.code].number;
+            return request.id === undefined
+                ? null
+                : createJSONRPCErrorResponse(request.id, code, refusal.code, refusal);
+        }
+    }
+
+    private sendMessage(message: JSONRPCRequest | JSONRPCResponse): void {
+        if (!this.open) {
+            return;
+        }
+        this.socket.write(`${JSON.stringify(message)}\n`);
+        if (this.socket.writableLength > MAX_WAITING_BYTES) {
+            this.closedBy = createRefusal("peerStalled", "reads too slowly", "unknown");
+            this.close();
+        }
+    }
+}
+
+function getPeerRefusal(error: unknown, method: string): Refusal {
+    if (error instanceof JSONRPCErrorException && error.data !== undefined) {
+        return error.data as Refusal;
+    }
+    return createRefusal("peerGone", method, "unknown");
+}
--- /dev/null
+++ b/src/cli/operatorClient.ts
@@ -0,0 +1,78 @@
+/** The command line's side of the operators' resource API. */
+import { request } from "undici";
+import { createRefusal, RefusalError, ResultCodes, type ResultName } from "../domain/resultCodes.js";
+
+const HEADERS_TIMEOUT_MS = 15_000;
+
+/** Where a controller's resource API is, and with which token. */
+export interface OperatorTarget {
+    readonly server: string;
+    readonly token: string;
+}
+
+interface ErrorBody {
+    readonly error?: { readonly type?: string; readonly message?: string; readonly ran?: "no" | "unknown" | "yes"; };
+}
+
+/** Calls the API; answers the JSON, or throws what the controller refused with. */
+export async function callOperatorApi(
+    target: OperatorTarget,
+    method: "GET" | "PUT" | "POST" | "DELETE",
+    path: string,
+    body?: unknown,
+): Promise<unknown> {
+    const response = await sendRequest(target, method, path, body);
+    const answer = await response.body.json() as unknown;
+    if (response.statusCode >= 300) {
+        throw createApiError(answer as ErrorBody, response.statusCode);
+    }
+    return answer;
+}
+
+/** Follows a stream of JSON lines. */
+export async function* watchOperatorApi(target: OperatorTarget, path: string): AsyncGenerator<unknown> {
+    const response = await sendRequest(target, "GET", path, undefined);
+    if (response.statusCode >= 300) {
+        throw createApiError(await response.body.json() as ErrorBody, response.statusCode);
+    }
+    let rest = "";
+    for await (const bytes of response.body as AsyncIterable<Buffer>) {
+        const lines = (rest + bytes.toString("utf8")).split("\n");
+        rest = lines.pop()!;
+        for (const line of lines) {
+            yield JSON.parse(line);
+        }
+    }
+}
+
+async function sendRequest(
+    target: OperatorTarget,
+    method: "GET" | "PUT" | "POST" | "DELETE",
+    path: string,
+    body: unknown,
+): ReturnType<typeof request> {
+    try {
+        return await request(new URL(path, target.server), {
+            method,
+            headers: {
+                authorization: `Bearer ${target.token}`,
+                ...(body === undefined ? {} : { "content-type": "application/json" }),
+            },
+            body: body === undefined ? null : JSON.stringify(body),
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            bodyTimeout: 0,
+        });
+    }
+    catch (error) {
+        const detail = `${target.server}: ${(error as Error).message}`;
+        throw new RefusalError(createRefusal("peerGone", detail, method === "GET" ? "no" : "unknown"));
+    }
+}
+
+function createApiError(body: ErrorBody, status: number): RefusalError {
+    const type = body.error?.type ?? "";
+    const code: ResultName = type in ResultCodes ? type as ResultName : "internal";
+    return new RefusalError(
+        createRefusal(code, body.error?.message ?? `status ${status}`, body.error?.ran ?? "unknown"),
+    );
+}
--- /dev/null
+++ b/src/cli/roleCommands.ts
@@ -0,0 +1,50 @@
+/** The commands that run a role until they are told to stop. */
+import { StandInEngine } from "../daemons/standIn/standInEngine.js";
+import { StandInPlatform } from "../daemons/standIn/standInPlatform.js";
+import { StandInService } from "../daemons/standIn/standInService.js";
+import { RefusalError } from "../domain/resultCodes.js";
+import { readRoleSettings } from "../settings/roleFile.js";
+import type { Role, RoleSettings } from "../settings/schemas.js";
+import { type RunningRole, startController, startRouter, startSidecar } from "../wiring.js";
+
+/** Starts the role a settings object is for. */
+export async function startRole(settings: RoleSettings): Promise<RunningRole> {
+    switch (settings.role) {
+        case "controller":
+            return startController(settings);
+        case "router":
+            return startRouter(settings);
+        case "sidecar":
+            return startSidecar(settings);
+        case "stand-in-engine":
+            return startStandIn(new StandInEngine(settings));
+        case "stand-in-service":
+            return startStandIn(new StandInService(settings));
+        case "stand-in-platform":
+            return startStandIn(new StandInPlatform(settings));
+    }
+}
+
+/** Runs a role from its settings file until SIGTERM or SIGINT, then stops it gently and exits with 0. */
+export async function runRole(role: Role, path: string): Promise<void> {
+    const settings = await readRoleSettings(path, role);
+    if (settings.isErr()) {
+        throw new RefusalError(settings.error);
+    }
+    const running = await startRole(settings.value);
+    let stopping = false;
+    const stop = (): void => {
+        if (!stopping) {
+            stopping = true;
+            running.stop().then(() => process.exit(0), () => process.exit(1));
+        }
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    process.stdout.write(`ready=${role} peer=${running.peerAddress} http=${running.httpAddress}\n`);
+}
+
+async function startStandIn(standIn: { start(): Promise<string>; stop(): Promise<void>; }): Promise<RunningRole> {
+    const url = await standIn.start();
+    return { peerAddress: "", httpAddress: url.replace("http://", ""), stop: () => standIn.stop() };
+}
--- /dev/null
+++ b/src/consensus/logStorage.ts
@@ -0,0 +1,170 @@
+/** The replicated log on disk: term and vote, entries, and the snapshot that stands for the entries before it. */
+import type { LogEntry } from "../domain/commands.js";
+import type { StateSnapshot } from "../domain/declaredState.js";
+import type { Journal, OpenedJournal } from "../ports/journal.js";
+
+/** A state with the place in the log it stands for. */
+export interface LogSnapshot {
+    readonly lastIndex: number;
+    readonly lastTerm: number;
+    readonly state: StateSnapshot;
+}
+
+type StoredRecord =
+    | { readonly type: "member"; }
+    | { readonly type: "term"; readonly term: number; readonly votedFor?: string; }
+    | { readonly type: "entries"; readonly entries: readonly LogEntry[]; }
+    | { readonly type: "snapshot"; readonly snapshot: LogSnapshot; };
+
+/** Holds the log in memory as it is on disk. Every method that returns a promise resolves once synced. */
+export class LogStorage {
+    term = 0;
+    votedFor: string | undefined;
+    snapshot: LogSnapshot | undefined;
+    /** Index up to which everything is synced. */
+    syncedIndex = 0;
+    /** Whether this replica may vote; false on a new or emptied disk until it has joined. */
+    isMember = false;
+    private entries: LogEntry[] = [];
+    private readonly journal: Journal;
+    private lastWrite: Promise<void> = Promise.resolve();
+
+    constructor(opened: OpenedJournal) {
+        this.journal = opened.journal;
+        (opened.records as readonly StoredRecord[]).forEach(record => this.load(record));
+        this.syncedIndex = this.getLastIndex();
+    }
+
+    getLastIndex(): number {
+        return this.entries[this.entries.length - 1]?.index ?? this.getSnapshotIndex();
+    }
+
+    getSnapshotIndex(): number {
+        return this.snapshot?.lastIndex ?? 0;
+    }
+
+    /** Term of the entry at `index`, or undefined where the log does not hold it. */
+    tryGetTerm(index: number): number | undefined {
+        if (index === this.getSnapshotIndex()) {
+            return this.snapshot?.lastTerm ?? 0;
+        }
+        return this.tryGetEntry(index)?.term;
+    }
+
+    tryGetEntry(index: number): LogEntry | undefined {
+        return this.entries[index - this.getSnapshotIndex() - 1];
+    }
+
+    /** Up to `limit` entries from `index` on. */
+    getEntriesFrom(index: number, limit: number): LogEntry[] {
+        const start = index - this.getSnapshotIndex() - 1;
+        return this.entries.slice(start, start + limit);
+    }
+
+    /** Where a leader should try next, if the entry before its new ones is not the same here. */
+    tryGetMismatch(previousIndex: number, previousTerm: number): number | undefined {
+        if (previousIndex < this.getSnapshotIndex()) {
+            return this.getSnapshotIndex() + 1;
+        }
+        const term = this.tryGetTerm(previousIndex);
+        if (term === previousTerm) {
+            return undefined;
+        }
+        if (term === undefined) {
+            return this.getLastIndex() + 1;
+        }
+        let index = previousIndex;
+        while (index > this.getSnapshotIndex() + 1 && this.tryGetTerm(index - 1) === term) {
+            index -= 1;
+        }
+        return index;
+    }
+
+    /** The entries from the first one on that is not here yet, so that a late copy of an append drops nothing. */
+    getNewEntries(entries: readonly LogEntry[]): readonly LogEntry[] {
+        const first = entries.findIndex(entry => this.tryGetTerm(entry.index) !== entry.term);
+        return first < 0 ? [] : entries.slice(first);
+    }
+
+    async saveTerm(term: number, votedFor: string | undefined): Promise<void> {
+        this.term = term;
+        this.votedFor = votedFor;
+        await this.write({ type: "term", term, ...(votedFor === undefined ? {} : { votedFor }) });
+    }
+
+    /** Notes that this replica has joined and may vote. */
+    async saveMembership(): Promise<void> {
+        this.isMember = true;
+        await this.write({ type: "member" });
+    }
+
+    /** Resolves once everything saved so far is synced, also by calls that came before. */
+    async waitSynced(): Promise<void> {
+        await this.lastWrite;
+    }
+
+    /** Appends entries, dropping whatever stood at or after the first one's index. */
+    async append(entries: readonly LogEntry[]): Promise<void> {
+        if (entries.length === 0) {
+            return;
+        }
+        this.placeEntries(entries);
+        this.syncedIndex = Math.min(this.syncedIndex, entries[0]!.index - 1);
+        await this.write({ type: "entries", entries });
+        const last = entries[entries.length - 1]!;
+        if (this.tryGetTerm(last.index) === last.term) {
+            this.syncedIndex = Math.max(this.syncedIndex, last.index);
+        }
+    }
+
+    /** Takes a snapshot in place of the entries up to it. */
+    async saveSnapshot(snapshot: LogSnapshot): Promise<void> {
+        const keep = this.tryGetTerm(snapshot.lastIndex) === snapshot.lastTerm;
+        const rest = keep ? this.entries.filter(entry => entry.index > snapshot.lastIndex) : [];
+        this.snapshot = snapshot;
+        this.entries = rest;
+        this.lastWrite = this.journal.replaceAll([
+            ...(this.isMember ? [{ type: "member" }] : []),
+            { type: "snapshot", snapshot },
+            { type: "term", term: this.term, ...(this.votedFor === undefined ? {} : { votedFor: this.votedFor }) },
+            ...(rest.length > 0 ? [{ type: "entries", entries: rest }] : []),
+        ]);
+        await this.lastWrite;
+        this.syncedIndex = Math.max(this.syncedIndex, this.snapshot.lastIndex);
+    }
+
+    async close(): Promise<void> {
+        await this.journal.close();
+    }
+
+    private write(record: StoredRecord): Promise<void> {
+        this.lastWrite = this.journal.append(record);
+        return this.lastWrite;
+    }
+
+    private load(record: StoredRecord): void {
+        switch (record.type) {
+            case "member":
+                this.isMember = true;
+                return;
+            case "term":
+                this.term = record.term;
+                this.votedFor = record.votedFor;
+                return;
+            case "entries":
+                return this.placeEntries(record.entries);
+            case "snapshot":
+                this.snapshot = record.snapshot;
+                this.entries = [];
+                return;
+        }
+    }
+
+    private placeEntries(entries: readonly LogEntry[]): void {
+        const start = entries[0]!.index - this.getSnapshotIndex() - 1;
+        this.entries.length = Math.min(this.entries.length, Math.max(0, start));
+        for (const entry of entries) {
+            this.entries.push(entry);
+        }
+    }
+}
--- /dev/null
+++ b/src/consensus/replicatedLog.ts
@@ -0,0 +1,528 @@
+/**
+ * The replicated log of one controller: elects a leader, copies entries, applies what a majority has synced.
+ *
+ * Tasks: one that watches for a silent leader, and while leading one for each peer. A leader that has not heard from a
+ * majority for an election timeout steps down, so that a controller that was cut off stops believing it is in charge.
+ */
+import type { Command, LogEntry } from "../domain/commands.js";
+import { type ApplyResult, DeclaredState, type StateSnapshot } from "../domain/declaredState.js";
+import { assertInvariant, createRefusal, getRefusal, RefusalError } from "../domain/resultCodes.js";
+import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
+import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
+import { runJoining } from "./joining.js";
+import type { LogStorage } from "./logStorage.js";
+import {
+    type AppendAnswer,
+    appendMethod,
+    type AppendParams,
+    preVoteMethod,
+    type ProposeAnswer,
+    proposeMethod,
+    readIndexMethod,
+    type ReplicaState,
+    replicaStateMethod,
+    snapshotMethod,
+    type SnapshotParams,
+    type VoteAnswer,
+    voteMethod,
+    type VoteParams,
+} from "./messages.js";
+import { LeaderProgress, type PeerProgress } from "./peerProgress.js";
+import { runPeerReplication } from "./peerReplication.js";
+import { PendingProposals } from "./pendingProposals.js";
+import { Signal } from "./signal.js";
+import { SnapshotReceiver } from "./snapshotReceiver.js";
+import { collectVotes, createVoteParams, isLogUpToDate } from "./voting.js";
+
+/** Another replica of the log. */
+export interface ReplicaAddress {
+    readonly name: string;
+    readonly address: string;
+}
+
+/** Times in milliseconds. */
+export interface ReplicatedLogOptions {
+    readonly name: string;
+    readonly others: readonly ReplicaAddress[];
+    readonly electionTimeoutMs: number;
+    readonly heartbeatMs: number;
+    /** How long a proposal waits to be applied. */
+    readonly proposeTimeoutMs: number;
+    /** Entries applied between snapshots. */
+    readonly snapshotEvery: number;
+    /** Seeded, so that tests repeat. Answers a number in [0, 1). */
+    readonly random: () => number;
+}
+
+/** Called for each applied entry, in order. */
+export type AppliedHandler = (entry: LogEntry, result: ApplyResult) => void;
+
+export class ReplicatedLog {
+    readonly state = new DeclaredState();
+    private role: "follower" | "candidate" | "leader" = "follower";
+    private leader: string | undefined;
+    private commitIndex = 0;
+    private appliedIndex = 0;
+    private heardFromLeaderAt: number;
+    private readonly progress: LeaderProgress;
+    private readonly proposals: PendingProposals;
+    private readonly work = new Signal();
+    private readonly applied = new Signal();
+    private readonly appliedHandlers: AppliedHandler[] = [];
+    private readonly snapshotReceiver = new SnapshotReceiver();
+    private readonly snapshotHandlers: (() => void)[] = [];
+    private stopped = false;
+
+    constructor(
+        private readonly storage: LogStorage,
+        private readonly network: PeerNetwork,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly options: ReplicatedLogOptions,
+    ) {
+        this.heardFromLeaderAt = clock.getMonotonicMs();
+        this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
+        this.progress = new LeaderProgress(options.others.map(other => other.name));
+        if (storage.snapshot !== undefined) {
+            this.loadState(storage.snapshot.state, storage.snapshot.lastIndex);
+        }
+    }
+
+    /** Registers the methods other replicas call. */
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(preVoteMethod, params => this.handlePreVote(params));
+        handlers.add(voteMethod, params => this.handleVote(params));
+        handlers.add(appendMethod, params => this.handleAppend(params));
+        handlers.add(snapshotMethod, params => this.handleSnapshot(params));
+        handlers.add(proposeMethod, params => this.proposeAsLeader(params.command));
+        handlers.add(readIndexMethod, params => this.confirmAsLeader(params.exclude));
+        handlers.add(replicaStateMethod, () => this.getReplicaState());
+    }
+
+    /** Starts the task that watches for a silent leader, and on a new or emptied disk the one that joins. */
+    start(): void {
+        void this.runElections();
+        if (!this.storage.isMember) {
+            void runJoining(this, this.storage, this.network, this.clock, this.log, this.options);
+        }
+    }
+
+    private getReplicaState(): ReplicaState {
+        return { term: this.storage.term, lastIndex: this.storage.getLastIndex() };
+    }
+
+    async stop(): Promise<void> {
+        this.stopped = true;
+        this.stepDown(this.storage.term);
+        this.applied.notifyAll();
+        await this.storage.close();
+    }
+
+    onApplied(handler: AppliedHandler): void {
+        this.appliedHandlers.push(handler);
+    }
+
+    /** Calls back when a snapshot from the leader has replaced the state. */
+    onSnapshotLoaded(handler: () => void): void {
+        this.snapshotHandlers.push(handler);
+    }
+
+    getTerm(): number {
+        return this.storage.term;
+    }
+
+    getLeader(): string | undefined {
+        return this.leader;
+    }
+
+    isStopped(): boolean {
+        return this.stopped;
+    }
+
+    /** Whether this replica still leads in `term`. */
+    isLeadingIn(term: number): boolean {
+        return this.role === "leader" && this.storage.term === term && !this.stopped;
+    }
+
+    getCommitIndex(): number {
+        return this.commitIndex;
+    }
+
+    /** Resolves when there is something to send to peers, or after `timeoutMs`. */
+    waitWork(timeoutMs: number): Promise<void> {
+        return this.work.wait(timeoutMs);
+    }
+
+    isLeader(): boolean {
+        return this.role === "leader";
+    }
+
+    getAppliedIndex(): number {
+        return this.appliedIndex;
+    }
+
+    /** How many replicas a majority takes. */
+    getMajority(): number {
+        return this.progress.getMajority();
+    }
+
+    /**
+     * Proposes a command and answers what it came to once a majority holds it. Refuses with noMajority where it was
+     * certainly not accepted, and with changeUnknown where it may have been.
+     */
+    async propose(command: Command): Promise<ProposeAnswer> {
+        if (this.role === "leader") {
+            return this.proposeAsLeader(command);
+        }
+        const leader = this.options.others.find(other => other.name === this.leader);
+        if (leader === undefined) {
+            throw new RefusalError(
+                createRefusal("noMajority", "no leader is known", "no", this.options.electionTimeoutMs),
+            );
+        }
+        try {
+            return await this.network.call(
+                leader.address,
+                proposeMethod,
+                { command },
+                this.options.proposeTimeoutMs + 500,
+            );
+        }
+        catch (error) {
+            const refusal = getRefusal(error);
+            if (refusal.code === "peerGone" || refusal.code === "peerTimeout") {
+                const code = refusal.ran === "no" ? "noMajority" : "changeUnknown";
+                throw new RefusalError(
+                    createRefusal(code, "the leader could not be reached", refusal.ran, this.options.electionTimeoutMs),
+                );
+            }
+            throw error;
+        }
+    }
+
+    /** Waits until this replica has applied everything that was committed when the call began. Answers the index. */
+    async readThroughMajority(): Promise<number> {
+        const leader = this.options.others.find(other => other.name === this.leader);
+        const confirmed = this.role === "leader" || leader === undefined
+            ? await this.confirmAsLeader()
+            : await this.network.call(leader.address, readIndexMethod, {}, this.options.proposeTimeoutMs);
+        await this.waitApplied(confirmed.index, this.options.proposeTimeoutMs);
+        return confirmed.index;
+    }
+
+    /** Waits until `index` is applied here. Refuses with noMajority after `timeoutMs`. */
+    async waitApplied(index: number, timeoutMs: number): Promise<void> {
+        const deadline = this.clock.getMonotonicMs() + timeoutMs;
+        while (this.appliedIndex < index && !this.stopped) {
+            const left = deadline - this.clock.getMonotonicMs();
+            if (left <= 0) {
+                throw new RefusalError(createRefusal("noMajority", `index ${index} is not applied yet`));
+            }
+            await this.applied.wait(left);
+        }
+    }
+
+    private async proposeAsLeader(command: Command): Promise<ProposeAnswer> {
+        if (this.role !== "leader" || this.stopped) {
+            throw new RefusalError(createRefusal("noMajority", "not the leader", "no", this.options.electionTimeoutMs));
+        }
+        const term = this.storage.term;
+        const entry: LogEntry = { index: this.storage.getLastIndex() + 1, term, at: this.clock.getWallMs(), command };
+        const answer = this.proposals.add(entry);
+        this.storage.append([entry]).then(
+            () => this.advanceCommit(),
+            error => this.log.error("log_append_failed", { error: String(error) }),
+        );
+        this.work.notifyAll();
+        return answer;
+    }
+
+    /** Makes sure that this replica still leads, by an answer of a majority to something sent after the call began. */
+    private async confirmAsLeader(exclude?: string): Promise<{ index: number; term: number; }> {
+        const asked = this.clock.getMonotonicMs();
+        const deadline = asked + this.options.proposeTimeoutMs;
+        while (this.role === "leader" && !this.stopped) {
+            const ownTermCommitted = this.storage.tryGetTerm(this.commitIndex) === this.storage.term;
+            if (ownTermCommitted && this.getMajorityHeardAt(exclude) >= asked) {
+                return { index: this.commitIndex, term: this.storage.term };
+            }
+            if (this.clock.getMonotonicMs() > deadline) {
+                break;
+            }
+            this.work.notifyAll();
+            await this.applied.wait(this.options.heartbeatMs);
+        }
+        throw new RefusalError(
+            createRefusal("noMajority", "no confirmed leader here", "no", this.options.electionTimeoutMs),
+        );
+    }
+
+    /** Whether a majority has answered this leader, or a leader has spoken to this follower, within an election timeout. */
+    isConnectedToMajority(): boolean {
+        const now = this.clock.getMonotonicMs();
+        const heardAt = this.role === "leader" ? this.getMajorityHeardAt() : this.heardFromLeaderAt;
+        return this.leader !== undefined && now - heardAt < this.options.electionTimeoutMs * 2;
+    }
+
+    private getMajorityHeardAt(exclude?: string): number {
+        return this.progress.getMajorityHeardAt(this.clock.getMonotonicMs(), exclude);
+    }
+
+    // Elections
+
+    private async runElections(): Promise<void> {
+        while (!this.stopped) {
+            const timeout = this.options.electionTimeoutMs * (1 + this.options.random());
+            const since = this.clock.getMonotonicMs();
+            await this.clock.wait(timeout);
+            if (this.stopped) {
+                return;
+            }
+            if (this.role === "leader") {
+                this.checkStillLeading();
+            }
+            else if (this.heardFromLeaderAt < since && this.storage.isMember) {
+                await this.runCandidacy();
+            }
+        }
+    }
+
+    private checkStillLeading(): void {
+        const silent = this.clock.getMonotonicMs() - this.getMajorityHeardAt();
+        if (silent > this.options.electionTimeoutMs) {
+            this.log.warn("leader_steps_down", { term: this.storage.term, silent_ms: Math.round(silent) });
+            this.stepDown(this.storage.term);
+        }
+    }
+
+    private async runCandidacy(): Promise<void> {
+        this.leader = undefined;
+        const proposed = createVoteParams(this.storage, this.options.name, this.storage.term + 1);
+        if (!await this.collectVotes(preVoteMethod, proposed)) {
+            return;
+        }
+        if (this.storage.term + 1 !== proposed.term || this.stopped) {
+            return;
+        }
+        this.role = "candidate";
+        await this.storage.saveTerm(proposed.term, this.options.name);
+        const won = await this.collectVotes(
+            voteMethod,
+            createVoteParams(this.storage, this.options.name, proposed.term),
+        );
+        if (won && this.role === "candidate" && this.storage.term === proposed.term && !this.stopped) {
+            this.startLeading();
+        }
+    }
+
+    private collectVotes(method: typeof voteMethod, params: VoteParams): Promise<boolean> {
+        return collectVotes(
+            this.network,
+            this.options,
+            method,
+            params,
+            this.getMajority(),
+            term => this.checkTerm(term),
+        );
+    }
+
+    /** Would this replica vote? Asked before a term is spent, so that one who comes back disturbs nobody. */
+    private handlePreVote(params: VoteParams): VoteAnswer {
+        const quiet = this.clock.getMonotonicMs() - this.heardFromLeaderAt >= this.options.electionTimeoutMs;
+        const leaderless = this.role !== "leader" && quiet;
+        const granted = params.term > this.storage.term && this.storage.isMember && leaderless
+            && isLogUpToDate(this.storage, params);
+        return { term: this.storage.term, granted };
+    }
+
+    private async handleVote(params: VoteParams): Promise<VoteAnswer> {
+        if (params.term < this.storage.term || !this.storage.isMember) {
+            return { term: this.storage.term, granted: false };
+        }
+        if (params.term > this.storage.term) {
+            this.role = "follower";
+            this.leader = undefined;
+            this.proposals.failAll();
+            await this.storage.saveTerm(
+                params.term,
+                isLogUpToDate(this.storage, params) ? params.candidate : undefined,
+            );
+        }
+        else if (this.storage.votedFor === undefined && isLogUpToDate(this.storage, params)) {
+            await this.storage.saveTerm(params.term, params.candidate);
+        }
+        await this.storage.waitSynced();
+        const granted = this.storage.term === params.term && this.storage.votedFor === params.candidate;
+        if (granted) {
+            this.heardFromLeaderAt = this.clock.getMonotonicMs();
+        }
+        return { term: this.storage.term, granted };
+    }
+
+    /** Steps down where a higher term has been seen. */
+    checkTerm(term: number): void {
+        if (term > this.storage.term) {
+            this.stepDown(term);
+        }
+    }
+
+    private stepDown(term: number): void {
+        this.role = "follower";
+        this.leader = undefined;
+        this.proposals.failAll();
+        if (term > this.storage.term) {
+            this.storage.saveTerm(term, undefined).catch(error =>
+                this.log.error("term_not_saved", { error: String(error) })
+            );
+        }
+        this.work.notifyAll();
+    }
+
+    // Leading
+
+    private startLeading(): void {
+        this.role = "leader";
+        this.leader = this.options.name;
+        this.log.info("leader_elected", { term: this.storage.term, last_index: this.storage.getLastIndex() });
+        for (const other of this.options.others) {
+            const progress = this.progress.reset(
+                other.name,
+                this.storage.getLastIndex() + 1,
+                this.clock.getMonotonicMs(),
+            );
+            void runPeerReplication(this, this.storage, this.network, this.clock, this.options, other, progress);
+        }
+        // An entry of the new term commits whatever the earlier terms left.
+        this.proposeAsLeader({ type: "noop" }).catch(() => undefined);
+    }
+
+    /** Takes a peer's answer into account. `sentAt`: when what it answers was sent. */
+    recordAnswer(answer: AppendAnswer, progress: PeerProgress, sentAt: number): void {
+        if (answer.term > this.storage.term) {
+            this.stepDown(answer.term);
+            return;
+        }
+        progress.heardAt = Math.max(progress.heardAt, sentAt);
+        if (answer.success) {
+            progress.matchIndex = Math.max(progress.matchIndex, answer.index);
+            progress.nextIndex = progress.matchIndex + 1;
+            this.advanceCommit();
+        }
+        else {
+            progress.nextIndex = Math.max(1, answer.index === progress.nextIndex ? answer.index - 1 : answer.index);
+        }
+        this.applied.notifyAll();
+    }
+
+    private advanceCommit(): void {
+        if (this.role !== "leader") {
+            return;
+        }
+        const candidate = this.progress.getMajorityMatch(this.storage.syncedIndex);
+        // Only an entry of the leader's own term commits by count (Raft, section 5.4.2).
+        if (candidate > this.commitIndex && this.storage.tryGetTerm(candidate) === this.storage.term) {
+            this.commitIndex = candidate;
+            this.applyCommitted();
+            this.work.notifyAll();
+        }
+    }
+
+    // Following
+
+    private async handleAppend(params: AppendParams): Promise<AppendAnswer> {
+        if (params.term < this.storage.term) {
+            return { term: this.storage.term, success: false, index: 0 };
+        }
+        await this.followLeader(params.term, params.leader);
+        if (params.term !== this.storage.term) {
+            return { term: this.storage.term, success: false, index: 0 };
+        }
+        const mismatch = this.storage.tryGetMismatch(params.previousIndex, params.previousTerm);
+        if (mismatch !== undefined) {
+            return { term: this.storage.term, success: false, index: mismatch };
+        }
+        const news = this.storage.getNewEntries(params.entries);
+        await this.storage.append(news);
+        // A resent append may find its entries here already and not synced yet.
+        await this.storage.waitSynced();
+        if (params.term !== this.storage.term) {
+            return { term: this.storage.term, success: false, index: 0 };
+        }
+        const matched = params.previousIndex + params.entries.length;
+        this.advanceFollowerCommit(Math.min(params.commitIndex, matched));
+        return { term: this.storage.term, success: true, index: matched };
+    }
+
+    private async followLeader(term: number, leader: string): Promise<void> {
+        assertInvariant(this.role !== "leader" || term > this.storage.term, "two leaders in one term");
+        this.heardFromLeaderAt = this.clock.getMonotonicMs();
+        if (this.role === "leader") {
+            this.proposals.failAll();
+        }
+        this.role = "follower";
+        if (this.leader !== leader) {
+            this.log.info("leader_followed", { leader, term });
+        }
+        this.leader = leader;
+        if (term > this.storage.term) {
+            await this.storage.saveTerm(term, undefined);
+        }
+    }
+
+    private advanceFollowerCommit(index: number): void {
+        if (index > this.commitIndex) {
+            this.commitIndex = index;
+            this.applyCommitted();
+        }
+    }
+
+    private async handleSnapshot(params: SnapshotParams): Promise<AppendAnswer> {
+        if (params.term < this.storage.term) {
+            return { term: this.storage.term, success: false, index: 0 };
+        }
+        await this.followLeader(params.term, params.leader);
+        const text = this.snapshotReceiver.tryAdd(params);
+        if (text !== undefined && params.lastIndex > this.appliedIndex) {
+            const state = JSON.parse(text) as StateSnapshot;
+            await this.storage.saveSnapshot({ lastIndex: params.lastIndex, lastTerm: params.lastTerm, state });
+            this.loadState(state, params.lastIndex);
+            this.snapshotHandlers.forEach(handler => handler());
+        }
+        const success = text !== undefined || this.snapshotReceiver.isExpecting(params);
+        return { term: this.storage.term, success, index: params.lastIndex };
+    }
+
+    // Applying
+
+    private loadState(state: StateSnapshot, index: number): void {
+        this.state.loadSnapshot(state);
+        this.appliedIndex = index;
+        this.commitIndex = Math.max(this.commitIndex, index);
+        this.applied.notifyAll();
+    }
+
+    private applyCommitted(): void {
+        while (this.appliedIndex < this.commitIndex) {
+            const entry = this.storage.tryGetEntry(this.appliedIndex + 1);
+            assertInvariant(entry !== undefined, "a committed entry is in the log");
+            const result = this.state.apply(entry);
+            this.appliedIndex = entry.index;
+            this.appliedHandlers.forEach(handler => handler(entry, result));
+            this.proposals.resolve(entry, result);
+        }
+        this.applied.notifyAll();
+        if (this.appliedIndex - this.storage.getSnapshotIndex() >= this.options.snapshotEvery) {
+            this.saveSnapshot();
+        }
+    }
+
+    private saveSnapshot(): void {
+        const snapshot = {
+            lastIndex: this.appliedIndex,
+            lastTerm: this.storage.tryGetTerm(this.appliedIndex)!,
+            state: this.state.createSnapshot(),
+        };
+        this.storage.saveSnapshot(snapshot).catch(error => this.log.error("snapshot_failed", { error: String(error) }));
+    }
+}
--- /dev/null
+++ b/src/consensus/voting.ts
@@ -0,0 +1,54 @@
+/** The asking for votes, and what a replica's own log says to a candidate. */
+import type { PeerMethod, PeerNetwork } from "../ports/peer.js";
+import type { LogStorage } from "./logStorage.js";
+import type { VoteAnswer, VoteParams } from "./messages.js";
+import type { ReplicatedLogOptions } from "./replicatedLog.js";
+
+/** What a candidate says of itself. */
+export function createVoteParams(storage: LogStorage, candidate: string, term: number): VoteParams {
+    const lastIndex = storage.getLastIndex();
+    return { term, candidate, lastIndex, lastTerm: storage.tryGetTerm(lastIndex) ?? 0 };
+}
+
+/** Whether a candidate's log holds at least as much as this one (Raft, section 5.4.1). */
+export function isLogUpToDate(storage: LogStorage, params: VoteParams): boolean {
+    const lastIndex = storage.getLastIndex();
+    const lastTerm = storage.tryGetTerm(lastIndex) ?? 0;
+    return params.lastTerm > lastTerm || (params.lastTerm === lastTerm && params.lastIndex >= lastIndex);
+}
+
+/** Asks everyone; answers whether a majority agreed, as soon as that is known. */
+export function collectVotes(
+    network: PeerNetwork,
+    options: ReplicatedLogOptions,
+    method: PeerMethod<VoteParams, VoteAnswer>,
+    params: VoteParams,
+    majority: number,
+    checkTerm: (term: number) => void,
+): Promise<boolean> {
+    return new Promise(resolve => {
+        let granted = 1;
+        let outstanding = options.others.length;
+        const checkDone = (): void => {
+            if (granted >= majority) {
+                resolve(true);
+            }
+            else if (outstanding === 0) {
+                resolve(false);
+            }
+        };
+        for (const other of options.others) {
+            network.call(other.address, method, params, options.electionTimeoutMs).then(
+                answer => {
+                    checkTerm(answer.term);
+                    granted += answer.granted ? 1 : 0;
+                },
+                () => undefined,
+            ).finally(() => {
+                outstanding -= 1;
+                checkDone();
+            });
+        }
+        checkDone();
+    });
+}
--- /dev/null
+++ b/src/daemons/controller/auditTrail.ts
@@ -0,0 +1,83 @@
+/** The audit trail: a synced record of each accepted and refused change, on every controller's disk. */
+import type { LogEntry } from "../../domain/commands.js";
+import type { ApplyResult } from "../../domain/declaredState.js";
+import { formatRefusal, type Refusal } from "../../domain/resultCodes.js";
+import type { AuditRecord } from "../../ports/audit.js";
+import type { OpenedJournal } from "../../ports/journal.js";
+import type { Log } from "../../ports/log.js";
+
+/** Records kept in memory for reading; the file holds all. */
+const RECORDS_IN_MEMORY = 10_000;
+
+export class AuditTrail {
+    private readonly records: AuditRecord[];
+    private lastIndex = 0;
+
+    constructor(private readonly opened: OpenedJournal, private readonly log: Log) {
+        this.records = (opened.records as readonly AuditRecord[]).slice(-RECORDS_IN_MEMORY);
+        for (const record of this.records) {
+            this.lastIndex = Math.max(this.lastIndex, record.index);
+        }
+    }
+
+    /** Records an applied entry, unless it was recorded before a restart. */
+    recordEntry(entry: LogEntry, result: ApplyResult): void {
+        const { command } = entry;
+        if (entry.index <= this.lastIndex) {
+            return;
+        }
+        if (command.type === "putObject" || command.type === "deleteObject") {
+            const accepted = result.type === "accepted" && "revision" in result ? result : undefined;
+            this.add({
+                index: entry.index,
+                at: entry.at,
+                operator: command.operator,
+                operationId: command.operationId,
+                action: command.type,
+                object: `${command.kind}/${command.name}`,
+                outcome: formatOutcome(result),
+                ...(accepted?.before === undefined ? {} : { before: accepted.before }),
+                ...(accepted?.after === undefined ? {} : { after: accepted.after }),
+            });
+        }
+        else if (command.type === "creditTopUp") {
+            this.add({
+                index: entry.index,
+                at: entry.at,
+                operator: command.operator,
+                operationId: command.operationId,
+                action: "topUp",
+                object: `budget/${command.budget}`,
+                outcome: formatOutcome(result),
+                after: { tokens: command.tokens, home: command.home },
+            });
+        }
+    }
+
+    /** Records a change that was refused before it reached the log. */
+    recordRefusal(record: Omit<AuditRecord, "index" | "outcome">, refusal: Refusal): void {
+        this.add({ index: 0, ...record, outcome: formatRefusal(refusal) });
+    }
+
+    /** The newest records, oldest first. */
+    getRecords(limit: number): readonly AuditRecord[] {
+        return this.records.slice(-limit);
+    }
+
+    async close(): Promise<void> {
+        await this.opened.journal.close();
+    }
+
+    private add(record: AuditRecord): void {
+        this.lastIndex = Math.max(this.lastIndex, record.index);
+        this.records.push(record);
+        if (this.records.length > RECORDS_IN_MEMORY * 2) {
+            this.records.splice(0, RECORDS_IN_MEMORY);
+        }
+        this.opened.journal.append(record).catch(error => this.log.error("audit_failed", { error: String(error) }));
+    }
+}
+
+function formatOutcome(result: ApplyResult): string {
+    return result.type === "accepted" ? "accepted" : formatRefusal(result.refusal);
+}
--- /dev/null
+++ b/src/daemons/controller/fleetView.ts
@@ -0,0 +1,50 @@
+/** What the parts of a controller share: who it is, the log, its ledger, and the network. */
+import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
+import type { Ledger } from "../../domain/ledger.js";
+import type { UpstreamSpec } from "../../domain/objects.js";
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
+import type { PeerNetwork } from "../../ports/peer.js";
+
+/** A controller as all daemons know it from their settings. */
+export interface ControllerAddress {
+    readonly name: string;
+    readonly zone: string;
+    readonly address: string;
+}
+
+/** The parts every module of a controller works with. */
+export interface ControllerContext {
+    readonly name: string;
+    readonly zone: string;
+    readonly controllers: readonly ControllerAddress[];
+    readonly log: ReplicatedLog;
+    readonly ledger: Ledger;
+    readonly network: PeerNetwork;
+    readonly clock: Clock;
+    readonly events: Log;
+    readonly metrics: Metrics;
+}
+
+/** The other controllers. */
+export function getOtherControllers(context: ControllerContext): ControllerAddress[] {
+    return context.controllers.filter(controller => controller.name !== context.name);
+}
+
+/** A sidecar as the declared upstreams name it. */
+export interface SidecarAddress {
+    readonly box: string;
+    readonly zone: string;
+    readonly address: string;
+}
+
+/** The sidecars of all declared upstreams, each once. */
+export function getSidecars(context: ControllerContext): SidecarAddress[] {
+    const sidecars = new Map<string, SidecarAddress>();
+    for (const upstream of context.log.state.objects.getAll("upstream")) {
+        const spec: UpstreamSpec = upstream.spec;
+        sidecars.set(spec.sidecar, { box: spec.box, zone: spec.zone, address: spec.sidecar });
+    }
+    return [...sidecars.values()];
+}
--- /dev/null
+++ b/src/domain/configView.ts
@@ -0,0 +1,130 @@
+/** The declared configuration as a daemon holds it. It only ever moves forward. */
+import type { ConfigUpdate } from "../protocol/configMethods.js";
+import {
+    type DeclaredObject,
+    isDeletion,
+    type Kind,
+    type RankRuleSpec,
+    type ServiceSpec,
+    type UpstreamSpec,
+} from "./objects.js";
+
+/** A named upstream. */
+export type Upstream = UpstreamSpec & { readonly name: string; };
+export type RankRule = RankRuleSpec & { readonly name: string; };
+
+export class ConfigView {
+    private objects = new Map<string, DeclaredObject>();
+    private revision = 0;
+    private term = 0;
+    private upstreamsByService = new Map<string, Upstream[]>();
+    private budgetsByAccount = new Map<string, DeclaredObject<"budget">[]>();
+    private rulesByService = new Map<string, RankRule[]>();
+    private sidecars: string[] = [];
+    private confirmedOnce = false;
+
+    getRevision(): number {
+        return this.revision;
+    }
+
+    /** Highest term that came with a confirmed update; 0 before the first. */
+    getConfirmedTerm(): number {
+        return this.term;
+    }
+
+    /** Whether it has ever been read through a majority. */
+    isConfirmed(): boolean {
+        return this.confirmedOnce;
+    }
+
+    /** Applies an update; one that is older than what is held changes nothing. Answers whether anything changed. */
+    apply(update: ConfigUpdate): boolean {
+        if (update.confirmed && update.revision >= this.revision) {
+            this.confirmedOnce = true;
+            this.term = Math.max(this.term, update.term);
+        }
+        if (update.revision <= this.revision) {
+            return false;
+        }
+        if (update.type === "snapshot") {
+            this.objects = new Map();
+        }
+        for (const change of update.changes) {
+            const key = `${change.kind}/${change.name}`;
+            if (isDeletion(change)) {
+                this.objects.delete(key);
+            }
+            else {
+                this.objects.set(key, change);
+            }
+        }
+        this.revision = update.revision;
+        this.indexObjects();
+        return true;
+    }
+
+    tryGet<K extends Kind>(kind: K, name: string): DeclaredObject<K> | undefined {
+        return this.objects.get(`${kind}/${name}`) as DeclaredObject<K> | undefined;
+    }
+
+    tryGetService(name: string): ServiceSpec | undefined {
+        return this.tryGet("service", name)?.spec;
+    }
+
+    getUpstreams(service: string): readonly Upstream[] {
+        return this.upstreamsByService.get(service) ?? [];
+    }
+
+    getAllUpstreams(): Upstream[] {
+        return [...this.upstreamsByService.values()].flat();
+    }
+
+    /** The first budget by name of an account that covers the service. */
+    tryGetBudget(account: string, service: string): string | undefined {
+        const budgets = this.budgetsByAccount.get(account) ?? [];
+        return budgets.find(budget => budget.spec.services?.includes(service) ?? true)?.name;
+    }
+
+    getRankRules(service: string): readonly RankRule[] {
+        return this.rulesByService.get(service) ?? [];
+    }
+
+    /** Addresses of all sidecars, sorted. */
+    getSidecars(): readonly string[] {
+        return this.sidecars;
+    }
+
+    private indexObjects(): void {
+        this.upstreamsByService = new Map();
+        this.budgetsByAccount = new Map();
+        this.rulesByService = new Map();
+        const sidecars = new Set<string>();
+        const sorted = [...this.objects.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+        for (const object of sorted) {
+            if (object.kind === "upstream") {
+                const spec = object.spec as UpstreamSpec;
+                addTo(this.upstreamsByService, spec.service, { ...spec, name: object.name });
+                sidecars.add(spec.sidecar);
+            }
+            else if (object.kind === "budget") {
+                const budget = object as DeclaredObject<"budget">;
+                addTo(this.budgetsByAccount, budget.spec.account, budget);
+            }
+            else if (object.kind === "rankRule") {
+                const spec = object.spec as RankRuleSpec;
+                addTo(this.rulesByService, spec.service, { ...spec, name: object.name });
+            }
+        }
+        this.sidecars = [...sidecars].sort();
+    }
+}
+
+function addTo<T>(map: Map<string, T[]>, key: string, value: T): void {
+    const list = map.get(key);
+    if (list === undefined) {
+        map.set(key, [value]);
+    }
+    else {
+        list.push(value);
+    }
+}
--- /dev/null
+++ b/src/wiring.ts
@@ -0,0 +1,287 @@
+/** The one module that constructs: makes running roles out of settings. */
+import { mkdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { openJournalFile } from "./adapters/disk/journalFile.js";
+import { CallerApi, ROUTER_DAEMON } from "./adapters/http/callerApi.js";
+import { type HttpApp, startHttpApp } from "./adapters/http/httpApp.js";
+import { HttpMembership } from "./adapters/http/membershipList.js";
+import { OPERATOR_SERVICE, OperatorApi, OPERATORS } from "./adapters/http/operatorApi.js";
+import { KeyValueLog } from "./adapters/keyValueLog.js";
+import { TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
+import { StatsdMetrics } from "./adapters/statsdMetrics.js";
+import { HttpUpstream } from "./adapters/upstream/httpUpstream.js";
+import { LogStorage } from "./consensus/logStorage.js";
+import { ReplicatedLog } from "./consensus/replicatedLog.js";
+import { ConfigClient, sortByZone } from "./daemons/configClient.js";
+import { AuditTrail } from "./daemons/controller/auditTrail.js";
+import { ControllerDaemon } from "./daemons/controller/controllerDaemon.js";
+import type { ControllerContext } from "./daemons/controller/fleetView.js";
+import { openLedger } from "./daemons/controller/ledgerFile.js";
+import { CallerRequests } from "./daemons/router/callerRequests.js";
+import { ClaimClient } from "./daemons/router/claimClient.js";
+import { IntentClient } from "./daemons/router/intentClient.js";
+import { LedgerClient } from "./daemons/router/ledgerClient.js";
+import { RequestRunner } from "./daemons/router/requestRunner.js";
+import { RouterDaemon } from "./daemons/router/routerDaemon.js";
+import { RunClient } from "./daemons/router/runClient.js";
+import { UsageWitness } from "./daemons/router/usageWitness.js";
+import { SidecarDaemon } from "./daemons/sidecar/sidecarDaemon.js";
+import { UsageOutbox } from "./daemons/sidecar/usageOutbox.js";
+import { ConfigView } from "./domain/configView.js";
+import { createRandomId } from "./domain/identifiers.js";
+import { IntentBook } from "./domain/intentBook.js";
+import { createRefusal, RefusalError } from "./domain/resultCodes.js";
+import { UpstreamChooser } from "./domain/upstreamChooser.js";
+import { SystemClock } from "./ports/clock.js";
+import type { Log } from "./ports/log.js";
+import { NoMembership } from "./ports/membership.js";
+import { type Metrics, NoMetrics } from "./ports/metrics.js";
+import { PeerHandlers, type PeerIdentity } from "./ports/peer.js";
+import type { CommonSettings, ControllerSettings, RouterSettings, SidecarSettings } from "./settings/schemas.js";
+
+/** A role that is running in this process. */
+export interface RunningRole {
+    /** Where other processes reach it. */
+    readonly peerAddress: string;
+    /** Where callers or operators reach it; empty for a role that they do not. */
+    readonly httpAddress: string;
+    /** A planned stop: resolves when everything in flight has ended. */
+    stop(): Promise<void>;
+}
+
+/** What every role of the fleet is built on. */
+interface RoleBase {
+    readonly identity: PeerIdentity;
+    readonly clock: SystemClock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly handlers: PeerHandlers;
+    readonly network: TcpNetwork;
+    readonly peerAddress: string;
+}
+
+/** Starts a controller. */
+export async function startController(settings: ControllerSettings): Promise<RunningRole> {
+    await mkdir(settings.dataFolder, { recursive: true });
+    const base = await createBase(settings);
+    const { clock, log, metrics, network, handlers } = base;
+    const journals = await openControllerJournals(settings.dataFolder, log);
+    const storage = new LogStorage(journals.log);
+    const replicated = new ReplicatedLog(storage, network, clock, log, {
+        name: settings.name,
+        others: settings.controllers.filter(controller => controller.name !== settings.name),
+        electionTimeoutMs: settings.electionTimeoutMs,
+        heartbeatMs: settings.heartbeatMs,
+        proposeTimeoutMs: settings.proposeTimeoutMs,
+        snapshotEvery: settings.snapshotEvery,
+        random: Math.random,
+    });
+    const opened = await openLedger(journals.ledger, settings.name, replicated);
+    const context: ControllerContext = {
+        name: settings.name,
+        zone: settings.zone,
+        controllers: settings.controllers,
+        log: replicated,
+        ledger: opened.ledger,
+        network,
+        clock,
+        events: log,
+        metrics,
+    };
+    const intents = new IntentBook(journals.intents.journal, journals.intents.records as never);
+    const audit = new AuditTrail(journals.audit, log);
+    const daemon = new ControllerDaemon(context, handlers, intents, audit, {
+        ...settings,
+        startedEmpty: opened.startedEmpty,
+        membership: settings.membershipUrl === undefined
+            ? new NoMembership()
+            : new HttpMembership(settings.membershipUrl),
+    });
+    const http = await startHttpApp(settings.operatorListen, {
+        controllers: [OperatorApi],
+        providers: [
+            { provide: OPERATOR_SERVICE, useValue: daemon.operators },
+            { provide: OPERATORS, useValue: settings.operators },
+        ],
+        log,
+    });
+    daemon.start();
+    log.info("controller_started", {
+        peer: base.peerAddress,
+        operators: http.address,
+        ledger: opened.ledger.id,
+        started_empty: opened.startedEmpty,
+    });
+    return {
+        peerAddress: base.peerAddress,
+        httpAddress: http.address,
+        stop: async () => {
+            daemon.closeWatches();
+            await http.close();
+            await daemon.stop();
+            closeBase(base);
+        },
+    };
+}
+
+async function openControllerJournals(
+    folder: string,
+    log: Log,
+): Promise<Record<"log" | "ledger" | "intents" | "audit", Awaited<ReturnType<typeof openJournalFile>>>> {
+    const open = async (name: string): ReturnType<typeof openJournalFile> => {
+        const opened = await openJournalFile(join(folder, `${name}.journal`));
+        if (opened.tornBytes > 0) {
+            log.warn("journal_tail_cut", { journal: name, bytes: opened.tornBytes });
+        }
+        return opened;
+    };
+    return {
+        log: await open("log"),
+        ledger: await open("ledger"),
+        intents: await open("intents"),
+        audit: await open("audit"),
+    };
+}
+
+/** Starts a router. */
+export async function startRouter(settings: RouterSettings): Promise<RunningRole> {
+    const base = await createBase(settings);
+    const { clock, log, metrics, network, handlers, identity } = base;
+    const controllers = sortByZone(settings.controllers, settings.zone);
+    const view = new ConfigView();
+    const config = createConfigClient(base, settings, view, () => daemon.getFigures());
+    const outbox = new UsageOutbox(settings.controllers, network);
+    const ledgers = new LedgerClient(network, clock, log, metrics, {
+        router: settings.name,
+        controllers,
+        drawAheadMs: settings.drawAheadMs,
+        settleWaitMs: settings.settleWaitMs,
+    });
+    const runs = new RunClient(network);
+    const runner = new RequestRunner({
+        view,
+        clock,
+        log,
+        metrics,
+        chooser: new UpstreamChooser(Math.random),
+        ledgers,
+        runs,
+        claims: new ClaimClient(view, network, clock),
+        intents: new IntentClient(network, controllers),
+        witness: new UsageWitness(outbox, clock),
+    });
+    const requests = new CallerRequests(view, clock, identity);
+    const daemon: RouterDaemon = new RouterDaemon(
+        requests,
+        runner,
+        ledgers,
+        outbox,
+        config,
+        runs,
+        handlers,
+        clock,
+        log,
+        metrics,
+        settings,
+    );
+    daemon.start();
+    config.start();
+    const http: HttpApp = await startHttpApp(settings.callerListen, {
+        controllers: [CallerApi],
+        providers: [{ provide: ROUTER_DAEMON, useValue: daemon }],
+        log,
+    });
+    log.info("router_started", { peer: base.peerAddress, callers: http.address });
+    return {
+        peerAddress: base.peerAddress,
+        httpAddress: http.address,
+        stop: async () => {
+            await daemon.prepareStop();
+            await http.close();
+            await daemon.finishStop();
+            config.stop();
+            closeBase(base);
+        },
+    };
+}
+
+/** Starts a sidecar. */
+export async function startSidecar(settings: SidecarSettings): Promise<RunningRole> {
+    const base = await createBase(settings);
+    const { clock, log, metrics, network, handlers, identity } = base;
+    const config = createConfigClient(base, settings, new ConfigView(), () => daemon.getFigures());
+    const daemon: SidecarDaemon = new SidecarDaemon(config, network, handlers, clock, log, metrics, {
+        box: settings.box,
+        incarnation: identity.incarnation,
+        controllers: settings.controllers,
+        keepAnswersMs: settings.keepAnswersMs,
+        indexKeepMs: settings.indexKeepMs,
+        drainMs: settings.drainMs,
+        createClient: upstream => new HttpUpstream(upstream.url, upstream.slots),
+    });
+    daemon.start();
+    config.start();
+    log.info("sidecar_started", { peer: base.peerAddress, box: settings.box });
+    return {
+        peerAddress: base.peerAddress,
+        httpAddress: "",
+        stop: async () => {
+            await daemon.stop();
+            config.stop();
+            closeBase(base);
+        },
+    };
+}
+
+async function createBase(settings: CommonSettings): Promise<RoleBase> {
+    const { name, zone, role } = settings;
+    const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
+    const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
+    const metrics = settings.statsd === undefined
+        ? new NoMetrics()
+        : new StatsdMetrics(settings.statsd, { role, name, zone });
+    const handlers = new PeerHandlers();
+    const secret = await readFleetSecret(settings);
+    const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap });
+    const colon = settings.listen.lastIndexOf(":");
+    const host = settings.listen.slice(0, colon);
+    const port = await network.listen(host.replace(/^\[|\]$/g, ""), Number(settings.listen.slice(colon + 1)));
+    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress: `${host}:${port}` };
+}
+
+function closeBase(base: RoleBase): void {
+    base.network.close();
+    base.metrics.close();
+}
+
+function createConfigClient(
+    base: RoleBase,
+    settings: RouterSettings | SidecarSettings,
+    view: ConfigView,
+    getFigures: () => Record<string, number>,
+): ConfigClient {
+    const { network, clock, log, peerAddress, handlers } = base;
+    const config = new ConfigClient(
+        view,
+        settings.controllers,
+        settings.zone,
+        peerAddress,
+        network,
+        clock,
+        log,
+        getFigures,
+        settings.unconfirmedReadyMs,
+    );
+    config.addHandlers(handlers);
+    return config;
+}
+
+async function readFleetSecret(settings: CommonSettings): Promise<string> {
+    if (settings.fleetSecret !== undefined) {
+        return settings.fleetSecret;
+    }
+    if (settings.fleetSecretFile === undefined) {
+        throw new RefusalError(createRefusal("settingsInvalid", "fleetSecret or fleetSecretFile is needed"));
+    }
+    return (await readFile(settings.fleetSecretFile, "utf8")).trim();
+}
--- /dev/null
+++ b/test/tools/runTests.ts
@@ -0,0 +1,84 @@
+/**
+ * Runs every test file through tap and closes with the line `N passed, N failed`, counted from what the run printed.
+ * A failure listed in KNOWN-RED.txt is printed and passed over; everything else that fails, fails the run.
+ */
+import { spawn } from "node:child_process";
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, relative } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..", "..");
+const testFolder = join(root, "dist", "test");
+/** Test files that run at once: several of them start a fleet of processes each. */
+const JOBS = 4;
+const FILE_TIMEOUT_S = 240;
+
+/** The result of one named test. */
+interface TestResult {
+    readonly name: string;
+    readonly passed: boolean;
+}
+
+function findTestFiles(folder: string): string[] {
+    return readdirSync(folder, { withFileTypes: true }).flatMap(entry => {
+        const path = join(folder, entry.name);
+        return entry.isDirectory() ? findTestFiles(path) : entry.name.endsWith(".test.js") ? [path] : [];
+    }).sort();
+}
+
+function runTap(files: readonly string[]): Promise<{ output: string; code: number; }> {
+    const tap = join(root, "node_modules", "tap", "dist", "esm", "run.mjs");
+    const args = [
+        tap,
+        "run",
+        "--disable-coverage",
+        "--allow-empty-coverage",
+        "--reporter=tap",
+        `--jobs=${JOBS}`,
+        `--timeout=${FILE_TIMEOUT_S}`,
+    ];
+    return new Promise(resolve => {
+        const child = spawn(process.execPath, [...args, ...files.map(file => relative(root, file))], { cwd: root });
+        let output = "";
+        child.stdout.on("data", (bytes: Buffer) => {
+            output += bytes.toString();
+            process.stdout.write(bytes);
+        });
+        child.stderr.pipe(process.stderr);
+        child.on("close", code => resolve({ output, code: code ?? 1 }));
+    });
+}
+
+/** A named test stands one level in from its file in what tap prints. */
+function getResults(output: string): TestResult[] {
+    const results: TestResult[] = [];
+    for (const line of output.split("\n")) {
+        const match = /^ {4}(ok|not ok) \d+ - (.*?)(?: # .*)?(?: \{)?$/.exec(line);
+        if (match !== null) {
+            results.push({ name: match[2]!, passed: match[1] === "ok" });
+        }
+    }
+    return results;
+}
+
+function readKnownRed(): string[] {
+    const lines = readFileSync(join(root, "KNOWN-RED.txt"), "utf8").split("\n");
+    return lines.filter(line => line.trim() !== "" && !line.startsWith("#"));
+}
+
+const files = process.argv.length > 2 ? process.argv.slice(2) : findTestFiles(testFolder);
+const { output, code } = await runTap(files);
+const results = getResults(output);
+const knownRed = readKnownRed();
+const isKnownRed = (name: string): boolean => knownRed.some(line => line.startsWith(`${name},`));
+const failed = results.filter(result => !result.passed);
+const unexpected = failed.filter(result => !isKnownRed(result.name));
+failed.filter(result => isKnownRed(result.name)).forEach(result => console.log(`known red: ${result.name}`));
+unexpected.forEach(result => console.log(`failed: ${result.name}`));
+const passed = results.length - failed.length;
+const brokeOff = code !== 0 && failed.length === 0;
+if (brokeOff || results.length === 0) {
+    console.log("the run broke off, or ran no test");
+}
+console.log(`${passed} passed, ${unexpected.length + (brokeOff ? 1 : 0)} failed`);
+process.exit(unexpected.length > 0 || brokeOff || results.length === 0 ? 1 : 0);
