--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -8,9 +8,11 @@
 import { TcpPeer } from "./tcpPeer.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const HANDSHAKE_TIMEOUT_MS = 3_000;
-/** After a failed connection, how long calls to that address fail at once. */
+const HANDSHAKE_TIMEOUT_MS = 1_500;
+/** After a failed connection, how long no other is tried. */
 const RETRY_PAUSE_MS = 150;
+/** How long a call waits for a connection to an address where the last one failed. */
+const REDIAL_WAIT_MS = 60;
 const NONCE_BYTES = 12;
 
 /** What a network needs to know of its process. */
@@ -27,7 +29,10 @@
 
 interface KnownPeer {
     peer: Promise<TcpPeer>;
-    failedAt?: number;
+    /** When the last attempt failed, if it did. Monotonic clock, milliseconds. */
+    failedAt: number | undefined;
+    /** An attempt that is going on after one that failed. */
+    redial: Promise<TcpPeer> | undefined;
 }
 
 export class TcpNetwork extends PeerNetwork {
@@ -54,20 +59,51 @@
 
     override connect(address: string): Promise<Peer> {
         const known = this.known.get(address);
-        if (
-            known !== undefined && (known.failedAt === undefined || performance.now() - known.failedAt < RETRY_PAUSE_MS)
-        ) {
-            return known.peer;
+        if (known === undefined) {
+            return this.connectFirst(address);
         }
-        const entry: KnownPeer = { peer: this.dial(address) };
+        return known.failedAt === undefined ? known.peer : this.connectAgain(address, known);
+    }
+
+    private connectFirst(address: string): Promise<TcpPeer> {
+        const entry: KnownPeer = { peer: this.dial(address), failedAt: undefined, redial: undefined };
         this.known.set(address, entry);
-        entry.peer.then(
-            peer => peer.onClose(() => this.known.delete(address)),
+        this.keep(address, entry, entry.peer);
+        return entry.peer;
+    }
+
+    /** To an address where the last attempt failed nobody waits long: whoever calls has other places to turn to. */
+    private connectAgain(address: string, entry: KnownPeer): Promise<TcpPeer> {
+        if (entry.redial === undefined) {
+            if (performance.now() - entry.failedAt! < RETRY_PAUSE_MS) {
+                return entry.peer;
+            }
+            entry.redial = this.dial(address);
+            this.keep(address, entry, entry.redial);
+        }
+        const giveUp = new Promise<never>((_resolve, reject) => {
+            setTimeout(
+                () => reject(new RefusalError(createRefusal("peerGone", `no connection to ${address}`))),
+                REDIAL_WAIT_MS,
+            );
+        });
+        return Promise.race([entry.redial, giveUp]);
+    }
+
+    private keep(address: string, entry: KnownPeer, attempt: Promise<TcpPeer>): void {
+        attempt.then(
+            peer => {
+                entry.peer = attempt;
+                entry.failedAt = undefined;
+                entry.redial = undefined;
+                peer.onLost(() => this.known.delete(address));
+            },
             () => {
+                entry.peer = attempt;
                 entry.failedAt = performance.now();
+                entry.redial = undefined;
             },
         );
-        return entry.peer;
     }
 
     /** Closes the listener and every connection. */
--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -16,6 +16,13 @@
 /** Most bytes that may wait to be written; a peer that reads slower than that is cut off. */
 export const MAX_WAITING_BYTES = 64 * 1024 * 1024;
 
+/** How often a connection that somebody waits on is looked after. */
+const WATCH_PERIOD_MS = 500;
+/** A connection that somebody waits on is lost after this much silence, pings unanswered. */
+export const SILENCE_LIMIT_MS = 2_000;
+const PING = "peer.ping";
+const PONG = "peer.pong";
+
 const noIdentity: PeerIdentity = { name: "", role: "operator", zone: "", incarnation: "" };
 
 /** Decides whether a call may be answered yet; used until the handshake is done. */
@@ -29,6 +36,10 @@
     private readonly server = new JSONRPCServer();
     private readonly closeHandlers = new Set<() => void>();
     private open = true;
+    private pendingCalls = 0;
+    private lostHandler: () => void = () => undefined;
+    private receivedAt = performance.now();
+    private readonly watchTimer: NodeJS.Timeout;
 
     constructor(
         private readonly socket: Socket,
@@ -39,12 +50,15 @@
         socket.setNoDelay(true);
         this.client = new JSONRPCClient(request => this.sendMessage(request));
         this.server.applyMiddleware(async (_next, request) => this.answer(request));
+        this.watchTimer = setInterval(() => this.watch(), WATCH_PERIOD_MS);
+        this.watchTimer.unref();
     }
 
     /** Reads the connection until it ends. This is the connection's one task. */
     async run(): Promise<void> {
         try {
             for await (const line of readLines(this.socket)) {
+                this.receivedAt = performance.now();
                 this.receive(line);
             }
         }
@@ -60,6 +74,7 @@
         if (!this.open) {
             throw new RefusalError(createRefusal("peerGone", method.name));
         }
+        this.pendingCalls += 1;
         try {
             const timeoutRefusal = createRefusal("peerTimeout", method.name, "unknown");
             const answer: unknown = await this.client
@@ -73,6 +88,9 @@
         catch (error) {
             throw new RefusalError(getPeerRefusal(error, method.name));
         }
+        finally {
+            this.pendingCalls -= 1;
+        }
     }
 
     override notify<P>(method: PeerMethod<P, void>, params: P): void {
@@ -90,6 +108,14 @@
         return () => this.closeHandlers.delete(handler);
     }
 
+    /** Calls back when the connection is lost, without counting as somebody who waits on it. */
+    onLost(handler: () => void): void {
+        this.lostHandler = handler;
+        if (!this.open) {
+            handler();
+        }
+    }
+
     override isOpen(): boolean {
         return this.open;
     }
@@ -100,11 +126,32 @@
             return;
         }
         this.open = false;
+        clearInterval(this.watchTimer);
         this.socket.destroy();
         this.client.rejectAllPendingRequests("connection lost");
+        this.lostHandler();
         this.closeHandlers.forEach(handler => handler());
     }
 
+    /**
+     * A connection can be cut without a sign. Where somebody waits on it, silence is first answered by a ping, then by
+     * closing it, so that whoever waits can turn elsewhere.
+     */
+    private watch(): void {
+        const isWaitedOn = this.pendingCalls > 0 || this.closeHandlers.size > 0;
+        const silentMs = performance.now() - this.receivedAt;
+        if (!isWaitedOn) {
+            this.receivedAt = performance.now();
+        }
+        else if (silentMs > SILENCE_LIMIT_MS) {
+            this.closedBy = createRefusal("peerStalled", "silent", "unknown");
+            this.close();
+        }
+        else if (silentMs >= WATCH_PERIOD_MS) {
+            this.client.notify(PING, {});
+        }
+    }
+
     private receive(line: string): void {
         let message: JSONRPCRequest | JSONRPCResponse;
         try {
@@ -117,7 +164,12 @@
             throw new RefusalError(createRefusal("peerMalformed", "not a JSON-RPC 2.0 message"));
         }
         if ("method" in message) {
-            void this.receiveCall(message);
+            if (message.method === PING) {
+                this.client.notify(PONG, {});
+            }
+            else if (message.method !== PONG) {
+                void this.receiveCall(message);
+            }
         }
         else {
             this.client.receive(message);
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -43,9 +43,26 @@
 
     /** Connects and calls. `ran` is "no" in a refusal only where nothing was sent. */
     async call<P, R>(address: string, method: PeerMethod<P, R>, params: P, timeoutMs: number): Promise<R> {
-        const peer = await this.connect(address);
+        const peer = await this.connectWithin(address, timeoutMs);
         return peer.call(method, params, timeoutMs);
     }
+
+    /** A connection, or a refusal with `ran` "no" when there is none in time. */
+    private async connectWithin(address: string, timeoutMs: number): Promise<Peer> {
+        let timer: NodeJS.Timeout | undefined;
+        const giveUp = new Promise<never>((_resolve, reject) => {
+            timer = setTimeout(
+                () => reject(new RefusalError(createRefusal("peerGone", `no connection to ${address} in time`))),
+                timeoutMs,
+            );
+        });
+        try {
+            return await Promise.race([this.connect(address), giveUp]);
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
 }
 
 type UntypedHandler = (params: unknown, peer: Peer) => Promise<unknown>;
