--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,8 +7,6 @@
 import { type Role, roleSettings } from "../settings/schemas.js";
 import type { OperatorTarget } from "./operatorClient.js";
 import * as operators from "./operatorCommands.js";
-import { runQuickstart } from "./quickstart.js";
-import { runRole } from "./roleCommands.js";
 
 const EXIT_FAILED = 1;
 const EXIT_WRONG_USE = 2;
@@ -59,7 +57,7 @@
                     demandOption: true,
                     describe: "settings file, JSON with comments",
                 }),
-            args => runRole(role, args.settings),
+            async args => (await import("./roleCommands.js")).runRole(role, args.settings),
         );
     }
     return cli;
@@ -186,7 +184,7 @@
                     type: "string",
                     describe: "data folder in place of the settings' one",
                 }),
-            args => runQuickstart(args.settings, args.data),
+            async args => (await import("./quickstart.js")).runQuickstart(args.settings, args.data),
         );
 }
 
--- a/src/cli/roleCommands.ts
+++ b/src/cli/roleCommands.ts
@@ -1,7 +1,4 @@
 /** The commands that run a role until they are told to stop. */
-import { StandInEngine } from "../daemons/standIn/standInEngine.js";
-import { StandInPlatform } from "../daemons/standIn/standInPlatform.js";
-import { StandInService } from "../daemons/standIn/standInService.js";
 import { RefusalError } from "../domain/resultCodes.js";
 import { readRoleSettings } from "../settings/roleFile.js";
 import type { Role, RoleSettings } from "../settings/schemas.js";
@@ -17,11 +14,11 @@
         case "sidecar":
             return startSidecar(settings);
         case "stand-in-engine":
-            return startStandIn(new StandInEngine(settings));
+            return startStandIn(new (await import("../daemons/standIn/standInEngine.js")).StandInEngine(settings));
         case "stand-in-service":
-            return startStandIn(new StandInService(settings));
+            return startStandIn(new (await import("../daemons/standIn/standInService.js")).StandInService(settings));
         case "stand-in-platform":
-            return startStandIn(new StandInPlatform(settings));
+            return startStandIn(new (await import("../daemons/standIn/standInPlatform.js")).StandInPlatform(settings));
     }
 }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,11 +1,11 @@
-/** The one module that constructs: makes running roles out of settings. */
+/**
+ * The one module that constructs: makes running roles out of settings. What only some roles need (nestjs and fastify,
+ * some 45 MB) is imported where it is used, so that a sidecar's slot does not pay for it.
+ */
 import { mkdir, readFile } from "node:fs/promises";
 import { join } from "node:path";
 import { openJournalFile } from "./adapters/disk/journalFile.js";
-import { CallerApi, ROUTER_DAEMON } from "./adapters/http/callerApi.js";
-import { type HttpApp, startHttpApp } from "./adapters/http/httpApp.js";
 import { HttpMembership } from "./adapters/http/membershipList.js";
-import { OPERATOR_SERVICE, OperatorApi, OPERATORS } from "./adapters/http/operatorApi.js";
 import { KeyValueLog } from "./adapters/keyValueLog.js";
 import { TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
 import { StatsdMetrics } from "./adapters/statsdMetrics.js";
@@ -97,6 +97,8 @@
             ? new NoMembership()
             : new HttpMembership(settings.membershipUrl),
     });
+    const { startHttpApp } = await import("./adapters/http/httpApp.js");
+    const { OPERATOR_SERVICE, OperatorApi, OPERATORS } = await import("./adapters/http/operatorApi.js");
     const http = await startHttpApp(settings.operatorListen, {
         controllers: [OperatorApi],
         providers: [
@@ -186,7 +188,9 @@
     );
     daemon.start();
     config.start();
-    const http: HttpApp = await startHttpApp(settings.callerListen, {
+    const { startHttpApp } = await import("./adapters/http/httpApp.js");
+    const { CallerApi, ROUTER_DAEMON } = await import("./adapters/http/callerApi.js");
+    const http = await startHttpApp(settings.callerListen, {
         controllers: [CallerApi],
         providers: [{ provide: ROUTER_DAEMON, useValue: daemon }],
         log,
