Answer a resend only once the first one's record is synced

Cause: Ledger and IntentBook apply a change in memory first and sync it then. A resend (a doubled draw, usage record, return, top-up or intent) found the change in memory and was answered at once; after a crash the record was gone, but the asker relied on it. A draw lost like that was spent and overspent its ledger by 27 tokens; a usage record lost like that would have been a bill lost; an intent, a second run. Ruled out: the router's book (conserved), the closer (not in the minimal trace), the log. Conclusion: nothing is answered before what the answer rests on is synced; the replicated log had the same rule for appends and votes from the start.

--- a/src/domain/intentBook.ts
+++ b/src/domain/intentBook.ts
@@ -19,6 +19,7 @@
 
 export class IntentBook {
     private readonly intents = new Map<string, Intent>();
+    private lastWrite: Promise<void> = Promise.resolve();
 
     constructor(private readonly journal: Journal, events: readonly IntentEvent[] = []) {
         events.forEach(event => this.apply(event));
@@ -27,21 +28,19 @@
     /** Stores the intent, or answers the one that stands already. Resolves once synced. */
     async intend(requestId: string, intent: Intent): Promise<Intent> {
         const standing = this.intents.get(requestId);
-        if (standing !== undefined) {
-            return standing;
+        if (standing === undefined) {
+            await this.record({ type: "intend", requestId, ...intent });
+            return intent;
         }
-        const event = { type: "intend" as const, requestId, ...intent };
-        this.apply(event);
-        await this.journal.append(event);
-        return intent;
+        // A resend may find an intent that is not synced yet.
+        await this.lastWrite;
+        return standing;
     }
 
     /** Removes an intent, if `owner` still holds it. */
     async withdraw(requestId: string, owner: string): Promise<void> {
         if (this.intents.get(requestId)?.owner === owner) {
-            const event = { type: "withdraw" as const, requestId };
-            this.apply(event);
-            await this.journal.append(event);
+            await this.record({ type: "withdraw", requestId });
         }
     }
 
@@ -55,6 +54,12 @@
         await this.journal.replaceAll(events);
     }
 
+    private async record(event: IntentEvent): Promise<void> {
+        this.apply(event);
+        this.lastWrite = this.journal.append(event);
+        await this.lastWrite;
+    }
+
     private apply(event: IntentEvent): void {
         if (event.type === "withdraw") {
             this.intents.delete(event.requestId);
--- a/src/domain/ledger.ts
+++ b/src/domain/ledger.ts
@@ -76,6 +76,8 @@
     private readonly sidecarsSeen = new Map<string, { incarnation: string; at: number; }>();
     private readonly bills = new BillBook();
     private eventCount = 0;
+    /** The newest record's way to the disk; it follows all earlier ones. */
+    private lastWrite: Promise<void> = Promise.resolve();
     /** Tokens recorded beyond what was granted. Stays 0 unless the program is wrong. */
     overspent = 0;
     /** Tokens billed here that came out of sealed shares. */
@@ -137,6 +139,7 @@
     ): Promise<DrawResult> {
         const known = this.grants.get(grantId);
         if (known !== undefined && sequence <= known.drawSequence) {
+            await this.waitSynced();
             return { type: "granted", grantedTotal: known.grantedTotal };
         }
         if (this.voidGrants.has(grantId)) {
@@ -163,6 +166,7 @@
         if (bounded > grant.returnedTotal) {
             await this.record({ type: "return", id: grantId, returnedTotal: bounded });
         }
+        await this.waitSynced();
     }
 
     /** Records what a run consumed. Any number of copies, from either witness, is one bill. */
@@ -170,6 +174,7 @@
         if (this.bills.isNews(usage)) {
             await this.record({ type: "usage", usage });
         }
+        await this.waitSynced();
     }
 
     /** Whether the ledger still holds a record of the request, and what it is billed. */
@@ -228,6 +233,7 @@
         if (known.budget !== topUp.budget || known.tokens !== topUp.tokens) {
             return createRefusal("operationReused", topUp.operationId);
         }
+        await this.waitSynced();
         return undefined;
     }
 
@@ -235,6 +241,7 @@
         if (this.topUps.get(operationId)?.spendable === false) {
             await this.record({ type: "topUpSpendable", operationId });
         }
+        await this.waitSynced();
     }
 
     tryGetTopUp(operationId: string): StoredTopUp | undefined {
@@ -285,7 +292,13 @@
     /** Applies first and syncs then: what is not synced yet can only make the ledger more careful. */
     private async record(event: LedgerEvent): Promise<void> {
         this.applyEvent(event);
-        await this.journal.append(event);
+        this.lastWrite = this.journal.append(event);
+        await this.lastWrite;
+    }
+
+    /** Before an answer that needs no record of its own: what it rests on may not be synced yet. */
+    private async waitSynced(): Promise<void> {
+        await this.lastWrite;
     }
 
     private applyEvent(event: LedgerEvent): void {
--- a/test/domain/escrow.test.ts
+++ b/test/domain/escrow.test.ts
@@ -21,7 +21,7 @@
                 }
             }
         }),
-        { numRuns: RUNS, seed: SEED },
+        { numRuns: RUNS, seed: SEED, endOnFailure: true },
     );
     t.pass();
 });
--- /dev/null
+++ b/test/domain/syncBeforeAnswer.test.ts
@@ -0,0 +1,74 @@
+/** Nothing is answered before what the answer rests on is synced: also not to a resend that finds it in memory already. */
+import t from "tap";
+import type { UsageRecord } from "../../src/domain/billBook.js";
+import { IntentBook } from "../../src/domain/intentBook.js";
+import { Ledger, ShareSource } from "../../src/domain/ledger.js";
+import { FakeJournal } from "../tools/fakes.js";
+
+class FixedShare extends ShareSource {
+    override getAllotted(): number {
+        return 1_000;
+    }
+    override hasTopUp(): boolean {
+        return false;
+    }
+}
+
+const usage: UsageRecord = {
+    requestId: "a/1",
+    runId: "a/1#1",
+    account: "a",
+    service: "s",
+    budget: "b",
+    grant: "l#0/r/g",
+    promptTokens: 5,
+    outputTokens: 5,
+    uncertain: false,
+    at: 0,
+};
+
+/** Whether a promise has resolved once everything that needs no disk is done. */
+async function isAnswered(promise: Promise<unknown>): Promise<boolean> {
+    let answered = false;
+    void promise.then(() => answered = true);
+    await new Promise(resolve => setImmediate(resolve));
+    return answered;
+}
+
+void t.test("a resent draw, usage record, return and top-up wait for the first one's sync", async t => {
+    const journal = new FakeJournal(false);
+    const ledger = new Ledger("l#0", journal, new FixedShare());
+    const topUp = {
+        operationId: "o",
+        operator: "x",
+        budget: "b",
+        tokens: 5,
+        copies: "majority" as const,
+        spendable: false,
+    };
+    const calls: (() => Promise<unknown>)[] = [
+        () => ledger.draw("l#0/r/g", "r", "b", 1, 10, 100),
+        () => ledger.recordUsage(usage),
+        () => ledger.returnGrant("l#0/r/g", 20),
+        () => ledger.storeTopUp(topUp),
+    ];
+    for (const call of calls) {
+        const first = call();
+        const resent = call();
+        t.notOk(await isAnswered(first));
+        t.notOk(await isAnswered(resent));
+        journal.sync();
+        t.ok(await isAnswered(first));
+        t.ok(await isAnswered(resent));
+    }
+});
+
+void t.test("a resent intent waits for the first one's sync", async t => {
+    const journal = new FakeJournal(false);
+    const intents = new IntentBook(journal);
+    void intents.intend("a/1", { digest: "d", owner: "r1" });
+    const resent = intents.intend("a/1", { digest: "d", owner: "r1" });
+    t.notOk(await isAnswered(resent));
+    journal.sync();
+    t.ok(await isAnswered(resent));
+});
--- a/test/tools/escrowWorld.ts
+++ b/test/tools/escrowWorld.ts
@@ -14,7 +14,7 @@
 import { NoLog } from "../../src/ports/log.js";
 import type { CloseGrantAnswer } from "../../src/protocol/runMethods.js";
 import { applyCommand, Replica } from "./escrowReplica.js";
-import { FakeClock, FakeJournal } from "./fakes.js";
+import { FakeClock, FakeJournal, settlePromises } from "./fakes.js";
 
 const BUDGET = "budget";
 const GRANT_LIFE_MS = 100;
@@ -493,9 +493,3 @@
         }
     }
 }
-
-async function settlePromises(): Promise<void> {
-    for (let i = 0; i < 5; i++) {
-        await Promise.resolve();
-    }
-}
--- a/test/tools/fakes.ts
+++ b/test/tools/fakes.ts
@@ -72,3 +72,10 @@
         return structuredClone(this.records);
     }
 }
+
+/** Lets whatever waits on settled promises go on. */
+export async function settlePromises(): Promise<void> {
+    for (let i = 0; i < 5; i++) {
+        await Promise.resolve();
+    }
+}
