Processes under failure: split, lost disk, requests, stops, configuration; five faults found and mended

A resent change was refused as another one (operationReused): its digest hung on the order of keys, which differs between a leader's own proposals and forwarded or copied ones, so replicas could also have disagreed. Ruled out: the ledger's books (conserved), recall (it ran). A late second look, forgetting the refusal when something settles, and no sequential asking of ledgers that are cut off. 4. Ledgers without demand took the last tokens back from where they were needed. 5. An answer broken off by every engine once was given up, with retries left.

--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -176,7 +176,7 @@
             return this.proposeAsLeader(command);
         }
         const leader = this.options.others.find(other => other.name === this.leader);
-        if (leader === undefined) {
+        if (leader === undefined || !this.isConnectedToMajority()) {
             throw new RefusalError(
                 createRefusal("noMajority", "no leader is known", "no", this.options.electionTimeoutMs),
             );
--- a/src/daemons/configClient.ts
+++ b/src/daemons/configClient.ts
@@ -25,6 +25,9 @@
 /** A controller without a majority is left after this long, to look for a better one. */
 const UNCONFIRMED_MS = 3_000;
 
+/** Updates in a row that could not be applied after which the daemon subscribes anew. */
+const MISSED_LIMIT = 3;
+
 /** Controllers, those of the daemon's own availability zone first. */
 export function sortByZone(controllers: readonly ControllerAddress[], zone: string): ControllerAddress[] {
     return [...controllers].sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
@@ -38,6 +41,7 @@
     private reportedRevision = -1;
     private reportedAt = -Infinity;
     private startedAt = 0;
+    private missedUpdates = 0;
     private stopped = false;
     private readonly changeHandlers: (() => void)[] = [];
     private readonly membershipHandlers: ((membership: MembershipUpdate) => void)[] = [];
@@ -123,6 +127,7 @@
         const params = { revision: this.view.getRevision(), address: this.ownAddress };
         const update = await peer.call(subscribeMethod, params, SUBSCRIBE_TIMEOUT_MS);
         this.reportedRevision = -1;
+        this.missedUpdates = 0;
         this.takeUpdate(update);
         this.log.info("config_subscribed", {
             controller: controller.name,
@@ -138,7 +143,7 @@
             this.sendReport();
             await this.clock.wait(TURN_MS);
             const now = this.clock.getMonotonicMs();
-            if (now - this.heardAt > SILENCE_MS) {
+            if (now - this.heardAt > SILENCE_MS || this.missedUpdates > MISSED_LIMIT) {
                 return;
             }
             if (now - Math.max(since, this.confirmedAt) > UNCONFIRMED_MS) {
@@ -149,6 +154,12 @@
 
     private takeUpdate(update: ConfigUpdate): void {
         this.heardAt = this.clock.getMonotonicMs();
+        if (update.from > this.view.getRevision()) {
+            // What it builds on is still on its way, or was lost: then the next heartbeat cannot be applied either.
+            this.missedUpdates += 1;
+            return;
+        }
+        this.missedUpdates = 0;
         if (update.confirmed && update.revision >= this.view.getRevision()) {
             this.confirmedAt = this.heardAt;
         }
--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -68,7 +68,7 @@
     }
 
     private getTarget(budget: string): number {
-        const { log, ledger, clock } = this.context;
+        const { log, ledger } = this.context;
         const account = log.state.budgets.tryGetBudget(budget);
         if (account === undefined) {
             return 0;
@@ -77,10 +77,15 @@
             account,
             openLedgers: log.state.budgets.getOpenLedgers().map(record => record.ledger),
             self: ledger.id,
-            ownDemand: this.getDemand(budget).getRate(clock.getMonotonicMs()),
+            ownDemand: this.getOwnRate(budget),
         });
     }
 
+    /** Tokens a second drawn here lately. */
+    private getOwnRate(budget: string): number {
+        return this.getDemand(budget).getRate(this.context.clock.getMonotonicMs());
+    }
+
     private mayRecall(budget: string): boolean {
         return this.getBudgetPolicy(budget).mayRecall();
     }
@@ -126,8 +131,8 @@
 
     /** What a ledger lends: all but a second of its own demand. */
     private getSpare(budget: string): number {
-        const { ledger, clock } = this.context;
-        const kept = Math.ceil(this.getDemand(budget).getRate(clock.getMonotonicMs()));
+        const { ledger } = this.context;
+        const kept = Math.ceil(this.getOwnRate(budget));
         const free = ledger.getBalance(budget).free;
         return Math.max(Math.floor(free / 2), free - kept);
     }
@@ -138,7 +143,8 @@
         const target = this.getTarget(budget);
         const free = ledger.getBalance(budget).free;
         const unallocated = log.state.budgets.tryGetBudget(budget)?.unallocated ?? 0;
-        if (free < target * LOW_MARK && unallocated > 0) {
+        const isWorthHolding = target >= SMALLEST_SHARE || this.getOwnRate(budget) >= 1;
+        if (free < target * LOW_MARK && unallocated > 0 && isWorthHolding) {
             await this.allot(budget, Math.ceil(target - free));
         }
         else if (free > target * HIGH_MARK && this.getBudgetPolicy(budget).mayGiveBack()) {
@@ -147,6 +153,8 @@
     }
 }
 
+/** A ledger without demand does not hold less than this: near a budget's end it is needed where the demand is. Tokens. */
+const SMALLEST_SHARE = 500;
 /** Below this part of its target a ledger asks for more, above the other it gives back. */
 const LOW_MARK = 0.8;
 const HIGH_MARK = 1.3;
--- a/src/daemons/controller/configPublisher.ts
+++ b/src/daemons/controller/configPublisher.ts
@@ -149,6 +149,7 @@
         return {
             type: changes === undefined ? "snapshot" : "changes",
             changes: changes ?? objects.getSnapshotObjects(),
+            from: changes === undefined ? 0 : since,
             revision: objects.getRevision(),
             confirmed: log.isConnectedToMajority(),
             term: log.getTerm(),
--- a/src/daemons/router/ledgerClient.ts
+++ b/src/daemons/router/ledgerClient.ts
@@ -59,7 +59,10 @@
         private readonly metrics: Metrics,
         private readonly options: LedgerClientOptions,
     ) {
-        this.book = new GrantBook(options.router, clock, () => this.freed.notifyAll());
+        this.book = new GrantBook(options.router, clock, budget => {
+            this.exhausted.delete(budget);
+            this.freed.notifyAll();
+        });
     }
 
     addHandlers(handlers: PeerHandlers): void {
@@ -82,6 +85,11 @@
                 continue;
             }
             if (refusal.code !== "budgetExhausted" || left <= 0 || !this.book.hasReserved(budget)) {
+                // While the draw was on its way other runs may have settled.
+                const late = this.book.tryReserve(budget, tokens);
+                if (late !== undefined) {
+                    return late;
+                }
                 throw new RefusalError(refusal);
             }
             this.metrics.addCount("router.settle_waits");
@@ -149,8 +157,11 @@
         return known !== undefined && need >= known.need && this.clock.getMonotonicMs() < known.until;
     }
 
+    /**
+     * Draws from the nearest ledger that can be reached. One that is exhausted has the last word: it has asked the
+     * others itself, as far as it can reach them.
+     */
     private async drawFromAny(budget: string, need: number): Promise<Refusal | undefined> {
-        let exhausted: Refusal | undefined;
         let failed: Refusal | undefined;
         for (const controller of this.options.controllers) {
             try {
@@ -160,22 +171,22 @@
             catch (error) {
                 const refusal = getRefusal(error);
                 if (refusal.code === "budgetExhausted") {
-                    exhausted = refusal;
+                    return this.recordExhaustion(budget, need, refusal);
                 }
-                else {
-                    failed = refusal;
-                }
-            }
-            if (need === 0) {
-                return exhausted ?? failed;
+                failed = refusal;
             }
         }
-        const refusal = exhausted === undefined
-            ? createRefusal("budgetUnreachable", failed?.detail ?? failed?.code, "no", RETRY_AFTER_MS)
-            : createRefusal("budgetExhausted", `${need} tokens needed; ${exhausted.detail}`, "no", RETRY_AFTER_MS);
-        if (exhausted !== undefined) {
-            this.exhausted.set(budget, { need, until: this.clock.getMonotonicMs() + EXHAUSTED_MEMORY_MS, refusal });
-        }
+        return createRefusal("budgetUnreachable", failed?.detail ?? failed?.code, "no", RETRY_AFTER_MS);
+    }
+
+    private recordExhaustion(budget: string, need: number, cause: Refusal): Refusal {
+        const refusal = createRefusal(
+            "budgetExhausted",
+            `${need} tokens needed; ${cause.detail}`,
+            "no",
+            RETRY_AFTER_MS,
+        );
+        this.exhausted.set(budget, { need, until: this.clock.getMonotonicMs() + EXHAUSTED_MEMORY_MS, refusal });
         return refusal;
     }
 
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -181,7 +181,7 @@
         let last: Refusal | undefined;
         this.getRetryBudget(job.service).recordRequest();
         for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-            const upstream = this.tryChoose(job, tried);
+            const upstream = this.tryChoose(job, tried, last);
             if (upstream === undefined) {
                 reservation?.settle(0);
                 throw new RefusalError(last ?? createRefusal("noUpstream", job.service, "no", 1000));
@@ -234,11 +234,19 @@
         this.parts.metrics.addCount("router.retries");
     }
 
-    private tryChoose(job: Job, tried: ReadonlySet<string>): Upstream | undefined {
-        const open = this.parts.view.getUpstreams(job.service).filter(upstream =>
-            !upstream.leaving && !tried.has(upstream.name)
-        );
-        return this.parts.chooser.tryChoose(open, job.prompt, this.parts.clock.getMonotonicMs());
+    private tryChoose(job: Job, tried: Set<string>, last: Refusal | undefined): Upstream | undefined {
+        const now = this.parts.clock.getMonotonicMs();
+        const open = this.parts.view.getUpstreams(job.service).filter(upstream => !upstream.leaving);
+        const untried = open.filter(upstream => !tried.has(upstream.name));
+        if (untried.length > 0) {
+            return this.parts.chooser.tryChoose(untried, job.prompt, now);
+        }
+        if (last?.ran === "no") {
+            return undefined;
+        }
+        // All have been tried: one that broke off before may be better now. Attempts and retry budget bound it.
+        tried.clear();
+        return this.parts.chooser.tryChoose(open, job.prompt, now);
     }
 
     private reserve(job: Job, progress: Progress): Promise<Reservation> {
--- a/src/domain/configView.ts
+++ b/src/domain/configView.ts
@@ -37,13 +37,16 @@
         return this.confirmedOnce;
     }
 
-    /** Applies an update; one that is older than what is held changes nothing. Answers whether anything changed. */
+    /**
+     * Applies an update. One that is older than what is held changes nothing, and neither does one that starts after it:
+     * an update can overtake the snapshot it builds on. Answers whether anything changed.
+     */
     apply(update: ConfigUpdate): boolean {
-        if (update.confirmed && update.revision >= this.revision) {
+        if (update.confirmed && update.revision >= this.revision && update.from <= this.revision) {
             this.confirmedOnce = true;
             this.term = Math.max(this.term, update.term);
         }
-        if (update.revision <= this.revision) {
+        if (update.revision <= this.revision || update.from > this.revision) {
             return false;
         }
         if (update.type === "snapshot") {
--- a/src/domain/identifiers.ts
+++ b/src/domain/identifiers.ts
@@ -26,6 +26,16 @@
     return createHash("sha256").update(body).digest("hex").slice(0, 32);
 }
 
+/** JSON with the keys of every object sorted: the same for equal values, whatever order their keys came in. */
+export function formatCanonicalJson(value: unknown): string {
+    return JSON.stringify(value, (_key, part: unknown) => {
+        if (part === undefined || typeof part !== "object" || Array.isArray(part) || !part) {
+            return part;
+        }
+        return Object.fromEntries(Object.entries(part).sort(([a], [b]) => (a < b ? -1 : 1)));
+    });
+}
+
 /** A 32-bit hash (FNV-1a) for spreading keys. Not for secrets. */
 export function computeHash32(text: string): number {
     let hash = 0x811c9dc5;
--- a/src/domain/objectStore.ts
+++ b/src/domain/objectStore.ts
@@ -1,5 +1,5 @@
 /** The declared objects: compare-and-set on revisions, answers to resent operations, and the history that watches read. */
-import { computeDigest } from "./identifiers.js";
+import { computeDigest, formatCanonicalJson } from "./identifiers.js";
 import type { DeclaredObject, Kind, ObjectChange, ObjectChangeRequest, SpecByKind } from "./objects.js";
 import { isDeletion, kinds } from "./objects.js";
 import { createRefusal, type Refusal } from "./resultCodes.js";
@@ -69,7 +69,7 @@
 
     /** Applies one change at log index `index`, or repeats the answer its operation got before. */
     apply(change: ObjectChangeRequest, index: number): ChangeResult {
-        const digest = computeDigest(JSON.stringify({ ...change, operator: "" }));
+        const digest = computeDigest(formatCanonicalJson({ ...change, operator: "" }));
         const remembered = this.operations.get(change.operationId);
         if (remembered !== undefined) {
             if (remembered.digest === digest) {
--- a/src/protocol/configMethods.ts
+++ b/src/protocol/configMethods.ts
@@ -8,6 +8,8 @@
     /** "snapshot": `changes` is everything there is; "changes": what came after the subscriber's revision. */
     readonly type: "snapshot" | "changes";
     readonly changes: readonly ObjectChange[];
+    /** Revision that `changes` starts after; a daemon that is not there yet must not take them. 0 for a snapshot. */
+    readonly from: number;
     /** Revision the daemon is at once these are applied. */
     readonly revision: number;
     /** Whether the controller is connected to a majority, so that this is the newest there is. */
@@ -29,6 +31,7 @@
 
 const updateSchema = z.object({
     type: z.enum(["snapshot", "changes"]),
+    from: z.int().min(0),
     changes: z.array(z.looseObject({ kind: z.string(), name: z.string(), revision: z.int() })),
     revision: z.int().min(0),
     confirmed: z.boolean(),
--- /dev/null
+++ b/test/fleet/stops.test.ts
@@ -0,0 +1,108 @@
+/** Leaving upstreams and planned stops: nothing in flight is cut off, and nothing new reaches who leaves. */
+import t from "tap";
+import { request } from "undici";
+import { askChat, type CallResult, getExpectedAnswer, getRunCounts } from "../tools/caller.js";
+import { Fleet } from "../tools/fleet.js";
+import { wait, waitUntil } from "../tools/waiting.js";
+
+const CONTENT = "a briefing, please out=30";
+const platformPort = 20_000 + process.pid % 10_000;
+const { StandInPlatform } = await import("../../src/daemons/standIn/standInPlatform.js");
+const platform = new StandInPlatform({
+    role: "stand-in-platform",
+    listen: `127.0.0.1:${platformPort}`,
+    lagMs: 300,
+    boxes: [],
+});
+const fleet = new Fleet({
+    zones: ["wien", "linz", "graz"],
+    routersPerZone: 1,
+    services: [{ name: "wetterwort", type: "model", upstreamsPerZone: 1, standIn: { tokenMs: 5 } }],
+    controller: { membershipUrl: `http://127.0.0.1:${platformPort}/boxes` },
+});
+let key = "";
+t.before(async () => {
+    await platform.start();
+    await fleet.start();
+    key = await fleet.createAccount("member", 10_000_000);
+});
+t.teardown(async () => {
+    await fleet.stop();
+    await platform.stop();
+});
+
+/** Keeps asking routers in turn, those the balancer would choose, until told to stop. */
+function startLoad(callers: number): { stop: () => Promise<CallResult[]>; getCount: () => number; } {
+    let stopped = false;
+    const results: CallResult[] = [];
+    const isReady = async (router: { getUrl(): string; }): Promise<boolean> => {
+        try {
+            const response = await request(`${router.getUrl()}/readyz`);
+            await response.body.dump();
+            return response.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+    };
+    const tasks = Array.from({ length: callers }, async (_, i) => {
+        for (let turn = i; !stopped; turn++) {
+            const router = fleet.getRouters()[turn % fleet.getRouters().length]!;
+            if (await isReady(router)) {
+                results.push(await askChat(router, key, { content: CONTENT }));
+            }
+        }
+    });
+    return {
+        stop: async () => {
+            stopped = true;
+            await Promise.all(tasks);
+            return results;
+        },
+        getCount: () => results.length,
+    };
+}
+
+function getCut(results: readonly CallResult[]): string[] {
+    return results.filter(result => !result.whole || result.text !== getExpectedAnswer(CONTENT)).map(result =>
+        `${result.status} ${result.error?.type ?? "lost"}`
+    );
+}
+
+void t.test("an upstream on the platform's leaving list gets nothing new; nothing is cut off", async t => {
+    const load = startLoad(6);
+    await waitUntil("load", () => load.getCount() > 20);
+    platform.setState("box-wetterwort-linz-1", "leaving");
+    const engine = fleet.get("wetterwort-linz-1");
+    const countRuns = async (): Promise<number> =>
+        [...(await getRunCounts([engine])).values()].reduce((sum, count) => sum + count, 0);
+    await wait(3_000);
+    const afterThreeSeconds = await countRuns();
+    const before = load.getCount();
+    await waitUntil("more load", () => load.getCount() > before + 100);
+    t.equal(await countRuns(), afterThreeSeconds, "no new run after 3 s");
+    t.same(getCut(await load.stop()), []);
+    platform.setState("box-wetterwort-linz-1", "live");
+});
+
+void t.test("a rolling restart of every process cuts nothing off, and each ends with 0", async t => {
+    const load = startLoad(6);
+    await waitUntil("load", () => load.getCount() > 20);
+    const order = [...fleet.getRouters(), ...fleet.getSidecars(), ...fleet.getControllers()];
+    for (const process of order) {
+        t.equal(await process.stop(), 0, `${process.name} ends with 0`);
+        await process.start();
+        await waitUntil(`${process.name} to be back`, async () => {
+            const status = await fleet.getStatus();
+            return process.role === "controller"
+                ? status.controllers.some(controller => controller.name === process.name && controller.connected)
+                : status.daemons.some(daemon =>
+                    daemon.name === process.name && daemon.revision === status.revision && daemon.silentMs < 1_000
+                );
+        });
+    }
+    const before = load.getCount();
+    await waitUntil("load after the restarts", () => load.getCount() > before + 20);
+    const results = await load.stop();
+    t.same(getCut(results), [], `of ${results.length}`);
+});
--- a/test/tools/fleet.ts
+++ b/test/tools/fleet.ts
@@ -3,7 +3,7 @@
  * kill, freeze, restart and cut them. Zones reach each other through relays that can be cut.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -174,9 +174,21 @@
         this.processes.forEach(process => process.thaw());
         await Promise.all(this.processes.map(process => process.kill()));
         this.links.forEach(link => link.relay.stop());
+        await this.saveLogs();
         await rm(this.folder, { recursive: true, force: true });
     }
 
+    /** Writes what the processes have logged to the folder named by LOOMWINCH_TEST_LOGS, if there is one. */
+    private async saveLogs(): Promise<void> {
+        const folder = process.env["LOOMWINCH_TEST_LOGS"];
+        if (folder !== undefined) {
+            await mkdir(folder, { recursive: true });
+            await Promise.all(
+                this.processes.map(one => writeFile(join(folder, `${one.name}.log`), one.logLines.join("\n"))),
+            );
+        }
+    }
+
     /** Cuts some zones off from all others, silently and both ways. */
     cutOff(zones: readonly string[]): void {
         this.forEachLinkAcross(zones, relay => relay.cutSilently());
@@ -385,9 +397,9 @@
         const path = join(this.folder, `${name}.jsonc`);
         const http = httpSetting === undefined ? {} : { [httpSetting]: `127.0.0.1:${httpPort}` };
         await writeFile(path, JSON.stringify({ ...settings, ...http }, undefined, 4));
-        const process = new FleetProcess(name, role, zone, peerPort, httpPort, path);
-        this.processes.push(process);
-        return process;
+        const added = new FleetProcess(name, role, zone, peerPort, httpPort, path);
+        this.processes.push(added);
+        return added;
     }
 
     private async declareServices(): Promise<void> {
