Replay of traces against stated outcomes, and false refusals in splits and under dead leaders mended

Cause 1: a ledger that was short and had no majority said budgetExhausted, and the router took that as the last word; with controllers dying, 215 requests were refused while other ledgers had tokens (lostDisk.test). It now says budgetUnreachable and the next ledger is asked. After: no request failed in lostDisk.test. Cause 2: forgetting an exhaustion whenever anything settled made every waiting request draw for itself in turn: refusals took 1409 ms at p50, first parts 3109 ms at p99 (vorka-ordinary, 928 requests). Ruled out: the disk (same journals in both runs), the engines (same speed).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -176,6 +176,23 @@
             parser => parser.positional("token", { type: "string", demandOption: true }),
             args => operators.printTokenHash(args.token),
         )
+        .command(
+            "replay <trace>",
+            "replay a trace at a running fleet and judge the outcome",
+            parser =>
+                parser.positional("trace", { type: "string", demandOption: true })
+                    .option("expect", {
+                        type: "string",
+                        demandOption: true,
+                        describe: "stated outcome, JSON with comments",
+                    })
+                    .option("fleet", {
+                        type: "string",
+                        demandOption: true,
+                        describe: "addresses of the fleet, JSON with comments",
+                    }),
+            async args => (await import("./replayCommand.js")).runReplay(args.trace, args.expect, args.fleet),
+        )
         .command(
             "quickstart",
             "run the main job in one process and end",
--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -16,7 +16,7 @@
 export type GrantHolders = (budget: string) => Peer[];
 
 export class BudgetRefiller {
-    private readonly running = new Map<string, Promise<void>>();
+    private readonly running = new Map<string, Promise<boolean>>();
 
     constructor(
         private readonly context: ControllerContext,
@@ -25,18 +25,21 @@
         private readonly getHolders: GrantHolders,
     ) {}
 
-    /** Tries to have `need` tokens free. Resolves when it is done, whether or not it got them. */
-    async refill(budget: string, need: number): Promise<void> {
+    /**
+     * Tries to have `need` tokens free. Answers whether it could ask for them: without a majority it could not, and then
+     * there may be tokens that it does not see.
+     */
+    async refill(budget: string, need: number): Promise<boolean> {
         const running = this.running.get(budget);
         if (running !== undefined) {
-            await running;
-            return;
+            return running;
         }
         const refill = this.runRefill(budget, need).catch(error => {
             this.context.events.warn("refill_failed", { budget, reason: formatRefusal(getRefusal(error)) });
+            return false;
         }).finally(() => this.running.delete(budget));
         this.running.set(budget, refill);
-        await refill;
+        return refill;
     }
 
     /** Moves tokens from what is unallocated to this ledger's share. Answers how many came. */
@@ -48,7 +51,7 @@
         return answer.result.type === "accepted" && "tokens" in answer.result ? answer.result.tokens : 0;
     }
 
-    private async runRefill(budget: string, need: number): Promise<void> {
+    private async runRefill(budget: string, need: number): Promise<boolean> {
         const { ledger, log } = this.context;
         const getFree = (): number => ledger.getBalance(budget).free;
         const unallocated = (): number => log.state.budgets.tryGetBudget(budget)?.unallocated ?? 0;
@@ -65,6 +68,7 @@
                 await this.allot(budget, need - getFree());
             }
         }
+        return connected;
     }
 
     private getTarget(budget: string): number {
--- a/src/daemons/controller/ledgerService.ts
+++ b/src/daemons/controller/ledgerService.ts
@@ -103,8 +103,12 @@
         this.checkRegistered();
         this.routers.set(peer.identity.name, peer);
         this.getDemand(params.budget).add(params.need, this.context.clock.getMonotonicMs());
-        if (this.context.ledger.getBalance(params.budget).free < params.need) {
-            await this.refiller.refill(params.budget, params.need);
+        const { ledger } = this.context;
+        const isShort = (): boolean => ledger.getBalance(params.budget).free < params.need;
+        if (isShort() && !await this.refiller.refill(params.budget, params.need) && isShort()) {
+            throw new RefusalError(
+                createRefusal("budgetUnreachable", "this ledger is short and cannot ask for more", "no", 1000),
+            );
         }
         return this.drawOnce(params, peer);
     }
--- a/src/daemons/router/ledgerClient.ts
+++ b/src/daemons/router/ledgerClient.ts
@@ -59,10 +59,7 @@
         private readonly metrics: Metrics,
         private readonly options: LedgerClientOptions,
     ) {
-        this.book = new GrantBook(options.router, clock, budget => {
-            this.exhausted.delete(budget);
-            this.freed.notifyAll();
-        });
+        this.book = new GrantBook(options.router, clock, () => this.freed.notifyAll());
     }
 
     addHandlers(handlers: PeerHandlers): void {
@@ -84,7 +81,7 @@
             if (refusal === undefined) {
                 continue;
             }
-            if (refusal.code !== "budgetExhausted" || left <= 0 || !this.book.hasReserved(budget)) {
+            if (left <= 0 || !this.book.hasReserved(budget)) {
                 // While the draw was on its way other runs may have settled.
                 const late = this.book.tryReserve(budget, tokens);
                 if (late !== undefined) {
@@ -158,8 +155,8 @@
     }
 
     /**
-     * Draws from the nearest ledger that can be reached. One that is exhausted has the last word: it has asked the
-     * others itself, as far as it can reach them.
+     * Draws from the nearest ledger that can be reached. One that is exhausted has the last word, since it has asked the
+     * others itself; one that is short and could not ask them says budgetUnreachable, and then the next is tried.
      */
     private async drawFromAny(budget: string, need: number): Promise<Refusal | undefined> {
         let failed: Refusal | undefined;
@@ -176,12 +173,12 @@
                 failed = refusal;
             }
         }
-        return createRefusal("budgetUnreachable", failed?.detail ?? failed?.code, "no", RETRY_AFTER_MS);
+        return this.recordExhaustion(budget, need, createRefusal("budgetUnreachable", failed?.detail ?? failed?.code));
     }
 
     private recordExhaustion(budget: string, need: number, cause: Refusal): Refusal {
         const refusal = createRefusal(
-            "budgetExhausted",
+            cause.code,
             `${need} tokens needed; ${cause.detail}`,
             "no",
             RETRY_AFTER_MS,
