--- a/bench/runTrace.ts
+++ b/bench/runTrace.ts
@@ -7,7 +7,7 @@
 import { type Deployment, deployments, rankRules } from "./deployments.js";
 
 /** What each account's budget holds at the beginning, the large accounts first. Tokens. */
-function getOpeningTokens(position: number): number {
+export function getOpeningTokens(position: number): number {
     return position < 2 ? 8_000 : 2_500;
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -176,6 +176,9 @@
             parser => parser.positional("token", { type: "string", demandOption: true }),
             args => operators.printTokenHash(args.token),
         )
+        .command("result-codes", "print the table of result codes", {}, async () => {
+            process.stdout.write(`${(await import("./resultCodeTable.js")).formatResultCodeTable()}\n`);
+        })
         .command(
             "replay <trace>",
             "replay a trace at a running fleet and judge the outcome",
