--- a/bench/policyBench.ts
+++ b/bench/policyBench.ts
@@ -3,10 +3,9 @@
  * split, (c) following demand, and (d) a clairvoyant bound, over the same traces. (b) and (c) are replays at real
  * processes; (a) and (d) are worked out from the trace.
  */
-import { countPromptTokens } from "../src/daemons/standIn/standInAnswers.js";
-import { createTraceMessages, type ReplayReport } from "../src/replay/replayTrace.js";
+import type { ReplayReport } from "../src/replay/replayTrace.js";
 import type { TraceLine, TraceRequest } from "../src/replay/trace.js";
-import { getDeployment, getOpeningTokens, loadTrace, runTrace } from "./runTrace.js";
+import { getDeployment, getOpeningTokens, getTraceBill, loadTrace, runTrace } from "./runTrace.js";
 
 /** One row of the table. */
 interface Row {
@@ -16,10 +15,6 @@
     readonly goodput: number;
 }
 
-function getBill(line: TraceRequest): number {
-    return countPromptTokens(createTraceMessages(line)) + Math.min(line.outputTokens, line.maxTokens);
-}
-
 /** Serves in order of time whatever `admits` lets in; a refusal is false where the whole budget would have covered it. */
 function workOut(
     lines: readonly TraceLine[],
@@ -40,7 +35,7 @@
         }
         const budget = `${line.account}-budget`;
         const limit = limits.get(budget)!;
-        const bill = getBill(line);
+        const bill = getTraceBill(line);
         const pot = getPot(line);
         if ((spentByPot.get(pot) ?? 0) + bill > limit) {
             refused += 1;
--- a/bench/runTrace.ts
+++ b/bench/runTrace.ts
@@ -1,7 +1,8 @@
 /** Starts the processes of a deployment, replays a trace at them with its faults, and stops them. */
 import { join } from "node:path";
-import { type ReplayFleet, type ReplayReport, replayTrace } from "../src/replay/replayTrace.js";
-import { readTrace, type TraceFault, type TraceLine } from "../src/replay/trace.js";
+import { countPromptTokens } from "../src/daemons/standIn/standInAnswers.js";
+import { createTraceMessages, type ReplayFleet, type ReplayReport, replayTrace } from "../src/replay/replayTrace.js";
+import { readTrace, type TraceFault, type TraceLine, type TraceRequest } from "../src/replay/trace.js";
 import { Fleet, TEST_OPERATOR_TOKEN } from "../test/tools/fleet.js";
 import { waitUntil } from "../test/tools/waiting.js";
 import { type Deployment, deployments, rankRules } from "./deployments.js";
@@ -11,6 +12,11 @@
     return position < 2 ? 8_000 : 2_500;
 }
 
+/** What a trace's request is billed when it is answered. Tokens. */
+export function getTraceBill(line: TraceRequest): number {
+    return countPromptTokens(createTraceMessages(line)) + Math.min(line.outputTokens, line.maxTokens);
+}
+
 /** How a replay differs from the deployment as it is. */
 export interface TraceRunOptions {
     readonly policy: "equalSplit" | "followDemand";
--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -118,7 +118,7 @@
         await Promise.allSettled(asked);
     }
 
-    /** Gives back what another ledger asks for, as far as this one can spare it. */
+    /** Gives back what another ledger asks for, as far as it is free: a request over there would be refused now. */
     async giveBackOnRecall(budget: string, tokens: number): Promise<number> {
         const { ledger } = this.context;
         if (!this.mayRecall(budget)) {
@@ -127,21 +127,13 @@
         if (ledger.getBalance(budget).free < tokens) {
             await this.recallGrants(budget);
         }
-        const given = await ledger.giveBack(budget, Math.min(tokens, this.getSpare(budget)));
+        const given = await ledger.giveBack(budget, tokens);
         if (given > 0) {
             await this.reporter.report([budget]);
         }
         return given;
     }
 
-    /** What a ledger lends: all but a second of its own demand. */
-    private getSpare(budget: string): number {
-        const { ledger } = this.context;
-        const kept = Math.ceil(this.getOwnRate(budget));
-        const free = ledger.getBalance(budget).free;
-        return Math.max(Math.floor(free / 2), free - kept);
-    }
-
     /** Moves the share towards its policy's target: gives back what is far above, asks for what is far below. */
     async balance(budget: string): Promise<void> {
         const { ledger, log } = this.context;
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -30,10 +30,8 @@
 import type { RunClient, RunStream } from "./runClient.js";
 import type { UsageWitness } from "./usageWitness.js";
 
-/** Most runs of one request, the first included. */
+/** Most attempts of one request at upstreams that could be reached, the first included. */
 const MAX_ATTEMPTS = 6;
-/** How long an upstream is left out after a failed call, in milliseconds. */
-const AVOID_MS = 500;
 /** Attempts to join a run again whose connection was lost, and the pause between them in milliseconds. */
 const REATTACH_ATTEMPTS = 4;
 const REATTACH_PAUSE_MS = 150;
@@ -180,7 +178,7 @@
         let reservation: Reservation | undefined = first;
         let last: Refusal | undefined;
         this.getRetryBudget(job.service).recordRequest();
-        for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+        for (let attempt = 0; attempt < MAX_ATTEMPTS;) {
             const upstream = this.tryChoose(job, tried, last);
             if (upstream === undefined) {
                 reservation?.settle(0);
@@ -204,6 +202,8 @@
                 };
             }
             last = outcome.refusal;
+            // One that could not even be reached costs nothing, and is not tried twice.
+            attempt += last.code === "peerGone" && last.ran === "no" ? 0 : 1;
             tried.add(upstream.name);
             this.checkMayRetry(job, sink, progress, last);
         }
@@ -305,7 +305,7 @@
     private handleFailedStart(upstream: Upstream, refusal: Refusal): void {
         const { chooser, clock } = this.parts;
         if (refusal.code === "peerGone" || refusal.code === "peerTimeout" || refusal.code === "draining") {
-            chooser.avoid(upstream.name, clock.getMonotonicMs() + AVOID_MS);
+            chooser.avoid(upstream.name, clock.getMonotonicMs());
         }
         else if (refusal.code === "queueFull" || refusal.code === "deadlineTooClose") {
             chooser.recordLoad(upstream.name, refusal.retryAfterMs ?? 1000, clock.getMonotonicMs());
@@ -349,7 +349,7 @@
         }
         catch (error) {
             const refusal = getRefusal(error);
-            this.parts.chooser.avoid(upstream.name, this.parts.clock.getMonotonicMs() + AVOID_MS);
+            this.parts.chooser.avoid(upstream.name, this.parts.clock.getMonotonicMs());
             const outcome = await this.reattach(job, sink, upstream.sidecar, progress);
             if (outcome !== undefined) {
                 this.settle(outcome, progress, reservation, params);
--- a/src/domain/allocationPolicy.ts
+++ b/src/domain/allocationPolicy.ts
@@ -44,21 +44,25 @@
  * can still serve.
  */
 export class FollowDemandPolicy extends AllocationPolicy {
-    /** `evenPart`: fraction of what is left that is spread evenly. */
-    constructor(private readonly evenPart: number = 0.3) {
+    /**
+     * `evenPart`: fraction of what is left that is spread evenly. `assumedDemand`: tokens a second assumed of each ledger
+     * beside what was seen, so that a few early requests do not decide for all.
+     */
+    constructor(private readonly evenPart: number, private readonly assumedDemand: number) {
         super();
     }
 
     override getTarget(view: AllocationView): number {
         const count = Math.max(1, view.openLedgers.length);
         const remaining = getRemaining(view.account, view.openLedgers);
-        let demandSum = view.ownDemand;
+        const ownDemand = view.ownDemand + this.assumedDemand;
+        let demandSum = ownDemand;
         for (const ledger of view.openLedgers) {
             if (ledger !== view.self) {
-                demandSum += view.account.shares[ledger]?.demand ?? 0;
+                demandSum += (view.account.shares[ledger]?.demand ?? 0) + this.assumedDemand;
             }
         }
-        const demandPart = demandSum > 0 ? view.ownDemand / demandSum : 1 / count;
+        const demandPart = demandSum > 0 ? ownDemand / demandSum : 1 / count;
         return Math.floor(remaining * (this.evenPart / count + (1 - this.evenPart) * demandPart));
     }
     override mayRecall(): boolean {
@@ -82,8 +86,13 @@
     return Math.max(0, remaining);
 }
 
+const EVEN_PART = 0.5;
+/** Tokens a second. */
+const ASSUMED_DEMAND = 30;
+
 const equalSplit = new EqualSplitPolicy();
-const followDemand = new FollowDemandPolicy();
+// Chosen by bench:sweep; see docs/MEASURES.md.
+const followDemand = new FollowDemandPolicy(EVEN_PART, ASSUMED_DEMAND);
 
 /** The policy a budget declares. */
 export function getPolicy(name: BudgetSpec["policy"]): AllocationPolicy {
--- a/src/domain/upstreamChooser.ts
+++ b/src/domain/upstreamChooser.ts
@@ -14,6 +14,8 @@
     toldAt: number;
     /** Until when it is left out, because calls to it failed (monotonic clock). */
     avoidUntil: number;
+    /** Calls in a row that failed. */
+    failures: number;
 }
 
 /** Times in milliseconds. */
@@ -32,6 +34,10 @@
     prefixesKept: 20_000,
 };
 
+/** How long an upstream is left out after a failed call, in milliseconds: doubled with each failure in a row. */
+const SHORTEST_AVOID_MS = 500;
+const LONGEST_AVOID_MS = 8_000;
+
 /** Characters of the prompt's beginning that affinity goes by. */
 const PREFIX_LENGTH = 512;
 
@@ -61,7 +67,7 @@
     getLoad(upstream: string): UpstreamLoad {
         let load = this.loads.get(upstream);
         if (load === undefined) {
-            load = { inFlight: 0, waitMs: 0, toldAt: -Infinity, avoidUntil: -Infinity };
+            load = { inFlight: 0, waitMs: 0, toldAt: -Infinity, avoidUntil: -Infinity, failures: 0 };
             this.loads.set(upstream, load);
         }
         return load;
@@ -72,11 +78,14 @@
         const load = this.getLoad(upstream);
         load.waitMs = waitMs;
         load.toldAt = now;
+        load.failures = 0;
     }
 
-    /** Leaves an upstream out for a while. */
-    avoid(upstream: string, untilMs: number): void {
-        this.getLoad(upstream).avoidUntil = untilMs;
+    /** Leaves an upstream out for a while, longer with each failure in a row. */
+    avoid(upstream: string, now: number): void {
+        const load = this.getLoad(upstream);
+        load.avoidUntil = now + Math.min(LONGEST_AVOID_MS, SHORTEST_AVOID_MS * 2 ** load.failures);
+        load.failures += 1;
     }
 
     /** Notes that an upstream now has the beginning of this prompt in its cache. */
--- /dev/null
+++ b/test/domain/grantCloser.test.ts
@@ -0,0 +1,95 @@
+/** What becomes of a dead router's grant hangs on whether every sidecar can answer for its whole life. */
+import t from "tap";
+import type { ControllerContext } from "../../src/daemons/controller/fleetView.js";
+import { GrantCloser } from "../../src/daemons/controller/grantCloser.js";
+import { Ledger, ShareSource } from "../../src/domain/ledger.js";
+import { NoLog } from "../../src/ports/log.js";
+import type { CloseGrantAnswer } from "../../src/protocol/runMethods.js";
+import { FakeJournal } from "../tools/fakes.js";
+
+const GRANT = "l#0/router/g";
+
+class FixedShare extends ShareSource {
+    override getAllotted(): number {
+        return 1_000;
+    }
+    override hasTopUp(): boolean {
+        return false;
+    }
+}
+
+interface Sidecar {
+    incarnation: string;
+    reachable: boolean;
+    active: string[];
+}
+
+async function createWorld(): Promise<
+    { ledger: Ledger; sidecars: Record<string, Sidecar>; closer: GrantCloser; state: { expired: boolean; }; }
+> {
+    const ledger = new Ledger("l#0", new FakeJournal(true), new FixedShare());
+    const sidecars: Record<string, Sidecar> = {
+        s1: { incarnation: "1", reachable: true, active: [] },
+        s2: { incarnation: "1", reachable: true, active: [] },
+    };
+    const context = {
+        ledger,
+        events: new NoLog(),
+        log: {
+            state: {
+                objects: {
+                    getAll: () =>
+                        Object.keys(sidecars).map(name => ({ name, spec: { sidecar: name, box: name, zone: "z" } })),
+                },
+            },
+        },
+        network: {
+            call: (address: string): Promise<CloseGrantAnswer> => {
+                const sidecar = sidecars[address]!;
+                return sidecar.reachable
+                    ? Promise.resolve({
+                        box: address,
+                        incarnation: sidecar.incarnation,
+                        active: sidecar.active,
+                        records: [],
+                    })
+                    : Promise.reject(new Error("cut off"));
+            },
+        },
+    } as unknown as ControllerContext;
+    const state = { expired: false };
+    const closer = new GrantCloser(context, { isExpired: () => state.expired, forgetGrant: () => undefined } as never);
+    await closer.closeExpired();
+    await ledger.draw(GRANT, "router", "b", 1, 100, 100);
+    state.expired = true;
+    return { ledger, sidecars, closer, state };
+}
+
+void t.test("all sidecars answer for its whole life: the rest is free again", async t => {
+    const { ledger, closer } = await createWorld();
+    await closer.closeExpired();
+    t.match(ledger.getBalance("b"), { free: 1_000, open: 0, unaccounted: 0 });
+});
+
+void t.test("a sidecar was restarted in between: the rest is written off", async t => {
+    const { ledger, closer, sidecars } = await createWorld();
+    sidecars["s1"]!.incarnation = "2";
+    await closer.closeExpired();
+    t.match(ledger.getBalance("b"), { free: 900, open: 0, unaccounted: 100 });
+    t.equal(await ledger.releaseUnaccounted("b", 100), 100, "until an operator frees it");
+    t.match(ledger.getBalance("b"), { free: 1_000, unaccounted: 0 });
+});
+
+void t.test("a sidecar cannot be reached, or still runs under it: the rest is held", async t => {
+    const { ledger, closer, sidecars } = await createWorld();
+    sidecars["s2"]!.reachable = false;
+    await closer.closeExpired();
+    t.match(ledger.getBalance("b"), { free: 900, open: 100 });
+    sidecars["s2"]!.reachable = true;
+    sidecars["s2"]!.active = [GRANT];
+    await closer.closeExpired();
+    t.match(ledger.getBalance("b"), { free: 900, open: 100 });
+    sidecars["s2"]!.active = [];
+    await closer.closeExpired();
+    t.match(ledger.getBalance("b"), { free: 1_000, open: 0 });
+});
