--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -29,7 +29,7 @@
     type VoteParams,
 } from "./messages.js";
 import { LeaderProgress, type PeerProgress } from "./peerProgress.js";
-import { runPeerReplication } from "./peerReplication.js";
+import { PeerReplication } from "./peerReplication.js";
 import { PendingProposals } from "./pendingProposals.js";
 import { Signal } from "./signal.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
@@ -391,7 +391,7 @@
                 this.storage.getLastIndex() + 1,
                 this.clock.getMonotonicMs(),
             );
-            void runPeerReplication(this, this.storage, this.network, this.clock, this.options, other, progress);
+            void new PeerReplication(this, this.storage, this.network, this.clock, this.options, other, progress).run();
         }
         // An entry of the new term commits whatever the earlier terms left.
         this.proposeAsLeader({ type: "noop" }).catch(() => undefined);
--- a/src/daemons/configClient.ts
+++ b/src/daemons/configClient.ts
@@ -15,7 +15,7 @@
     subscribeMethod,
     updateMethod,
 } from "../protocol/configMethods.js";
-import type { ControllerAddress } from "./controller/fleetView.js";
+import { type ControllerAddress, sortByZone } from "./controllerAddress.js";
 
 const SUBSCRIBE_TIMEOUT_MS = 4_000;
 const TURN_MS = 200;
@@ -28,11 +28,6 @@
 /** Updates in a row that could not be applied after which the daemon subscribes anew. */
 const MISSED_LIMIT = 3;
 
-/** Controllers, those of the daemon's own availability zone first. */
-export function sortByZone(controllers: readonly ControllerAddress[], zone: string): ControllerAddress[] {
-    return [...controllers].sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone));
-}
-
 export class ConfigClient {
     private readonly controllers: readonly ControllerAddress[];
     private peer: Peer | undefined;
--- a/src/daemons/controller/fleetView.ts
+++ b/src/daemons/controller/fleetView.ts
@@ -6,13 +6,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerNetwork } from "../../ports/peer.js";
-
-/** A controller as all daemons know it from their settings. */
-export interface ControllerAddress {
-    readonly name: string;
-    readonly zone: string;
-    readonly address: string;
-}
+import type { ControllerAddress } from "../controllerAddress.js";
 
 /** The parts every module of a controller works with. */
 export interface ControllerContext {
--- a/src/daemons/router/intentClient.ts
+++ b/src/daemons/router/intentClient.ts
@@ -3,7 +3,7 @@
 import { createRefusal, getRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { PeerNetwork } from "../../ports/peer.js";
 import { intendMethod, withdrawIntentMethod } from "../../protocol/ledgerMethods.js";
-import type { ControllerAddress } from "../controller/fleetView.js";
+import type { ControllerAddress } from "../controllerAddress.js";
 import type { ClaimKey } from "./claimClient.js";
 
 const CALL_TIMEOUT_MS = 1_500;
--- a/src/daemons/router/ledgerClient.ts
+++ b/src/daemons/router/ledgerClient.ts
@@ -17,7 +17,7 @@
     recallGrantMethod,
     returnMethod,
 } from "../../protocol/ledgerMethods.js";
-import type { ControllerAddress } from "../controller/fleetView.js";
+import type { ControllerAddress } from "../controllerAddress.js";
 
 const DRAW_TIMEOUT_MS = 2_500;
 const INFO_TIMEOUT_MS = 1_000;
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -11,7 +11,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { RunEnd, StartRunParams } from "../../protocol/runMethods.js";
-import type { ControllerAddress } from "../controller/fleetView.js";
+import type { ControllerAddress } from "../controllerAddress.js";
 import type { ClaimClient } from "./claimClient.js";
 import type { IntentClient } from "./intentClient.js";
 import type { AnswerSink, Job } from "./job.js";
@@ -35,6 +35,11 @@
 /** Attempts to join a run again whose connection was lost, and the pause between them in milliseconds. */
 const REATTACH_ATTEMPTS = 4;
 const REATTACH_PAUSE_MS = 150;
+/** How long another router's run is waited for at its sidecar before the index is asked again, and how often in all. */
+const JOIN_PATIENCE_MS = 250;
+const JOIN_PAUSE_MS = 25;
+const JOIN_ROUNDS = 10;
+const DEADLINE_RETRY_MS = 1_000;
 
 /** The parts a request runner works with. */
 export interface RequestRunnerParts {
@@ -87,13 +92,16 @@
         if (!job.keyed) {
             return this.runClaimed(job, sink, false);
         }
-        const standing = await this.parts.claims.claim(job, job.deadline);
-        if (standing.type === "claimed") {
-            return this.runClaimed(job, sink, standing.uncertain);
-        }
-        const joined = await this.tryJoin(job, sink, standing.sidecar);
-        if (joined !== undefined) {
-            return joined;
+        for (let round = 0; round < JOIN_ROUNDS; round++) {
+            const standing = await this.parts.claims.claim(job, job.deadline);
+            if (standing.type === "claimed") {
+                return this.runClaimed(job, sink, standing.uncertain);
+            }
+            // The other router says where the run will be before it sends it there, so it may not have arrived yet.
+            const joined = await this.tryJoin(job, sink, standing.sidecar);
+            if (joined !== undefined) {
+                return joined;
+            }
         }
         if (!job.repeatable) {
             throw new RefusalError(createRefusal("outcomeUnknown", "an earlier attempt may have run", "unknown", 1000));
@@ -108,7 +116,7 @@
         sidecar: string,
     ): Promise<{ promptTokens: number; outputTokens: number; } | undefined> {
         const progress = createProgress("unknown");
-        const outcome = await this.reattach(job, sink, sidecar, progress);
+        const outcome = await this.reattach(job, sink, sidecar, progress, JOIN_PATIENCE_MS);
         if (outcome === undefined) {
             return undefined;
         }
@@ -343,7 +351,7 @@
     ): Promise<RunOutcome> {
         try {
             const end = await this.readStream(job, sink, progress, stream, reservation);
-            const outcome = createOutcome(end);
+            const outcome = createOutcome(this.markDeadline(job, end));
             this.settle(outcome, progress, reservation, params);
             return outcome;
         }
@@ -363,6 +371,15 @@
         }
     }
 
+    /** A run that was cancelled because its deadline passed says so, and when to come back. */
+    private markDeadline(job: Job, end: RunEnd): RunEnd {
+        const isLate = this.parts.clock.getMonotonicMs() >= job.deadline;
+        if (end.refusal?.code !== "runCancelled" || !isLate) {
+            return end;
+        }
+        return { ...end, refusal: createRefusal("deadlinePassed", undefined, end.refusal.ran, DEADLINE_RETRY_MS) };
+    }
+
     private settle(
         outcome: RunOutcome,
         progress: Progress,
@@ -391,8 +408,10 @@
         sink: AnswerSink,
         sidecar: string,
         progress: Progress,
+        patienceMs = 0,
     ): Promise<RunOutcome | undefined> {
-        for (let attempt = 0; attempt < REATTACH_ATTEMPTS; attempt++) {
+        const patientUntil = this.parts.clock.getMonotonicMs() + patienceMs;
+        for (let attempt = 0; attempt < REATTACH_ATTEMPTS;) {
             try {
                 const stream = await this.parts.runs.attach(sidecar, job.requestId, job.digest, progress.position);
                 return createOutcome(await this.readStream(job, sink, progress, stream, undefined));
@@ -402,6 +421,11 @@
                 if (refusal.code === "requestIdReused") {
                     throw error;
                 }
+                const isNotThereYet = refusal.code === "answerNotKept" && refusal.ran === "unknown";
+                if (isNotThereYet && this.parts.clock.getMonotonicMs() < patientUntil) {
+                    await this.parts.clock.wait(JOIN_PAUSE_MS);
+                    continue;
+                }
                 if (refusal.code !== "peerGone" && refusal.code !== "peerTimeout") {
                     return undefined;
                 }
@@ -409,6 +433,7 @@
                     return undefined;
                 }
             }
+            attempt += 1;
             await this.parts.clock.wait(REATTACH_PAUSE_MS);
         }
         return undefined;
--- a/src/daemons/router/usageWitness.ts
+++ b/src/daemons/router/usageWitness.ts
@@ -1,8 +1,8 @@
 /** The router as second witness: what it has relayed of a run whose sidecar was lost, told to the grant's ledger. */
-import type { UsageRecord } from "../../domain/billBook.js";
+import { createUsageRecord } from "../../domain/billBook.js";
 import type { Clock } from "../../ports/clock.js";
 import type { StartRunParams } from "../../protocol/runMethods.js";
-import type { UsageOutbox } from "../sidecar/usageOutbox.js";
+import type { UsageOutbox } from "../usageOutbox.js";
 
 export class UsageWitness {
     constructor(private readonly outbox: UsageOutbox, private readonly clock: Clock) {}
@@ -12,19 +12,7 @@
         if (promptTokens + outputTokens === 0) {
             return;
         }
-        const { requestId, runId, account, service, budget, grant, uncertain } = params;
-        const record: UsageRecord = {
-            requestId,
-            runId,
-            account,
-            service,
-            budget,
-            grant,
-            promptTokens,
-            outputTokens,
-            uncertain,
-            at: this.clock.getWallMs(),
-        };
+        const record = createUsageRecord(params, { promptTokens, outputTokens }, this.clock.getWallMs());
         this.outbox.add(record);
     }
 }
--- a/src/daemons/sidecar/sidecarDaemon.ts
+++ b/src/daemons/sidecar/sidecarDaemon.ts
@@ -26,13 +26,13 @@
     unclaimMethod,
 } from "../../protocol/runMethods.js";
 import type { ConfigClient } from "../configClient.js";
-import type { ControllerAddress } from "../controller/fleetView.js";
+import type { ControllerAddress } from "../controllerAddress.js";
 import { RepeatingTask } from "../task.js";
+import { UsageOutbox } from "../usageOutbox.js";
 import { OrderGate } from "./orderGate.js";
 import { Run } from "./run.js";
 import { RunTable } from "./runTable.js";
 import { UpstreamRunner } from "./upstreamRunner.js";
-import { UsageOutbox } from "./usageOutbox.js";
 import { WitnessStore } from "./witnessStore.js";
 
 const FLUSH_PERIOD_MS = 20;
--- a/src/daemons/sidecar/upstreamRunner.ts
+++ b/src/daemons/sidecar/upstreamRunner.ts
@@ -1,5 +1,5 @@
 /** The runs of one upstream: takes them in, queues them by rank, runs them, and writes their usage records. */
-import type { UsageRecord } from "../../domain/billBook.js";
+import { createUsageRecord, type UsageRecord } from "../../domain/billBook.js";
 import type { RankRule, Upstream } from "../../domain/configView.js";
 import { type QueueEntry, RankQueue } from "../../domain/rankQueue.js";
 import { createRefusal, getRefusal, type Refusal, RefusalError } from "../../domain/resultCodes.js";
@@ -105,7 +105,7 @@
         }
         const consumed = getConsumed(run, refusal);
         if (consumed.promptTokens + consumed.outputTokens > 0) {
-            this.recordUsage(this.createUsage(run, consumed));
+            this.recordUsage(createUsageRecord(run.params, consumed, this.clock.getWallMs()));
         }
         run.finish(consumed, (startedAt ?? now) - run.enqueuedAt, now, refusal);
         this.metrics.recordTiming("sidecar.wait_ms", (startedAt ?? now) - run.enqueuedAt);
@@ -178,21 +178,6 @@
         }
         return run.cancelledBy ?? refusal;
     }
-
-    private createUsage(run: Run, consumed: { promptTokens: number; outputTokens: number; }): UsageRecord {
-        const { requestId, runId, account, service, budget, grant, uncertain } = run.params;
-        return {
-            requestId,
-            runId,
-            account,
-            service,
-            budget,
-            grant,
-            ...consumed,
-            uncertain,
-            at: this.clock.getWallMs(),
-        };
-    }
 }
 
 /**
--- a/src/domain/billBook.ts
+++ b/src/domain/billBook.ts
@@ -22,6 +22,22 @@
 });
 export type UsageRecord = z.infer<typeof usageRecord>;
 
+/** What of a run its usage record repeats. */
+export type UsageSource = Pick<
+    UsageRecord,
+    "requestId" | "runId" | "account" | "service" | "budget" | "grant" | "uncertain"
+>;
+
+/** The usage record of a run that consumed this much. `at`: wall clock, milliseconds since 1970. */
+export function createUsageRecord(
+    run: UsageSource,
+    consumed: { promptTokens: number; outputTokens: number; },
+    at: number,
+): UsageRecord {
+    const { requestId, runId, account, service, budget, grant, uncertain } = run;
+    return { requestId, runId, account, service, budget, grant, ...consumed, uncertain, at };
+}
+
 /** One request's bill in one ledger. */
 export interface BillRecord {
     readonly requestId: string;
