--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -63,10 +63,11 @@
             await this.recallGrants(budget);
         }
         if (getFree() < need && connected && this.mayRecall(budget)) {
-            await this.recallShares(budget, need - getFree());
+            const allAnswered = await this.recallShares(budget, need - getFree());
             if (getFree() < need) {
                 await this.allot(budget, need - getFree());
             }
+            return allAnswered;
         }
         return connected;
     }
@@ -104,8 +105,8 @@
         await Promise.allSettled(asked);
     }
 
-    /** Asks every other ledger for an equal part of what is missing, and once more for the whole of it. */
-    private async recallShares(budget: string, missing: number): Promise<void> {
+    /** Asks every other ledger for what is missing. Answers whether all of them answered. */
+    private async recallShares(budget: string, missing: number): Promise<boolean> {
         const others = getOtherControllers(this.context);
         const asked = others.map(other =>
             this.context.network.call(
@@ -115,7 +116,8 @@
                 RECALL_TIMEOUT_MS * 2,
             )
         );
-        await Promise.allSettled(asked);
+        const answers = await Promise.allSettled(asked);
+        return answers.every(answer => answer.status === "fulfilled");
     }
 
     /** Gives back what another ledger asks for, as far as it is free: a request over there would be refused now. */
