--- a/test/tools/fleet.ts
+++ b/test/tools/fleet.ts
@@ -441,13 +441,16 @@
 
 /** Below the range from which the system takes the ports of outgoing connections. */
 const FIRST_PORT = 10_000;
-const PORT_COUNT = 20_000;
-let nextPort = FIRST_PORT + (process.pid * 137) % PORT_COUNT;
+/** Test files that run at once have ranges of their own, by the number the runner gives each. */
+const PORT_COUNT = 5_000;
+const RANGES = 4;
+const firstOfRange = FIRST_PORT + (Number(process.env["TAP_JOB_ID"] ?? process.pid) % RANGES) * PORT_COUNT;
+let nextPort = firstOfRange + (process.pid * 137) % PORT_COUNT;
 
 /** A port that nobody listens at, and that this process has not handed out lately. */
 async function getFreePort(): Promise<number> {
     for (;;) {
-        nextPort = FIRST_PORT + (nextPort + 1 - FIRST_PORT) % PORT_COUNT;
+        nextPort = firstOfRange + (nextPort + 1 - firstOfRange) % PORT_COUNT;
         const port = nextPort;
         const isFree = await new Promise<boolean>(resolve => {
             const server = createServer();
