The stand-in platform takes a free port; the refiller's constants stand at its head

Read over: stops.test took the platform's port from the process id, inside the range from which the harness hands out ports, so that two could meet; it now lets the system choose. A comment on refill told half of when it answers no. No assertion and no behaviour of the product is changed.

--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -11,6 +11,11 @@
 import type { ShareReporter } from "./shareReporter.js";
 
 const RECALL_TIMEOUT_MS = 400;
+/** A ledger without demand does not hold less than this: near a budget's end it is needed where the demand is. Tokens. */
+const SMALLEST_SHARE = 500;
+/** Below this part of its target a ledger asks for more, above the other it gives back. */
+const LOW_MARK = 0.8;
+const HIGH_MARK = 1.3;
 
 /** Routers with open grants of a budget, as connections. */
 export type GrantHolders = (budget: string) => Peer[];
@@ -26,8 +31,8 @@
     ) {}
 
     /**
-     * Tries to have `need` tokens free. Answers whether it could ask for them: without a majority it could not, and then
-     * there may be tokens that it does not see.
+     * Tries to have `need` tokens free. Answers whether it could ask everywhere: without a majority, or where another
+     * ledger does not answer, there may be tokens that it does not see.
      */
     async refill(budget: string, need: number): Promise<boolean> {
         const running = this.running.get(budget);
@@ -151,9 +156,3 @@
         }
     }
 }
-
-/** A ledger without demand does not hold less than this: near a budget's end it is needed where the demand is. Tokens. */
-const SMALLEST_SHARE = 500;
-/** Below this part of its target a ledger asks for more, above the other it gives back. */
-const LOW_MARK = 0.8;
-const HIGH_MARK = 1.3;
--- a/test/fleet/stops.test.ts
+++ b/test/fleet/stops.test.ts
@@ -1,28 +1,22 @@
 /** Leaving upstreams and planned stops: nothing in flight is cut off, and nothing new reaches who leaves. */
 import t from "tap";
 import { request } from "undici";
+import { StandInPlatform } from "../../src/daemons/standIn/standInPlatform.js";
 import { askChat, type CallResult, getExpectedAnswer, getRunCounts } from "../tools/caller.js";
 import { Fleet } from "../tools/fleet.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
 const CONTENT = "a briefing, please out=30";
-const platformPort = 20_000 + process.pid % 10_000;
-const { StandInPlatform } = await import("../../src/daemons/standIn/standInPlatform.js");
-const platform = new StandInPlatform({
-    role: "stand-in-platform",
-    listen: `127.0.0.1:${platformPort}`,
-    lagMs: 300,
-    boxes: [],
-});
+const platform = new StandInPlatform({ role: "stand-in-platform", listen: "127.0.0.1:0", lagMs: 300, boxes: [] });
+const platformUrl = await platform.start();
 const fleet = new Fleet({
     zones: ["wien", "linz", "graz"],
     routersPerZone: 1,
     services: [{ name: "wetterwort", type: "model", upstreamsPerZone: 1, standIn: { tokenMs: 5 } }],
-    controller: { membershipUrl: `http://127.0.0.1:${platformPort}/boxes` },
+    controller: { membershipUrl: `${platformUrl}/boxes` },
 });
 let key = "";
 t.before(async () => {
-    await platform.start();
     await fleet.start();
     key = await fleet.createAccount("member", 10_000_000);
 });
