--- a/src/adapters/disk/journalFile.ts
+++ b/src/adapters/disk/journalFile.ts
@@ -14,7 +14,7 @@
 const NEWLINE = 0x0a;
 
 interface PendingWrite {
-    readonly text: string;
+    readonly records: readonly unknown[];
     /** Set where the write replaces the whole file. */
     readonly replaces: boolean;
     readonly resolve: () => void;
@@ -26,8 +26,25 @@
     readonly soundBytes: number;
 }
 
+/** How a journal meets a disk that refuses a write. */
+export interface JournalFileOptions {
+    /**
+     * Pause before a refused write is tried again, in milliseconds; whoever waits for it goes on waiting. Left out, a
+     * refused write fails the journal for good.
+     */
+    readonly retryWriteMs?: number;
+    /** Told of each write that was refused and will be tried again. */
+    readonly onRefused?: (error: unknown) => void;
+}
+
+/** A line that holds all the records of one group, so that a group is there whole after a loss of power, or not at all. */
+interface RecordGroup {
+    readonly type: "group";
+    readonly records: readonly unknown[];
+}
+
 /** Opens the journal at `path`, creating it when missing. */
-export async function openJournalFile(path: string): Promise<OpenedJournal> {
+export async function openJournalFile(path: string, options: JournalFileOptions = {}): Promise<OpenedJournal> {
     const content = await readFileIfPresent(path);
     const parsed = parseRecords(content, path);
     const file = await open(path, "a");
@@ -37,7 +54,7 @@
     }
     await syncFolder(dirname(path));
     return {
-        journal: new JournalFile(path, file, parsed.soundBytes),
+        journal: new JournalFile(path, file, parsed.soundBytes, options),
         records: parsed.records,
         tornBytes: content.length - parsed.soundBytes,
     };
@@ -49,16 +66,23 @@
     private writing: Promise<void> | undefined;
     private failure: Error | undefined;
 
-    constructor(private readonly path: string, private file: FileHandle, private size: number) {
+    private closed = false;
+
+    constructor(
+        private readonly path: string,
+        private file: FileHandle,
+        private size: number,
+        private readonly options: JournalFileOptions,
+    ) {
         super();
     }
 
     override append(record: unknown): Promise<void> {
-        return this.enqueue(formatRecord(record), false);
+        return this.enqueue([record], false);
     }
 
     override replaceAll(records: readonly unknown[]): Promise<void> {
-        return this.enqueue(records.map(formatRecord).join(""), true);
+        return this.enqueue(records, true);
     }
 
     override getSize(): number {
@@ -66,16 +90,17 @@
     }
 
     override async close(): Promise<void> {
+        this.closed = true;
         await this.writing;
         await this.file.close();
     }
 
-    private enqueue(text: string, replaces: boolean): Promise<void> {
+    private enqueue(records: readonly unknown[], replaces: boolean): Promise<void> {
         if (this.failure !== undefined) {
             return Promise.reject(this.failure);
         }
         return new Promise((resolve, reject) => {
-            this.pending.push({ text, replaces, resolve, reject });
+            this.pending.push({ records, replaces, resolve, reject });
             this.writing ??= this.writePending();
         });
     }
@@ -84,7 +109,7 @@
         while (this.pending.length > 0) {
             const group = this.takeGroup();
             try {
-                await this.writeGroup(group);
+                await this.writeGroupUntilTaken(group);
                 group.forEach(write => write.resolve());
             }
             catch (error) {
@@ -103,12 +128,34 @@
         return this.pending.splice(0, end < 0 ? this.pending.length : end);
     }
 
+    /** Writes a group, again and again where the disk refuses it and the journal is to outlast that. */
+    private async writeGroupUntilTaken(group: readonly PendingWrite[]): Promise<void> {
+        const { retryWriteMs, onRefused } = this.options;
+        for (let isRetry = false;; isRetry = true) {
+            try {
+                if (isRetry) {
+                    await this.file.truncate(this.size);
+                }
+                return await this.writeGroup(group);
+            }
+            catch (error) {
+                if (retryWriteMs === undefined || this.closed) {
+                    throw error;
+                }
+                onRefused?.(error);
+                await new Promise(resolve => setTimeout(resolve, retryWriteMs));
+            }
+        }
+    }
+
     private async writeGroup(group: readonly PendingWrite[]): Promise<void> {
-        const bytes = Buffer.from(group.map(write => write.text).join(""));
+        const records = group.flatMap(write => write.records);
         if (group[0]!.replaces) {
-            await this.writeReplacement(bytes);
+            await this.writeReplacement(Buffer.from(records.map(formatRecord).join("")));
             return;
         }
+        const whole: RecordGroup = { type: "group", records };
+        const bytes = Buffer.from(formatRecord(records.length === 1 ? records[0] : whole));
         await this.file.appendFile(bytes);
         await this.file.datasync();
         this.size += bytes.length;
@@ -160,13 +207,17 @@
             throw new RefusalError(createRefusal("diskCorrupt", `${path} at byte ${damagedAt}`, "unknown"));
         }
         else {
-            records.push(record);
+            records.push(...(isGroup(record) ? record.records : [record]));
         }
         start = end < 0 ? content.length : end + 1;
     }
     return { records, soundBytes: damagedAt ?? content.length };
 }
 
+function isGroup(record: unknown): record is RecordGroup {
+    return typeof record === "object" && (record as Partial<RecordGroup>).type === "group";
+}
+
 function tryParseRecord(line: string): unknown {
     const json = line.slice(CHECKSUM_LENGTH + 1);
     if (json.length === 0 || line.slice(0, CHECKSUM_LENGTH) !== formatChecksum(json)) {
--- a/src/consensus/joining.ts
+++ b/src/consensus/joining.ts
@@ -20,7 +20,8 @@
     options: ReplicatedLogOptions,
 ): Promise<void> {
     while (!replica.isStopped()) {
-        if (await isWholeFleetNew(network, options) || await isCaughtUpWithOthers(replica, storage, network, options)) {
+        const isFleetNew = options.isFirstStart ?? await isWholeFleetNew(network, options);
+        if (isFleetNew || await isCaughtUpWithOthers(replica, storage, network, options)) {
             await storage.saveMembership();
             log.info("log_joined", { applied: replica.getAppliedIndex(), term: storage.term });
             return;
@@ -45,7 +46,7 @@
     network: PeerNetwork,
     options: ReplicatedLogOptions,
 ): Promise<boolean> {
-    const leader = options.others.find(other => other.name === replica.getLeader());
+    const leader = replica.tryGetLeaderAddress();
     if (leader === undefined) {
         return false;
     }
--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -1,5 +1,5 @@
 /** The replicated log on disk: term and vote, entries, and the snapshot that stands for the entries before it. */
-import type { LogEntry } from "../domain/commands.js";
+import type { LogEntry, Replica } from "../domain/commands.js";
 import type { StateSnapshot } from "../domain/declaredState.js";
 import type { Journal, OpenedJournal } from "../ports/journal.js";
 
@@ -8,6 +8,8 @@
     readonly lastIndex: number;
     readonly lastTerm: number;
     readonly state: StateSnapshot;
+    /** The replicas at that place; left out where they are fixed by settings. */
+    readonly replicas?: readonly Replica[];
 }
 
 type StoredRecord =
@@ -25,6 +27,8 @@
     syncedIndex = 0;
     /** Whether this replica may vote; false on a new or emptied disk until it has joined. */
     isMember = false;
+    /** The replicas as of the newest entry here; empty where no entry has named any. */
+    replicas: readonly Replica[] = [];
     private entries: LogEntry[] = [];
     private readonly journal: Journal;
     private lastWrite: Promise<void> = Promise.resolve();
@@ -33,12 +37,34 @@
         this.journal = opened.journal;
         (opened.records as readonly StoredRecord[]).forEach(record => this.load(record));
         this.syncedIndex = this.getLastIndex();
+        this.replicas = this.findReplicas(this.getLastIndex());
     }
 
     getLastIndex(): number {
         return this.entries[this.entries.length - 1]?.index ?? this.getSnapshotIndex();
     }
 
+    /** The replicas as of the entry at `index`. */
+    findReplicas(index: number): readonly Replica[] {
+        for (let i = index; i > this.getSnapshotIndex(); i--) {
+            const command = this.tryGetEntry(i)?.command;
+            if (command?.type === "setReplicas") {
+                return command.replicas;
+            }
+        }
+        return this.snapshot?.replicas ?? [];
+    }
+
+    /** Index of the newest entry that names replicas, or the snapshot's where none after it does. */
+    findReplicasIndex(): number {
+        for (let i = this.getLastIndex(); i > this.getSnapshotIndex(); i--) {
+            if (this.tryGetEntry(i)?.command.type === "setReplicas") {
+                return i;
+            }
+        }
+        return this.getSnapshotIndex();
+    }
+
     getSnapshotIndex(): number {
         return this.snapshot?.lastIndex ?? 0;
     }
@@ -123,6 +149,7 @@
         const rest = keep ? this.entries.filter(entry => entry.index > snapshot.lastIndex) : [];
         this.snapshot = snapshot;
         this.entries = rest;
+        this.replicas = this.findReplicas(this.getLastIndex());
         this.lastWrite = this.journal.replaceAll([
             ...(this.isMember ? [{ type: "member" }] : []),
             { type: "snapshot", snapshot },
@@ -162,9 +189,12 @@
 
     private placeEntries(entries: readonly LogEntry[]): void {
         const start = entries[0]!.index - this.getSnapshotIndex() - 1;
-        this.entries.length = Math.min(this.entries.length, Math.max(0, start));
+        const dropped = this.entries.splice(Math.max(0, start));
         for (const entry of entries) {
             this.entries.push(entry);
         }
+        if ([...dropped, ...entries].some(entry => entry.command.type === "setReplicas")) {
+            this.replicas = this.findReplicas(this.getLastIndex());
+        }
     }
 }
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -1,11 +1,11 @@
 /** The messages of the replicated log, after Raft (Ongaro and Ousterhout 2014) with pre-vote and leader check. */
 import { z } from "zod";
-import { type Command, commandSchema, type LogEntry } from "../domain/commands.js";
+import { type Command, commandSchema, type LogEntry, replicaSchema } from "../domain/commands.js";
 import { type ApplyResult } from "../domain/declaredState.js";
 import { createPeerMethod } from "../ports/peer.js";
 
 const count = z.int().min(0);
-const replica = z.string().max(64);
+const replica = z.string().max(128);
 
 const voteSchema = z.object({ term: count, candidate: replica, lastIndex: count, lastTerm: count });
 export type VoteParams = z.infer<typeof voteSchema>;
@@ -29,6 +29,8 @@
     readonly success: boolean;
     /** On success the last index known to match; otherwise where the leader should try next. */
     readonly index: number;
+    /** Whether the replica may vote; false while it has yet to recover what its disk lost. */
+    readonly isMember: boolean;
 }
 
 const snapshotSchema = z.object({
@@ -40,6 +42,7 @@
     offset: count,
     piece: z.string(),
     done: z.boolean(),
+    replicas: z.array(replicaSchema).max(64).optional(),
 });
 export type SnapshotParams = z.infer<typeof snapshotSchema>;
 
@@ -75,3 +78,9 @@
     "log.replicaState",
     z.object({}),
 );
+
+/** A controller asks to be added to the replicas. Any controller takes it; the leader does it. */
+export const joinMethod = createPeerMethod<{ name: string; address: string; }, { isReplica: boolean; }>(
+    "log.join",
+    z.object({ name: z.string().min(1).max(128), address: z.string().min(3).max(128) }),
+);
--- a/src/consensus/peerReplication.ts
+++ b/src/consensus/peerReplication.ts
@@ -28,7 +28,7 @@
     /** Sends entries, snapshots where entries are gone, and heartbeats where there is nothing to send. */
     async run(): Promise<void> {
         const { replica, storage, progress, options } = this;
-        while (replica.isLeadingIn(this.term)) {
+        while (this.isWanted()) {
             try {
                 if (progress.nextIndex <= storage.getSnapshotIndex()) {
                     await this.sendSnapshot();
@@ -47,6 +47,11 @@
         }
     }
 
+    private isWanted(): boolean {
+        return this.replica.isLeadingIn(this.term)
+            && this.replica.tryGetProgress(this.other.name) === this.progress;
+    }
+
     private async sendEntries(): Promise<void> {
         const { replica, storage, progress, options } = this;
         const previousIndex = progress.nextIndex - 1;
@@ -75,6 +80,7 @@
                 offset,
                 piece: text.slice(offset, offset + SNAPSHOT_PIECE_LENGTH),
                 done: offset + SNAPSHOT_PIECE_LENGTH >= text.length,
+                replicas: snapshot.replicas === undefined ? undefined : [...snapshot.replicas],
             });
             if (!isTaken) {
                 return;
@@ -95,7 +101,9 @@
         }
         else {
             this.replica.checkTerm(answer.term);
-            this.progress.heardAt = sentAt;
+            if (answer.isMember) {
+                this.progress.heardAt = sentAt;
+            }
         }
         return answer.success;
     }
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -31,6 +31,7 @@
 import { LeaderProgress, type PeerProgress } from "./peerProgress.js";
 import { PeerReplication } from "./peerReplication.js";
 import { PendingProposals } from "./pendingProposals.js";
+import { ReplicaSet, type ReplicaSetOptions } from "./replicaSet.js";
 import { Signal } from "./signal.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
 import { collectVotes, createVoteParams, isLogUpToDate } from "./voting.js";
@@ -42,9 +43,7 @@
 }
 
 /** Times in milliseconds. */
-export interface ReplicatedLogOptions {
-    readonly name: string;
-    readonly others: readonly ReplicaAddress[];
+export interface ReplicatedLogOptions extends ReplicaSetOptions {
     readonly electionTimeoutMs: number;
     readonly heartbeatMs: number;
     /** How long a proposal waits to be applied. */
@@ -53,6 +52,8 @@
     readonly snapshotEvery: number;
     /** Seeded, so that tests repeat. Answers a number in [0, 1). */
     readonly random: () => number;
+    /** The whole fleet starts for the first time: a founder need not ask the others whether they are new too. */
+    readonly isFirstStart?: boolean | undefined;
 }
 
 /** Called for each applied entry, in order. */
@@ -65,6 +66,7 @@
     private commitIndex = 0;
     private appliedIndex = 0;
     private heardFromLeaderAt: number;
+    readonly replicas: ReplicaSet;
     private readonly progress: LeaderProgress;
     private readonly proposals: PendingProposals;
     private readonly work = new Signal();
@@ -83,7 +85,8 @@
     ) {
         this.heardFromLeaderAt = clock.getMonotonicMs();
         this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
-        this.progress = new LeaderProgress(options.others.map(other => other.name));
+        this.replicas = new ReplicaSet(storage, options);
+        this.progress = new LeaderProgress(options.name, this.replicas);
         if (storage.snapshot !== undefined) {
             this.loadState(storage.snapshot.state, storage.snapshot.lastIndex);
         }
@@ -154,6 +157,22 @@
         return this.work.wait(timeoutMs);
     }
 
+    /** The leader as another replica, where one is known and it is not this one. */
+    tryGetLeaderAddress(): ReplicaAddress | undefined {
+        return this.replicas.getOthers().find(other => other.name === this.leader);
+    }
+
+    /** What this leader knows of a peer. */
+    tryGetProgress(name: string): PeerProgress | undefined {
+        return this.progress.tryGet(name);
+    }
+
+    /** Whether the newest change of the replicas is committed, so that another may follow. */
+    isReplicaSetSettled(): boolean {
+        return this.storage.findReplicasIndex() <= this.commitIndex
+            && this.storage.tryGetTerm(this.commitIndex) === this.storage.term;
+    }
+
     isLeader(): boolean {
         return this.role === "leader";
     }
@@ -164,7 +183,7 @@
 
     /** How many replicas a majority takes. */
     getMajority(): number {
-        return this.progress.getMajority();
+        return this.replicas.getMajority();
     }
 
     /**
@@ -175,7 +194,7 @@
         if (this.role === "leader") {
             return this.proposeAsLeader(command);
         }
-        const leader = this.options.others.find(other => other.name === this.leader);
+        const leader = this.tryGetLeaderAddress();
         if (leader === undefined || !this.isConnectedToMajority()) {
             throw new RefusalError(
                 createRefusal("noMajority", "no leader is known", "no", this.options.electionTimeoutMs),
@@ -203,7 +222,7 @@
 
     /** Waits until this replica has applied everything that was committed when the call began. Answers the index. */
     async readThroughMajority(): Promise<number> {
-        const leader = this.options.others.find(other => other.name === this.leader);
+        const leader = this.tryGetLeaderAddress();
         const confirmed = this.role === "leader" || leader === undefined
             ? await this.confirmAsLeader()
             : await this.network.call(leader.address, readIndexMethod, {}, this.options.proposeTimeoutMs);
@@ -234,6 +253,7 @@
             () => this.advanceCommit(),
             error => this.log.error("log_append_failed", { error: String(error) }),
         );
+        this.updateReplication(command);
         this.work.notifyAll();
         return answer;
     }
@@ -282,12 +302,16 @@
             if (this.role === "leader") {
                 this.checkStillLeading();
             }
-            else if (this.heardFromLeaderAt < since && this.storage.isMember) {
+            else if (this.heardFromLeaderAt < since && this.mayLead()) {
                 await this.runCandidacy();
             }
         }
     }
 
+    private mayLead(): boolean {
+        return this.storage.isMember && this.replicas.isVoter(this.options.name);
+    }
+
     private checkStillLeading(): void {
         const silent = this.clock.getMonotonicMs() - this.getMajorityHeardAt();
         if (silent > this.options.electionTimeoutMs) {
@@ -319,10 +343,10 @@
     private collectVotes(method: typeof voteMethod, params: VoteParams): Promise<boolean> {
         return collectVotes(
             this.network,
-            this.options,
+            this.replicas,
+            this.options.electionTimeoutMs,
             method,
             params,
-            this.getMajority(),
             term => this.checkTerm(term),
         );
     }
@@ -385,16 +409,31 @@
         this.role = "leader";
         this.leader = this.options.name;
         this.log.info("leader_elected", { term: this.storage.term, last_index: this.storage.getLastIndex() });
-        for (const other of this.options.others) {
-            const progress = this.progress.reset(
-                other.name,
-                this.storage.getLastIndex() + 1,
-                this.clock.getMonotonicMs(),
-            );
-            void new PeerReplication(this, this.storage, this.network, this.clock, this.options, other, progress).run();
-        }
+        this.replicas.getOthers().forEach(other => this.startReplication(other));
         // An entry of the new term commits whatever the earlier terms left.
-        this.proposeAsLeader({ type: "noop" }).catch(() => undefined);
+        const founding = this.replicas.tryGetFounding();
+        this.proposeAsLeader(founding === undefined ? { type: "noop" } : { type: "setReplicas", replicas: [...founding] })
+            .catch(error => this.log.warn("term_not_opened", { error: String(error) }));
+    }
+
+    private startReplication(other: ReplicaAddress): void {
+        const now = this.clock.getMonotonicMs();
+        const progress = this.progress.reset(other.name, this.storage.getLastIndex() + 1, now);
+        void new PeerReplication(this, this.storage, this.network, this.clock, this.options, other, progress).run();
+    }
+
+    /** Begins to copy to replicas that have just been added, and forgets those that have been removed. */
+    private updateReplication(command: Command): void {
+        if (command.type !== "setReplicas") {
+            return;
+        }
+        const others = this.replicas.getOthers();
+        others.filter(other => this.progress.tryGet(other.name) === undefined).forEach(other =>
+            this.startReplication(other)
+        );
+        this.progress.getNames().filter(name => !others.some(other => other.name === name)).forEach(name =>
+            this.progress.remove(name)
+        );
     }
 
     /** Takes a peer's answer into account. `sentAt`: when what it answers was sent. */
@@ -403,7 +442,11 @@
             this.stepDown(answer.term);
             return;
         }
-        progress.heardAt = Math.max(progress.heardAt, sentAt);
+        progress.isMember = answer.isMember;
+        if (answer.isMember) {
+            // A replica that lost its disk may have voted for another leader and not know it: its word does not count.
+            progress.heardAt = Math.max(progress.heardAt, sentAt);
+        }
         if (answer.success) {
             progress.matchIndex = Math.max(progress.matchIndex, answer.index);
             progress.nextIndex = progress.matchIndex + 1;
@@ -411,6 +454,8 @@
         }
         else {
             progress.nextIndex = Math.max(1, answer.index === progress.nextIndex ? answer.index - 1 : answer.index);
+            // A peer that has less than it once had has lost its disk.
+            progress.matchIndex = Math.min(progress.matchIndex, progress.nextIndex - 1);
         }
         this.applied.notifyAll();
     }
@@ -432,26 +477,30 @@
 
     private async handleAppend(params: AppendParams): Promise<AppendAnswer> {
         if (params.term < this.storage.term) {
-            return { term: this.storage.term, success: false, index: 0 };
+            return this.createAppendAnswer(false, 0);
         }
         await this.followLeader(params.term, params.leader);
         if (params.term !== this.storage.term) {
-            return { term: this.storage.term, success: false, index: 0 };
+            return this.createAppendAnswer(false, 0);
         }
         const mismatch = this.storage.tryGetMismatch(params.previousIndex, params.previousTerm);
         if (mismatch !== undefined) {
-            return { term: this.storage.term, success: false, index: mismatch };
+            return this.createAppendAnswer(false, mismatch);
         }
         const news = this.storage.getNewEntries(params.entries);
         await this.storage.append(news);
         // A resent append may find its entries here already and not synced yet.
         await this.storage.waitSynced();
         if (params.term !== this.storage.term) {
-            return { term: this.storage.term, success: false, index: 0 };
+            return this.createAppendAnswer(false, 0);
         }
         const matched = params.previousIndex + params.entries.length;
         this.advanceFollowerCommit(Math.min(params.commitIndex, matched));
-        return { term: this.storage.term, success: true, index: matched };
+        return this.createAppendAnswer(true, matched);
+    }
+
+    private createAppendAnswer(success: boolean, index: number): AppendAnswer {
+        return { term: this.storage.term, success, index, isMember: this.storage.isMember };
     }
 
     private async followLeader(term: number, leader: string): Promise<void> {
@@ -479,18 +528,23 @@
 
     private async handleSnapshot(params: SnapshotParams): Promise<AppendAnswer> {
         if (params.term < this.storage.term) {
-            return { term: this.storage.term, success: false, index: 0 };
+            return this.createAppendAnswer(false, 0);
         }
         await this.followLeader(params.term, params.leader);
         const text = this.snapshotReceiver.tryAdd(params);
         if (text !== undefined && params.lastIndex > this.appliedIndex) {
             const state = JSON.parse(text) as StateSnapshot;
-            await this.storage.saveSnapshot({ lastIndex: params.lastIndex, lastTerm: params.lastTerm, state });
+            await this.storage.saveSnapshot({
+                lastIndex: params.lastIndex,
+                lastTerm: params.lastTerm,
+                state,
+                ...(params.replicas === undefined ? {} : { replicas: params.replicas }),
+            });
             this.loadState(state, params.lastIndex);
             this.snapshotHandlers.forEach(handler => handler());
         }
         const success = text !== undefined || this.snapshotReceiver.isExpecting(params);
-        return { term: this.storage.term, success, index: params.lastIndex };
+        return this.createAppendAnswer(success, params.lastIndex);
     }
 
     // Applying
@@ -522,6 +576,7 @@
             lastIndex: this.appliedIndex,
             lastTerm: this.storage.tryGetTerm(this.appliedIndex)!,
             state: this.state.createSnapshot(),
+            replicas: this.storage.findReplicas(this.appliedIndex),
         };
         this.storage.saveSnapshot(snapshot).catch(error => this.log.error("snapshot_failed", { error: String(error) }));
     }
--- a/src/consensus/voting.ts
+++ b/src/consensus/voting.ts
@@ -2,7 +2,7 @@
 import type { PeerMethod, PeerNetwork } from "../ports/peer.js";
 import type { LogStorage } from "./logStorage.js";
 import type { VoteAnswer, VoteParams } from "./messages.js";
-import type { ReplicatedLogOptions } from "./replicatedLog.js";
+import type { ReplicaSet } from "./replicaSet.js";
 
 /** What a candidate says of itself. */
 export function createVoteParams(storage: LogStorage, candidate: string, term: number): VoteParams {
@@ -20,15 +20,17 @@
 /** Asks everyone; answers whether a majority agreed, as soon as that is known. */
 export function collectVotes(
     network: PeerNetwork,
-    options: ReplicatedLogOptions,
+    replicas: ReplicaSet,
+    timeoutMs: number,
     method: PeerMethod<VoteParams, VoteAnswer>,
     params: VoteParams,
-    majority: number,
     checkTerm: (term: number) => void,
 ): Promise<boolean> {
     return new Promise(resolve => {
         let granted = 1;
-        let outstanding = options.others.length;
+        const voters = replicas.getOthers().filter(other => replicas.isVoter(other.name));
+        const majority = replicas.getMajority();
+        let outstanding = voters.length;
         const checkDone = (): void => {
             if (granted >= majority) {
                 resolve(true);
@@ -37,8 +39,8 @@
                 resolve(false);
             }
         };
-        for (const other of options.others) {
-            network.call(other.address, method, params, options.electionTimeoutMs).then(
+        for (const other of voters) {
+            network.call(other.address, method, params, timeoutMs).then(
                 answer => {
                     checkTerm(answer.term);
                     granted += answer.granted ? 1 : 0;
--- /dev/null
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -0,0 +1,148 @@
+/**
+ * A controller of deployments whose operator declares bundles: keeps the bundle and the prepaid tokens in the
+ * replicated log, hears the upstreams, and tells the routers that follow it.
+ */
+import type { ReplicaSetKeeper } from "../../consensus/replicaSetKeeper.js";
+import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
+import type { Bundle } from "../../domain/bundle.js";
+import type { BundleResult, StoredBundle } from "../../domain/bundleStore.js";
+import type { PrepaidResult } from "../../domain/prepaidBook.js";
+import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
+import type { BundleDecoder } from "../../ports/bundleDecoder.js";
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { Peer, PeerHandlers, PeerNetwork } from "../../ports/peer.js";
+import {
+    bundleNoticeMethod,
+    type FollowAnswer,
+    followMethod,
+    getBundleMethod,
+    reportPrepaidMethod,
+    upstreamNoticeMethod,
+} from "../../protocol/fleetMethods.js";
+import { Followers } from "./followers.js";
+import { RegistrationService } from "./registrationService.js";
+
+export interface BundleControllerOptions {
+    /** Where other controllers and routers reach this one. */
+    readonly address: string;
+    /** Addresses of controllers to ask to be added to the log. */
+    readonly seeds: readonly string[];
+}
+
+export class BundleControllerDaemon {
+    readonly registrations: RegistrationService;
+    private readonly followers = new Followers();
+    private seeds: readonly string[];
+
+    constructor(
+        private readonly replica: ReplicatedLog,
+        private readonly keeper: ReplicaSetKeeper,
+        private readonly decoder: BundleDecoder,
+        network: PeerNetwork,
+        clock: Clock,
+        private readonly log: Log,
+        private readonly options: BundleControllerOptions,
+    ) {
+        this.seeds = options.seeds;
+        this.registrations = new RegistrationService(
+            this.followers,
+            network,
+            clock,
+            log,
+            () => replica.replicas.getOthers().map(other => other.address),
+        );
+        replica.onApplied((entry, result) => {
+            if (entry.command.type === "putBundle" && (result as BundleResult).changed) {
+                this.announceBundle(entry.command.revision);
+            }
+        });
+        replica.onSnapshotLoaded(() => this.announceBundle(replica.state.bundle.tryGet()?.revision));
+    }
+
+    addHandlers(handlers: PeerHandlers): void {
+        this.replica.addHandlers(handlers);
+        this.keeper.addHandlers(handlers);
+        handlers.add(followMethod, (params, peer) => this.follow(params.router, peer));
+        handlers.add(getBundleMethod, () => ({ ...this.replica.state.bundle.tryGet() }));
+        handlers.add(upstreamNoticeMethod, notice => this.registrations.receive(notice.upstreams));
+        handlers.add(reportPrepaidMethod, async ({ report }) => {
+            const answer = await this.replica.propose(report);
+            return answer.result as PrepaidResult;
+        });
+    }
+
+    start(): void {
+        this.replica.start();
+        void this.keeper.runKeeping();
+        void this.keeper.runJoining(() => this.seeds);
+        void this.registrations.runBatches();
+    }
+
+    /** Takes new seeds from changed settings. */
+    setSeeds(seeds: readonly string[]): void {
+        this.seeds = seeds;
+    }
+
+    async stop(): Promise<void> {
+        this.registrations.stop();
+        await this.replica.stop();
+    }
+
+    /**
+     * Takes a declared bundle. Resolves once a majority holds it, or a newer one, on disk. Throws objectInvalid,
+     * noMajority where it was certainly not taken, changeUnknown where it may have been.
+     */
+    async putBundle(text: string): Promise<BundleResult> {
+        const bundle = this.decoder.decode(text);
+        const answer = await this.replica.propose({
+            type: "putBundle",
+            revision: bundle.revision,
+            text,
+            prepaid: getPrepaidLimits(bundle),
+        });
+        const result = answer.result as BundleResult;
+        this.log.info("bundle_taken", {
+            revision: bundle.revision,
+            changed: result.changed,
+            in_force: result.revision,
+            index: answer.index,
+        });
+        return result;
+    }
+
+    /** The bundle in force, read through a majority. Throws noMajority, and notReady before the first bundle. */
+    async readBundle(): Promise<StoredBundle> {
+        await this.replica.readThroughMajority();
+        const bundle = this.replica.state.bundle.tryGet();
+        if (bundle === undefined) {
+            throw new RefusalError(createRefusal("notReady", "no bundle yet"));
+        }
+        return bundle;
+    }
+
+    private follow(router: string, peer: Peer): FollowAnswer {
+        if (this.followers.add(peer, router)) {
+            this.log.info("router_follows", { router });
+        }
+        return {
+            bundleRevision: this.replica.state.bundle.tryGet()?.revision,
+            upstreams: this.registrations.list(),
+            controllers: [this.options.address, ...this.replica.replicas.getOthers().map(other => other.address)],
+            routers: this.followers.count(),
+            hasMajority: this.replica.isConnectedToMajority(),
+        };
+    }
+
+    private announceBundle(revision: number | undefined): void {
+        if (revision !== undefined) {
+            this.followers.notifyAll(bundleNoticeMethod, { controller: this.options.address, revision });
+        }
+    }
+}
+
+function getPrepaidLimits(bundle: Bundle): { account: string; tokens: number; }[] {
+    return bundle.accounts.flatMap(({ name, prepaidTokens }) =>
+        prepaidTokens === undefined ? [] : [{ account: name, tokens: prepaidTokens }]
+    );
+}
--- /dev/null
+++ b/src/daemons/bundleController/registrationService.ts
@@ -0,0 +1,101 @@
+/**
+ * Takes the reports of upstreams and spreads them to the routers that follow and to the other controllers. A change of
+ * state goes out at once; that an upstream lives goes out in batches.
+ */
+import { type HeardRegistration, type UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { PeerNetwork } from "../../ports/peer.js";
+import { upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+import type { Followers } from "./followers.js";
+
+/** How often routers and other controllers hear that upstreams live, in milliseconds. */
+const BATCH_PERIOD_MS = 400;
+
+export class RegistrationService {
+    readonly registry = new UpstreamRegistry();
+    private readonly waiting = new Map<string, UpstreamRegistration>();
+    private stopped = false;
+
+    constructor(
+        private readonly followers: Followers,
+        private readonly network: PeerNetwork,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly getOtherControllers: () => readonly string[],
+    ) {}
+
+    /** The task that sends what has gathered. */
+    async runBatches(): Promise<void> {
+        while (!this.stopped) {
+            await this.clock.wait(BATCH_PERIOD_MS);
+            if (this.waiting.size > 0) {
+                const batch = [...this.waiting.values()];
+                this.waiting.clear();
+                this.spread(batch);
+            }
+        }
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    /** Takes what an upstream says of itself. */
+    register(registration: UpstreamRegistration): void {
+        const change = this.registry.record(registration, this.clock.getMonotonicMs());
+        if (change === "state") {
+            this.logState(registration, "upstream");
+            this.spread([registration]);
+        }
+        else if (change === "beat") {
+            this.waiting.set(registration.id, registration);
+        }
+    }
+
+    /** Takes an upstream's word that it will not come back. */
+    remove(id: string): void {
+        const gone = this.registry.recordGone(id, this.clock.getMonotonicMs());
+        this.logState(gone, "upstream");
+        this.spread([gone]);
+    }
+
+    /** Takes what another controller has heard; it has told the routers itself. */
+    receive(upstreams: readonly HeardRegistration[]): void {
+        const now = this.clock.getMonotonicMs();
+        for (const { registration, ageMs } of upstreams) {
+            if (this.registry.record(registration, now - ageMs) === "state") {
+                this.logState(registration, "controller");
+                // A router that cannot hear the other controller hears it from this one.
+                this.followers.notifyAll(upstreamNoticeMethod, { upstreams: [{ registration, ageMs }] });
+            }
+        }
+    }
+
+    /** Everything known, for a router that begins to follow or repeats its question. */
+    list(): HeardRegistration[] {
+        return this.registry.list(this.clock.getMonotonicMs());
+    }
+
+    private spread(registrations: readonly UpstreamRegistration[]): void {
+        const params = { upstreams: registrations.map(registration => ({ registration, ageMs: 0 })) };
+        this.followers.notifyAll(upstreamNoticeMethod, params);
+        for (const address of this.getOtherControllers()) {
+            this.network.connect(address).then(
+                peer => peer.notify(upstreamNoticeMethod, params),
+                error => this.log.info("controller_not_told", { controller: address, error: String(error) }),
+            );
+        }
+    }
+
+    private logState(registration: UpstreamRegistration, source: string): void {
+        this.log.info("upstream_state", {
+            upstream: registration.id,
+            service: registration.service,
+            address: registration.address,
+            state: registration.state,
+            sequence: registration.sequence,
+            source,
+        });
+    }
+}
--- a/src/daemons/controller/auditTrail.ts
+++ b/src/daemons/controller/auditTrail.ts
@@ -79,5 +79,5 @@
 }
 
 function formatOutcome(result: ApplyResult): string {
-    return result.type === "accepted" ? "accepted" : formatRefusal(result.refusal);
+    return result.type === "refused" ? formatRefusal(result.refusal) : "accepted";
 }
--- /dev/null
+++ b/src/daemons/directRouter/attempt.ts
@@ -0,0 +1,203 @@
+/** One sending of a request to one upstream: passes the answer on as it arrives and says what came of it. */
+import { EventSplitter } from "../../domain/eventSplitter.js";
+import type { PassThroughSink } from "../../ports/answerSink.js";
+import type {
+    DirectUpstreams,
+    UpstreamCall,
+    UpstreamExchange,
+    UpstreamFailure,
+    UpstreamHead,
+    UpstreamListener,
+} from "../../ports/directUpstream.js";
+
+/** What came of an attempt. */
+export type AttemptOutcome =
+    /** The caller has the whole answer. `status`: the upstream's. */
+    | { readonly type: "answered"; readonly status: number; }
+    /** The upstream certainly has not run it. */
+    | { readonly type: "notRun"; readonly cause: "unreachable" | "full"; readonly reason: string; }
+    /** It may have run, and the caller does not have the whole answer. */
+    | { readonly type: "interrupted"; readonly reason: string; }
+    /** The upstream failed after running it; its answer was not passed on, because the request is to be tried again. */
+    | { readonly type: "failed"; readonly status: number; }
+    /** The router gave it up: `stop` was called. */
+    | { readonly type: "stopped"; };
+
+/** What the attempts of one request share: how far the caller's answer has come. */
+export class AnswerProgress {
+    isHeadSent = false;
+    /** Whether the answer may go on from another upstream: the head says nothing of its length. */
+    mayContinue = false;
+    /** Whole events that the caller has. */
+    eventCount = 0;
+    lastEventId: string | undefined;
+}
+
+/** What an attempt needs to know of its request. */
+export interface AttemptOptions {
+    readonly call: UpstreamCall;
+    readonly sink: PassThroughSink;
+    readonly progress: AnswerProgress;
+    /** The answer is a stream of events. */
+    readonly isStream: boolean;
+    /** Only whole events are passed on, so that the stream may go on elsewhere. */
+    readonly isResumable: boolean;
+    /** Whether a failure of this status should be tried again; asked once, before anything is passed on. */
+    readonly shouldRetryStatus: (status: number) => boolean;
+    /** Silence after which it is given up, in milliseconds; undefined where it is waited for. */
+    readonly silenceMs: number | undefined;
+    readonly onFirstByte: () => void;
+}
+
+export class Attempt implements UpstreamListener {
+    /** Bytes have been sent to the upstream, as far as is known; it may be running the request. */
+    mayHaveRun = true;
+    /** Whole events that came in this attempt. */
+    eventCount = 0;
+    /** When the last bytes came. Monotonic clock, milliseconds. */
+    heardAt = performance.now();
+    private readonly splitter: EventSplitter | undefined;
+    private exchange: UpstreamExchange | undefined;
+    private finish: (outcome: AttemptOutcome) => void = () => undefined;
+    private done = false;
+    private status = 0;
+    private hasFirstByte = false;
+    private silenceTimer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly upstreams: DirectUpstreams, private readonly options: AttemptOptions) {
+        this.splitter = options.isStream ? new EventSplitter() : undefined;
+    }
+
+    /** Sends the request. Resolves when it has come to an end of whatever kind; never rejects. */
+    run(): Promise<AttemptOutcome> {
+        return new Promise(resolve => {
+            this.finish = resolve;
+            this.watchSilence();
+            const exchange = this.upstreams.send(this.options.call, this);
+            this.exchange = exchange;
+            this.options.sink.onDrain(() => exchange.resume());
+            if (this.done) {
+                exchange.cancel();
+            }
+        });
+    }
+
+    /** Gives the attempt up: the upstream's connection is closed. */
+    stop(): void {
+        this.endEarly({ type: "stopped" });
+    }
+
+    onHead(head: UpstreamHead): boolean {
+        this.heardAt = performance.now();
+        this.status = head.status;
+        if (!head.isOwn) {
+            return this.reject({ type: "interrupted", reason: "the answer belongs to another request" });
+        }
+        if (head.isNotRun) {
+            this.mayHaveRun = false;
+            return this.reject({ type: "notRun", cause: "full", reason: `status ${head.status}` });
+        }
+        const isSuccess = head.status >= 200 && head.status < 300;
+        if (!head.isSigned) {
+            return this.reject({ type: "interrupted", reason: `status ${head.status} that no engine vouches for` });
+        }
+        if (!isSuccess && this.options.progress.isHeadSent) {
+            return this.reject({ type: "interrupted", reason: `status ${head.status} where a stream was to go on` });
+        }
+        if (head.status >= 500 && this.options.shouldRetryStatus(head.status)) {
+            return this.reject({ type: "failed", status: head.status });
+        }
+        this.passHead(head);
+        return true;
+    }
+
+    onData(bytes: Buffer): boolean {
+        this.heardAt = performance.now();
+        this.noteFirstByte();
+        const { sink, progress, isResumable } = this.options;
+        const whole = this.splitter?.add(bytes);
+        if (this.splitter !== undefined) {
+            const added = this.splitter.eventCount - this.eventCount;
+            this.eventCount += added;
+            progress.eventCount += added;
+            progress.lastEventId = this.splitter.lastEventId ?? progress.lastEventId;
+        }
+        if (!isResumable) {
+            return sink.write(bytes);
+        }
+        return whole === undefined ? true : sink.write(whole);
+    }
+
+    onEnd(): void {
+        if (this.done) {
+            return;
+        }
+        this.noteFirstByte();
+        const rest = this.splitter?.takeRest();
+        if (this.options.isResumable && rest !== undefined && rest.length > 0) {
+            this.options.sink.write(rest);
+        }
+        this.options.sink.end();
+        this.settle({ type: "answered", status: this.status });
+    }
+
+    onFailure(failure: UpstreamFailure): void {
+        if (failure.wasSent) {
+            this.settle({ type: "interrupted", reason: failure.reason });
+            return;
+        }
+        this.mayHaveRun = false;
+        this.settle({ type: "notRun", cause: "unreachable", reason: failure.reason });
+    }
+
+    private passHead(head: UpstreamHead): void {
+        const { progress, sink } = this.options;
+        if (progress.isHeadSent) {
+            return;
+        }
+        progress.isHeadSent = true;
+        progress.mayContinue = this.options.isResumable && head.status === 200
+            && !head.headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
+        sink.sendHead(head.status, head.headers);
+    }
+
+    private noteFirstByte(): void {
+        if (!this.hasFirstByte) {
+            this.hasFirstByte = true;
+            this.options.onFirstByte();
+        }
+    }
+
+    private reject(outcome: AttemptOutcome): false {
+        this.endEarly(outcome);
+        return false;
+    }
+
+    private endEarly(outcome: AttemptOutcome): void {
+        if (!this.done) {
+            this.settle(outcome);
+            this.exchange?.cancel();
+        }
+    }
+
+    private settle(outcome: AttemptOutcome): void {
+        if (!this.done) {
+            this.done = true;
+            clearTimeout(this.silenceTimer);
+            this.finish(outcome);
+        }
+    }
+
+    private watchSilence(): void {
+        const { silenceMs } = this.options;
+        if (silenceMs === undefined) {
+            return;
+        }
+        const left = this.heardAt + silenceMs - performance.now();
+        if (left <= 0) {
+            this.endEarly({ type: "interrupted", reason: `silent for ${silenceMs} ms` });
+            return;
+        }
+        this.silenceTimer = setTimeout(() => this.watchSilence(), left);
+    }
+}
--- /dev/null
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -0,0 +1,109 @@
+/**
+ * Follows one controller: a task that keeps a connection to it, hears of bundles and upstreams, and asks again
+ * regularly, so that a notice that was lost is made good.
+ */
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { Peer, PeerNetwork } from "../../ports/peer.js";
+import { type FollowAnswer, followMethod, getBundleMethod } from "../../protocol/fleetMethods.js";
+
+/** Times in milliseconds. */
+export interface ControllerFeedOptions {
+    readonly router: string;
+    readonly followPeriodMs: number;
+    readonly callTimeoutMs: number;
+    readonly redialMs: number;
+}
+
+/** Told of what a controller says. */
+export interface FeedListener {
+    receiveFollowAnswer(address: string, answer: FollowAnswer): void;
+    receiveBundle(revision: number, text: string): void;
+    /** The newest revision that is in force here; undefined where there is none yet. */
+    getBundleRevision(): number | undefined;
+}
+
+export class ControllerFeed {
+    /** When the controller last answered. Monotonic clock, milliseconds. */
+    heardAt = -Infinity;
+    /** Whether the controller said that it reaches a majority of the others. */
+    hasMajority = false;
+    private stopped = false;
+    private fetching = false;
+    private wantedRevision = -1;
+
+    constructor(
+        readonly address: string,
+        private readonly network: PeerNetwork,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly listener: FeedListener,
+        private readonly options: ControllerFeedOptions,
+    ) {}
+
+    /** The controller's one task. */
+    async run(): Promise<void> {
+        let wasConnected = false;
+        while (!this.stopped) {
+            try {
+                const peer = await this.network.connect(this.address);
+                await this.follow(peer, () => {
+                    if (!wasConnected) {
+                        wasConnected = true;
+                        this.log.info("controller_connected", { controller: this.address });
+                    }
+                });
+            }
+            catch (error) {
+                if (wasConnected) {
+                    wasConnected = false;
+                    this.log.warn("controller_lost", { controller: this.address, error: String(error) });
+                }
+                this.hasMajority = false;
+            }
+            await this.clock.wait(this.options.redialMs);
+        }
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    /** Fetches the bundle unless one as new is in force here; at most one fetch is under way. */
+    async fetchBundle(revision: number): Promise<void> {
+        this.wantedRevision = Math.max(this.wantedRevision, revision);
+        if (this.fetching) {
+            return;
+        }
+        this.fetching = true;
+        try {
+            while ((this.listener.getBundleRevision() ?? -1) < this.wantedRevision) {
+                const answer = await this.network.call(this.address, getBundleMethod, {}, this.options.callTimeoutMs);
+                if (answer.revision === undefined || answer.text === undefined) {
+                    return;
+                }
+                this.listener.receiveBundle(answer.revision, answer.text);
+            }
+        }
+        catch (error) {
+            this.log.warn("bundle_not_fetched", { controller: this.address, revision, error: String(error) });
+        }
+        finally {
+            this.fetching = false;
+        }
+    }
+
+    private async follow(peer: Peer, onAnswer: () => void): Promise<void> {
+        while (!this.stopped) {
+            const answer = await peer.call(followMethod, { router: this.options.router }, this.options.callTimeoutMs);
+            this.heardAt = this.clock.getMonotonicMs();
+            this.hasMajority = answer.hasMajority;
+            onAnswer();
+            this.listener.receiveFollowAnswer(this.address, answer);
+            if (answer.bundleRevision !== undefined) {
+                void this.fetchBundle(answer.bundleRevision);
+            }
+            await this.clock.wait(this.options.followPeriodMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -0,0 +1,307 @@
+/** A router that reaches its upstreams itself: keeps what the controllers say in force and serves callers by it. */
+import { BundleIndex, type BundleService, pickTarget } from "../../domain/bundle.js";
+import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import { createRefusal, formatRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { RetryBudget } from "../../domain/retryBudget.js";
+import type { UpstreamLoad } from "../../domain/upstreamLoad.js";
+import { type HeardRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { PassThroughSink } from "../../ports/answerSink.js";
+import type { BundleDecoder } from "../../ports/bundleDecoder.js";
+import type { Clock } from "../../ports/clock.js";
+import type { DirectUpstreams } from "../../ports/directUpstream.js";
+import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
+import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
+import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
+import type { PrepaidReporter } from "./prepaidReporter.js";
+import { RelayContext, type RelayOptions } from "./relayContext.js";
+import { type RelayRequest, RelayRun, type ResolvedRequest } from "./relayRun.js";
+
+/** Times in milliseconds. */
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedOptions {
+    /** Addresses of controllers to begin with. */
+    readonly seeds: readonly string[];
+    /** An upstream that has not been heard for so long, while controllers are heard, counts as lost. */
+    readonly upstreamSilenceMs: number;
+    /** A controller that has not answered for so long is asked no more, unless it is a seed or named by others. */
+    readonly forgetControllerMs: number;
+    /** Without a majority of the controllers a router calls itself ready after so long. */
+    readonly unconfirmedReadyMs: number;
+    /** Retries that all routers together may make for each request to a service, and beyond that in one window. */
+    readonly retryRatio: number;
+    readonly retrySlack: number;
+    /** Part of a connection limit that is used; the rest is for routers that come and go. */
+    readonly connectionPart: number;
+    /** Routers to reckon with before the controllers have said how many there are. */
+    readonly assumedRouters: number;
+}
+
+export class DirectRouterDaemon extends RelayContext implements FeedListener {
+    override readonly registry = new UpstreamRegistry();
+    private index: BundleIndex | undefined;
+    private readonly feeds = new Map<string, ControllerFeed>();
+    private readonly retryBudgets = new Map<string, RetryBudget>();
+    private readonly startedAt: number;
+    private named: readonly string[] = [];
+    private routers: number;
+    private running = 0;
+    private stopping = false;
+    private wasReady = false;
+    /** When a controller last answered, and since when they have done so without a gap. */
+    private heardAt = -Infinity;
+    private heardSince = -Infinity;
+
+    constructor(
+        override readonly options: DirectRouterOptions,
+        override readonly load: UpstreamLoad,
+        override readonly purse: PrepaidPurse,
+        override readonly upstreams: DirectUpstreams,
+        override readonly log: Log,
+        private readonly metrics: Metrics,
+        private readonly decoder: BundleDecoder,
+        private readonly reporter: PrepaidReporter,
+        private readonly network: PeerNetwork,
+        private readonly clock: Clock,
+    ) {
+        super();
+        this.startedAt = clock.getMonotonicMs();
+        this.routers = options.assumedRouters;
+    }
+
+    /** Registers what controllers tell over the connections that this router opens. */
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(bundleNoticeMethod, notice => this.feeds.get(notice.controller)?.fetchBundle(notice.revision));
+        handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
+    }
+
+    start(): void {
+        this.updateFeeds(this.options.seeds);
+        void this.reporter.run();
+    }
+
+    /** Takes new seeds from changed settings. */
+    setSeeds(seeds: readonly string[]): void {
+        this.updateFeeds([...seeds, ...this.named]);
+    }
+
+    /** Addresses of the controllers that are followed, those that answer first. */
+    getControllers(): string[] {
+        const feeds = [...this.feeds.values()];
+        feeds.sort((a, b) => Number(b.hasMajority) - Number(a.hasMajority) || b.heardAt - a.heardAt);
+        return feeds.map(feed => feed.address);
+    }
+
+    getRunningCount(): number {
+        return this.running;
+    }
+
+    /** Limits on callers that are in force; undefined before the first bundle. */
+    tryGetLimits() {
+        return this.index?.bundle.limits;
+    }
+
+    /** Whether this router should be sent callers. */
+    isReady(): boolean {
+        const ready = !this.stopping && this.index !== undefined && this.isConfirmed();
+        if (ready !== this.wasReady) {
+            this.wasReady = ready;
+            this.log.info("ready_changed", { ready, revision: this.index?.bundle.revision });
+        }
+        return ready;
+    }
+
+    /** Begins a planned stop: no longer ready, still serving. */
+    beginStop(): void {
+        this.stopping = true;
+        this.log.info("router_stopping", { running: this.running });
+    }
+
+    isStopping(): boolean {
+        return this.stopping;
+    }
+
+    /** Ends a planned stop: gives back what is left of the grants. */
+    async finishStop(): Promise<void> {
+        this.feeds.forEach(feed => feed.stop());
+        await this.reporter.stop();
+        this.upstreams.close();
+    }
+
+    /** Serves one request; resolves when its final answer has been given. */
+    async handle(request: RelayRequest, sink: PassThroughSink): Promise<void> {
+        const resolved = this.resolve(request);
+        if ("code" in resolved) {
+            this.logRefusal(request, "", resolved, undefined);
+            sink.refuse(resolved);
+            return;
+        }
+        this.getRetryBudget(resolved.service.name).recordRequest();
+        this.running += 1;
+        try {
+            await new RelayRun(this, resolved, sink).run();
+        }
+        finally {
+            this.running -= 1;
+        }
+    }
+
+    private resolve(request: RelayRequest): ResolvedRequest | Refusal {
+        const { index } = this;
+        if (index === undefined) {
+            return createRefusal("notReady", "no bundle yet", "no", this.options.retryAfterMs);
+        }
+        const route = index.tryGetRoute(request.host, request.passed.target);
+        if (route === undefined) {
+            return createRefusal("routeUnknown");
+        }
+        const account = request.key === undefined ? undefined : index.tryGetAccount(request.key);
+        if (!route.isPublic && account === undefined && index.hasAccounts()) {
+            return createRefusal(request.key === undefined ? "keyMissing" : "keyWrong");
+        }
+        const service = index.tryGetService(pickTarget(route, Math.random()).service)!;
+        return { request, route, service, account: route.isPublic ? undefined : account };
+    }
+
+    // What the requests ask for
+
+    override getRouterCount(): number {
+        return this.routers;
+    }
+
+    override getMaxUpstreamAgeMs(): number {
+        const now = this.clock.getMonotonicMs();
+        const { upstreamSilenceMs } = this.options;
+        // Where no controller is heard, nothing can be heard of upstreams either: they count as they stand.
+        const isHearing = now - this.heardAt < this.getGapMs();
+        return isHearing && now - this.heardSince > upstreamSilenceMs ? upstreamSilenceMs : Infinity;
+    }
+
+    /** Pause between answers of controllers that counts as a gap. */
+    private getGapMs(): number {
+        return this.options.followPeriodMs * 2;
+    }
+
+    override getMaxConnections(service: BundleService): number {
+        const routers = Math.max(this.routers, this.options.assumedRouters);
+        return Math.max(1, Math.floor(service.maxConnections * this.options.connectionPart / routers));
+    }
+
+    override getRetryBudget(service: string): RetryBudget {
+        let budget = this.retryBudgets.get(service);
+        if (budget === undefined) {
+            const { retryRatio, retrySlack, assumedRouters } = this.options;
+            budget = new RetryBudget(retryRatio, Math.max(1, retrySlack / Math.max(this.routers, assumedRouters)));
+            this.retryBudgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    override waitGrant(_account: string, timeoutMs: number): Promise<void> {
+        return this.reporter.waitGrant(timeoutMs);
+    }
+
+    override recordAnswered(resolved: ResolvedRequest, status: number): void {
+        const age = performance.now() - resolved.request.arrivedAt;
+        this.metrics.addCount("requests_answered");
+        this.metrics.recordTiming("request_ms", age);
+        this.log.info("request_answered", {
+            request: resolved.request.passed.id,
+            route: resolved.route.name,
+            status,
+            age_ms: Math.round(age),
+        });
+    }
+
+    override recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void {
+        this.logRefusal(resolved.request, resolved.route.name, refusal, endedEarly);
+    }
+
+    private logRefusal(request: RelayRequest, route: string, refusal: Refusal, endedEarly: string | undefined): void {
+        this.metrics.addCount("requests_refused");
+        this.log.info("request_refused", {
+            request: request.passed.id,
+            route,
+            refusal: formatRefusal(refusal),
+            ran: refusal.ran,
+            ended_early: endedEarly,
+            age_ms: Math.round(performance.now() - request.arrivedAt),
+            revision: this.index?.bundle.revision,
+        });
+    }
+
+    // What the controllers say
+
+    getBundleRevision(): number | undefined {
+        return this.index?.bundle.revision;
+    }
+
+    receiveBundle(revision: number, text: string): void {
+        if (this.index !== undefined && revision <= this.index.bundle.revision) {
+            return;
+        }
+        this.index = new BundleIndex(this.decoder.decode(text));
+        const limits = this.index.bundle.accounts.filter(account => account.prepaidTokens !== undefined);
+        this.purse.setLimits(limits.map(account => ({ account: account.name, tokens: account.prepaidTokens! })));
+        this.log.info("bundle_in_force", { revision, routes: this.index.bundle.routes.length });
+        void this.reporter.waitGrant(0);
+    }
+
+    receiveFollowAnswer(_address: string, answer: FollowAnswer): void {
+        const now = this.clock.getMonotonicMs();
+        this.receiveUpstreams(answer.upstreams);
+        this.routers = Math.max(answer.routers, this.reporter.routers);
+        if (answer.hasMajority) {
+            this.named = answer.controllers;
+            this.updateFeeds(answer.controllers);
+        }
+        if (now - this.heardAt > this.getGapMs()) {
+            this.heardSince = now;
+        }
+        this.heardAt = now;
+    }
+
+    private receiveUpstreams(upstreams: readonly HeardRegistration[]): void {
+        const now = this.clock.getMonotonicMs();
+        for (const { registration, ageMs } of upstreams) {
+            if (this.registry.record(registration, now - ageMs) === "state") {
+                this.log.info("upstream_state", {
+                    upstream: registration.id,
+                    service: registration.service,
+                    address: registration.address,
+                    state: registration.state,
+                    age_ms: ageMs,
+                });
+            }
+        }
+    }
+
+    private updateFeeds(addresses: readonly string[]): void {
+        for (const address of addresses) {
+            if (!this.feeds.has(address)) {
+                const feed = new ControllerFeed(address, this.network, this.clock, this.log, this, this.options);
+                this.feeds.set(address, feed);
+                void feed.run();
+            }
+        }
+        this.forgetFeeds(addresses);
+    }
+
+    private forgetFeeds(wanted: readonly string[]): void {
+        const now = this.clock.getMonotonicMs();
+        for (const [address, feed] of this.feeds) {
+            const silentMs = now - Math.max(feed.heardAt, this.startedAt);
+            if (!wanted.includes(address) && silentMs > this.options.forgetControllerMs) {
+                feed.stop();
+                this.feeds.delete(address);
+            }
+        }
+    }
+
+    /** Whether enough controllers have been heard that no newer bundle can be in force. */
+    private isConfirmed(): boolean {
+        const feeds = [...this.feeds.values()];
+        return feeds.some(feed => feed.hasMajority)
+            || this.clock.getMonotonicMs() - this.startedAt > this.options.unconfirmedReadyMs;
+    }
+}
--- /dev/null
+++ b/src/daemons/directRouter/relayContext.ts
@@ -0,0 +1,43 @@
+/** What the requests of one router share. */
+import type { BundleService } from "../../domain/bundle.js";
+import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import type { Refusal } from "../../domain/resultCodes.js";
+import type { RetryBudget } from "../../domain/retryBudget.js";
+import type { UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { DirectUpstreams } from "../../ports/directUpstream.js";
+import type { Log } from "../../ports/log.js";
+import type { ResolvedRequest } from "./relayRun.js";
+
+/** Times in milliseconds. */
+export interface RelayOptions {
+    /** When a caller that was refused for want of an upstream or a grant should come back. */
+    readonly retryAfterMs: number;
+    /** How long a request waits for a grant. */
+    readonly grantWaitMs: number;
+    /** Least silence of an upstream after which a request that may be repeated goes elsewhere. */
+    readonly leastSilenceMs: number;
+    /** The same in multiples of the route's goal. */
+    readonly silenceGoals: number;
+}
+
+export abstract class RelayContext {
+    abstract readonly options: RelayOptions;
+    abstract readonly log: Log;
+    abstract readonly registry: UpstreamRegistry;
+    abstract readonly load: UpstreamLoad;
+    abstract readonly purse: PrepaidPurse;
+    abstract readonly upstreams: DirectUpstreams;
+
+    /** How many routers there are, as far as is known; at least 1. */
+    abstract getRouterCount(): number;
+    /** Age beyond which an upstream that has not been heard counts as lost, in milliseconds. */
+    abstract getMaxUpstreamAgeMs(): number;
+    /** Connections that this router may hold to one upstream of a service. */
+    abstract getMaxConnections(service: BundleService): number;
+    abstract getRetryBudget(service: string): RetryBudget;
+    /** Resolves when more of the account's tokens may have been granted, or after `timeoutMs`. */
+    abstract waitGrant(account: string, timeoutMs: number): Promise<void>;
+    abstract recordAnswered(resolved: ResolvedRequest, status: number): void;
+    abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
+}
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -1,5 +1,6 @@
 /** The commands of the replicated log. Each is applied once on every controller, in the log's order. */
 import { z } from "zod";
+import { prepaidReportCommand, putBundleCommand } from "./bundleCommands.js";
 import { nameSchema, objectChangeRequest, topUpRequest } from "./objects.js";
 
 const ledgerId = z.string().min(3).max(128);
@@ -45,7 +46,22 @@
     })).max(2000),
 });
 
-/** An order to an engine, numbered by the log so that it is fenced by term and index. */
+/** One replica of the log. A replica that does not vote is copied to, and counts for no majority. */
+export const replicaSchema = z.strictObject({
+    name: z.string().min(1).max(128),
+    /** Where the others reach it, HOST:PORT. */
+    address: z.string().min(3).max(128),
+    voting: z.boolean(),
+});
+
+/** The replicas of the log from this entry on. In force as soon as it is in a log (Raft, section 6, one at a time). */
+export const setReplicasCommand = z.strictObject({
+    type: z.literal("setReplicas"),
+    replicas: z.array(replicaSchema).min(1).max(64),
+});
+export type Replica = z.infer<typeof replicaSchema>;
+
+/** Changes nothing; a new leader commits what earlier terms left with it. */
 export const noopCommand = z.strictObject({ type: z.literal("noop") });
 
 export const commandSchema = z.union([
@@ -54,6 +70,9 @@
     creditTopUpCommand,
     allotCommand,
     reportSharesCommand,
+    setReplicasCommand,
+    putBundleCommand,
+    prepaidReportCommand,
     noopCommand,
 ]);
 export type Command = z.infer<typeof commandSchema>;
--- a/src/domain/declaredState.ts
+++ b/src/domain/declaredState.ts
@@ -1,20 +1,27 @@
 /** The replicated state: declared objects and budgets, changed only by the log's entries. */
 import { BudgetBook, type BudgetBookSnapshot, type BudgetResult } from "./budgetBook.js";
+import type { PutBundleCommand } from "./bundleCommands.js";
+import { BundleStore, type BundleResult, type StoredBundle } from "./bundleStore.js";
 import type { LogEntry } from "./commands.js";
 import { type ChangeResult, ObjectStore, type ObjectStoreSnapshot } from "./objectStore.js";
+import { PrepaidBook, type PrepaidResult, type PrepaidSnapshot } from "./prepaidBook.js";
 
-export type ApplyResult = ChangeResult | BudgetResult;
+export type ApplyResult = ChangeResult | BudgetResult | BundleResult | PrepaidResult;
 
 /** The whole replicated state at one log index. */
 export interface StateSnapshot {
     readonly objects: ObjectStoreSnapshot;
     readonly budgets: BudgetBookSnapshot;
+    readonly bundle?: StoredBundle | undefined;
+    readonly prepaid?: PrepaidSnapshot;
 }
 
 /** Applies entries in order and answers each. */
 export class DeclaredState {
     readonly objects = new ObjectStore();
     readonly budgets = new BudgetBook();
+    readonly bundle = new BundleStore();
+    readonly prepaid = new PrepaidBook();
 
     apply(entry: LogEntry): ApplyResult {
         const command = entry.command;
@@ -30,17 +37,39 @@
                 return this.budgets.applyAllot(command);
             case "reportShares":
                 return this.budgets.applyReportShares(command);
+            case "putBundle":
+                return this.applyPutBundle(command);
+            case "reportPrepaid":
+                return this.prepaid.applyReport(command);
+            case "setReplicas":
             case "noop":
                 return { type: "accepted", tokens: 0 };
         }
     }
 
     createSnapshot(): StateSnapshot {
-        return { objects: this.objects.createSnapshot(), budgets: this.budgets.createSnapshot() };
+        return {
+            objects: this.objects.createSnapshot(),
+            budgets: this.budgets.createSnapshot(),
+            bundle: this.bundle.tryGet(),
+            prepaid: this.prepaid.createSnapshot(),
+        };
     }
 
     loadSnapshot(snapshot: StateSnapshot): void {
         this.objects.loadSnapshot(snapshot.objects);
         this.budgets.loadSnapshot(snapshot.budgets);
+        this.bundle.load(snapshot.bundle);
+        if (snapshot.prepaid !== undefined) {
+            this.prepaid.loadSnapshot(snapshot.prepaid);
+        }
+    }
+
+    private applyPutBundle(command: PutBundleCommand): BundleResult {
+        const result = this.bundle.applyPut(command);
+        if (result.changed) {
+            this.prepaid.applyLimits(command.prepaid);
+        }
+        return result;
     }
 }
--- /dev/null
+++ b/src/domain/upstreamRegistry.ts
@@ -0,0 +1,104 @@
+/** The upstreams that have registered themselves, as one process knows them. Reports come late and out of order. */
+
+/** What an upstream says of itself. */
+export interface UpstreamRegistration {
+    /** New at each start of the upstream. */
+    readonly id: string;
+    readonly service: string;
+    /** HOST:PORT; may belong to another upstream later. */
+    readonly address: string;
+    readonly zone: string;
+    /** Requests that it works on at once. */
+    readonly slots: number;
+    /** `leaving`: it takes no new work. `gone`: it will not come back under this id. */
+    readonly state: "ready" | "leaving" | "gone";
+    /** Rises with each report of one upstream. */
+    readonly sequence: number;
+}
+
+/** A registration and how long ago it was heard. */
+export interface HeardRegistration {
+    readonly registration: UpstreamRegistration;
+    readonly ageMs: number;
+}
+
+interface Entry {
+    registration: UpstreamRegistration;
+    /** Monotonic clock, milliseconds. */
+    heardAt: number;
+}
+
+/** How long an upstream that is gone is remembered, so that a late report does not bring it back. Milliseconds. */
+const KEEP_GONE_MS = 60_000;
+
+export class UpstreamRegistry {
+    private readonly entries = new Map<string, Entry>();
+
+    /**
+     * Takes a report that was heard at `heardAt`. Answers what it changed: `state` where routing is affected, `beat`
+     * where it only shows that the upstream lives, undefined where it is older than what is known.
+     */
+    record(registration: UpstreamRegistration, heardAt: number): "state" | "beat" | undefined {
+        const known = this.entries.get(registration.id);
+        if (known === undefined) {
+            this.entries.set(registration.id, { registration, heardAt });
+            return "state";
+        }
+        if (known.registration.state === "gone") {
+            return undefined;
+        }
+        if (registration.state !== "gone" && registration.sequence <= known.registration.sequence) {
+            return undefined;
+        }
+        const changed = known.registration.state !== registration.state
+            || known.registration.address !== registration.address
+            || known.registration.slots !== registration.slots;
+        known.registration = registration;
+        known.heardAt = Math.max(known.heardAt, heardAt);
+        return changed ? "state" : "beat";
+    }
+
+    /** Marks an upstream as gone; answers the registration to tell others, if it was known. */
+    recordGone(id: string, heardAt: number): UpstreamRegistration {
+        const known = this.entries.get(id)?.registration;
+        const gone: UpstreamRegistration = {
+            id,
+            service: known?.service ?? "",
+            address: known?.address ?? "",
+            zone: known?.zone ?? "",
+            slots: known?.slots ?? 0,
+            state: "gone",
+            sequence: known?.sequence ?? 0,
+        };
+        this.record(gone, heardAt);
+        return gone;
+    }
+
+    /** Everything known, with its age at `now`. Forgets what has long been gone. */
+    list(now: number): HeardRegistration[] {
+        for (const [id, entry] of this.entries) {
+            if (now - entry.heardAt > KEEP_GONE_MS && entry.registration.state === "gone") {
+                this.entries.delete(id);
+            }
+        }
+        return [...this.entries.values()].map(({ registration, heardAt }) => ({
+            registration,
+            ageMs: Math.max(0, Math.round(now - heardAt)),
+        }));
+    }
+
+    /** The upstreams of a service that take new work and were heard within `maxAgeMs`. */
+    getReady(service: string, now: number, maxAgeMs: number): UpstreamRegistration[] {
+        const ready: UpstreamRegistration[] = [];
+        for (const { registration, heardAt } of this.entries.values()) {
+            if (registration.service === service && registration.state === "ready" && now - heardAt <= maxAgeMs) {
+                ready.push(registration);
+            }
+        }
+        return ready;
+    }
+
+    tryGet(id: string): UpstreamRegistration | undefined {
+        return this.entries.get(id)?.registration;
+    }
+}
--- /dev/null
+++ b/src/ports/bundleDecoder.ts
@@ -0,0 +1,7 @@
+/** Reads the text of a declared bundle, whose format is the operator's. */
+import type { Bundle } from "../domain/bundle.js";
+
+export abstract class BundleDecoder {
+    /** The bundle in `text`. Throws objectInvalid where it does not fit its format, or its parts do not fit together. */
+    abstract decode(text: string): Bundle;
+}
--- /dev/null
+++ b/src/ports/directUpstream.ts
@@ -0,0 +1,75 @@
+/** How a router reaches upstreams itself: one request, passed on byte for byte, and what came of it. */
+import type { UpstreamRegistration } from "../domain/upstreamRegistry.js";
+
+/** A caller's request as it is passed on. */
+export interface PassedRequest {
+    /** The caller's own id of this attempt. */
+    readonly id: string;
+    readonly method: string;
+    /** Path and query, as the caller sent them. */
+    readonly target: string;
+    /** Names and values by turns, as the caller sent them, but for what concerns its connection only. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+}
+
+/** One sending of a request to one upstream. */
+export interface UpstreamCall {
+    readonly upstream: UpstreamRegistration;
+    readonly request: PassedRequest;
+    /** Client account on whose behalf it runs; undefined on public routes. */
+    readonly account: string | undefined;
+    /** Time that is left to it, in milliseconds. */
+    readonly remainingMs: number;
+    /** 0 is the most urgent, 9 the least. */
+    readonly priority: number;
+    /** Where an interrupted stream goes on; undefined for what the caller itself asked for. */
+    readonly resumeAfter: string | undefined;
+    /** Connections that this process may hold to the upstream. */
+    readonly maxConnections: number;
+}
+
+/** The head of an upstream's answer. */
+export interface UpstreamHead {
+    readonly status: number;
+    /** Names and values by turns, but for what concerns the upstream's connection only. */
+    readonly headers: readonly string[];
+    /** The upstream says that it has not run the request and never will. */
+    readonly isNotRun: boolean;
+    /** It answers to the request it was sent; false for a stray answer to another one. */
+    readonly isOwn: boolean;
+    /** An engine vouches for the answer. */
+    readonly isSigned: boolean;
+}
+
+/** Why an answer did not come, or did not come whole. */
+export interface UpstreamFailure {
+    /** False where nothing of the request was sent, so that it certainly has not run. */
+    readonly wasSent: boolean;
+    readonly reason: string;
+}
+
+/** Told of an answer as it arrives. After `onEnd` or `onFailure` nothing more comes. */
+export interface UpstreamListener {
+    /** Answers false to have the answer dropped; nothing more is told of it then. */
+    onHead(head: UpstreamHead): boolean;
+    /** Answers false to have the upstream held up until `resume`. */
+    onData(bytes: Buffer): boolean;
+    onEnd(): void;
+    onFailure(failure: UpstreamFailure): void;
+}
+
+/** A sending that is under way. */
+export interface UpstreamExchange {
+    /** Goes on reading after `onData` answered false. */
+    resume(): void;
+    /** Breaks off: the connection is closed, so that the upstream drops the request. Nothing more is told. */
+    cancel(): void;
+}
+
+export abstract class DirectUpstreams {
+    abstract send(call: UpstreamCall, listener: UpstreamListener): UpstreamExchange;
+    /** Closes idle connections to upstreams that are not in `known` (by address). */
+    abstract forgetExcept(known: ReadonlySet<string>): void;
+    abstract close(): void;
+}
--- /dev/null
+++ b/src/protocol/fleetMethods.ts
@@ -0,0 +1,64 @@
+/** What routers and controllers say to each other where an operator declares bundles and upstreams register themselves. */
+import { z } from "zod";
+import { type PrepaidReportCommand, prepaidReportCommand } from "../domain/bundleCommands.js";
+import type { PrepaidResult } from "../domain/prepaidBook.js";
+import type { HeardRegistration, UpstreamRegistration } from "../domain/upstreamRegistry.js";
+import { createPeerMethod } from "../ports/peer.js";
+
+const name = z.string().max(128);
+const count = z.int().min(0);
+
+const registrationSchema = z.object({
+    id: z.string().min(1).max(128),
+    service: name,
+    address: name,
+    zone: name,
+    slots: count,
+    state: z.enum(["ready", "leaving", "gone"]),
+    sequence: count,
+}) satisfies z.ZodType<UpstreamRegistration>;
+
+const heardSchema = z.object({ registration: registrationSchema, ageMs: count }) satisfies z.ZodType<HeardRegistration>;
+
+/** A controller's whole knowledge, for one that begins to follow it. */
+export interface FollowAnswer {
+    /** Revision of the bundle in force there, if there is one. */
+    readonly bundleRevision?: number | undefined;
+    readonly upstreams: readonly HeardRegistration[];
+    /** Addresses of the controllers that the log names. */
+    readonly controllers: readonly string[];
+    /** Routers that follow this controller. */
+    readonly routers: number;
+    /** Whether the controller is connected to a majority of the others. */
+    readonly hasMajority: boolean;
+}
+
+/** Begins to follow a controller over this connection, and repeats what it knows; also asked as a heartbeat. */
+export const followMethod = createPeerMethod<{ router: string; }, FollowAnswer>(
+    "fleet.follow",
+    z.object({ router: name }),
+);
+
+/** Tells a follower that a bundle has come into force. The follower fetches it. */
+export const bundleNoticeMethod = createPeerMethod<{ controller: string; revision: number; }, void>(
+    "fleet.bundleNotice",
+    z.object({ controller: name, revision: count }),
+);
+
+/** Fetches the bundle in force. */
+export const getBundleMethod = createPeerMethod<
+    Record<string, unknown>,
+    { revision?: number | undefined; text?: string | undefined; }
+>("fleet.getBundle", z.object({}));
+
+/** Tells a follower, or another controller, what upstreams have reported. */
+export const upstreamNoticeMethod = createPeerMethod<{ upstreams: readonly HeardRegistration[]; }, void>(
+    "fleet.upstreamNotice",
+    z.object({ upstreams: z.array(heardSchema).max(20_000) }),
+);
+
+/** A router's report of its prepaid tokens; any controller takes it to the log. */
+export const reportPrepaidMethod = createPeerMethod<{ report: PrepaidReportCommand; }, PrepaidResult>(
+    "fleet.reportPrepaid",
+    z.object({ report: prepaidReportCommand }),
+);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -7,17 +7,21 @@
 import { openJournalFile } from "./adapters/disk/journalFile.js";
 import { HttpMembership } from "./adapters/http/membershipList.js";
 import { KeyValueLog } from "./adapters/keyValueLog.js";
-import { TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
+import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
 import { StatsdMetrics } from "./adapters/statsdMetrics.js";
 import { HttpUpstream } from "./adapters/upstream/httpUpstream.js";
 import { LogStorage } from "./consensus/logStorage.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
+import { ReplicaSetKeeper } from "./consensus/replicaSetKeeper.js";
+import { BundleControllerDaemon } from "./daemons/bundleController/bundleControllerDaemon.js";
 import { ConfigClient } from "./daemons/configClient.js";
 import { AuditTrail } from "./daemons/controller/auditTrail.js";
 import { ControllerDaemon } from "./daemons/controller/controllerDaemon.js";
 import type { ControllerContext } from "./daemons/controller/fleetView.js";
 import { openLedger } from "./daemons/controller/ledgerFile.js";
 import { sortByZone } from "./daemons/controllerAddress.js";
+import { DirectRouterDaemon, type DirectRouterOptions } from "./daemons/directRouter/directRouterDaemon.js";
+import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
 import { CallerRequests } from "./daemons/router/callerRequests.js";
 import { ClaimClient } from "./daemons/router/claimClient.js";
 import { IntentClient } from "./daemons/router/intentClient.js";
@@ -31,9 +35,13 @@
 import { ConfigView } from "./domain/configView.js";
 import { createRandomId } from "./domain/identifiers.js";
 import { IntentBook } from "./domain/intentBook.js";
+import { PrepaidPurse, type PrepaidPurseOptions } from "./domain/prepaidPurse.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
 import { UpstreamChooser } from "./domain/upstreamChooser.js";
+import { UpstreamLoad, type UpstreamLoadOptions } from "./domain/upstreamLoad.js";
+import type { BundleDecoder } from "./ports/bundleDecoder.js";
 import { SystemClock } from "./ports/clock.js";
+import type { DirectUpstreams } from "./ports/directUpstream.js";
 import type { Log } from "./ports/log.js";
 import { NoMembership } from "./ports/membership.js";
 import { type Metrics, NoMetrics } from "./ports/metrics.js";
@@ -238,7 +246,147 @@
     };
 }
 
-async function createBase(settings: CommonSettings): Promise<RoleBase> {
+/** What a process needs to know to run a role that serves bundles. Times in milliseconds. */
+export interface BundleRoleSettings {
+    readonly name: string;
+    readonly zone: string;
+    readonly fleetSecret: string;
+    readonly logLevel: "info" | "warn" | "error";
+    /** Peer addresses of controllers to begin with. */
+    readonly seeds: readonly string[];
+    readonly decoder: BundleDecoder;
+}
+
+export interface BundleControllerSettings extends BundleRoleSettings {
+    /** Where the system's other processes reach this one. */
+    readonly peerAddress: string;
+    readonly dataFolder: string;
+    /** The whole fleet starts for the first time; the controllers at the seeds found the log. */
+    readonly isFirstStart: boolean;
+    readonly electionTimeoutMs: number;
+    readonly heartbeatMs: number;
+    readonly proposeTimeoutMs: number;
+    readonly snapshotEvery: number;
+    readonly retryWriteMs: number;
+    readonly removeReplicaAfterMs: number;
+    readonly minimumLiveReplicas: number;
+}
+
+export interface DirectRouterSettings extends BundleRoleSettings {
+    readonly router: DirectRouterOptions;
+    readonly load: UpstreamLoadOptions;
+    readonly purse: PrepaidPurseOptions;
+    readonly reporter: PrepaidReporterOptions;
+    readonly upstreams: DirectUpstreams;
+}
+
+/** A running role and its daemon, for whoever serves it to the outside. */
+export interface RunningBundleRole<T> {
+    readonly daemon: T;
+    readonly log: Log;
+    stop(): Promise<void>;
+}
+
+/** Starts a controller that keeps bundles. Its interface to upstreams and operators is the caller's to open. */
+export async function startBundleController(
+    settings: BundleControllerSettings,
+): Promise<RunningBundleRole<BundleControllerDaemon>> {
+    await mkdir(settings.dataFolder, { recursive: true });
+    const base = await createBase({ ...settings, role: "controller", listen: settings.peerAddress });
+    const { clock, log, network, handlers, peerAddress } = base;
+    const journal = await openJournalFile(join(settings.dataFolder, "log.journal"), {
+        retryWriteMs: settings.retryWriteMs,
+        onRefused: error => log.warn("disk_refused_write", { error: String(error) }),
+    });
+    const founders = settings.isFirstStart ? settings.seeds : [];
+    const replica = new ReplicatedLog(new LogStorage(journal), network, clock, log, {
+        // The address names a replica: a box that takes another's place has an address of its own.
+        name: peerAddress,
+        address: peerAddress,
+        others: founders.filter(address => address !== peerAddress).map(address => ({ name: address, address })),
+        isFounder: founders.includes(peerAddress),
+        isFirstStart: founders.includes(peerAddress),
+        electionTimeoutMs: settings.electionTimeoutMs,
+        heartbeatMs: settings.heartbeatMs,
+        proposeTimeoutMs: settings.proposeTimeoutMs,
+        snapshotEvery: settings.snapshotEvery,
+        random: Math.random,
+    });
+    const keeper = new ReplicaSetKeeper(replica, network, clock, log, {
+        self: { name: peerAddress, address: peerAddress },
+        periodMs: settings.electionTimeoutMs / 2,
+        removeAfterMs: settings.removeReplicaAfterMs,
+        minimumLive: settings.minimumLiveReplicas,
+        callTimeoutMs: settings.electionTimeoutMs,
+    });
+    const { seeds, decoder } = settings;
+    const daemon = new BundleControllerDaemon(replica, keeper, decoder, network, clock, log, {
+        address: peerAddress,
+        seeds,
+    });
+    daemon.addHandlers(handlers);
+    daemon.start();
+    log.info("controller_started", { peer: peerAddress, torn_bytes: journal.tornBytes, founder: founders.length > 0 });
+    return {
+        daemon,
+        log,
+        stop: async () => {
+            await daemon.stop();
+            closeBase(base);
+        },
+    };
+}
+
+/** Starts a router that reaches its upstreams itself. Its interface to callers is the caller's to open. */
+export function startDirectRouter(settings: DirectRouterSettings): RunningBundleRole<DirectRouterDaemon> {
+    const base = createUnlistened({ ...settings, role: "router" });
+    const { clock, log, metrics, network, handlers, identity } = base;
+    const purse = new PrepaidPurse(settings.name, identity.incarnation, settings.purse);
+    const reporter = new PrepaidReporter(
+        purse,
+        network,
+        clock,
+        log,
+        () => daemon.getControllers(),
+        settings.reporter,
+    );
+    const daemon: DirectRouterDaemon = new DirectRouterDaemon(
+        settings.router,
+        new UpstreamLoad(settings.zone, settings.load),
+        purse,
+        settings.upstreams,
+        log,
+        metrics,
+        settings.decoder,
+        reporter,
+        network,
+        clock,
+    );
+    daemon.addHandlers(handlers);
+    daemon.start();
+    log.info("router_started", { incarnation: identity.incarnation });
+    return {
+        daemon,
+        log,
+        stop: async () => {
+            await daemon.finishStop();
+            closeBase(base);
+        },
+    };
+}
+
+/** What the base of a role needs from its settings. */
+type BaseSettings = Pick<CommonSettings, "name" | "zone" | "role" | "logLevel"> & Partial<CommonSettings>;
+
+async function createBase(settings: BaseSettings & Pick<CommonSettings, "listen">): Promise<RoleBase> {
+    const base = createUnlistened({ ...settings, fleetSecret: await readFleetSecret(settings) });
+    const { host, port: asked } = parseAddress(settings.listen);
+    const port = await base.network.listen(host, asked);
+    return { ...base, peerAddress: `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}` };
+}
+
+/** The base of a role that other processes do not reach: it reaches them. */
+function createUnlistened(settings: BaseSettings & { readonly fleetSecret: string; }): RoleBase {
     const { name, zone, role } = settings;
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
     const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
@@ -246,12 +394,9 @@
         ? new NoMetrics()
         : new StatsdMetrics(settings.statsd, { role, name, zone });
     const handlers = new PeerHandlers();
-    const secret = await readFleetSecret(settings);
-    const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap });
-    const colon = settings.listen.lastIndexOf(":");
-    const host = settings.listen.slice(0, colon);
-    const port = await network.listen(host.replace(/^\[|\]$/g, ""), Number(settings.listen.slice(colon + 1)));
-    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress: `${host}:${port}` };
+    const secret = settings.fleetSecret;
+    const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap ?? {} });
+    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress: "" };
 }
 
 function closeBase(base: RoleBase): void {
@@ -281,7 +426,7 @@
     return config;
 }
 
-async function readFleetSecret(settings: CommonSettings): Promise<string> {
+async function readFleetSecret(settings: Partial<CommonSettings>): Promise<string> {
     if (settings.fleetSecret !== undefined) {
         return settings.fleetSecret;
     }
