A grant opens with time, so that a killed router strands little of it

Ruled out: too small a horizon (cuts of 8 s were served). Change: between two answered reports a router commits no more than its last answered report allows; the leader measures how long a killed router can have lived, and the rest goes back.

--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -15,9 +15,13 @@
 type StoredRecord =
     | { readonly type: "member"; }
     | { readonly type: "term"; readonly term: number; readonly votedFor?: string; }
-    | { readonly type: "entries"; readonly entries: readonly LogEntry[]; }
+    | { readonly type: "entries"; readonly entries: readonly LogEntry[]; readonly takenAt?: number; }
+    | { readonly type: "taken"; readonly times: readonly (readonly [number, number])[]; }
     | { readonly type: "snapshot"; readonly snapshot: LogSnapshot; };
 
+/** Of how many entries it is remembered when they were taken. */
+const TAKEN_TIMES = 4_096;
+
 /** Holds the log in memory as it is on disk. Every method that returns a promise resolves once synced. */
 export class LogStorage {
     term = 0;
@@ -32,14 +36,26 @@
     private entries: LogEntry[] = [];
     private readonly journal: Journal;
     private lastWrite: Promise<void> = Promise.resolve();
+    private readonly takenTimes = new Map<number, number>();
 
-    constructor(opened: OpenedJournal) {
+    /** `getSteadyMs`: a clock that runs on while this process does not, in milliseconds. */
+    constructor(opened: OpenedJournal, private readonly getSteadyMs: () => number = readSteadyClock) {
         this.journal = opened.journal;
         (opened.records as readonly StoredRecord[]).forEach(record => this.load(record));
         this.syncedIndex = this.getLastIndex();
         this.replicas = this.findReplicas(this.getLastIndex());
     }
 
+    /** When this replica took the entry at `index`, on the steady clock of its box; undefined where it cannot say. */
+    tryGetTakenAt(index: number): number | undefined {
+        return this.takenTimes.get(index);
+    }
+
+    /** Milliseconds since a time of `tryGetTakenAt`. */
+    getMsSince(takenAt: number): number {
+        return this.getSteadyMs() - takenAt;
+    }
+
     getLastIndex(): number {
         return this.entries[this.entries.length - 1]?.index ?? this.getSnapshotIndex();
     }
@@ -136,7 +152,9 @@
         }
         this.placeEntries(entries);
         this.syncedIndex = Math.min(this.syncedIndex, entries[0]!.index - 1);
-        await this.write({ type: "entries", entries });
+        const takenAt = this.getSteadyMs();
+        this.noteTaken(entries, takenAt);
+        await this.write({ type: "entries", entries, takenAt });
         const last = entries[entries.length - 1]!;
         if (this.tryGetTerm(last.index) === last.term) {
             this.syncedIndex = Math.max(this.syncedIndex, last.index);
@@ -155,6 +173,7 @@
             { type: "snapshot", snapshot },
             { type: "term", term: this.term, ...(this.votedFor === undefined ? {} : { votedFor: this.votedFor }) },
             ...(rest.length > 0 ? [{ type: "entries", entries: rest }] : []),
+            { type: "taken", times: [...this.takenTimes] },
         ]);
         await this.lastWrite;
         this.syncedIndex = Math.max(this.syncedIndex, this.snapshot.lastIndex);
@@ -179,7 +198,13 @@
                 this.votedFor = record.votedFor;
                 return;
             case "entries":
+                if (record.takenAt !== undefined) {
+                    this.noteTaken(record.entries, record.takenAt);
+                }
                 return this.placeEntries(record.entries);
+            case "taken":
+                record.times.forEach(([index, takenAt]) => this.takenTimes.set(index, takenAt));
+                return;
             case "snapshot":
                 this.snapshot = record.snapshot;
                 this.entries = [];
@@ -187,6 +212,16 @@
         }
     }
 
+    private noteTaken(entries: readonly LogEntry[], takenAt: number): void {
+        for (const entry of entries) {
+            this.takenTimes.delete(entry.index);
+            this.takenTimes.set(entry.index, takenAt);
+        }
+        while (this.takenTimes.size > TAKEN_TIMES) {
+            this.takenTimes.delete(this.takenTimes.keys().next().value!);
+        }
+    }
+
     private placeEntries(entries: readonly LogEntry[]): void {
         const start = entries[0]!.index - this.getSnapshotIndex() - 1;
         const dropped = this.entries.splice(Math.max(0, start));
@@ -198,3 +233,8 @@
         }
     }
 }
+
+/** The box's steady clock: it runs on while no process of ours does, and begins anew when the box does. */
+function readSteadyClock(): number {
+    return Number(process.hrtime.bigint() / 1_000_000n);
+}
--- a/src/consensus/replicaSetKeeper.ts
+++ b/src/consensus/replicaSetKeeper.ts
@@ -125,9 +125,11 @@
         const ready = this.getReplicas().find(replica => !replica.voting && this.isCaughtUp(replica.name));
         return ready === undefined
             ? undefined
-            : this.getReplicas().map(replica => replica === ready || replica.name === ready.name
-                ? { ...replica, voting: true }
-                : replica);
+            : this.getReplicas().map(replica =>
+                replica === ready || replica.name === ready.name
+                    ? { ...replica, voting: true }
+                    : replica
+            );
     }
 
     private isCaughtUp(name: string): boolean {
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -167,6 +167,12 @@
         return this.progress.tryGet(name);
     }
 
+    /** Milliseconds since this replica took the entry at `index`; undefined where it cannot say. */
+    tryGetMsSinceTaken(index: number): number | undefined {
+        const takenAt = this.storage.tryGetTakenAt(index);
+        return takenAt === undefined ? undefined : this.storage.getMsSince(takenAt);
+    }
+
     /** Whether the newest change of the replicas is committed, so that another may follow. */
     isReplicaSetSettled(): boolean {
         return this.storage.findReplicasIndex() <= this.commitIndex
@@ -412,7 +418,9 @@
         this.replicas.getOthers().forEach(other => this.startReplication(other));
         // An entry of the new term commits whatever the earlier terms left.
         const founding = this.replicas.tryGetFounding();
-        this.proposeAsLeader(founding === undefined ? { type: "noop" } : { type: "setReplicas", replicas: [...founding] })
+        this.proposeAsLeader(
+            founding === undefined ? { type: "noop" } : { type: "setReplicas", replicas: [...founding] },
+        )
             .catch(error => this.log.warn("term_not_opened", { error: String(error) }));
     }
 
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -6,7 +6,6 @@
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import type { Bundle } from "../../domain/bundle.js";
 import type { BundleResult, StoredBundle } from "../../domain/bundleStore.js";
-import type { PrepaidResult } from "../../domain/prepaidBook.js";
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
 import type { Clock } from "../../ports/clock.js";
@@ -21,6 +20,7 @@
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
 import { Followers } from "./followers.js";
+import { PrepaidService } from "./prepaidService.js";
 import { RegistrationService } from "./registrationService.js";
 
 export interface BundleControllerOptions {
@@ -32,6 +32,7 @@
 
 export class BundleControllerDaemon {
     readonly registrations: RegistrationService;
+    private readonly prepaid: PrepaidService;
     private readonly followers = new Followers();
     private seeds: readonly string[];
 
@@ -45,6 +46,7 @@
         private readonly options: BundleControllerOptions,
     ) {
         this.seeds = options.seeds;
+        this.prepaid = new PrepaidService(replica, network, log);
         this.registrations = new RegistrationService(
             this.followers,
             network,
@@ -66,10 +68,7 @@
         handlers.add(followMethod, (params, peer) => this.follow(params.router, peer));
         handlers.add(getBundleMethod, () => ({ ...this.replica.state.bundle.tryGet() }));
         handlers.add(upstreamNoticeMethod, notice => this.registrations.receive(notice.upstreams));
-        handlers.add(reportPrepaidMethod, async ({ report }) => {
-            const answer = await this.replica.propose(report);
-            return answer.result as PrepaidResult;
-        });
+        handlers.add(reportPrepaidMethod, ({ report }) => this.prepaid.takeReport(report));
     }
 
     start(): void {
--- /dev/null
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -0,0 +1,73 @@
+/**
+ * Takes routers' reports of their prepaid tokens to the log. The leader adds what only a clock can tell: how long an
+ * earlier start of a router can have lived after its last reports.
+ */
+import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
+import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
+import type { PrepaidResult } from "../../domain/prepaidBook.js";
+import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
+import type { Log } from "../../ports/log.js";
+import type { PeerNetwork } from "../../ports/peer.js";
+import { reportPrepaidMethod } from "../../protocol/fleetMethods.js";
+
+/** How long a report may take from here to the leader and back, in milliseconds. */
+const FORWARD_TIMEOUT_MS = 900;
+/** Part by which the clocks of two boxes may run apart, a hundred times what quartz clocks do. */
+const CLOCK_MARGIN = 1.02;
+/** Added to what was measured, for the grain of the clocks, in milliseconds. */
+const CLOCK_GRAIN_MS = 20;
+
+export class PrepaidService {
+    constructor(
+        private readonly replica: ReplicatedLog,
+        private readonly network: PeerNetwork,
+        private readonly log: Log,
+    ) {}
+
+    /** Takes a report at any controller. Throws noMajority or changeUnknown. */
+    async takeReport(report: PrepaidReportCommand): Promise<PrepaidResult> {
+        if (this.replica.isLeader()) {
+            return this.proposeReport(report);
+        }
+        const leader = this.replica.tryGetLeaderAddress();
+        if (leader === undefined) {
+            throw new RefusalError(createRefusal("noMajority", "no leader is known", "no"));
+        }
+        return this.network.call(leader.address, reportPrepaidMethod, { report }, FORWARD_TIMEOUT_MS);
+    }
+
+    private async proposeReport(report: PrepaidReportCommand): Promise<PrepaidResult> {
+        const predecessor = this.tryMeasurePredecessor(report);
+        const { result } = await this.replica.propose({ ...report, predecessor });
+        return result as PrepaidResult;
+    }
+
+    private tryMeasurePredecessor(report: PrepaidReportCommand): PrepaidReportCommand["predecessor"] {
+        const reports = this.replica.state.prepaid.tryGetPredecessor(report.router, report.incarnation);
+        if (reports === undefined) {
+            return undefined;
+        }
+        const sinceNewestMs = this.tryMeasure(reports.newestIndex, report.uptimeMs);
+        const sinceAnsweredMs = reports.answeredIndex === undefined
+            ? 0
+            : this.tryMeasure(reports.answeredIndex, report.uptimeMs);
+        this.log.info("router_replaced", {
+            router: report.router,
+            incarnation: report.incarnation,
+            since_newest_ms: sinceNewestMs,
+            since_answered_ms: sinceAnsweredMs,
+        });
+        return sinceNewestMs === undefined || sinceAnsweredMs === undefined
+            ? undefined
+            : { sinceAnsweredMs, sinceNewestMs };
+    }
+
+    /** From when an entry was taken until the router's new process began; its old one cannot have lived longer. */
+    private tryMeasure(index: number, uptimeMs: number): number | undefined {
+        const sinceTaken = this.replica.tryGetMsSinceTaken(index);
+        // A clock that began anew would show less than the new process has run.
+        return sinceTaken === undefined || sinceTaken < uptimeMs
+            ? undefined
+            : Math.ceil((sinceTaken - uptimeMs) * CLOCK_MARGIN + CLOCK_GRAIN_MS);
+    }
+}
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -47,6 +47,7 @@
     private routers: number;
     private running = 0;
     private stopping = false;
+    private refusing = false;
     private wasReady = false;
     /** When a controller last answered, and since when they have done so without a gap. */
     private heardAt = -Infinity;
@@ -117,6 +118,11 @@
         this.log.info("router_stopping", { running: this.running });
     }
 
+    /** From here on requests are refused as not run: there would not be the time to answer them whole. */
+    refuseNew(): void {
+        this.refusing = true;
+    }
+
     isStopping(): boolean {
         return this.stopping;
     }
@@ -148,6 +154,9 @@
 
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
         const { index } = this;
+        if (this.refusing) {
+            return createRefusal("draining", undefined, "no", this.options.retryAfterMs);
+        }
         if (index === undefined) {
             return createRefusal("notReady", "no bundle yet", "no", this.options.retryAfterMs);
         }
@@ -197,7 +206,7 @@
         return budget;
     }
 
-    override waitGrant(_account: string, timeoutMs: number): Promise<void> {
+    override waitGrant(timeoutMs: number): Promise<void> {
         return this.reporter.waitGrant(timeoutMs);
     }
 
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -62,7 +62,7 @@
             try {
                 const { callTimeoutMs } = this.options;
                 const answer = await this.network.call(address, reportPrepaidMethod, { report }, callTimeoutMs);
-                this.purse.applyAnswer(report.sequence, answer.accounts);
+                this.purse.applyAnswer(report.sequence, answer.accounts, this.clock.getMonotonicMs());
                 this.routers = Math.max(1, answer.routers);
                 this.preferred = address;
                 this.noteReaching(true, "");
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -134,14 +134,16 @@
                     ? createRefusal("prepaidExhausted", account.name)
                     : createRefusal("budgetUnreachable", account.name, "no", options.retryAfterMs);
             }
-            await this.context.waitGrant(account.name, left);
+            purse.addWaiting(account.name, tokens);
+            await this.context.waitGrant(left);
+            purse.addWaiting(account.name, -tokens);
         }
     }
 
     private settle(reserved: number, used: number): void {
         const { account } = this.resolved;
         if (account !== undefined && reserved > 0) {
-            this.context.purse.settle(account.name, reserved, used);
+            this.context.purse.settle(account.name, reserved, used, performance.now());
         }
     }
 
--- a/src/domain/bundleCommands.ts
+++ b/src/domain/bundleCommands.ts
@@ -25,12 +25,27 @@
     incarnation: z.string().min(1).max(64),
     /** Rises with each report of an incarnation; an older one that comes late is ignored. */
     sequence: z.int().min(1),
+    /** The newest report whose answer the router has; 0 before the first. */
+    answered: count,
+    /** How long the router's process has run, in milliseconds. */
+    uptimeMs: count,
     /** The router has stopped: what is left of its grants is given back. */
     closing: z.boolean(),
+    /**
+     * Set by the leader where the router runs anew: how long its predecessor can have lived after its last answered
+     * and after its newest report, in milliseconds. Left out where nobody can say.
+     */
+    predecessor: z.strictObject({ sinceAnsweredMs: count, sinceNewestMs: count }).optional(),
     accounts: z.array(z.strictObject({
         account,
-        /** Tokens consumed or reserved so far by this incarnation. */
+        /** Tokens consumed or reserved so far by this incarnation, and those that requests wait to reserve. */
         committed: count,
+        /**
+         * Until the next report is answered the router commits at most `committed`, `burst` and `perSecond` for each
+         * second since this one was answered, and never more than it was granted.
+         */
+        burst: count,
+        perSecond: count,
         /** Most that the router lets `committed` come to until it hears more; never above what it was granted. */
         ceiling: count,
         /** Tokens it would like to have beyond `committed`. */
--- a/src/domain/declaredState.ts
+++ b/src/domain/declaredState.ts
@@ -1,7 +1,7 @@
 /** The replicated state: declared objects and budgets, changed only by the log's entries. */
 import { BudgetBook, type BudgetBookSnapshot, type BudgetResult } from "./budgetBook.js";
 import type { PutBundleCommand } from "./bundleCommands.js";
-import { BundleStore, type BundleResult, type StoredBundle } from "./bundleStore.js";
+import { type BundleResult, BundleStore, type StoredBundle } from "./bundleStore.js";
 import type { LogEntry } from "./commands.js";
 import { type ChangeResult, ObjectStore, type ObjectStoreSnapshot } from "./objectStore.js";
 import { PrepaidBook, type PrepaidResult, type PrepaidSnapshot } from "./prepaidBook.js";
@@ -40,7 +40,7 @@
             case "putBundle":
                 return this.applyPutBundle(command);
             case "reportPrepaid":
-                return this.prepaid.applyReport(command);
+                return this.prepaid.applyReport(command, entry.index);
             case "setReplicas":
             case "noop":
                 return { type: "accepted", tokens: 0 };
--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -2,30 +2,40 @@
  * The replicated book of prepaid tokens: what each router has been granted and has committed of each client account.
  *
  * A router spends only what a majority has granted it for good, so a router that is cut off can refuse, never overspend.
- * What a router that ended without a last report had been granted counts as spent: nobody can say how much of it was.
+ * A grant opens with time: between two answered reports a router commits no more than its last answered report allows.
+ * So when a router has ended without a last report, what it cannot have come to spend goes back to the account.
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 
-/** Part of what is still free that one report may be granted, as one over the number of open routers plus this. */
-const SHARE_RESERVE = 1;
-
 /** One router's part of one account. Tokens. */
 interface Grant {
     granted: number;
     committed: number;
 }
 
+type ReportedAccount = PrepaidReportCommand["accounts"][number];
+
+/** A report as it bounds what its router may commit. */
+interface Bound {
+    readonly sequence: number;
+    /** Index in the log, by which the leader knows when it was taken. */
+    readonly index: number;
+    readonly accounts: readonly Pick<ReportedAccount, "account" | "committed" | "burst" | "perSecond">[];
+}
+
 /** One start of a router that may still spend. */
 interface Grantee {
     readonly incarnation: string;
-    sequence: number;
     readonly grants: Map<string, Grant>;
+    /** The newest report that its router is known to have the answer to. */
+    answered: Bound | undefined;
+    newest: Bound | undefined;
 }
 
 interface Account {
     /** Most that may be handed out in all. */
     prepaid: number;
-    /** Granted to routers that have ended, less what they gave back. */
+    /** What routers that have ended may have spent. */
     closed: number;
     /** Granted to routers that may still spend. */
     open: number;
@@ -56,14 +66,23 @@
     readonly grantees: readonly {
         readonly router: string;
         readonly incarnation: string;
-        readonly sequence: number;
         readonly grants: readonly (Grant & { readonly account: string; })[];
+        readonly answered: Bound | undefined;
+        readonly newest: Bound | undefined;
     }[];
     readonly ended: readonly string[];
 }
 
+/** Log indexes of the reports that bound a router which runs under another incarnation now. */
+export interface PredecessorReports {
+    /** Undefined where the router never had an answer. */
+    readonly answeredIndex: number | undefined;
+    readonly newestIndex: number;
+}
+
 /** How many ended incarnations are remembered, so that a report of theirs that comes late opens nothing. */
 const MAX_ENDED = 2_000;
+const MS_PER_SECOND = 1_000;
 
 export class PrepaidBook {
     private readonly accounts = new Map<string, Account>();
@@ -78,20 +97,31 @@
         }
     }
 
-    /** Takes a router's report and grants what it may have. */
-    applyReport(report: PrepaidReportCommand): PrepaidResult {
+    /** Takes a router's report, which stands at `index` of the log, and grants what the router may have. */
+    applyReport(report: PrepaidReportCommand, index: number): PrepaidResult {
         const grantee = this.tryOpenGrantee(report);
         if (grantee === undefined) {
             return { type: "prepaid", taken: false, routers: this.grantees.size, accounts: [] };
         }
-        grantee.sequence = report.sequence;
+        if (grantee.newest?.sequence === report.answered) {
+            grantee.answered = grantee.newest;
+        }
+        grantee.newest = createBound(report, index);
         const accounts = report.accounts.map(entry => this.applyEntry(grantee, entry, report.closing));
         if (report.closing) {
-            this.closeGrantee(report.router);
+            this.closeGrantee(report.router, name => grantee.grants.get(name)!.committed);
         }
         return { type: "prepaid", taken: true, routers: this.grantees.size, accounts };
     }
 
+    /** Where the book holds open grants of an earlier start of a router: the reports that bound what it spent. */
+    tryGetPredecessor(router: string, incarnation: string): PredecessorReports | undefined {
+        const known = this.grantees.get(router);
+        return known === undefined || known.incarnation === incarnation || known.newest === undefined
+            ? undefined
+            : { answeredIndex: known.answered?.index, newestIndex: known.newest.index };
+    }
+
     /** Tokens of an account that no router has been granted. */
     getFree(account: string): number {
         const entry = this.accounts.get(account);
@@ -112,11 +142,12 @@
     createSnapshot(): PrepaidSnapshot {
         return {
             accounts: [...this.accounts].map(([account, entry]) => ({ account, ...entry })),
-            grantees: [...this.grantees].map(([router, grantee]) => ({
+            grantees: [...this.grantees].map(([router, { incarnation, grants, answered, newest }]) => ({
                 router,
-                incarnation: grantee.incarnation,
-                sequence: grantee.sequence,
-                grants: [...grantee.grants].map(([account, grant]) => ({ account, ...grant })),
+                incarnation,
+                grants: [...grants].map(([account, grant]) => ({ account, ...grant })),
+                answered,
+                newest,
             })),
             ended: [...this.ended],
         };
@@ -129,9 +160,9 @@
         for (const { account, prepaid, closed, open } of snapshot.accounts) {
             this.accounts.set(account, { prepaid, closed, open });
         }
-        for (const { router, incarnation, sequence, grants } of snapshot.grantees) {
+        for (const { router, incarnation, grants, answered, newest } of snapshot.grantees) {
             const copied = grants.map(({ account, granted, committed }) => [account, { granted, committed }] as const);
-            this.grantees.set(router, { incarnation, sequence, grants: new Map(copied) });
+            this.grantees.set(router, { incarnation, grants: new Map(copied), answered, newest });
         }
         snapshot.ended.forEach(incarnation => this.ended.add(incarnation));
     }
@@ -142,31 +173,32 @@
         }
         const known = this.grantees.get(report.router);
         if (known?.incarnation === report.incarnation) {
-            return report.sequence > known.sequence ? known : undefined;
+            return report.sequence > (known.newest?.sequence ?? 0) ? known : undefined;
         }
         if (known !== undefined) {
-            this.closeGrantee(report.router);
+            this.closeGrantee(report.router, name => computeMostSpent(known, name, report.predecessor));
         }
-        const opened: Grantee = { incarnation: report.incarnation, sequence: 0, grants: new Map() };
+        const opened: Grantee = {
+            incarnation: report.incarnation,
+            grants: new Map(),
+            answered: undefined,
+            newest: undefined,
+        };
         this.grantees.set(report.router, opened);
         return opened;
     }
 
-    private applyEntry(
-        grantee: Grantee,
-        entry: PrepaidReportCommand["accounts"][number],
-        closing: boolean,
-    ): PrepaidAnswer {
+    private applyEntry(grantee: Grantee, entry: ReportedAccount, closing: boolean): PrepaidAnswer {
         const account = this.getAccount(entry.account);
         const grant = grantee.grants.get(entry.account) ?? { granted: 0, committed: 0 };
         grantee.grants.set(entry.account, grant);
-        grant.committed = Math.min(grant.granted, Math.max(grant.committed, entry.committed));
+        grant.committed = Math.min(grant.granted, entry.committed);
         // What the router has bound itself not to use goes back before anything new is granted.
         const kept = Math.max(grant.committed, Math.min(grant.granted, closing ? 0 : entry.ceiling));
         account.open -= grant.granted - kept;
         grant.granted = kept;
         if (!closing) {
-            const missing = Math.max(0, grant.committed + entry.wanted - grant.granted);
+            const missing = Math.max(0, entry.committed + entry.wanted - grant.granted);
             const given = Math.min(missing, this.getMostForOne(entry.account));
             account.open += given;
             grant.granted += given;
@@ -177,15 +209,16 @@
 
     /** No report takes all that is free, so that the next router that asks finds something too. */
     private getMostForOne(account: string): number {
-        return Math.floor(this.getFree(account) / (this.grantees.size > 1 ? 1 + SHARE_RESERVE : 1));
+        return Math.floor(this.getFree(account) / (this.grantees.size > 1 ? 2 : 1));
     }
 
-    private closeGrantee(router: string): void {
+    /** Ends a start of a router; `getSpent` says what it may have spent of an account. */
+    private closeGrantee(router: string, getSpent: (account: string) => number): void {
         const grantee = this.grantees.get(router)!;
         for (const [name, grant] of grantee.grants) {
             const account = this.getAccount(name);
             account.open -= grant.granted;
-            account.closed += grant.granted;
+            account.closed += Math.min(grant.granted, getSpent(name));
         }
         this.grantees.delete(router);
         this.ended.add(grantee.incarnation);
@@ -203,3 +236,36 @@
         return account;
     }
 }
+
+function createBound(report: PrepaidReportCommand, index: number): Bound {
+    const accounts = report.accounts.map(({ account, committed, burst, perSecond }) => ({
+        account,
+        committed,
+        burst,
+        perSecond,
+    }));
+    return { sequence: report.sequence, index, accounts };
+}
+
+/** Most that a router can have committed of an account, by the report it went by last: one of the two it may have. */
+function computeMostSpent(
+    grantee: Grantee,
+    account: string,
+    lived: PrepaidReportCommand["predecessor"],
+): number {
+    if (lived === undefined) {
+        return Infinity;
+    }
+    return Math.max(
+        computeMostUnder(grantee.answered, account, lived.sinceAnsweredMs),
+        computeMostUnder(grantee.newest, account, lived.sinceNewestMs),
+    );
+}
+
+/** Before its first answer a router may commit nothing, so without a report there is nothing. */
+function computeMostUnder(bound: Bound | undefined, account: string, livedMs: number): number {
+    const entry = bound?.accounts.find(entry => entry.account === account);
+    return entry === undefined
+        ? 0
+        : entry.committed + entry.burst + Math.ceil(entry.perSecond * livedMs / MS_PER_SECOND);
+}
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -1,6 +1,8 @@
 /**
  * A router's own side of the prepaid tokens: what it was granted, what its requests have reserved and consumed.
- * It never lets the two pass the grant, so it needs to reach nobody to be safe.
+ *
+ * It never lets the two pass the grant, nor what its last answered report allows by now (see prepaidBook.ts), so it
+ * needs to reach nobody to be safe.
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 import { MovingRate } from "./movingAverage.js";
@@ -17,26 +19,50 @@
     /** Part of the prepaid tokens that a router asks for before it knows the demand. */
     readonly firstPart: number;
     readonly demandHalfLifeMs: number;
+    /** Demand that may be committed at once between two reports, in milliseconds. */
+    readonly burstMs: number;
+    /** How much faster than the demand a grant opens while no report is answered. */
+    readonly openingFactor: number;
+    /** What a grant may be above what is wanted before the rest is given back. */
+    readonly keepFactor: number;
+}
+
+/** What a report allows its router to commit until the next one is answered. Tokens. */
+interface Allowance {
+    readonly committed: number;
+    readonly burst: number;
+    readonly perSecond: number;
 }
 
 interface Account {
     granted: number;
     consumed: number;
     reserved: number;
+    /** What requests wait to reserve. */
+    waiting: number;
     free: number;
     prepaid: number;
-    /** Tokens reserved a second. */
+    /** Tokens consumed a second. */
     readonly demand: MovingRate;
-    /** The largest reservation seen lately; a grant smaller than that admits nothing. */
+    /** The largest reservation seen; a grant smaller than that admits nothing. */
     largest: number;
+    /** What the newest report says, and what the newest answered one does. */
+    reported: Allowance;
+    allowance: Allowance;
 }
 
 /** What came of asking for a reservation. */
 export type ReserveOutcome = "reserved" | "short" | "exhausted";
 
+const NO_ALLOWANCE: Allowance = { committed: 0, burst: 0, perSecond: 0 };
+const MS_PER_SECOND = 1_000;
+
 export class PrepaidPurse {
     private readonly accounts = new Map<string, Account>();
     private sequence = 0;
+    private answeredSequence = 0;
+    /** When the newest answer arrived. Monotonic clock, milliseconds. */
+    private answeredAt = 0;
 
     constructor(
         private readonly router: string,
@@ -64,75 +90,113 @@
         if (entry === undefined) {
             return "reserved";
         }
-        entry.demand.add(tokens, now);
         entry.largest = Math.max(tokens, entry.largest);
-        if (entry.consumed + entry.reserved + tokens <= entry.granted) {
+        const after = entry.consumed + entry.reserved + tokens;
+        if (after <= Math.min(entry.granted, this.computeAllowed(entry, now))) {
             entry.reserved += tokens;
             return "reserved";
         }
-        const room = entry.granted - entry.consumed - entry.reserved + entry.free;
-        return room < tokens ? "exhausted" : "short";
+        return after > entry.granted + entry.free ? "exhausted" : "short";
+    }
+
+    /** Counts a request that waits for a grant in the reports; a negative count takes it out again. */
+    addWaiting(account: string, tokens: number): void {
+        const entry = this.accounts.get(account);
+        if (entry !== undefined) {
+            entry.waiting += tokens;
+        }
     }
 
     /** Ends a reservation: `used` of its tokens were consumed. */
-    settle(account: string, reserved: number, used: number): void {
+    settle(account: string, reserved: number, used: number, now: number): void {
         const entry = this.accounts.get(account);
         if (entry !== undefined) {
+            const consumed = Math.min(used, reserved);
             entry.reserved -= reserved;
-            entry.consumed += Math.min(used, reserved);
+            entry.consumed += consumed;
+            entry.demand.add(consumed, now);
         }
     }
 
     /** The next report. What it gives back is not used any more from here on. */
     createReport(now: number, closing: boolean): PrepaidReportCommand {
         this.sequence += 1;
-        const accounts = [...this.accounts].map(([account, entry]) => {
-            const committed = entry.consumed + entry.reserved;
-            const wanted = closing ? 0 : this.computeWanted(entry, now);
-            entry.granted = closing ? committed : Math.min(entry.granted, committed + 2 * wanted);
-            return { account, committed, ceiling: entry.granted, wanted };
-        });
-        const { router, incarnation, sequence } = this;
-        return { type: "reportPrepaid", router, incarnation, sequence, closing, accounts };
+        const accounts = [...this.accounts].map(([account, entry]) => this.reportAccount(account, entry, now, closing));
+        return {
+            type: "reportPrepaid",
+            router: this.router,
+            incarnation: this.incarnation,
+            sequence: this.sequence,
+            answered: this.answeredSequence,
+            uptimeMs: Math.floor(now),
+            closing,
+            accounts,
+        };
     }
 
     /** Takes the answer to the newest report; one to an older report is ignored, since a newer one may have overtaken it. */
-    applyAnswer(sequence: number, answers: readonly PrepaidAnswer[]): void {
+    applyAnswer(sequence: number, answers: readonly PrepaidAnswer[], now: number): void {
         if (sequence !== this.sequence) {
             return;
         }
+        this.answeredSequence = sequence;
+        this.answeredAt = now;
         for (const answer of answers) {
             const entry = this.accounts.get(answer.account);
             if (entry !== undefined) {
                 entry.granted = answer.granted;
                 entry.free = answer.free;
+                entry.allowance = entry.reported;
             }
         }
     }
 
-    /** Tokens that may still be reserved here. */
-    getRoom(account: string): number {
-        const entry = this.accounts.get(account);
-        return entry === undefined ? Infinity : entry.granted - entry.consumed - entry.reserved;
-    }
-
     private createAccount(prepaid: number): Account {
         return {
             granted: 0,
             consumed: 0,
             reserved: 0,
+            waiting: 0,
             free: prepaid,
             prepaid,
             demand: new MovingRate(this.options.demandHalfLifeMs),
             largest: 0,
+            reported: NO_ALLOWANCE,
+            allowance: NO_ALLOWANCE,
+        };
+    }
+
+    /** What the newest answered report allows to have been committed by `now`. */
+    private computeAllowed(entry: Account, now: number): number {
+        const { committed, burst, perSecond } = entry.allowance;
+        return committed + burst + Math.floor(perSecond * (now - this.answeredAt) / MS_PER_SECOND);
+    }
+
+    private reportAccount(account: string, entry: Account, now: number, closing: boolean) {
+        const spent = entry.consumed + entry.reserved;
+        const committed = spent + (closing ? 0 : entry.waiting);
+        const demand = entry.demand.getRate(now);
+        const wanted = closing ? 0 : this.computeWanted(entry, demand);
+        const most = closing ? spent : committed + Math.ceil(wanted * this.options.keepFactor);
+        entry.granted = Math.max(spent, Math.min(entry.granted, most));
+        entry.reported = {
+            committed,
+            burst: Math.ceil(demand * this.options.burstMs / MS_PER_SECOND),
+            perSecond: Math.ceil(Math.max(demand * this.options.openingFactor, wanted * this.getOpeningPart())),
         };
+        return { account, ...entry.reported, ceiling: entry.granted, wanted };
+    }
+
+    /** A grant is open after its horizon at the latest, whatever the demand was before. */
+    private getOpeningPart(): number {
+        return MS_PER_SECOND / this.options.horizonMs;
     }
 
-    private computeWanted(entry: Account, now: number): number {
+    private computeWanted(entry: Account, demand: number): number {
         const { horizonMs, shortHorizonMs, scarcePart, firstPart } = this.options;
         const isScarce = entry.free < entry.prepaid * scarcePart;
-        const byDemand = entry.demand.getRate(now) * (isScarce ? shortHorizonMs : horizonMs) / 1000;
-        const least = isScarce ? Math.min(entry.largest, entry.prepaid * firstPart) : entry.prepaid * firstPart;
-        return Math.ceil(Math.max(byDemand, least, entry.largest));
+        const byDemand = demand * (isScarce ? shortHorizonMs : horizonMs) / MS_PER_SECOND;
+        const least = entry.prepaid * firstPart;
+        return Math.ceil(Math.max(byDemand, isScarce ? Math.min(entry.largest, least) : least, entry.largest));
     }
 }
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -25,8 +25,6 @@
     readonly promptTokensPerMs: number;
     /** What one more request at an upstream adds to the estimate, in milliseconds. */
     readonly runningCostMs: number;
-    /** What the upstream that hashing prefers for a prompt is ahead by, in milliseconds. */
-    readonly preferredBonusMs: number;
     /** What a request to another availability zone is charged, in milliseconds. */
     readonly otherZoneCostMs: number;
     /** Parts remembered of each upstream. */
@@ -78,9 +76,8 @@
         let best: Placement | undefined;
         let bestCost = Infinity;
         for (const upstream of usable) {
-            const newTokens = this.countNewTokens(upstream.id, demand);
-            const bonus = upstream.id === preferred ? this.options.preferredBonusMs : 0;
-            const cost = this.estimateMs(upstream, newTokens, routers) - bonus;
+            const newTokens = this.countNewTokens(upstream.id, demand, upstream.id === preferred);
+            const cost = this.estimateMs(upstream, newTokens, routers);
             if (cost < bestCost) {
                 best = { upstream, newTokens };
                 bestCost = cost;
@@ -157,11 +154,17 @@
             + (upstream.zone === this.zone ? 0 : otherZoneCostMs);
     }
 
-    private countNewTokens(upstream: string, demand: RequestDemand): number {
+    /**
+     * Prompt tokens that an upstream would have to read. The one that hashing prefers probably keeps the parts that are
+     * shared, because the other routers send their like there.
+     */
+    private countNewTokens(upstream: string, demand: RequestDemand, isPreferred: boolean): number {
         const { parts } = this.getLoad(upstream);
+        const shared = demand.parts.length - 1;
         let kept = 0;
-        for (const part of demand.parts) {
-            if (!parts.has(part.id)) {
+        for (let i = 0; i < demand.parts.length; i++) {
+            const part = demand.parts[i]!;
+            if (!parts.has(part.id) && !(isPreferred && i < shared)) {
                 break;
             }
             kept += part.tokens;
--- /dev/null
+++ b/test/domain/prepaid.test.ts
@@ -0,0 +1,83 @@
+/** Prepaid tokens: never past the limit whatever is lost, late, cut off or killed; and what a dead router leaves. */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import t from "tap";
+import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
+import { PrepaidBook } from "../../src/domain/prepaidBook.js";
+import { PrepaidWorld } from "../tools/prepaidWorld.js";
+
+const SEEDS = 300;
+const STEPS = 400;
+
+function createReport(part: Partial<PrepaidReportCommand>, committed: number): PrepaidReportCommand {
+    return {
+        type: "reportPrepaid",
+        router: "r1",
+        incarnation: "i1",
+        sequence: 1,
+        answered: 0,
+        uptimeMs: 1_000,
+        closing: false,
+        accounts: [{ account: "a", committed, burst: 100, perSecond: 50, ceiling: 1_000, wanted: 1_000 }],
+        ...part,
+    };
+}
+
+function createBook(): PrepaidBook {
+    const book = new PrepaidBook();
+    book.applyLimits([{ account: "a", tokens: 10_000 }]);
+    return book;
+}
+
+void t.test("no account is overspent in any of the seeded worlds", t => {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+        const generator = xoroshiro128plus(seed);
+        const world = new PrepaidWorld(() => (generator.next() >>> 0) / 2 ** 32);
+        try {
+            for (let step = 0; step < STEPS; step++) {
+                world.step();
+            }
+        }
+        catch (error) {
+            t.fail(`seed ${seed}: ${String(error)}`);
+        }
+    }
+    t.end();
+});
+
+void t.test("a router that runs anew gives back what its predecessor cannot have spent", t => {
+    const book = createBook();
+    book.applyReport(createReport({}, 0), 1);
+    book.applyReport(createReport({ sequence: 2, answered: 1 }, 300), 2);
+    t.equal(book.getFree("a"), 10_000 - 1_300);
+    const predecessor = { sinceAnsweredMs: 2_000, sinceNewestMs: 1_000 };
+    book.applyReport(createReport({ incarnation: "i2", predecessor }, 0), 3);
+    // At most 300 + 100 + 50 a second for one second by its newest report.
+    t.equal(book.getFree("a"), 10_000 - 450 - 1_000);
+    book.checkConservation();
+    t.end();
+});
+
+void t.test("where nobody can say how long it lived, all it was granted counts as spent", t => {
+    const book = createBook();
+    book.applyReport(createReport({}, 0), 1);
+    book.applyReport(createReport({ incarnation: "i2" }, 0), 2);
+    t.equal(book.getFree("a"), 10_000 - 1_000 - 1_000);
+    t.end();
+});
+
+void t.test("a late report of an incarnation that has ended opens nothing", t => {
+    const book = createBook();
+    book.applyReport(createReport({}, 0), 1);
+    book.applyReport(createReport({ incarnation: "i2" }, 0), 2);
+    t.equal(book.applyReport(createReport({ sequence: 5 }, 0), 3).taken, false);
+    book.checkConservation();
+    t.end();
+});
+
+void t.test("a planned stop gives back the rest", t => {
+    const book = createBook();
+    book.applyReport(createReport({}, 0), 1);
+    book.applyReport(createReport({ sequence: 2, answered: 1, closing: true }, 250), 2);
+    t.equal(book.getFree("a"), 10_000 - 250);
+    t.end();
+});
--- /dev/null
+++ b/test/tools/prepaidWorld.ts
@@ -0,0 +1,206 @@
+/**
+ * A small world around the real prepaid book and purses: routers that reserve, settle, are cut off, killed and started
+ * again, and reports that are lost, late or taken without their answer coming back.
+ */
+import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
+import { PrepaidBook, type PrepaidResult } from "../../src/domain/prepaidBook.js";
+import { PrepaidPurse } from "../../src/domain/prepaidPurse.js";
+
+const ROUTERS = ["r1", "r2", "r3"];
+const ACCOUNTS = ["large", "small"];
+const LARGEST_REQUEST = 900;
+/** Late reports wait at most so long, in milliseconds. */
+const MAX_DELAY_MS = 3_000;
+
+interface Reservation {
+    readonly account: string;
+    readonly tokens: number;
+}
+
+interface RouterLife {
+    readonly incarnation: string;
+    readonly startedAt: number;
+    readonly purse: PrepaidPurse;
+    readonly open: Reservation[];
+    isCut: boolean;
+}
+
+interface LateReport {
+    readonly dueAt: number;
+    readonly report: PrepaidReportCommand;
+}
+
+export class PrepaidWorld {
+    /** What was really consumed of each account. */
+    readonly consumed = new Map<string, number>();
+    readonly prepaid = new Map<string, number>();
+    refusedFalsely = 0;
+    private readonly book = new PrepaidBook();
+    private readonly takenAt: number[] = [0];
+    private readonly lives = new Map<string, RouterLife>();
+    private late: LateReport[] = [];
+    private now = 10_000;
+    private lifeCount = 0;
+
+    /** `random` answers a number in [0, 1). */
+    constructor(private readonly random: () => number) {
+        ACCOUNTS.forEach((account, i) => this.prepaid.set(account, 40_000 * (i + 1)));
+        this.applyLimits();
+        ROUTERS.forEach(router => this.startRouter(router));
+    }
+
+    step(): void {
+        this.now += Math.floor(this.random() * 400);
+        this.deliverLate();
+        const router = this.pick(ROUTERS);
+        const life = this.lives.get(router)!;
+        const draw = this.random();
+        if (draw < 0.45) {
+            this.reserve(life);
+        }
+        else if (draw < 0.65) {
+            this.settleOne(life);
+        }
+        else if (draw < 0.9) {
+            this.report(life, false);
+        }
+        else if (draw < 0.94) {
+            life.isCut = !life.isCut;
+        }
+        else if (draw < 0.97) {
+            this.kill(router);
+        }
+        else if (draw < 0.98) {
+            this.topUp();
+        }
+        else {
+            this.stopWell(router);
+        }
+        this.check();
+    }
+
+    private check(): void {
+        this.book.checkConservation();
+        for (const [account, consumed] of this.consumed) {
+            let most = consumed;
+            for (const life of this.lives.values()) {
+                life.open.filter(open => open.account === account).forEach(open => most += open.tokens);
+            }
+            if (most > this.prepaid.get(account)!) {
+                throw new Error(`${account}: ${most} of ${this.prepaid.get(account)} at ${this.now}`);
+            }
+        }
+    }
+
+    private applyLimits(): void {
+        const limits = [...this.prepaid].map(([account, tokens]) => ({ account, tokens }));
+        this.book.applyLimits(limits);
+        this.lives.forEach(life => life.purse.setLimits(limits));
+    }
+
+    private startRouter(router: string): void {
+        this.lifeCount += 1;
+        const incarnation = `i${this.lifeCount}`;
+        const purse = new PrepaidPurse(router, incarnation, {
+            horizonMs: 10_000,
+            shortHorizonMs: 2_000,
+            scarcePart: 0.1,
+            firstPart: 0.05,
+            demandHalfLifeMs: 4_000,
+            burstMs: 1_500,
+            openingFactor: 2,
+            keepFactor: 1.25,
+        });
+        this.lives.set(router, { incarnation, startedAt: this.now, purse, open: [], isCut: false });
+        this.applyLimits();
+    }
+
+    private reserve(life: RouterLife): void {
+        const account = this.pick(ACCOUNTS);
+        const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
+        if (life.purse.tryReserve(account, tokens, this.now - life.startedAt) === "reserved") {
+            life.open.push({ account, tokens });
+        }
+        else if (this.prepaid.get(account)! - (this.consumed.get(account) ?? 0) > LARGEST_REQUEST * 10) {
+            this.refusedFalsely += 1;
+        }
+    }
+
+    private settleOne(life: RouterLife): void {
+        const open = life.open.shift();
+        if (open !== undefined) {
+            const used = Math.floor(this.random() * (open.tokens + 1));
+            life.purse.settle(open.account, open.tokens, used, this.now - life.startedAt);
+            this.consume(open.account, used);
+        }
+    }
+
+    private consume(account: string, tokens: number): void {
+        this.consumed.set(account, (this.consumed.get(account) ?? 0) + tokens);
+    }
+
+    private report(life: RouterLife, closing: boolean): void {
+        const report = life.purse.createReport(this.now - life.startedAt, closing);
+        const draw = this.random();
+        if (life.isCut || draw < 0.1) {
+            this.late.push({ dueAt: this.now + Math.floor(this.random() * MAX_DELAY_MS), report });
+            return;
+        }
+        const answer = this.take(report);
+        if (draw > 0.2) {
+            life.purse.applyAnswer(report.sequence, answer.accounts, this.now - life.startedAt);
+        }
+        if (draw > 0.9) {
+            this.take(report);
+        }
+    }
+
+    /** As the leader does: adds how long an earlier start can have lived, by the times of its entries. */
+    private take(report: PrepaidReportCommand): PrepaidResult {
+        const before = this.book.tryGetPredecessor(report.router, report.incarnation);
+        const index = this.takenAt.length;
+        this.takenAt.push(this.now);
+        if (before === undefined) {
+            return this.book.applyReport(report, index);
+        }
+        const measure = (taken: number): number => Math.max(0, this.now - this.takenAt[taken]! - report.uptimeMs);
+        const predecessor = {
+            sinceNewestMs: measure(before.newestIndex),
+            sinceAnsweredMs: before.answeredIndex === undefined ? 0 : measure(before.answeredIndex),
+        };
+        return this.book.applyReport({ ...report, predecessor }, index);
+    }
+
+    private deliverLate(): void {
+        const due = this.late.filter(entry => entry.dueAt <= this.now);
+        this.late = this.late.filter(entry => entry.dueAt > this.now);
+        due.forEach(entry => this.take(entry.report));
+    }
+
+    /** A router dies: its open requests may have run to their most, or not at all. */
+    private kill(router: string): void {
+        const life = this.lives.get(router)!;
+        life.open.forEach(open => this.consume(open.account, this.random() < 0.5 ? open.tokens : 0));
+        this.now += Math.floor(this.random() * 2_000);
+        this.startRouter(router);
+    }
+
+    private stopWell(router: string): void {
+        const life = this.lives.get(router)!;
+        while (life.open.length > 0) {
+            this.settleOne(life);
+        }
+        this.report(life, true);
+        this.startRouter(router);
+    }
+
+    private topUp(): void {
+        const account = this.pick(ACCOUNTS);
+        this.prepaid.set(account, this.prepaid.get(account)! + 5_000);
+        this.applyLimits();
+    }
+
+    private pick<T>(values: readonly T[]): T {
+        return values[Math.floor(this.random() * values.length)]!;
+    }
+}
