--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -65,7 +65,7 @@
     addHandlers(handlers: PeerHandlers): void {
         this.replica.addHandlers(handlers);
         this.keeper.addHandlers(handlers);
-        handlers.add(followMethod, (params, peer) => this.follow(params.router, peer));
+        handlers.add(followMethod, (params, peer) => this.follow(params.address, peer));
         handlers.add(getBundleMethod, () => ({ ...this.replica.state.bundle.tryGet() }));
         handlers.add(upstreamNoticeMethod, notice => this.registrations.receive(notice.upstreams));
         handlers.add(reportPrepaidMethod, ({ report }) => this.prepaid.takeReport(report));
@@ -128,7 +128,7 @@
             bundleRevision: this.replica.state.bundle.tryGet()?.revision,
             upstreams: this.registrations.list(),
             controllers: [this.options.address, ...this.replica.replicas.getOthers().map(other => other.address)],
-            routers: this.followers.count(),
+            routers: this.followers.list(),
             hasMajority: this.replica.isConnectedToMajority(),
         };
     }
--- a/src/daemons/bundleController/followers.ts
+++ b/src/daemons/bundleController/followers.ts
@@ -4,7 +4,7 @@
 export class Followers {
     private readonly peers = new Map<Peer, string>();
 
-    /** Adds a follower, or keeps one; it is forgotten when its connection is lost. Answers whether it is new. */
+    /** Adds a follower by its address, or keeps it until its connection is lost. Answers whether it is new. */
     add(peer: Peer, router: string): boolean {
         if (this.peers.has(peer)) {
             return false;
@@ -14,9 +14,9 @@
         return true;
     }
 
-    /** How many different routers follow. */
-    count(): number {
-        return new Set(this.peers.values()).size;
+    /** Addresses of the routers that follow. */
+    list(): string[] {
+        return [...new Set(this.peers.values())];
     }
 
     notifyAll<P>(method: PeerMethod<P, void>, params: P): void {
--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -9,7 +9,8 @@
 
 /** Times in milliseconds. */
 export interface ControllerFeedOptions {
-    readonly router: string;
+    /** Where other routers reach this one. */
+    readonly address: string;
     readonly followPeriodMs: number;
     readonly callTimeoutMs: number;
     readonly redialMs: number;
@@ -95,7 +96,7 @@
 
     private async follow(peer: Peer, onAnswer: () => void): Promise<void> {
         while (!this.stopped) {
-            const answer = await peer.call(followMethod, { router: this.options.router }, this.options.callTimeoutMs);
+            const answer = await peer.call(followMethod, { address: this.options.address }, this.options.callTimeoutMs);
             this.heardAt = this.clock.getMonotonicMs();
             this.hasMajority = answer.hasMajority;
             onAnswer();
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -14,6 +14,7 @@
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
+import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { RelayContext, type RelayOptions } from "./relayContext.js";
 import { type RelayRequest, RelayRun, type ResolvedRequest } from "./relayRun.js";
@@ -33,6 +34,8 @@
     readonly retrySlack: number;
     /** Part of a connection limit that is used; the rest is for routers that come and go. */
     readonly connectionPart: number;
+    /** How long a request waits for a grant from the controllers before other routers are asked. */
+    readonly controllerGrantMs: number;
     /** Routers to reckon with before the controllers have said how many there are. */
     readonly assumedRouters: number;
 }
@@ -62,6 +65,7 @@
         private readonly metrics: Metrics,
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
+        private readonly borrower: PrepaidBorrower,
         private readonly network: PeerNetwork,
         private readonly clock: Clock,
     ) {
@@ -73,6 +77,7 @@
     /** Registers what controllers tell over the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(bundleNoticeMethod, notice => this.feeds.get(notice.controller)?.fetchBundle(notice.revision));
+        this.borrower.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
     }
 
@@ -206,8 +211,18 @@
         return budget;
     }
 
-    override waitGrant(timeoutMs: number): Promise<void> {
-        return this.reporter.waitGrant(timeoutMs);
+    override async waitGrant(account: string, tokens: number, timeoutMs: number): Promise<void> {
+        if (this.reporter.isInContact()) {
+            await this.reporter.waitGrant(Math.min(timeoutMs, this.options.controllerGrantMs));
+            if (this.purse.covers(account, tokens, this.clock.getMonotonicMs())) {
+                return;
+            }
+        }
+        const giveUp = this.clock.wait(timeoutMs);
+        const isLent = await Promise.race([this.borrower.borrow(account, tokens), giveUp]);
+        if (isLent === false) {
+            await Promise.race([this.reporter.waitGrant(timeoutMs), giveUp]);
+        }
     }
 
     override recordAnswered(resolved: ResolvedRequest, status: number): void {
@@ -259,7 +274,9 @@
     receiveFollowAnswer(_address: string, answer: FollowAnswer): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
-        this.routers = Math.max(answer.routers, this.reporter.routers);
+        const others = answer.routers.filter(router => router !== this.options.address);
+        this.routers = Math.max(1 + others.length, this.reporter.routers);
+        this.borrower.setOthers(others);
         if (answer.hasMajority) {
             this.named = answer.controllers;
             this.updateFeeds(answer.controllers);
--- /dev/null
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -0,0 +1,64 @@
+/** Asks other routers for prepaid tokens when the controllers cannot be reached or have none left. */
+import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import type { Log } from "../../ports/log.js";
+import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
+import { lendPrepaidMethod } from "../../protocol/fleetMethods.js";
+
+/** Times in milliseconds. */
+export interface PrepaidBorrowerOptions {
+    /** Other routers that are asked for one request, one after the other. */
+    readonly maxAsked: number;
+    readonly callTimeoutMs: number;
+}
+
+export class PrepaidBorrower {
+    private others: readonly string[] = [];
+    private next = 0;
+
+    constructor(
+        private readonly purse: PrepaidPurse,
+        private readonly network: PeerNetwork,
+        private readonly log: Log,
+        private readonly options: PrepaidBorrowerOptions,
+    ) {}
+
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(lendPrepaidMethod, ({ account, tokens }) => {
+            const lent = this.purse.tryLend(account, tokens, performance.now()) ? tokens : 0;
+            this.log.info("prepaid_lent", { account, asked: tokens, lent });
+            return { tokens: lent };
+        });
+    }
+
+    /** Takes the addresses of the other routers. */
+    setOthers(others: readonly string[]): void {
+        this.others = others;
+    }
+
+    /** Asks one router after the other until one lends. Answers whether one did. */
+    async borrow(account: string, tokens: number): Promise<boolean> {
+        const count = Math.min(this.options.maxAsked, this.others.length);
+        for (let i = 0; i < count; i++) {
+            const address = this.others[this.next++ % this.others.length]!;
+            const lent = await this.ask(address, account, tokens);
+            if (lent > 0) {
+                this.purse.addBorrowed(account, lent);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private async ask(address: string, account: string, tokens: number): Promise<number> {
+        try {
+            const { callTimeoutMs } = this.options;
+            const answer = await this.network.call(address, lendPrepaidMethod, { account, tokens }, callTimeoutMs);
+            return answer.tokens;
+        }
+        catch (error) {
+            // What the other gave away is lost then: safe, and it asks for more in its next report.
+            this.log.warn("prepaid_not_borrowed", { router: address, account, tokens, error: String(error) });
+            return 0;
+        }
+    }
+}
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -21,6 +21,7 @@
     private readonly granted = new Signal();
     private preferred: string | undefined;
     private stopped = false;
+    private answeredAt = -Infinity;
     private isReaching = true;
 
     constructor(
@@ -41,6 +42,11 @@
         }
     }
 
+    /** Whether the newest report was answered lately. */
+    isInContact(): boolean {
+        return this.clock.getMonotonicMs() - this.answeredAt < this.options.periodMs * 2;
+    }
+
     /** Asks for a report soon, and resolves at the next grant or after `timeoutMs`. */
     waitGrant(timeoutMs: number): Promise<void> {
         this.urgent.notifyAll();
@@ -65,6 +71,7 @@
                 this.purse.applyAnswer(report.sequence, answer.accounts, this.clock.getMonotonicMs());
                 this.routers = Math.max(1, answer.routers);
                 this.preferred = address;
+                this.answeredAt = this.clock.getMonotonicMs();
                 this.noteReaching(true, "");
                 this.granted.notifyAll();
                 return;
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -36,8 +36,8 @@
     /** Connections that this router may hold to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
     abstract getRetryBudget(service: string): RetryBudget;
-    /** Resolves when more tokens may have been granted, or after `timeoutMs`. */
-    abstract waitGrant(timeoutMs: number): Promise<void>;
+    /** Asks for tokens of an account; resolves when there may be more of them, or after `timeoutMs`. */
+    abstract waitGrant(account: string, tokens: number, timeoutMs: number): Promise<void>;
     abstract recordAnswered(resolved: ResolvedRequest, status: number): void;
     abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -135,7 +135,7 @@
                     : createRefusal("budgetUnreachable", account.name, "no", options.retryAfterMs);
             }
             purse.addWaiting(account.name, tokens);
-            await this.context.waitGrant(left);
+            await this.context.waitGrant(account.name, tokens, left);
             purse.addWaiting(account.name, -tokens);
         }
     }
@@ -143,7 +143,7 @@
     private settle(reserved: number, used: number): void {
         const { account } = this.resolved;
         if (account !== undefined && reserved > 0) {
-            this.context.purse.settle(account.name, reserved, used, performance.now());
+            this.context.purse.settle(account.name, reserved, used);
         }
     }
 
@@ -171,7 +171,7 @@
 
     private tryPlace(): Placement | undefined {
         const { request, service } = this.resolved;
-        const { load, registry, options } = this.context;
+        const { load, registry } = this.context;
         const now = performance.now();
         const ready = registry.getReady(service.name, now, this.context.getMaxUpstreamAgeMs());
         return load.tryChoose(ready, request, this.tried, this.context.getRouterCount(), now);
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -2,7 +2,8 @@
  * A router's own side of the prepaid tokens: what it was granted, what its requests have reserved and consumed.
  *
  * It never lets the two pass the grant, nor what its last answered report allows by now (see prepaidBook.ts), so it
- * needs to reach nobody to be safe.
+ * needs to reach nobody to be safe. Routers lend each other tokens while the controllers are away: to the book the
+ * lender has spent them, and the borrower spends them before its own.
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 import { MovingRate } from "./movingAverage.js";
@@ -23,6 +24,8 @@
     readonly burstMs: number;
     /** How much faster than the demand a grant opens while no report is answered. */
     readonly openingFactor: number;
+    /** Own demand that is kept back from other routers, in milliseconds. */
+    readonly lendReserveMs: number;
     /** What a grant may be above what is wanted before the rest is given back. */
     readonly keepFactor: number;
 }
@@ -40,10 +43,13 @@
     reserved: number;
     /** What requests wait to reserve. */
     waiting: number;
+    /** What other routers have lent, spent or not. */
+    borrowed: number;
     free: number;
     prepaid: number;
-    /** Tokens consumed a second. */
+    /** Tokens reserved a second, and the part of what was reserved that is consumed in the end. */
     readonly demand: MovingRate;
+    usedPart: number;
     /** The largest reservation seen; a grant smaller than that admits nothing. */
     largest: number;
     /** What the newest report says, and what the newest answered one does. */
@@ -56,6 +62,8 @@
 
 const NO_ALLOWANCE: Allowance = { committed: 0, burst: 0, perSecond: 0 };
 const MS_PER_SECOND = 1_000;
+/** How much one request moves the part of reservations that is consumed. */
+const USED_PART_WEIGHT = 0.05;
 
 export class PrepaidPurse {
     private readonly accounts = new Map<string, Account>();
@@ -91,12 +99,40 @@
             return "reserved";
         }
         entry.largest = Math.max(tokens, entry.largest);
-        const after = entry.consumed + entry.reserved + tokens;
-        if (after <= Math.min(entry.granted, this.computeAllowed(entry, now))) {
+        if (tokens <= this.computeRoom(entry, now)) {
             entry.reserved += tokens;
+            entry.demand.add(tokens, now);
             return "reserved";
         }
-        return after > entry.granted + entry.free ? "exhausted" : "short";
+        return getCharged(entry) + tokens > entry.granted + entry.free ? "exhausted" : "short";
+    }
+
+    /** Whether a reservation would be made now. */
+    covers(account: string, tokens: number, now: number): boolean {
+        const entry = this.accounts.get(account);
+        return entry === undefined || tokens <= this.computeRoom(entry, now);
+    }
+
+    /** Gives tokens away to another router for good, unless this router would soon miss them. */
+    tryLend(account: string, tokens: number, now: number): boolean {
+        const entry = this.accounts.get(account);
+        if (entry === undefined) {
+            return false;
+        }
+        const ownNeed = this.computeDemand(entry, now) * this.options.lendReserveMs / MS_PER_SECOND;
+        if (tokens + ownNeed > this.computeRoom(entry, now)) {
+            return false;
+        }
+        entry.consumed += tokens;
+        return true;
+    }
+
+    /** Takes tokens that another router has given away. */
+    addBorrowed(account: string, tokens: number): void {
+        const entry = this.accounts.get(account);
+        if (entry !== undefined) {
+            entry.borrowed += tokens;
+        }
     }
 
     /** Counts a request that waits for a grant in the reports; a negative count takes it out again. */
@@ -108,13 +144,13 @@
     }
 
     /** Ends a reservation: `used` of its tokens were consumed. */
-    settle(account: string, reserved: number, used: number, now: number): void {
+    settle(account: string, reserved: number, used: number): void {
         const entry = this.accounts.get(account);
         if (entry !== undefined) {
             const consumed = Math.min(used, reserved);
             entry.reserved -= reserved;
             entry.consumed += consumed;
-            entry.demand.add(consumed, now);
+            entry.usedPart += (consumed / reserved - entry.usedPart) * USED_PART_WEIGHT;
         }
     }
 
@@ -157,6 +193,8 @@
             consumed: 0,
             reserved: 0,
             waiting: 0,
+            borrowed: 0,
+            usedPart: 1,
             free: prepaid,
             prepaid,
             demand: new MovingRate(this.options.demandHalfLifeMs),
@@ -166,6 +204,16 @@
         };
     }
 
+    /** Tokens that may be reserved now. */
+    private computeRoom(entry: Account, now: number): number {
+        return Math.min(entry.granted, this.computeAllowed(entry, now)) - getCharged(entry);
+    }
+
+    /** Tokens that are likely to be consumed a second. */
+    private computeDemand(entry: Account, now: number): number {
+        return entry.demand.getUnbiasedRate(now) * entry.usedPart;
+    }
+
     /** What the newest answered report allows to have been committed by `now`. */
     private computeAllowed(entry: Account, now: number): number {
         const { committed, burst, perSecond } = entry.allowance;
@@ -173,9 +221,9 @@
     }
 
     private reportAccount(account: string, entry: Account, now: number, closing: boolean) {
-        const spent = entry.consumed + entry.reserved;
+        const spent = getCharged(entry);
         const committed = spent + (closing ? 0 : entry.waiting);
-        const demand = entry.demand.getRate(now);
+        const demand = this.computeDemand(entry, now);
         const wanted = closing ? 0 : this.computeWanted(entry, demand);
         const most = closing ? spent : committed + Math.ceil(wanted * this.options.keepFactor);
         entry.granted = Math.max(spent, Math.min(entry.granted, most));
@@ -200,3 +248,8 @@
         return Math.ceil(Math.max(byDemand, isScarce ? Math.min(entry.largest, least) : least, entry.largest));
     }
 }
+
+/** What counts against the grant: borrowed tokens are spent first. */
+function getCharged(entry: Account): number {
+    return Math.max(0, entry.consumed + entry.reserved - entry.borrowed);
+}
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -27,16 +27,16 @@
     readonly upstreams: readonly HeardRegistration[];
     /** Addresses of the controllers that the log names. */
     readonly controllers: readonly string[];
-    /** Routers that follow this controller. */
-    readonly routers: number;
+    /** Addresses of the routers that follow this controller. */
+    readonly routers: readonly string[];
     /** Whether the controller is connected to a majority of the others. */
     readonly hasMajority: boolean;
 }
 
 /** Begins to follow a controller over this connection, and repeats what it knows; also asked as a heartbeat. */
-export const followMethod = createPeerMethod<{ router: string; }, FollowAnswer>(
+export const followMethod = createPeerMethod<{ address: string; }, FollowAnswer>(
     "fleet.follow",
-    z.object({ router: name }),
+    z.object({ address: name }),
 );
 
 /** Tells a follower that a bundle has come into force. The follower fetches it. */
@@ -62,3 +62,9 @@
     "fleet.reportPrepaid",
     z.object({ report: prepaidReportCommand }),
 );
+
+/** One router asks another for prepaid tokens. Answers how many it gives away for good: all of them, or none. */
+export const lendPrepaidMethod = createPeerMethod<{ account: string; tokens: number; }, { tokens: number; }>(
+    "fleet.lendPrepaid",
+    z.object({ account: z.string().min(1).max(256), tokens: count }),
+);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -21,6 +21,7 @@
 import { openLedger } from "./daemons/controller/ledgerFile.js";
 import { sortByZone } from "./daemons/controllerAddress.js";
 import { DirectRouterDaemon, type DirectRouterOptions } from "./daemons/directRouter/directRouterDaemon.js";
+import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
 import { CallerRequests } from "./daemons/router/callerRequests.js";
 import { ClaimClient } from "./daemons/router/claimClient.js";
@@ -277,6 +278,7 @@
     readonly load: UpstreamLoadOptions;
     readonly purse: PrepaidPurseOptions;
     readonly reporter: PrepaidReporterOptions;
+    readonly borrower: PrepaidBorrowerOptions;
     readonly upstreams: DirectUpstreams;
 }
 
@@ -338,8 +340,10 @@
 }
 
 /** Starts a router that reaches its upstreams itself. Its interface to callers is the caller's to open. */
-export function startDirectRouter(settings: DirectRouterSettings): RunningBundleRole<DirectRouterDaemon> {
-    const base = createUnlistened({ ...settings, role: "router" });
+export async function startDirectRouter(
+    settings: DirectRouterSettings,
+): Promise<RunningBundleRole<DirectRouterDaemon>> {
+    const base = await createBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, identity } = base;
     const purse = new PrepaidPurse(settings.name, identity.incarnation, settings.purse);
     const reporter = new PrepaidReporter(
@@ -359,6 +363,7 @@
         metrics,
         settings.decoder,
         reporter,
+        new PrepaidBorrower(purse, network, log, settings.borrower),
         network,
         clock,
     );
@@ -376,17 +381,9 @@
 }
 
 /** What the base of a role needs from its settings. */
-type BaseSettings = Pick<CommonSettings, "name" | "zone" | "role" | "logLevel"> & Partial<CommonSettings>;
+type BaseSettings = Pick<CommonSettings, "name" | "zone" | "role" | "logLevel" | "listen"> & Partial<CommonSettings>;
 
-async function createBase(settings: BaseSettings & Pick<CommonSettings, "listen">): Promise<RoleBase> {
-    const base = createUnlistened({ ...settings, fleetSecret: await readFleetSecret(settings) });
-    const { host, port: asked } = parseAddress(settings.listen);
-    const port = await base.network.listen(host, asked);
-    return { ...base, peerAddress: `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}` };
-}
-
-/** The base of a role that other processes do not reach: it reaches them. */
-function createUnlistened(settings: BaseSettings & { readonly fleetSecret: string; }): RoleBase {
+async function createBase(settings: BaseSettings): Promise<RoleBase> {
     const { name, zone, role } = settings;
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
     const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
@@ -394,9 +391,12 @@
         ? new NoMetrics()
         : new StatsdMetrics(settings.statsd, { role, name, zone });
     const handlers = new PeerHandlers();
-    const secret = settings.fleetSecret;
+    const secret = await readFleetSecret(settings);
     const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap ?? {} });
-    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress: "" };
+    const { host, port: asked } = parseAddress(settings.listen);
+    const port = await network.listen(host, asked);
+    const peerAddress = `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}`;
+    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress };
 }
 
 function closeBase(base: RoleBase): void {
