--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -5,8 +5,8 @@
 import { PrepaidBook } from "../../src/domain/prepaidBook.js";
 import { PrepaidWorld } from "../tools/prepaidWorld.js";
 
-const SEEDS = 300;
-const STEPS = 400;
+const SEEDS = 100;
+const STEPS = 1_000;
 
 function createReport(part: Partial<PrepaidReportCommand>, committed: number): PrepaidReportCommand {
     return {
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -8,10 +8,14 @@
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
-const LARGEST_REQUEST = 900;
+const LARGEST_REQUEST = 120;
+/** Part of the time that a router is cut off. */
+const CUT_PART = 0.3;
+/** Requests of a router that end in one step. */
+const SETTLED_AT_ONCE = 6;
 /** Part of the steps in which a router gets many requests at once, and how many. */
 const BURST_PART = 0.1;
-const BURST_COUNT = 12;
+const BURST_COUNT = 20;
 /** Little enough that every world comes near its limits. */
 const FIRST_PREPAID = 6_000;
 /** Late reports wait at most so long, in milliseconds. */
@@ -54,12 +58,12 @@
     }
 
     step(): void {
-        this.now += Math.floor(this.random() * 400);
+        this.now += Math.floor(this.random() * 60);
         this.deliverLate();
         const router = this.pick(ROUTERS);
         const life = this.lives.get(router)!;
         const draw = this.random();
-        if (draw < 0.45) {
+        if (draw < 0.4) {
             const count = this.random() < BURST_PART ? BURST_COUNT : 1;
             for (let i = 0; i < count; i++) {
                 this.reserve(life);
@@ -71,19 +75,19 @@
         else if (draw < 0.9) {
             this.report(life, false);
         }
-        else if (draw < 0.94) {
-            life.isCut = !life.isCut;
+        else if (draw < 0.92) {
+            life.isCut = this.random() < CUT_PART;
         }
-        else if (draw < 0.97) {
+        else if (draw < 0.926) {
             this.kill(router);
         }
-        else if (draw < 0.98) {
+        else if (draw < 0.97) {
             this.lend(life, this.lives.get(this.pick(ROUTERS))!);
         }
-        else if (draw < 0.985) {
+        else if (draw < 0.972) {
             this.topUp();
         }
-        else {
+        else if (draw < 0.976) {
             this.stopWell(router);
         }
         this.check();
@@ -129,14 +133,23 @@
     private reserve(life: RouterLife): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
-        if (life.purse.tryReserve(account, tokens, this.now - life.startedAt) === "reserved") {
-            life.open.push({ account, tokens });
+        const tryReserve = (): boolean => {
+            const outcome = life.purse.tryReserve(account, tokens, this.now - life.startedAt);
+            if (outcome === "reserved") {
+                life.open.push({ account, tokens });
+            }
+            return outcome !== "short";
+        };
+        if (!tryReserve()) {
+            life.purse.addWaiting(account, tokens);
+            this.report(life, false);
+            life.purse.addWaiting(account, -tokens);
+            tryReserve();
         }
     }
 
     private settleOne(life: RouterLife): void {
-        const open = life.open.shift();
-        if (open !== undefined) {
+        for (const open of life.open.splice(0, SETTLED_AT_ONCE)) {
             const used = Math.floor(this.random() * (open.tokens + 1));
             life.purse.settle(open.account, open.tokens, used);
             this.consume(open.account, used);
@@ -185,10 +198,17 @@
         due.forEach(entry => this.take(entry.report));
     }
 
-    /** A router dies: its open requests may have run to their most, or not at all. */
+    /** A router dies, often amid a burst of requests that no report tells of; they may have run to their most. */
     private kill(router: string): void {
         const life = this.lives.get(router)!;
-        life.open.forEach(open => this.consume(open.account, this.random() < 0.5 ? open.tokens : 0));
+        const account = this.pick(ACCOUNTS);
+        const count = this.random() < 0.7 ? BURST_COUNT : 0;
+        for (let i = 0; i < count; i++) {
+            if (life.purse.tryReserve(account, LARGEST_REQUEST, this.now - life.startedAt) === "reserved") {
+                life.open.push({ account, tokens: LARGEST_REQUEST });
+            }
+        }
+        life.open.forEach(open => this.consume(open.account, this.random() < 0.9 ? open.tokens : 0));
         this.now += Math.floor(this.random() * 2_000);
         this.startRouter(router);
     }
