--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -156,9 +156,9 @@
             return;
         }
         progress.isHeadSent = true;
-        progress.mayContinue = this.options.isResumable && head.status === 200
+        progress.mayContinue = this.options.isResumable && head.status === 200 && head.isFramed
             && !head.headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
-        sink.sendHead(head.status, head.headers);
+        sink.sendHead(head.status, head.headers, head.isFramed);
     }
 
     private noteFirstByte(): void {
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -2,8 +2,11 @@
 import type { Refusal } from "../domain/resultCodes.js";
 
 export abstract class PassThroughSink {
-    /** Sends an upstream's head unchanged. */
-    abstract sendHead(status: number, headers: readonly string[]): void;
+    /**
+     * Sends an upstream's head unchanged. An answer that is not framed is not framed here either: nobody can say whether
+     * it was whole, so it must not be made to look so.
+     */
+    abstract sendHead(status: number, headers: readonly string[], isFramed: boolean): void;
     /** Sends bytes of the body; answers false where the caller reads too slowly, until `onDrain`. */
     abstract write(bytes: Buffer): boolean;
     /** Ends an answer that is whole. */
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -40,6 +40,8 @@
     readonly isOwn: boolean;
     /** An engine vouches for the answer. */
     readonly isSigned: boolean;
+    /** The answer itself says where it ends; otherwise it ends with its connection, also when it was cut short. */
+    readonly isFramed: boolean;
 }
 
 /** Why an answer did not come, or did not come whole. */
