--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -1,6 +1,7 @@
 /** The replicated log on disk: term and vote, entries, and the snapshot that stands for the entries before it. */
 import type { LogEntry, Replica } from "../domain/commands.js";
 import type { StateSnapshot } from "../domain/declaredState.js";
+import { BoxClock, type SteadyClock } from "../ports/clock.js";
 import type { Journal, OpenedJournal } from "../ports/journal.js";
 
 /** A state with the place in the log it stands for. */
@@ -17,6 +18,7 @@
     | { readonly type: "term"; readonly term: number; readonly votedFor?: string; }
     | { readonly type: "entries"; readonly entries: readonly LogEntry[]; readonly takenAt?: number; }
     | { readonly type: "taken"; readonly times: readonly (readonly [number, number])[]; }
+    | { readonly type: "boot"; readonly boot: string; }
     | { readonly type: "snapshot"; readonly snapshot: LogSnapshot; };
 
 /** Of how many entries it is remembered when they were taken. */
@@ -37,12 +39,17 @@
     private readonly journal: Journal;
     private lastWrite: Promise<void> = Promise.resolve();
     private readonly takenTimes = new Map<number, number>();
+    private storedBoot: string | undefined;
 
-    /** `getSteadyMs`: a clock that runs on while this process does not, in milliseconds. */
-    constructor(opened: OpenedJournal, private readonly getSteadyMs: () => number = readSteadyClock) {
+    /**
+     * `clock`: runs on while this process does not; with another `boot` it has begun anew, and times of before say
+     * nothing any more.
+     */
+    constructor(opened: OpenedJournal, private readonly clock: SteadyClock = new BoxClock()) {
         this.journal = opened.journal;
         (opened.records as readonly StoredRecord[]).forEach(record => this.load(record));
         this.syncedIndex = this.getLastIndex();
+        this.noteBoot();
         this.replicas = this.findReplicas(this.getLastIndex());
     }
 
@@ -53,7 +60,7 @@
 
     /** Milliseconds since a time of `tryGetTakenAt`. */
     getMsSince(takenAt: number): number {
-        return this.getSteadyMs() - takenAt;
+        return this.clock.getMs() - takenAt;
     }
 
     getLastIndex(): number {
@@ -152,7 +159,7 @@
         }
         this.placeEntries(entries);
         this.syncedIndex = Math.min(this.syncedIndex, entries[0]!.index - 1);
-        const takenAt = this.getSteadyMs();
+        const takenAt = this.clock.getMs();
         this.noteTaken(entries, takenAt);
         await this.write({ type: "entries", entries, takenAt });
         const last = entries[entries.length - 1]!;
@@ -173,6 +180,7 @@
             { type: "snapshot", snapshot },
             { type: "term", term: this.term, ...(this.votedFor === undefined ? {} : { votedFor: this.votedFor }) },
             ...(rest.length > 0 ? [{ type: "entries", entries: rest }] : []),
+            { type: "boot", boot: this.clock.boot },
             { type: "taken", times: [...this.takenTimes] },
         ]);
         await this.lastWrite;
@@ -202,6 +210,12 @@
                     this.noteTaken(record.entries, record.takenAt);
                 }
                 return this.placeEntries(record.entries);
+            case "boot":
+                if (record.boot !== this.storedBoot) {
+                    this.takenTimes.clear();
+                }
+                this.storedBoot = record.boot;
+                return;
             case "taken":
                 record.times.forEach(([index, takenAt]) => this.takenTimes.set(index, takenAt));
                 return;
@@ -212,6 +226,14 @@
         }
     }
 
+    /** Forgets the times of before where the box has started anew since. */
+    private noteBoot(): void {
+        if (this.storedBoot !== this.clock.boot) {
+            this.takenTimes.clear();
+            this.write({ type: "boot", boot: this.clock.boot }).catch(() => undefined);
+        }
+    }
+
     private noteTaken(entries: readonly LogEntry[], takenAt: number): void {
         for (const entry of entries) {
             this.takenTimes.delete(entry.index);
@@ -233,8 +255,3 @@
         }
     }
 }
-
-/** The box's steady clock: it runs on while no process of ours does, and begins anew when the box does. */
-function readSteadyClock(): number {
-    return Number(process.hrtime.bigint() / 1_000_000n);
-}
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -277,6 +277,7 @@
         const others = answer.routers.filter(router => router !== this.options.address);
         this.routers = Math.max(1 + others.length, this.reporter.routers);
         this.borrower.setOthers(others);
+        this.purse.setRouters(this.routers);
         if (answer.hasMajority) {
             this.named = answer.controllers;
             this.updateFeeds(answer.controllers);
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -13,11 +13,9 @@
 export interface PrepaidPurseOptions {
     /** Demand that a grant should cover, in milliseconds: longer than a router is usually cut off. */
     readonly horizonMs: number;
-    /** The same when little of an account is left to grant. */
-    readonly shortHorizonMs: number;
-    /** Part of an account's prepaid tokens below which what is free counts as little. */
-    readonly scarcePart: number;
-    /** Part of the prepaid tokens that a router asks for before it knows the demand. */
+    /** Part of what is left of an account, as far as a router knows, that all routers together hold at the most. */
+    readonly mostHeldPart: number;
+    /** Part of the prepaid tokens that all routers together ask for before they know the demand. */
     readonly firstPart: number;
     readonly demandHalfLifeMs: number;
     /** Demand that may be committed at once between two reports, in milliseconds. */
@@ -50,8 +48,6 @@
     /** Tokens reserved a second, and the part of what was reserved that is consumed in the end. */
     readonly demand: MovingRate;
     usedPart: number;
-    /** The largest reservation seen; a grant smaller than that admits nothing. */
-    largest: number;
     /** What the newest report says, and what the newest answered one does. */
     reported: Allowance;
     allowance: Allowance;
@@ -71,6 +67,7 @@
     private answeredSequence = 0;
     /** When the newest answer arrived. Monotonic clock, milliseconds. */
     private answeredAt = 0;
+    private routers = 1;
 
     constructor(
         private readonly router: string,
@@ -92,13 +89,17 @@
         }
     }
 
+    /** Takes how many routers share the accounts. */
+    setRouters(routers: number): void {
+        this.routers = Math.max(1, routers);
+    }
+
     /** Sets tokens aside for one run. `exhausted` where what nobody holds would not cover it either. */
     tryReserve(account: string, tokens: number, now: number): ReserveOutcome {
         const entry = this.accounts.get(account);
         if (entry === undefined) {
             return "reserved";
         }
-        entry.largest = Math.max(tokens, entry.largest);
         if (tokens <= this.computeRoom(entry, now)) {
             entry.reserved += tokens;
             entry.demand.add(tokens, now);
@@ -198,7 +199,6 @@
             free: prepaid,
             prepaid,
             demand: new MovingRate(this.options.demandHalfLifeMs),
-            largest: 0,
             reported: NO_ALLOWANCE,
             allowance: NO_ALLOWANCE,
         };
@@ -241,11 +241,12 @@
     }
 
     private computeWanted(entry: Account, demand: number): number {
-        const { horizonMs, shortHorizonMs, scarcePart, firstPart } = this.options;
-        const isScarce = entry.free < entry.prepaid * scarcePart;
-        const byDemand = demand * (isScarce ? shortHorizonMs : horizonMs) / MS_PER_SECOND;
-        const least = entry.prepaid * firstPart;
-        return Math.ceil(Math.max(byDemand, isScarce ? Math.min(entry.largest, least) : least, entry.largest));
+        const { horizonMs, mostHeldPart, firstPart } = this.options;
+        const byDemand = demand * horizonMs / MS_PER_SECOND;
+        const least = entry.prepaid * firstPart / this.routers;
+        // A killed router may leave all it holds behind as spent, so the last tokens are not shared out in advance.
+        const left = entry.free / this.routers + Math.max(0, entry.granted - getCharged(entry));
+        return Math.ceil(Math.max(Math.min(Math.max(byDemand, least), left * mostHeldPart), entry.waiting));
     }
 }
 
