--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", ".tap/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", ".tap/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/src/consensus/joining.ts
+++ b/src/consensus/joining.ts
@@ -8,7 +8,8 @@
 import type { PeerNetwork } from "../ports/peer.js";
 import type { LogStorage } from "./logStorage.js";
 import { readIndexMethod, replicaStateMethod } from "./messages.js";
-import type { ReplicatedLog, ReplicatedLogOptions } from "./replicatedLog.js";
+import type { ReplicatedLog } from "./replicatedLog.js";
+import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 
 /** Tries until the replica has joined or is stopped. */
 export async function runJoining(
--- a/src/consensus/peerReplication.ts
+++ b/src/consensus/peerReplication.ts
@@ -4,7 +4,9 @@
 import type { LogStorage } from "./logStorage.js";
 import { appendMethod, snapshotMethod, type SnapshotParams } from "./messages.js";
 import type { PeerProgress } from "./peerProgress.js";
-import type { ReplicaAddress, ReplicatedLog, ReplicatedLogOptions } from "./replicatedLog.js";
+import type { ReplicaAddress } from "./replicaSet.js";
+import type { ReplicatedLog } from "./replicatedLog.js";
+import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 
 const MAX_ENTRIES_PER_APPEND = 512;
 const SNAPSHOT_PIECE_LENGTH = 1024 * 1024;
--- a/src/consensus/replicaSet.ts
+++ b/src/consensus/replicaSet.ts
@@ -1,7 +1,12 @@
 /** Which replicas the log has: those that its newest entry names, or those of the settings where none names any. */
 import type { Replica } from "../domain/commands.js";
 import type { LogStorage } from "./logStorage.js";
-import type { ReplicaAddress } from "./replicatedLog.js";
+
+/** Another replica of the log. */
+export interface ReplicaAddress {
+    readonly name: string;
+    readonly address: string;
+}
 
 /** What the settings say of the replicas at the start. */
 export interface ReplicaSetOptions {
--- a/src/consensus/replicaSetKeeper.ts
+++ b/src/consensus/replicaSetKeeper.ts
@@ -8,7 +8,8 @@
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import { joinMethod } from "./messages.js";
-import type { ReplicaAddress, ReplicatedLog } from "./replicatedLog.js";
+import type { ReplicaAddress } from "./replicaSet.js";
+import type { ReplicatedLog } from "./replicatedLog.js";
 
 /** Times in milliseconds. */
 export interface ReplicaSetKeeperOptions {
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -5,12 +5,13 @@
  * majority for an election timeout steps down, so that a controller that was cut off stops believing it is in charge.
  */
 import type { Command, LogEntry } from "../domain/commands.js";
-import { type ApplyResult, DeclaredState, type StateSnapshot } from "../domain/declaredState.js";
+import type { DeclaredState, StateSnapshot } from "../domain/declaredState.js";
 import { assertInvariant, createRefusal, getRefusal, RefusalError } from "../domain/resultCodes.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import { runJoining } from "./joining.js";
+import { type AppliedHandler, LogApplier } from "./logApplier.js";
 import type { LogStorage } from "./logStorage.js";
 import {
     type AppendAnswer,
@@ -31,49 +32,24 @@
 import { LeaderProgress, type PeerProgress } from "./peerProgress.js";
 import { PeerReplication } from "./peerReplication.js";
 import { PendingProposals } from "./pendingProposals.js";
-import { ReplicaSet, type ReplicaSetOptions } from "./replicaSet.js";
+import { type ReplicaAddress, ReplicaSet } from "./replicaSet.js";
+import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 import { Signal } from "./signal.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
 import { collectVotes, createVoteParams, isLogUpToDate } from "./voting.js";
 
-/** Another replica of the log. */
-export interface ReplicaAddress {
-    readonly name: string;
-    readonly address: string;
-}
-
-/** Times in milliseconds. */
-export interface ReplicatedLogOptions extends ReplicaSetOptions {
-    readonly electionTimeoutMs: number;
-    readonly heartbeatMs: number;
-    /** How long a proposal waits to be applied. */
-    readonly proposeTimeoutMs: number;
-    /** Entries applied between snapshots. */
-    readonly snapshotEvery: number;
-    /** Seeded, so that tests repeat. Answers a number in [0, 1). */
-    readonly random: () => number;
-    /** The whole fleet starts for the first time: a founder need not ask the others whether they are new too. */
-    readonly isFirstStart?: boolean | undefined;
-}
-
-/** Called for each applied entry, in order. */
-export type AppliedHandler = (entry: LogEntry, result: ApplyResult) => void;
-
 export class ReplicatedLog {
-    readonly state = new DeclaredState();
+    readonly state: DeclaredState;
     private role: "follower" | "candidate" | "leader" = "follower";
     private leader: string | undefined;
     private commitIndex = 0;
-    private appliedIndex = 0;
     private heardFromLeaderAt: number;
     readonly replicas: ReplicaSet;
     private readonly progress: LeaderProgress;
     private readonly proposals: PendingProposals;
     private readonly work = new Signal();
-    private readonly applied = new Signal();
-    private readonly appliedHandlers: AppliedHandler[] = [];
+    private readonly applier: LogApplier;
     private readonly snapshotReceiver = new SnapshotReceiver();
-    private readonly snapshotHandlers: (() => void)[] = [];
     private stopped = false;
 
     constructor(
@@ -87,8 +63,11 @@
         this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
         this.replicas = new ReplicaSet(storage, options);
         this.progress = new LeaderProgress(options.name, this.replicas);
+        this.applier = new LogApplier(storage, this.proposals, log, options.snapshotEvery);
+        this.state = this.applier.state;
         if (storage.snapshot !== undefined) {
-            this.loadState(storage.snapshot.state, storage.snapshot.lastIndex);
+            this.applier.loadState(storage.snapshot.state, storage.snapshot.lastIndex);
+            this.commitIndex = storage.snapshot.lastIndex;
         }
     }
 
@@ -118,17 +97,17 @@
     async stop(): Promise<void> {
         this.stopped = true;
         this.stepDown(this.storage.term);
-        this.applied.notifyAll();
+        this.applier.applied.notifyAll();
         await this.storage.close();
     }
 
     onApplied(handler: AppliedHandler): void {
-        this.appliedHandlers.push(handler);
+        this.applier.onApplied(handler);
     }
 
     /** Calls back when a snapshot from the leader has replaced the state. */
     onSnapshotLoaded(handler: () => void): void {
-        this.snapshotHandlers.push(handler);
+        this.applier.onSnapshotLoaded(handler);
     }
 
     getTerm(): number {
@@ -184,7 +163,7 @@
     }
 
     getAppliedIndex(): number {
-        return this.appliedIndex;
+        return this.applier.getIndex();
     }
 
     /** How many replicas a majority takes. */
@@ -239,12 +218,12 @@
     /** Waits until `index` is applied here. Refuses with noMajority after `timeoutMs`. */
     async waitApplied(index: number, timeoutMs: number): Promise<void> {
         const deadline = this.clock.getMonotonicMs() + timeoutMs;
-        while (this.appliedIndex < index && !this.stopped) {
+        while (this.applier.getIndex() < index && !this.stopped) {
             const left = deadline - this.clock.getMonotonicMs();
             if (left <= 0) {
                 throw new RefusalError(createRefusal("noMajority", `index ${index} is not applied yet`));
             }
-            await this.applied.wait(left);
+            await this.applier.applied.wait(left);
         }
     }
 
@@ -277,7 +256,7 @@
                 break;
             }
             this.work.notifyAll();
-            await this.applied.wait(this.options.heartbeatMs);
+            await this.applier.applied.wait(this.options.heartbeatMs);
         }
         throw new RefusalError(
             createRefusal("noMajority", "no confirmed leader here", "no", this.options.electionTimeoutMs),
@@ -465,7 +444,7 @@
             // A peer that has less than it once had has lost its disk.
             progress.matchIndex = Math.min(progress.matchIndex, progress.nextIndex - 1);
         }
-        this.applied.notifyAll();
+        this.applier.applied.notifyAll();
     }
 
     private advanceCommit(): void {
@@ -476,7 +455,7 @@
         // Only an entry of the leader's own term commits by count (Raft, section 5.4.2).
         if (candidate > this.commitIndex && this.storage.tryGetTerm(candidate) === this.storage.term) {
             this.commitIndex = candidate;
-            this.applyCommitted();
+            this.applier.applyUpTo(this.commitIndex);
             this.work.notifyAll();
         }
     }
@@ -530,7 +509,7 @@
     private advanceFollowerCommit(index: number): void {
         if (index > this.commitIndex) {
             this.commitIndex = index;
-            this.applyCommitted();
+            this.applier.applyUpTo(this.commitIndex);
         }
     }
 
@@ -540,7 +519,7 @@
         }
         await this.followLeader(params.term, params.leader);
         const text = this.snapshotReceiver.tryAdd(params);
-        if (text !== undefined && params.lastIndex > this.appliedIndex) {
+        if (text !== undefined && params.lastIndex > this.applier.getIndex()) {
             const state = JSON.parse(text) as StateSnapshot;
             await this.storage.saveSnapshot({
                 lastIndex: params.lastIndex,
@@ -548,44 +527,10 @@
                 state,
                 ...(params.replicas === undefined ? {} : { replicas: params.replicas }),
             });
-            this.loadState(state, params.lastIndex);
-            this.snapshotHandlers.forEach(handler => handler());
+            this.commitIndex = Math.max(this.commitIndex, params.lastIndex);
+            this.applier.loadState(state, params.lastIndex);
         }
         const success = text !== undefined || this.snapshotReceiver.isExpecting(params);
         return this.createAppendAnswer(success, params.lastIndex);
     }
-
-    // Applying
-
-    private loadState(state: StateSnapshot, index: number): void {
-        this.state.loadSnapshot(state);
-        this.appliedIndex = index;
-        this.commitIndex = Math.max(this.commitIndex, index);
-        this.applied.notifyAll();
-    }
-
-    private applyCommitted(): void {
-        while (this.appliedIndex < this.commitIndex) {
-            const entry = this.storage.tryGetEntry(this.appliedIndex + 1);
-            assertInvariant(entry !== undefined, "a committed entry is in the log");
-            const result = this.state.apply(entry);
-            this.appliedIndex = entry.index;
-            this.appliedHandlers.forEach(handler => handler(entry, result));
-            this.proposals.resolve(entry, result);
-        }
-        this.applied.notifyAll();
-        if (this.appliedIndex - this.storage.getSnapshotIndex() >= this.options.snapshotEvery) {
-            this.saveSnapshot();
-        }
-    }
-
-    private saveSnapshot(): void {
-        const snapshot = {
-            lastIndex: this.appliedIndex,
-            lastTerm: this.storage.tryGetTerm(this.appliedIndex)!,
-            state: this.state.createSnapshot(),
-            replicas: this.storage.findReplicas(this.appliedIndex),
-        };
-        this.storage.saveSnapshot(snapshot).catch(error => this.log.error("snapshot_failed", { error: String(error) }));
-    }
 }
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -120,6 +120,11 @@
         return bundle;
     }
 
+    /** Names of the replicas that vote, as this one knows them. */
+    listReplicas(): string[] {
+        return [...this.replica.replicas.getVoters()];
+    }
+
     private follow(router: string, peer: Peer): FollowAnswer {
         if (this.followers.add(peer, router)) {
             this.log.info("router_follows", { router });
--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -14,7 +14,9 @@
 const HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nInstance-Signature: s\r\n";
 
 /** An engine that answers each request by `answer`; resolves to its address. */
-async function startEngine(answer: (socket: Socket, text: string) => void): Promise<{ address: string; server: Server; }> {
+async function startEngine(
+    answer: (socket: Socket, text: string) => void,
+): Promise<{ address: string; server: Server; }> {
     const server = createServer(socket => {
         socket.on("error", () => undefined);
         socket.on("data", bytes => answer(socket, bytes.toString("latin1")));
@@ -27,7 +29,13 @@
 function createCall(address: string, part: Partial<UpstreamCall> = {}): UpstreamCall {
     return {
         upstream: { id: "u1", service: "s", address, zone: "z", slots: 4, state: "ready", sequence: 1 },
-        request: { id: "a1", method: "POST", target: "/p/x?q=1", headers: ["Attempt-Id", "a1"], body: Buffer.from("b") },
+        request: {
+            id: "a1",
+            method: "POST",
+            target: "/p/x?q=1",
+            headers: ["Attempt-Id", "a1"],
+            body: Buffer.from("b"),
+        },
         account: "acc",
         remainingMs: 1_000,
         priority: 2,
@@ -127,7 +135,8 @@
 
 void t.test("a stray answer to another request is told apart", async t => {
     await withEngine(
-        socket => socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nInstance-Signature: s\r\nContent-Length: 0\r\n\r\n"),
+        socket =>
+            socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nInstance-Signature: s\r\nContent-Length: 0\r\n\r\n"),
         async (client, address) => {
             t.match((await exchange(client, createCall(address))).heads, [{ isOwn: false }]);
         },
--- /dev/null
+++ b/test/platform/wireBundle.test.ts
@@ -0,0 +1,51 @@
+/** The operator's configuration: what is taken, what is refused, and how it is read. */
+import t from "tap";
+import { WireBundleDecoder } from "../../platform/wireBundle.js";
+import { BundleIndex, pickTarget } from "../../src/domain/bundle.js";
+import { createWireBundle } from "../tools/wireBundle.js";
+
+const decoder = new WireBundleDecoder();
+
+void t.test("a sound configuration is decoded into the product's words", t => {
+    const bundle = decoder.decode(JSON.stringify(createWireBundle(7)));
+    t.equal(bundle.revision, 7);
+    t.match(bundle.routes[0], { kind: "stream", maxAttempts: 2, isResumable: true, targets: [{ service: "engines" }] });
+    t.match(bundle.services[0], { maxConnections: 40, engine: { slots: 4, tokensPerEvent: 5 } });
+    t.match(bundle.accounts[0], { name: "acme", keys: ["key-1"], prepaidTokens: 100_000 });
+    t.end();
+});
+
+void t.test("the longest prefix of the host wins, and a route without weight is never picked", t => {
+    const wire = createWireBundle(1);
+    wire.routes.push({ ...wire.routes[0]!, name: "longer", path_prefix: "/s/long/" });
+    const index = new BundleIndex(decoder.decode(JSON.stringify(wire)));
+    t.equal(index.tryGetRoute("API.example:80", "/s/long/x")?.name, "longer");
+    t.equal(index.tryGetRoute("api.example", "/s/lon")?.name, "stream");
+    t.equal(index.tryGetRoute("api.example", "/none/"), undefined);
+    t.equal(index.tryGetRoute("other.example", "/s/x"), undefined);
+    const route = { ...index.bundle.routes[0]!, targets: [{ service: "a", weight: 0 }, { service: "b", weight: 3 }] };
+    t.equal(pickTarget(route, 0).service, "b");
+    t.equal(pickTarget(route, 0.999).service, "b");
+    t.end();
+});
+
+const broken: readonly [string, (wire: ReturnType<typeof createWireBundle>) => unknown][] = [
+    ["cut short", wire => JSON.stringify(wire).slice(0, -20)],
+    ["an unknown service", wire => ({ ...wire, backends: [] })],
+    ["two routes in one place", wire => ({ ...wire, routes: [wire.routes[0], { ...wire.routes[0], name: "again" }] })],
+    ["weights that sum to 0", wire => ({
+        ...wire,
+        routes: [{ ...wire.routes[0], backend: undefined, split: [{ backend: "engines", weight: 0 }] }],
+    })],
+    ["a timeout of 0", wire => ({ ...wire, routes: [{ ...wire.routes[0], timeout_ms: 0 }] })],
+    ["a shared key", wire => ({ ...wire, tenants: [...wire.tenants, { name: "other", api_keys: ["key-1"] }] })],
+    ["no revision", wire => ({ ...wire, config_rev: undefined })],
+    ["an odd type", wire => ({ ...wire, routes: [{ ...wire.routes[0], type: "often" }] })],
+];
+for (const [what, breakIt] of broken) {
+    void t.test(`a configuration with ${what} is refused by a number`, t => {
+        const text = breakIt(createWireBundle(1));
+        t.throws(() => decoder.decode(typeof text === "string" ? text : JSON.stringify(text)), { message: /^LW\d{4} / });
+        t.end();
+    });
+}
--- /dev/null
+++ b/test/tools/directFleet.ts
@@ -0,0 +1,161 @@
+/**
+ * Controllers and routers of the platform's kind in one process, on loopback addresses of their own, each with its
+ * platform interface, and a small engine. Boxes are told apart by their addresses in 127.0.0.0/8.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { type BoxSettings, parseBoxSettings } from "../../platform/boxSettings.js";
+import { startCallerServer } from "../../platform/callerServer.js";
+import { startControlServer } from "../../platform/controlServer.js";
+import { EngineClient } from "../../platform/engineClient.js";
+import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
+import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
+import type { DirectRouterDaemon } from "../../src/daemons/directRouter/directRouterDaemon.js";
+import { type RunningBundleRole, startBundleController, startDirectRouter } from "../../src/wiring.js";
+
+const PEER_PORT = 7340;
+const ADMIN_PORT = 8229;
+const CALLER_PORT = 8227;
+const ENGINE_PORT = 8028;
+
+interface RunningBox<T> {
+    readonly role: RunningBundleRole<T>;
+    readonly server: Server;
+}
+
+/** What an engine of the fleet was sent. */
+export interface EngineRequest {
+    readonly method: string;
+    readonly url: string;
+    readonly headers: IncomingMessage["headers"];
+}
+
+export type EngineAnswer = (message: IncomingMessage, response: ServerResponse) => void;
+
+export class DirectFleet {
+    readonly controllers = new Map<string, RunningBox<BundleControllerDaemon>>();
+    readonly routers = new Map<string, RunningBox<DirectRouterDaemon>>();
+    readonly engineRequests: EngineRequest[] = [];
+    private readonly engines: Server[] = [];
+    private folder = "";
+
+    /** `network`: the second part of the fleet's addresses, so that fleets of several files do not meet. */
+    constructor(private readonly network: number) {
+        process.env["LOOMWINCH_FLEET_SECRET"] = "test-fleet-secret";
+    }
+
+    async open(): Promise<void> {
+        this.folder = await mkdtemp(join(tmpdir(), "loomwinch-direct-"));
+    }
+
+    async close(): Promise<void> {
+        await Promise.all([...this.routers.keys()].map(box => this.stopRouter(box)));
+        await Promise.all([...this.controllers.keys()].map(box => this.stopController(box)));
+        this.engines.forEach(engine => {
+            engine.closeAllConnections();
+            engine.close();
+        });
+        await rm(this.folder, { recursive: true });
+    }
+
+    getIp(box: string): string {
+        return `127.${this.network}.${box.startsWith("c") ? 1 : 2}.${box.slice(1)}`;
+    }
+
+    getOperatorUrl(box: string, path: string): string {
+        return `http://${this.getIp(box)}:${ADMIN_PORT}${path}`;
+    }
+
+    getCallerUrl(box: string, path: string): string {
+        return `http://${this.getIp(box)}:${CALLER_PORT}${path}`;
+    }
+
+    /** Starts a controller. `disk`: names its data folder, so that a box may come back with another one. */
+    async startController(box: string, isFirstStart: boolean, disk = box): Promise<void> {
+        const settings = this.createSettings(box, isFirstStart, disk);
+        const role = await startBundleController({ ...createControllerSettings(settings), logLevel: "error" });
+        const server = await startControlServer(role.daemon, settings.operatorListen!, role.log);
+        this.controllers.set(box, { role, server });
+    }
+
+    async stopController(box: string): Promise<void> {
+        await stopBox(this.controllers, box);
+    }
+
+    async startRouter(box: string): Promise<void> {
+        const settings = this.createSettings(box, false, box);
+        const role = await startDirectRouter({
+            ...createRouterSettings(settings, new EngineClient()),
+            logLevel: "error",
+        });
+        const server = await startCallerServer(role.daemon, settings.callerListen!, role.log);
+        this.routers.set(box, { role, server });
+    }
+
+    async stopRouter(box: string): Promise<void> {
+        await stopBox(this.routers, box);
+    }
+
+    /** Starts an engine; answers its address. */
+    async startEngine(box: string, answer: EngineAnswer): Promise<string> {
+        const server = createServer((message, response) => {
+            this.engineRequests.push({ method: message.method!, url: message.url!, headers: message.headers });
+            message.resume();
+            answer(message, response);
+        });
+        await new Promise<void>(resolve => server.listen(ENGINE_PORT, this.getIp(box), resolve));
+        this.engines.push(server);
+        return `${this.getIp(box)}:${ENGINE_PORT}`;
+    }
+
+    /** Sends to a controller as upstreams and the operator do; answers status and body. */
+    async call(method: "GET" | "PUT" | "DELETE", url: string, body?: unknown): Promise<{ status: number; text: string; }> {
+        const text = typeof body === "string" ? body : JSON.stringify(body);
+        const answer = await request(url, { method, ...(body === undefined ? {} : { body: text }) });
+        return { status: answer.statusCode, text: await answer.body.text() };
+    }
+
+    /** Puts a configuration until a controller takes it. */
+    async putBundle(box: string, bundle: unknown): Promise<void> {
+        for (;;) {
+            const answer = await this.call("PUT", this.getOperatorUrl(box, "/loomwinch/config"), bundle);
+            if (answer.status === 200) {
+                return;
+            }
+            if (answer.status < 500) {
+                throw new Error(`${answer.status} ${answer.text}`);
+            }
+            await new Promise(resolve => setTimeout(resolve, 100));
+        }
+    }
+
+    private createSettings(box: string, isFirstStart: boolean, disk: string): BoxSettings {
+        const ip = this.getIp(box);
+        const seeds = ["c1", "c2", "c3"].map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
+        return parseBoxSettings(`
+            node_name = "${box}"
+            ip = "${ip}"
+            zone = "z"
+            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
+            seeds = [${seeds.join(",")}]
+            bootstrap = ${isFirstStart}
+            data_dir = "${join(this.folder, disk)}"
+            [listen]
+            admin = "${ip}:${ADMIN_PORT}"
+            http = "${ip}:${CALLER_PORT}"
+            [fault_budget]
+            machines = 1
+        `);
+    }
+}
+
+async function stopBox<T>(boxes: Map<string, RunningBox<T>>, box: string): Promise<void> {
+    const { role, server } = boxes.get(box)!;
+    boxes.delete(box);
+    server.closeAllConnections();
+    server.close();
+    await role.stop();
+}
