--- a/src/adapters/keyValueLog.ts
+++ b/src/adapters/keyValueLog.ts
@@ -1,6 +1,7 @@
 /** Logs through bunyan, one line of key=value pairs an event. */
 import bunyan from "bunyan";
 import { Log, type LogFields } from "../ports/log.js";
+import { BoundedOutput } from "./boundedOutput.js";
 
 /** Fields of every event, in the order they are written. */
 export interface LogIdentity {
@@ -11,9 +12,15 @@
 
 const SKIPPED = new Set(["v", "level", "time", "msg", "pid", "hostname", "name", "role", "zone"]);
 
+/** Where the lines go. */
+export type LogOutput = Pick<BoundedOutput, "writeLine">;
+
+/** File descriptor of standard output. */
+const STANDARD_OUTPUT = 1;
+
 /** Writes bunyan's records as key=value lines. */
 class KeyValueStream {
-    constructor(private readonly out: NodeJS.WritableStream) {}
+    constructor(private readonly out: LogOutput) {}
 
     write(record: Record<string, unknown>): void {
         const time = (record["time"] as Date).toISOString();
@@ -31,7 +38,7 @@
                 pairs.push(`${key}=${formatValue(value)}`);
             }
         }
-        this.out.write(`${pairs.join(" ")}\n`);
+        this.out.writeLine(`${pairs.join(" ")}\n`, level === "info");
     }
 }
 
@@ -44,7 +51,11 @@
 export class KeyValueLog extends Log {
     private readonly logger: bunyan;
 
-    constructor(identity: LogIdentity, level: "info" | "warn" | "error", out: NodeJS.WritableStream = process.stderr) {
+    constructor(
+        identity: LogIdentity,
+        level: "info" | "warn" | "error",
+        out: LogOutput = new BoundedOutput(STANDARD_OUTPUT),
+    ) {
         super();
         this.logger = bunyan.createLogger({
             ...identity,
--- /dev/null
+++ b/src/adapters/prometheusMetrics.ts
@@ -0,0 +1,66 @@
+/** Keeps counters, gauges and latency histograms and serves them as text in the Prometheus format. */
+import { createServer, type Server } from "node:http";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { Metrics } from "../ports/metrics.js";
+
+const PREFIX = "loomwinch_";
+/** Upper bounds in milliseconds, from a lookup that is answered at once to the longest stream. */
+const TIMING_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 15_000];
+
+export class PrometheusMetrics extends Metrics {
+    private readonly registry = new Registry();
+    private readonly counters = new Map<string, Counter>();
+    private readonly gauges = new Map<string, Gauge>();
+    private readonly timings = new Map<string, Histogram>();
+    private server: Server | undefined;
+
+    /** Serves the figures at any path of `host`:`port`. Resolves once it listens. */
+    async listen(host: string, port: number): Promise<void> {
+        const server = createServer((_request, response) => {
+            this.registry.metrics().then(
+                text => response.writeHead(200, { "Content-Type": this.registry.contentType }).end(text),
+                () => response.writeHead(500).end(),
+            );
+        });
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+        server.unref();
+        this.server = server;
+    }
+
+    override addCount(name: string, by = 1): void {
+        this.getOrCreate(this.counters, name, options => new Counter(options)).inc(by);
+    }
+
+    override setGauge(name: string, value: number): void {
+        this.getOrCreate(this.gauges, name, options => new Gauge(options)).set(value);
+    }
+
+    override recordTiming(name: string, ms: number): void {
+        this.getOrCreate(
+            this.timings,
+            name,
+            options => new Histogram({ ...options, buckets: TIMING_BUCKETS_MS }),
+        ).observe(ms);
+    }
+
+    override close(): void {
+        this.server?.close();
+    }
+
+    private getOrCreate<T>(
+        kept: Map<string, T>,
+        name: string,
+        create: (options: { name: string; help: string; registers: Registry[]; }) => T,
+    ): T {
+        let metric = kept.get(name);
+        if (metric === undefined) {
+            // The list of names with unit and meaning is docs/METRICS.md.
+            metric = create({ name: `${PREFIX}${name}`, help: name, registers: [this.registry] });
+            kept.set(name, metric);
+        }
+        return metric;
+    }
+}
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -243,10 +243,12 @@
 
     private logRefusal(request: RelayRequest, route: string, refusal: Refusal, endedEarly: string | undefined): void {
         this.metrics.addCount("requests_refused");
-        this.log.info("request_refused", {
+        this.metrics.addCount(`requests_refused_${refusal.code}`);
+        this.log.warn("request_refused", {
             request: request.passed.id,
             route,
             refusal: formatRefusal(refusal),
+            account: this.index?.tryGetAccount(request.key ?? "")?.name,
             ran: refusal.ran,
             ended_early: endedEarly,
             age_ms: Math.round(performance.now() - request.arrivedAt),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -256,6 +256,7 @@
     /** Peer addresses of controllers to begin with. */
     readonly seeds: readonly string[];
     readonly decoder: BundleDecoder;
+    readonly metrics?: Metrics;
 }
 
 export interface BundleControllerSettings extends BundleRoleSettings {
@@ -381,14 +382,16 @@
 }
 
 /** What the base of a role needs from its settings. */
-type BaseSettings = Pick<CommonSettings, "name" | "zone" | "role" | "logLevel" | "listen"> & Partial<CommonSettings>;
+type BaseSettings = Pick<CommonSettings, "name" | "zone" | "role" | "logLevel" | "listen"> & Partial<CommonSettings> & {
+    readonly metrics?: Metrics;
+};
 
 async function createBase(settings: BaseSettings): Promise<RoleBase> {
     const { name, zone, role } = settings;
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
     const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
     const metrics = settings.statsd === undefined
-        ? new NoMetrics()
+        ? settings.metrics ?? new NoMetrics()
         : new StatsdMetrics(settings.statsd, { role, name, zone });
     const handlers = new PeerHandlers();
     const secret = await readFleetSecret(settings);
--- a/test/platform/wireBundle.test.ts
+++ b/test/platform/wireBundle.test.ts
@@ -45,7 +45,9 @@
 for (const [what, breakIt] of broken) {
     void t.test(`a configuration with ${what} is refused by a number`, t => {
         const text = breakIt(createWireBundle(1));
-        t.throws(() => decoder.decode(typeof text === "string" ? text : JSON.stringify(text)), { message: /^LW\d{4} / });
+        t.throws(() => decoder.decode(typeof text === "string" ? text : JSON.stringify(text)), {
+            message: /^LW\d{4} /,
+        });
         t.end();
     });
 }
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -112,7 +112,11 @@
     }
 
     /** Sends to a controller as upstreams and the operator do; answers status and body. */
-    async call(method: "GET" | "PUT" | "DELETE", url: string, body?: unknown): Promise<{ status: number; text: string; }> {
+    async call(
+        method: "GET" | "PUT" | "DELETE",
+        url: string,
+        body?: unknown,
+    ): Promise<{ status: number; text: string; }> {
         const text = typeof body === "string" ? body : JSON.stringify(body);
         const answer = await request(url, { method, ...(body === undefined ? {} : { body: text }) });
         return { status: answer.statusCode, text: await answer.body.text() };
--- a/test/tools/fleet.ts
+++ b/test/tools/fleet.ts
@@ -72,7 +72,13 @@
         this.child = child;
         child.stderr.on("data", (bytes: Buffer) => this.logLines.push(...bytes.toString().trimEnd().split("\n")));
         await new Promise<void>((resolve, reject) => {
-            child.stdout.once("data", () => resolve());
+            child.stdout.on("data", (bytes: Buffer) => {
+                const lines = bytes.toString().trimEnd().split("\n");
+                this.logLines.push(...lines);
+                if (lines.some(line => line.startsWith("ready="))) {
+                    resolve();
+                }
+            });
             child.once(
                 "exit",
                 code => reject(new Error(`${this.name} ended with ${code}: ${this.logLines.slice(-3).join(" | ")}`)),
