--- a/src/adapters/http/membershipList.ts
+++ b/src/adapters/http/membershipList.ts
@@ -1,6 +1,6 @@
 /** Reads the platform's list of boxes over HTTP: `{"boxes":[{"name":"b1","state":"live"|"leaving"|"gone"}]}`. */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { type BoxList, MembershipSource } from "../../ports/membership.js";
 
 const TIMEOUT_MS = 2_000;
--- a/src/adapters/rpc/handshake.ts
+++ b/src/adapters/rpc/handshake.ts
@@ -3,7 +3,7 @@
  * The proofs name the side that gives them, so that neither can be sent back as the other.
  */
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import { createPeerMethod, type PeerIdentity } from "../../ports/peer.js";
 
 const identitySchema = z.object({
--- a/src/cli/operatorCommands.ts
+++ b/src/cli/operatorCommands.ts
@@ -1,5 +1,5 @@
 /** The commands that operators drive a fleet with. Each prints to standard output and throws a RefusalError. */
-import { z } from "zod";
+import * as z from "zod";
 import { formatValue } from "../adapters/keyValueLog.js";
 import type { FleetStatus } from "../daemons/controller/statusService.js";
 import { createAccountKey, createKeyHash } from "../domain/keys.js";
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -1,5 +1,5 @@
 /** The messages of the replicated log, after Raft (Ongaro and Ousterhout 2014) with pre-vote and leader check. */
-import { z } from "zod";
+import * as z from "zod";
 import { type Command, commandSchema, type LogEntry, replicaSchema } from "../domain/commands.js";
 import { type ApplyResult } from "../domain/declaredState.js";
 import { createPeerMethod } from "../ports/peer.js";
--- a/src/daemons/controller/operatorService.ts
+++ b/src/daemons/controller/operatorService.ts
@@ -1,5 +1,5 @@
 /** What operators can do: read and change declared objects, top budgets up, read the audit trail and the status. */
-import { z } from "zod";
+import * as z from "zod";
 import type { BillRecord } from "../../domain/billBook.js";
 import { createRandomId } from "../../domain/identifiers.js";
 import {
--- a/src/daemons/router/callerRequests.ts
+++ b/src/daemons/router/callerRequests.ts
@@ -1,5 +1,5 @@
 /** Checks callers' requests and makes jobs of them: who asks, for what, within which bounds, paid by which budget. */
-import { z } from "zod";
+import * as z from "zod";
 import type { ConfigView } from "../../domain/configView.js";
 import { computeDigest, createRandomId, createRequestId, getOwnerPrefix } from "../../domain/identifiers.js";
 import { isKeyValid, tryGetKeyAccount } from "../../domain/keys.js";
--- a/src/domain/billBook.ts
+++ b/src/domain/billBook.ts
@@ -3,7 +3,7 @@
  * continues another counts the other's tokens as its own prompt, so the last run's figure is the whole request's.
  * Merging takes the greater value, so the order and number of copies do not matter.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** What one run consumed, as its sidecar (or the router that relayed it) tells the grant's ledger. Tokens. */
 export const usageRecord = z.object({
--- a/src/domain/bundleCommands.ts
+++ b/src/domain/bundleCommands.ts
@@ -1,5 +1,5 @@
 /** The commands of deployments whose operator declares one whole bundle at a time. */
-import { z } from "zod";
+import * as z from "zod";
 
 const count = z.int().min(0);
 const account = z.string().min(1).max(256);
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -1,5 +1,5 @@
 /** The commands of the replicated log. Each is applied once on every controller, in the log's order. */
-import { z } from "zod";
+import * as z from "zod";
 import { prepaidReportCommand, putBundleCommand } from "./bundleCommands.js";
 import { nameSchema, objectChangeRequest, topUpRequest } from "./objects.js";
 
--- a/src/domain/objects.ts
+++ b/src/domain/objects.ts
@@ -1,5 +1,5 @@
 /** The declared objects: what operators want. Schemas first; every type is inferred from its schema. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Largest token count taken anywhere, so that sums stay exact in a double. */
 export const MAX_TOKENS = 1_000_000_000_000;
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -1,8 +1,8 @@
 /**
  * What a router knows of the load and the memory of its upstreams, from its own requests alone, and the choice by it.
  *
- * A model engine keeps the parts of prompts it has read; a prompt costs the time to read the rest. The chooser compares
- * estimated times to the first token, so that a kept prompt attracts its like until its engine is busier than others.
+ * A model engine keeps the parts of prompts it has read; a prompt costs the time to read the rest. The chooser weighs
+ * that work against the wait, so that a kept prompt attracts its like until its engine would keep callers waiting.
  */
 import { chooseByRendezvous } from "./identifiers.js";
 import type { UpstreamRegistration } from "./upstreamRegistry.js";
@@ -23,7 +23,13 @@
 export interface UpstreamLoadOptions {
     /** Prompt tokens that a model engine reads in a millisecond. */
     readonly promptTokensPerMs: number;
-    /** What one more request at an upstream adds to the estimate, in milliseconds. */
+    /** What a wait counts beside the work of reading a prompt, as long as both stay below `comfortableMs`. */
+    readonly waitWeight: number;
+    /** Time to the first token that no caller minds, in milliseconds: well below the goals of streams. */
+    readonly comfortableMs: number;
+    /** What each millisecond beyond that counts on top. */
+    readonly beyondWeight: number;
+    /** What all slots of an upstream taken add to the estimate, in milliseconds. */
     readonly runningCostMs: number;
     /** What a request to another availability zone is charged, in milliseconds. */
     readonly otherZoneCostMs: number;
@@ -32,6 +38,7 @@
     /** Pause after the first failed connection, in milliseconds; doubles up to `maxPauseMs`. */
     readonly pauseMs: number;
     readonly maxPauseMs: number;
+    readonly failureHalfLifeMs: number;
     /** Part by which one outcome moves the failure share. */
     readonly failureWeight: number;
     /** What a failure share of 1 adds to the estimate, in milliseconds. */
@@ -44,7 +51,9 @@
     pendingTokens: number;
     /** Prompt parts that the upstream was sent, oldest first. */
     readonly parts: Set<string>;
+    /** Part of the requests that failed, as of `failureAt`. */
     failureShare: number;
+    failureAt: number;
     failuresInARow: number;
     pausedUntil: number;
 }
@@ -77,7 +86,7 @@
         let bestCost = Infinity;
         for (const upstream of usable) {
             const newTokens = this.countNewTokens(upstream.id, demand, upstream.id === preferred);
-            const cost = this.estimateMs(upstream, newTokens, routers);
+            const cost = this.estimateMs(upstream, newTokens, routers, now);
             if (cost < bestCost) {
                 best = { upstream, newTokens };
                 bestCost = cost;
@@ -113,8 +122,12 @@
     recordOutcome(upstream: string, outcome: "good" | "failed" | "unreachable" | "full", now: number): void {
         const load = this.getLoad(upstream);
         const { failureWeight, pauseMs, maxPauseMs } = this.options;
-        const failed = outcome === "good" ? 0 : 1;
-        load.failureShare += (failed - load.failureShare) * failureWeight;
+        if (outcome === "good" || outcome === "failed") {
+            const failed = outcome === "failed" ? 1 : 0;
+            const share = this.getFailureShare(load, now);
+            load.failureShare = share + (failed - share) * failureWeight;
+            load.failureAt = now;
+        }
         if (outcome === "good") {
             load.failuresInARow = 0;
             load.pausedUntil = 0;
@@ -142,15 +155,23 @@
         }
     }
 
-    private estimateMs(upstream: UpstreamRegistration, newTokens: number, routers: number): number {
+    /** Failures are forgotten with time: an upstream that is avoided for them has no chance to show otherwise. */
+    private getFailureShare(load: Load, now: number): number {
+        return load.failureShare * 2 ** (-(now - load.failureAt) / this.options.failureHalfLifeMs);
+    }
+
+    private estimateMs(upstream: UpstreamRegistration, newTokens: number, routers: number, now: number): number {
         const load = this.getLoad(upstream.id);
         const { promptTokensPerMs, runningCostMs, otherZoneCostMs, failureCostMs } = this.options;
-        // The other routers send about as much as this one.
-        const waiting = load.pendingTokens * routers + newTokens;
+        const { waitWeight, comfortableMs, beyondWeight } = this.options;
+        const readMs = newTokens / promptTokensPerMs;
+        const waitMs = load.pendingTokens / promptTokensPerMs;
+        // The other routers send about as many as this one.
         const slotShare = load.running * routers / Math.max(1, upstream.slots);
-        return waiting / promptTokensPerMs
+        return readMs + waitMs * waitWeight
+            + Math.max(0, readMs + waitMs - comfortableMs) * beyondWeight
             + slotShare * runningCostMs
-            + load.failureShare * failureCostMs
+            + this.getFailureShare(load, now) * failureCostMs
             + (upstream.zone === this.zone ? 0 : otherZoneCostMs);
     }
 
@@ -188,6 +209,7 @@
                 pendingTokens: 0,
                 parts: new Set(),
                 failureShare: 0,
+                failureAt: 0,
                 failuresInARow: 0,
                 pausedUntil: 0,
             };
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -1,5 +1,5 @@
 /** Calls between the system's own processes. A method is a name, a schema for what is sent, and a type of answer. */
-import type { z } from "zod";
+import type * as z from "zod";
 import { createRefusal, RefusalError } from "../domain/resultCodes.js";
 
 /** A method of the protocol between processes. */
--- a/src/protocol/configMethods.ts
+++ b/src/protocol/configMethods.ts
@@ -1,5 +1,5 @@
 /** How the declared configuration reaches the daemons, and how they say what they run. */
-import { z } from "zod";
+import * as z from "zod";
 import type { ObjectChange } from "../domain/objects.js";
 import { createPeerMethod } from "../ports/peer.js";
 
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -1,5 +1,5 @@
 /** What routers and controllers say to each other where an operator declares bundles and upstreams register themselves. */
-import { z } from "zod";
+import * as z from "zod";
 import { type PrepaidReportCommand, prepaidReportCommand } from "../domain/bundleCommands.js";
 import type { PrepaidResult } from "../domain/prepaidBook.js";
 import type { HeardRegistration, UpstreamRegistration } from "../domain/upstreamRegistry.js";
--- a/src/protocol/ledgerMethods.ts
+++ b/src/protocol/ledgerMethods.ts
@@ -1,5 +1,5 @@
 /** How routers and sidecars speak with a ledger. All amounts in tokens. */
-import { z } from "zod";
+import * as z from "zod";
 import { type BillRecord, type UsageRecord, usageRecord } from "../domain/billBook.js";
 import { type TopUpRequest, topUpRequest } from "../domain/objects.js";
 import { createPeerMethod } from "../ports/peer.js";
--- a/src/replay/replayTrace.ts
+++ b/src/replay/replayTrace.ts
@@ -1,6 +1,6 @@
 /** Replays a trace at the addresses of a running fleet, and counts what its promises came to. */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { callOperatorApi, type OperatorTarget } from "../cli/operatorClient.js";
 import type { FleetStatus } from "../daemons/controller/statusService.js";
 import { countPromptTokens, getStandInAnswer } from "../daemons/standIn/standInAnswers.js";
--- a/src/replay/trace.ts
+++ b/src/replay/trace.ts
@@ -1,7 +1,7 @@
 /** Traces: recorded requests, operators' changes and faults, a JSON line each; and the outcomes they are held to. */
 import { err, ok, type Result } from "neverthrow";
 import { readFile } from "node:fs/promises";
-import { z } from "zod";
+import * as z from "zod";
 import { createRefusal, type Refusal } from "../domain/resultCodes.js";
 
 /** Milliseconds since the trace's beginning, in the trace's own time. */
--- a/src/settings/jsoncFile.ts
+++ b/src/settings/jsoncFile.ts
@@ -2,7 +2,7 @@
 import { findNodeAtLocation, type Node, type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
 import { err, ok, type Result } from "neverthrow";
 import { readFile } from "node:fs/promises";
-import type { z } from "zod";
+import type * as z from "zod";
 import { createRefusal, type Refusal } from "../domain/resultCodes.js";
 
 /** A parsed file with what is needed to point into it. */
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -1,5 +1,5 @@
 /** The settings of each role. Schemas first; every type is inferred from its schema. All times in milliseconds. */
-import { z } from "zod";
+import * as z from "zod";
 import { nameSchema } from "../domain/objects.js";
 
 const address = z.string().regex(
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -5,11 +5,8 @@
 import { mkdir, readFile } from "node:fs/promises";
 import { join } from "node:path";
 import { openJournalFile } from "./adapters/disk/journalFile.js";
-import { HttpMembership } from "./adapters/http/membershipList.js";
 import { KeyValueLog } from "./adapters/keyValueLog.js";
 import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
-import { StatsdMetrics } from "./adapters/statsdMetrics.js";
-import { HttpUpstream } from "./adapters/upstream/httpUpstream.js";
 import { LogStorage } from "./consensus/logStorage.js";
 import { ReplicaSetKeeper } from "./consensus/replicaSetKeeper.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
@@ -44,7 +41,7 @@
 import { SystemClock } from "./ports/clock.js";
 import type { DirectUpstreams } from "./ports/directUpstream.js";
 import type { Log } from "./ports/log.js";
-import { NoMembership } from "./ports/membership.js";
+import { type MembershipSource, NoMembership } from "./ports/membership.js";
 import { type Metrics, NoMetrics } from "./ports/metrics.js";
 import { PeerHandlers, type PeerIdentity } from "./ports/peer.js";
 import type { CommonSettings, ControllerSettings, RouterSettings, SidecarSettings } from "./settings/schemas.js";
@@ -103,9 +100,7 @@
     const daemon = new ControllerDaemon(context, handlers, intents, audit, {
         ...settings,
         startedEmpty: opened.startedEmpty,
-        membership: settings.membershipUrl === undefined
-            ? new NoMembership()
-            : new HttpMembership(settings.membershipUrl),
+        membership: await createMembership(settings.membershipUrl),
     });
     const { startHttpApp } = await import("./adapters/http/httpApp.js");
     const { OPERATOR_SERVICE, OperatorApi, OPERATORS } = await import("./adapters/http/operatorApi.js");
@@ -136,6 +131,14 @@
     };
 }
 
+async function createMembership(url: string | undefined): Promise<MembershipSource> {
+    if (url === undefined) {
+        return new NoMembership();
+    }
+    const { HttpMembership } = await import("./adapters/http/membershipList.js");
+    return new HttpMembership(url);
+}
+
 async function openControllerJournals(
     folder: string,
     log: Log,
@@ -221,6 +224,7 @@
 
 /** Starts a sidecar. */
 export async function startSidecar(settings: SidecarSettings): Promise<RunningRole> {
+    const { HttpUpstream } = await import("./adapters/upstream/httpUpstream.js");
     const base = await createBase(settings);
     const { clock, log, metrics, network, handlers, identity } = base;
     const config = createConfigClient(base, settings, new ConfigView(), () => daemon.getFigures());
@@ -247,6 +251,14 @@
     };
 }
 
+async function createMetrics({ statsd, metrics, role, name, zone }: BaseSettings): Promise<Metrics> {
+    if (statsd === undefined) {
+        return metrics ?? new NoMetrics();
+    }
+    const { StatsdMetrics } = await import("./adapters/statsdMetrics.js");
+    return new StatsdMetrics(statsd, { role, name, zone });
+}
+
 /** What a process needs to know to run a role that serves bundles. Times in milliseconds. */
 export interface BundleRoleSettings {
     readonly name: string;
@@ -390,9 +402,7 @@
     const { name, zone, role } = settings;
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
     const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
-    const metrics = settings.statsd === undefined
-        ? settings.metrics ?? new NoMetrics()
-        : new StatsdMetrics(settings.statsd, { role, name, zone });
+    const metrics = await createMetrics(settings);
     const handlers = new PeerHandlers();
     const secret = await readFleetSecret(settings);
     const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap ?? {} });
--- /dev/null
+++ b/test/domain/upstreamLoad.test.ts
@@ -0,0 +1,98 @@
+/** The choice of an upstream: kept prompts attract their like, busy and failing upstreams lose, nobody is left out. */
+import t from "tap";
+import { UpstreamLoad } from "../../src/domain/upstreamLoad.js";
+import type { UpstreamRegistration } from "../../src/domain/upstreamRegistry.js";
+
+const ROUTERS = 1;
+const NOBODY = new Set<string>();
+
+function createLoad(): UpstreamLoad {
+    return new UpstreamLoad("z1", {
+        promptTokensPerMs: 50,
+        waitWeight: 0.35,
+        comfortableMs: 350,
+        beyondWeight: 2,
+        runningCostMs: 300,
+        otherZoneCostMs: 2,
+        maxParts: 100,
+        pauseMs: 300,
+        maxPauseMs: 4_000,
+        failureWeight: 0.1,
+        failureHalfLifeMs: 3_000,
+        failureCostMs: 2_000,
+    });
+}
+
+const upstreams: UpstreamRegistration[] = ["a", "b", "c", "d"].map(id => ({
+    id,
+    service: "s",
+    address: `${id}:1`,
+    zone: "z1",
+    slots: 64,
+    state: "ready",
+    sequence: 1,
+}));
+
+function createDemand(shared: string, own: string) {
+    return { promptTokens: 6_000, parts: [{ id: shared, tokens: 5_000 }, { id: own, tokens: 1_000 }] };
+}
+
+void t.test("prompts that share a part go to one upstream, at all routers alike", t => {
+    const first = createLoad().tryChoose(upstreams, createDemand("p", "x"), NOBODY, ROUTERS, 0)!;
+    const load = createLoad();
+    for (let i = 0; i < 5; i++) {
+        const demand = createDemand("p", `own-${i}`);
+        const placement = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!;
+        t.equal(placement.upstream.id, first.upstream.id);
+        load.recordStart(placement, demand);
+        load.recordFirstByte(placement);
+    }
+    t.end();
+});
+
+void t.test("they go elsewhere when the upstream that keeps the part would let them wait", t => {
+    const load = createLoad();
+    const demand = createDemand("p", "x");
+    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!;
+    for (let i = 0; i < 10; i++) {
+        load.recordStart({ upstream: first.upstream, newTokens: 6_000 }, createDemand(`other-${i}`, "y"));
+    }
+    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id, first.upstream.id);
+    t.end();
+});
+
+void t.test("an upstream that cannot be reached rests, and is asked again where no other is left", t => {
+    const load = createLoad();
+    const demand = createDemand("p", "x");
+    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id;
+    load.recordOutcome(first, "unreachable", 0);
+    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 100)!.upstream.id, first);
+    const others = new Set(upstreams.map(upstream => upstream.id).filter(id => id !== first));
+    t.equal(load.tryChoose(upstreams, demand, others, ROUTERS, 100)!.upstream.id, first);
+    t.equal(load.tryChoose(upstreams, demand, new Set([...others, first]), ROUTERS, 100), undefined);
+    load.recordOutcome(first, "good", 500);
+    t.equal(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 500)!.upstream.id, first);
+    t.end();
+});
+
+void t.test("an upstream that fails part of its requests gets less", t => {
+    const load = createLoad();
+    const demand = { promptTokens: 0, parts: [] };
+    for (let i = 0; i < 20; i++) {
+        load.recordOutcome("a", i % 2 === 0 ? "failed" : "good", i);
+    }
+    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 1_000)!.upstream.id, "a");
+    t.end();
+});
+
+void t.test("failures are forgotten with time", t => {
+    const load = createLoad();
+    const demand = createDemand("p", "x");
+    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id;
+    for (let i = 0; i < 20; i++) {
+        load.recordOutcome(first, i % 2 === 0 ? "failed" : "good", i);
+    }
+    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 100)!.upstream.id, first);
+    t.equal(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 60_000)!.upstream.id, first);
+    t.end();
+});
