Lower ranks leave tokens to higher ones where the grant cannot be refilled

Also a longer time to come back for requests that no grant covered. Ruled out: a later loss to engines (places were free).

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -211,15 +211,15 @@
         return budget;
     }
 
-    override async waitGrant(account: string, tokens: number, timeoutMs: number): Promise<void> {
+    override async waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         if (this.reporter.isInContact()) {
             await this.reporter.waitGrant(Math.min(timeoutMs, this.options.controllerGrantMs));
-            if (this.purse.covers(account, tokens, this.clock.getMonotonicMs())) {
+            if (this.purse.covers(account, tokens, rank, this.clock.getMonotonicMs())) {
                 return;
             }
         }
         const giveUp = this.clock.wait(timeoutMs);
-        const isLent = await Promise.race([this.borrower.borrow(account, tokens), giveUp]);
+        const isLent = await Promise.race([this.borrower.borrow(account, tokens, rank), giveUp]);
         if (isLent === false) {
             await Promise.race([this.reporter.waitGrant(timeoutMs), giveUp]);
         }
--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -23,8 +23,8 @@
     ) {}
 
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(lendPrepaidMethod, ({ account, tokens }) => {
-            const lent = this.purse.tryLend(account, tokens, performance.now()) ? tokens : 0;
+        handlers.add(lendPrepaidMethod, ({ account, tokens, rank }) => {
+            const lent = this.purse.tryLend(account, tokens, rank, performance.now()) ? tokens : 0;
             this.log.info("prepaid_lent", { account, asked: tokens, lent });
             return { tokens: lent };
         });
@@ -36,11 +36,11 @@
     }
 
     /** Asks one router after the other until one lends. Answers whether one did. */
-    async borrow(account: string, tokens: number): Promise<boolean> {
+    async borrow(account: string, tokens: number, rank: number): Promise<boolean> {
         const count = Math.min(this.options.maxAsked, this.others.length);
         for (let i = 0; i < count; i++) {
             const address = this.others[this.next++ % this.others.length]!;
-            const lent = await this.ask(address, account, tokens);
+            const lent = await this.ask(address, account, tokens, rank);
             if (lent > 0) {
                 this.purse.addBorrowed(account, lent);
                 return true;
@@ -49,10 +49,15 @@
         return false;
     }
 
-    private async ask(address: string, account: string, tokens: number): Promise<number> {
+    private async ask(address: string, account: string, tokens: number, rank: number): Promise<number> {
         try {
             const { callTimeoutMs } = this.options;
-            const answer = await this.network.call(address, lendPrepaidMethod, { account, tokens }, callTimeoutMs);
+            const answer = await this.network.call(
+                address,
+                lendPrepaidMethod,
+                { account, tokens, rank },
+                callTimeoutMs,
+            );
             return answer.tokens;
         }
         catch (error) {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -11,8 +11,10 @@
 
 /** Times in milliseconds. */
 export interface RelayOptions {
-    /** When a caller that was refused for want of an upstream or a grant should come back. */
+    /** When a caller that was refused for want of an upstream should come back. */
     readonly retryAfterMs: number;
+    /** The same where it was refused for want of a grant: when a router that is cut off may be back. */
+    readonly grantRetryAfterMs: number;
     /** How long a request waits for a grant. */
     readonly grantWaitMs: number;
     /** Least silence of an upstream after which a request that may be repeated goes elsewhere. */
@@ -37,7 +39,7 @@
     abstract getMaxConnections(service: BundleService): number;
     abstract getRetryBudget(service: string): RetryBudget;
     /** Asks for tokens of an account; resolves when there may be more of them, or after `timeoutMs`. */
-    abstract waitGrant(account: string, tokens: number, timeoutMs: number): Promise<void>;
+    abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     abstract recordAnswered(resolved: ResolvedRequest, status: number): void;
     abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -117,14 +117,14 @@
     }
 
     private async reserve(tokens: number): Promise<Refusal | undefined> {
-        const { account } = this.resolved;
+        const { account, route } = this.resolved;
         if (account === undefined || tokens === 0) {
             return undefined;
         }
         const { purse, options } = this.context;
         const giveUpAt = Math.min(this.deadline, performance.now() + options.grantWaitMs);
         for (;;) {
-            const outcome = purse.tryReserve(account.name, tokens, performance.now());
+            const outcome = purse.tryReserve(account.name, tokens, route.rank, performance.now());
             if (outcome === "reserved") {
                 return undefined;
             }
@@ -132,10 +132,10 @@
             if (left <= 0 || this.endedEarly !== undefined) {
                 return outcome === "exhausted"
                     ? createRefusal("prepaidExhausted", account.name)
-                    : createRefusal("budgetUnreachable", account.name, "no", options.retryAfterMs);
+                    : createRefusal("budgetUnreachable", account.name, "no", options.grantRetryAfterMs);
             }
             purse.addWaiting(account.name, tokens);
-            await this.context.waitGrant(account.name, tokens, left);
+            await this.context.waitGrant(account.name, tokens, route.rank, left);
             purse.addWaiting(account.name, -tokens);
         }
     }
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -24,6 +24,10 @@
     readonly openingFactor: number;
     /** Own demand that is kept back from other routers, in milliseconds. */
     readonly lendReserveMs: number;
+    /** Part of the horizon's demand that each rank leaves to the one before it, where the grant cannot be refilled. */
+    readonly rankReservePart: number;
+    /** A router whose report was not answered for so long counts as cut off, in milliseconds. */
+    readonly outOfContactMs: number;
     /** What a grant may be above what is wanted before the rest is given back. */
     readonly keepFactor: number;
 }
@@ -94,13 +98,16 @@
         this.routers = Math.max(1, routers);
     }
 
-    /** Sets tokens aside for one run. `exhausted` where what nobody holds would not cover it either. */
-    tryReserve(account: string, tokens: number, now: number): ReserveOutcome {
+    /**
+     * Sets tokens aside for one run. `exhausted` where what nobody holds would not cover it either. `rank`: 0 is the
+     * most urgent; where the grant cannot be refilled, the others leave some of it for more urgent requests.
+     */
+    tryReserve(account: string, tokens: number, rank: number, now: number): ReserveOutcome {
         const entry = this.accounts.get(account);
         if (entry === undefined) {
             return "reserved";
         }
-        if (tokens <= this.computeRoom(entry, now)) {
+        if (tokens + this.computeRankReserve(entry, rank, now) <= this.computeRoom(entry, now)) {
             entry.reserved += tokens;
             entry.demand.add(tokens, now);
             return "reserved";
@@ -109,19 +116,20 @@
     }
 
     /** Whether a reservation would be made now. */
-    covers(account: string, tokens: number, now: number): boolean {
+    covers(account: string, tokens: number, rank: number, now: number): boolean {
         const entry = this.accounts.get(account);
-        return entry === undefined || tokens <= this.computeRoom(entry, now);
+        return entry === undefined
+            || tokens + this.computeRankReserve(entry, rank, now) <= this.computeRoom(entry, now);
     }
 
     /** Gives tokens away to another router for good, unless this router would soon miss them. */
-    tryLend(account: string, tokens: number, now: number): boolean {
+    tryLend(account: string, tokens: number, rank: number, now: number): boolean {
         const entry = this.accounts.get(account);
         if (entry === undefined) {
             return false;
         }
         const ownNeed = this.computeDemand(entry, now) * this.options.lendReserveMs / MS_PER_SECOND;
-        if (tokens + ownNeed > this.computeRoom(entry, now)) {
+        if (tokens + ownNeed + this.computeRankReserve(entry, rank, now) > this.computeRoom(entry, now)) {
             return false;
         }
         entry.consumed += tokens;
@@ -209,6 +217,14 @@
         return Math.min(entry.granted, this.computeAllowed(entry, now)) - getCharged(entry);
     }
 
+    /** What a request of a rank leaves to more urgent ones, where no more may come for a while. */
+    private computeRankReserve(entry: Account, rank: number, now: number): number {
+        const { horizonMs, rankReservePart, outOfContactMs } = this.options;
+        const horizonTokens = this.computeDemand(entry, now) * horizonMs / MS_PER_SECOND;
+        const mayRefill = now - this.answeredAt < outOfContactMs && entry.free > horizonTokens;
+        return mayRefill ? 0 : Math.floor(rank * rankReservePart * horizonTokens);
+    }
+
     /** Tokens that are likely to be consumed a second. */
     private computeDemand(entry: Account, now: number): number {
         return entry.demand.getUnbiasedRate(now) * entry.usedPart;
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -64,7 +64,10 @@
 );
 
 /** One router asks another for prepaid tokens. Answers how many it gives away for good: all of them, or none. */
-export const lendPrepaidMethod = createPeerMethod<{ account: string; tokens: number; }, { tokens: number; }>(
+export const lendPrepaidMethod = createPeerMethod<
+    { account: string; tokens: number; rank: number; },
+    { tokens: number; }
+>(
     "fleet.lendPrepaid",
-    z.object({ account: z.string().min(1).max(256), tokens: count }),
+    z.object({ account: z.string().min(1).max(256), tokens: count, rank: count }),
 );
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -11,6 +11,8 @@
 const LARGEST_REQUEST = 120;
 /** Part of the time that a router is cut off. */
 const CUT_PART = 0.3;
+/** All requests are of the most urgent rank, which leaves nothing unspent. */
+const RANK = 0;
 /** Requests of a router that end in one step. */
 const SETTLED_AT_ONCE = 6;
 /** Part of the steps in which a router gets many requests at once, and how many. */
@@ -123,6 +125,8 @@
             burstMs: 1_500,
             openingFactor: 2,
             lendReserveMs: 500,
+            rankReservePart: 0.12,
+            outOfContactMs: 600,
             keepFactor: 1.25,
         });
         purse.setRouters(ROUTERS.length);
@@ -134,7 +138,7 @@
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
         const tryReserve = (): boolean => {
-            const outcome = life.purse.tryReserve(account, tokens, this.now - life.startedAt);
+            const outcome = life.purse.tryReserve(account, tokens, RANK, this.now - life.startedAt);
             if (outcome === "reserved") {
                 life.open.push({ account, tokens });
             }
@@ -204,7 +208,7 @@
         const account = this.pick(ACCOUNTS);
         const count = this.random() < 0.7 ? BURST_COUNT : 0;
         for (let i = 0; i < count; i++) {
-            if (life.purse.tryReserve(account, LARGEST_REQUEST, this.now - life.startedAt) === "reserved") {
+            if (life.purse.tryReserve(account, LARGEST_REQUEST, RANK, this.now - life.startedAt) === "reserved") {
                 life.open.push({ account, tokens: LARGEST_REQUEST });
             }
         }
@@ -225,7 +229,7 @@
     private lend(lender: RouterLife, borrower: RouterLife): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
-        const isLent = lender !== borrower && lender.purse.tryLend(account, tokens, this.now - lender.startedAt);
+        const isLent = lender !== borrower && lender.purse.tryLend(account, tokens, RANK, this.now - lender.startedAt);
         if (isLent && this.random() < 0.8) {
             borrower.purse.addBorrowed(account, tokens);
         }
