--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -41,7 +41,7 @@
         private readonly keeper: ReplicaSetKeeper,
         private readonly decoder: BundleDecoder,
         network: PeerNetwork,
-        clock: Clock,
+        private readonly clock: Clock,
         private readonly log: Log,
         private readonly options: BundleControllerOptions,
     ) {
@@ -76,6 +76,7 @@
         void this.keeper.runKeeping();
         void this.keeper.runJoining(() => this.seeds);
         void this.registrations.runBatches();
+        void this.prepaid.runLogging(this.clock);
     }
 
     /** Takes new seeds from changed settings. */
--- a/src/daemons/bundleController/prepaidService.ts
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -6,6 +6,7 @@
 import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
 import type { PrepaidResult } from "../../domain/prepaidBook.js";
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
+import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
 import { reportPrepaidMethod } from "../../protocol/fleetMethods.js";
@@ -16,6 +17,9 @@
 const CLOCK_MARGIN = 1.02;
 /** Added to what was measured, for the grain of the clocks, in milliseconds. */
 const CLOCK_GRAIN_MS = 20;
+/** How often, and of how many accounts, the leader logs what is left. */
+const LOG_PERIOD_MS = 5_000;
+const LOGGED_ACCOUNTS = 10;
 
 export class PrepaidService {
     constructor(
@@ -24,6 +28,18 @@
         private readonly log: Log,
     ) {}
 
+    /** The leader's task: logs how much of the scarcest accounts is left. */
+    async runLogging(clock: Clock): Promise<void> {
+        while (!this.replica.isStopped()) {
+            await clock.wait(LOG_PERIOD_MS);
+            if (this.replica.isLeader()) {
+                for (const state of this.replica.state.prepaid.listScarcest(LOGGED_ACCOUNTS)) {
+                    this.log.info("prepaid_account", { ...state });
+                }
+            }
+        }
+    }
+
     /** Takes a report at any controller. Throws noMajority or changeUnknown. */
     async takeReport(report: PrepaidReportCommand): Promise<PrepaidResult> {
         if (this.replica.isLeader()) {
--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -41,6 +41,12 @@
     open: number;
 }
 
+/** What stands in the book for one account. Tokens. */
+export interface PrepaidAccountState extends Readonly<Account> {
+    readonly account: string;
+    readonly free: number;
+}
+
 /** What a report came to for one account. */
 export interface PrepaidAnswer {
     readonly account: string;
@@ -128,6 +134,18 @@
         return entry === undefined ? 0 : Math.max(0, entry.prepaid - entry.closed - entry.open);
     }
 
+    /** The accounts of which least is free, by part of their prepaid tokens. */
+    listScarcest(count: number): PrepaidAccountState[] {
+        const all = [...this.accounts].map(([account, { prepaid, closed, open }]) => ({
+            account,
+            prepaid,
+            closed,
+            open,
+            free: this.getFree(account),
+        }));
+        return all.sort((a, b) => a.free / (a.prepaid + 1) - b.free / (b.prepaid + 1)).slice(0, count);
+    }
+
     /** Throws unless what is granted of each account adds up. Tests call it after each step. */
     checkConservation(): void {
         for (const [name, account] of this.accounts) {
