--- a/src/adapters/prometheusMetrics.ts
+++ b/src/adapters/prometheusMetrics.ts
@@ -58,7 +58,7 @@
         let metric = kept.get(name);
         if (metric === undefined) {
             // The list of names with unit and meaning is docs/METRICS.md.
-            metric = create({ name: `${PREFIX}${name}`, help: name, registers: [this.registry] });
+            metric = create({ name: `${PREFIX}${name.replaceAll(".", "_")}`, help: name, registers: [this.registry] });
             kept.set(name, metric);
         }
         return metric;
