--- /dev/null
+++ b/src/roleBase.ts
@@ -0,0 +1,71 @@
+/** What every role of the fleet is built on: its identity, log, metrics and network. */
+import { readFile } from "node:fs/promises";
+import { KeyValueLog } from "./adapters/keyValueLog.js";
+import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
+import { createRandomId } from "./domain/identifiers.js";
+import { createRefusal, RefusalError } from "./domain/resultCodes.js";
+import { SystemClock } from "./ports/clock.js";
+import type { Log } from "./ports/log.js";
+import { type Metrics, NoMetrics } from "./ports/metrics.js";
+import { PeerHandlers, type PeerIdentity } from "./ports/peer.js";
+import type { CommonSettings } from "./settings/schemas.js";
+
+/** The parts that a role is built from. */
+export interface RoleBase {
+    /** New at each start. */
+    readonly identity: PeerIdentity;
+    readonly clock: SystemClock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly handlers: PeerHandlers;
+    readonly network: TcpNetwork;
+    /** HOST:PORT where other processes reach it; the port is the one that was opened. */
+    readonly peerAddress: string;
+}
+
+/** What the base of a role needs from its settings. */
+export type BaseSettings =
+    & Pick<CommonSettings, "name" | "zone" | "role" | "logLevel" | "listen">
+    & Partial<CommonSettings>
+    & {
+        readonly metrics?: Metrics;
+    };
+
+/** Opens the network and what else a role needs. Throws settingsInvalid where the fleet has no secret. */
+export async function createBase(settings: BaseSettings): Promise<RoleBase> {
+    const { name, zone, role } = settings;
+    const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
+    const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
+    const metrics = await createMetrics(settings);
+    const handlers = new PeerHandlers();
+    const secret = await readFleetSecret(settings);
+    const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap ?? {} });
+    const { host, port: asked } = parseAddress(settings.listen);
+    const port = await network.listen(host, asked);
+    const peerAddress = `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}`;
+    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress };
+}
+
+/** Closes what `createBase` opened. */
+export function closeBase(base: RoleBase): void {
+    base.network.close();
+    base.metrics.close();
+}
+
+async function createMetrics({ statsd, metrics, role, name, zone }: BaseSettings): Promise<Metrics> {
+    if (statsd === undefined) {
+        return metrics ?? new NoMetrics();
+    }
+    const { StatsdMetrics } = await import("./adapters/statsdMetrics.js");
+    return new StatsdMetrics(statsd, { role, name, zone });
+}
+
+async function readFleetSecret(settings: Partial<CommonSettings>): Promise<string> {
+    if (settings.fleetSecret !== undefined) {
+        return settings.fleetSecret;
+    }
+    if (settings.fleetSecretFile === undefined) {
+        throw new RefusalError(createRefusal("settingsInvalid", "fleetSecret or fleetSecretFile is needed"));
+    }
+    return (await readFile(settings.fleetSecretFile, "utf8")).trim();
+}
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -12,9 +12,9 @@
 import { startControlServer } from "../../platform/controlServer.js";
 import { EngineClient } from "../../platform/engineClient.js";
 import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
+import { type RunningBundleRole, startBundleController, startDirectRouter } from "../../src/bundleWiring.js";
 import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
 import type { DirectRouterDaemon } from "../../src/daemons/directRouter/directRouterDaemon.js";
-import { type RunningBundleRole, startBundleController, startDirectRouter } from "../../src/wiring.js";
 
 const PEER_PORT = 7340;
 const ADMIN_PORT = 8229;
