--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -42,16 +42,16 @@
     readonly isStream: boolean;
     /** Only whole events are passed on, so that the stream may go on elsewhere. */
     readonly isResumable: boolean;
-    /** Whether a failure of this status should be tried again; asked once, before anything is passed on. */
-    readonly shouldRetryStatus: (status: number) => boolean;
+    /** Whether a failed answer should be tried again; asked once, before anything is passed on. */
+    readonly shouldRetryFailed: () => boolean;
     /** Silence after which it is given up, in milliseconds; undefined where it is waited for. */
     readonly silenceMs: number | undefined;
+    /** Called once, when the body of the answer begins or it is certain that none will. */
     readonly onFirstByte: () => void;
 }
 
+/** One sending; the upstream tells it what comes. Runs once. */
 export class Attempt implements UpstreamListener {
-    /** Bytes have been sent to the upstream, as far as is known; it may be running the request. */
-    mayHaveRun = true;
     /** Whole events that came in this attempt. */
     eventCount = 0;
     /** When the last bytes came. Monotonic clock, milliseconds. */
@@ -87,6 +87,14 @@
         this.endEarly({ type: "stopped" });
     }
 
+    /** Notes that the upstream has read the prompt, or never will. Only the first call counts. */
+    noteFirstByte(): void {
+        if (!this.hasFirstByte) {
+            this.hasFirstByte = true;
+            this.options.onFirstByte();
+        }
+    }
+
     onHead(head: UpstreamHead): boolean {
         this.heardAt = performance.now();
         this.status = head.status;
@@ -94,7 +102,6 @@
             return this.reject({ type: "interrupted", reason: "the answer belongs to another request" });
         }
         if (head.isNotRun) {
-            this.mayHaveRun = false;
             return this.reject({ type: "notRun", cause: "full", reason: `status ${head.status}` });
         }
         const isSuccess = head.status >= 200 && head.status < 300;
@@ -104,7 +111,7 @@
         if (!isSuccess && this.options.progress.isHeadSent) {
             return this.reject({ type: "interrupted", reason: `status ${head.status} where a stream was to go on` });
         }
-        if (head.status >= 500 && this.options.shouldRetryStatus(head.status)) {
+        if (head.status >= 500 && this.options.shouldRetryFailed()) {
             return this.reject({ type: "failed", status: head.status });
         }
         this.passHead(head);
@@ -146,7 +153,6 @@
             this.settle({ type: "interrupted", reason: failure.reason });
             return;
         }
-        this.mayHaveRun = false;
         this.settle({ type: "notRun", cause: "unreachable", reason: failure.reason });
     }
 
@@ -161,13 +167,6 @@
         sink.sendHead(head.status, head.headers, head.isFramed);
     }
 
-    private noteFirstByte(): void {
-        if (!this.hasFirstByte) {
-            this.hasFirstByte = true;
-            this.options.onFirstByte();
-        }
-    }
-
     private reject(outcome: AttemptOutcome): false {
         this.endEarly(outcome);
         return false;
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -17,7 +17,8 @@
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { RelayContext, type RelayOptions } from "./relayContext.js";
-import { type RelayRequest, RelayRun, type ResolvedRequest } from "./relayRun.js";
+import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import { RelayRun } from "./relayRun.js";
 
 /** Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedOptions {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -7,9 +7,9 @@
 import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
-import type { ResolvedRequest } from "./relayRun.js";
+import type { ResolvedRequest } from "./relayRequest.js";
 
-/** Times in milliseconds. */
+/** How long requests wait, and how long callers are told to. Times in milliseconds. */
 export interface RelayOptions {
     /** When a caller that was refused for want of an upstream should come back. */
     readonly retryAfterMs: number;
@@ -23,6 +23,7 @@
     readonly silenceGoals: number;
 }
 
+/** What a request asks of its router. */
 export abstract class RelayContext {
     abstract readonly options: RelayOptions;
     abstract readonly log: Log;
@@ -37,9 +38,12 @@
     abstract getMaxUpstreamAgeMs(): number;
     /** Connections that this router may hold to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
+    /** The budget of retries that the requests to a service share. */
     abstract getRetryBudget(service: string): RetryBudget;
     /** Asks for tokens of an account; resolves when there may be more of them, or after `timeoutMs`. */
     abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
+    /** Notes that the caller has the whole answer. `status`: the upstream's. */
     abstract recordAnswered(resolved: ResolvedRequest, status: number): void;
+    /** Notes a refusal. `endedEarly`: why the router broke off, where it did. */
     abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
 }
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -19,7 +19,7 @@
     readonly promptTokens: number;
 }
 
-/** Weights of the choice. */
+/** Weights of the choice and times of what is forgotten. */
 export interface UpstreamLoadOptions {
     /** Prompt tokens that a model engine reads in a millisecond. */
     readonly promptTokensPerMs: number;
@@ -65,6 +65,9 @@
     readonly newTokens: number;
 }
 
+/** How a request came out, as far as it tells of its upstream. */
+export type LoadOutcome = "good" | "failed" | "unreachable" | "full";
+
 export class UpstreamLoad {
     private readonly loads = new Map<string, Load>();
 
@@ -114,12 +117,13 @@
         this.getLoad(placement.upstream.id).pendingTokens -= placement.newTokens;
     }
 
+    /** Notes that a request has come to its end, of whatever kind. */
     recordEnd(placement: Placement): void {
         this.getLoad(placement.upstream.id).running -= 1;
     }
 
     /** Notes how a request came out. A connection that could not be made pauses the upstream. */
-    recordOutcome(upstream: string, outcome: "good" | "failed" | "unreachable" | "full", now: number): void {
+    recordOutcome(upstream: string, outcome: LoadOutcome, now: number): void {
         const load = this.getLoad(upstream);
         const { failureWeight, pauseMs, maxPauseMs } = this.options;
         if (outcome === "good" || outcome === "failed") {
@@ -142,19 +146,6 @@
         }
     }
 
-    getRunning(upstream: string): number {
-        return this.loads.get(upstream)?.running ?? 0;
-    }
-
-    /** Forgets upstreams that are not known any more. */
-    forgetExcept(known: ReadonlySet<string>): void {
-        for (const [id, load] of this.loads) {
-            if (!known.has(id) && load.running === 0) {
-                this.loads.delete(id);
-            }
-        }
-    }
-
     /** Failures are forgotten with time: an upstream that is avoided for them has no chance to show otherwise. */
     private getFailureShare(load: Load, now: number): number {
         return load.failureShare * 2 ** (-(now - load.failureAt) / this.options.failureHalfLifeMs);
