--- a/src/adapters/prometheusMetrics.ts
+++ b/src/adapters/prometheusMetrics.ts
@@ -2,11 +2,14 @@
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { Metrics } from "../ports/metrics.js";
+import { startListening } from "./listening.js";
 
+/** Every name begins with it. */
 const PREFIX = "loomwinch_";
 /** Upper bounds in milliseconds, from a lookup that is answered at once to the longest stream. */
 const TIMING_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 15_000];
 
+/** Creates each metric when it is first recorded. */
 export class PrometheusMetrics extends Metrics {
     private readonly registry = new Registry();
     private readonly counters = new Map<string, Counter>();
@@ -22,10 +25,7 @@
                 () => response.writeHead(500).end(),
             );
         });
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(port, host, resolve);
-        });
+        await startListening(server, host, port);
         server.unref();
         this.server = server;
     }
--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -4,6 +4,7 @@
 import { createRefusal, formatRefusal, getRefusal, RefusalError } from "../../domain/resultCodes.js";
 import { type Log } from "../../ports/log.js";
 import { Peer, PeerHandlers, type PeerIdentity, PeerNetwork } from "../../ports/peer.js";
+import { startListening } from "../listening.js";
 import { computeProof, type HandshakeNonces, helloMethod, isProofEqual, proveMethod } from "./handshake.js";
 import { TcpPeer } from "./tcpPeer.js";
 
@@ -49,10 +50,7 @@
     async listen(host: string, port: number): Promise<number> {
         const server = createServer(socket => void this.runAccepted(socket));
         server.maxConnections = this.options.maxConnections ?? 4096;
-        await new Promise<void>((resolve, reject) => {
-            server.once("error", reject);
-            server.listen(port, host, resolve);
-        });
+        await startListening(server, host, port);
         this.server = server;
         return (server.address() as { port: number; }).port;
     }
--- a/src/consensus/replicaSetKeeper.ts
+++ b/src/consensus/replicaSetKeeper.ts
@@ -3,16 +3,17 @@
  * without a vote, votes once it holds what is committed, and one that stays silent is removed where enough others live.
  */
 import type { Replica } from "../domain/commands.js";
-import { createRefusal, RefusalError } from "../domain/resultCodes.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
+import { getLeaderAddress } from "./leaderAddress.js";
 import { joinMethod } from "./messages.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 import type { ReplicatedLog } from "./replicatedLog.js";
 
 /** Times in milliseconds. */
 export interface ReplicaSetKeeperOptions {
+    /** This replica. */
     readonly self: ReplicaAddress;
     /** How often the leader looks over the replicas. */
     readonly periodMs: number;
@@ -20,10 +21,12 @@
     readonly removeAfterMs: number;
     /** Voting replicas that must answer for a silent one to be removed: enough to lose what the deployment tolerates. */
     readonly minimumLive: number;
+    /** How long another controller may take to answer a request to join. */
     readonly callTimeoutMs: number;
 }
 
 export class ReplicaSetKeeper {
+    /** Controllers that asked this leader to be added, by name. */
     private readonly joining = new Map<string, ReplicaAddress>();
 
     constructor(
@@ -82,10 +85,7 @@
             this.joining.set(joiner.name, joiner);
             return { isReplica: this.replica.replicas.has(joiner.name) };
         }
-        const leader = this.replica.tryGetLeaderAddress();
-        if (leader === undefined) {
-            throw new RefusalError(createRefusal("noMajority", "no leader is known", "no"));
-        }
+        const leader = getLeaderAddress(this.replica);
         return this.network.call(leader.address, joinMethod, joiner, this.options.callTimeoutMs);
     }
 
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -89,7 +89,7 @@
     }
 
     /**
-     * Takes a declared bundle. Resolves once a majority holds it, or a newer one, on disk. Throws objectInvalid,
+     * Takes a declared bundle. Resolves once a majority holds it, or a newer one, on disk. Throws malformedBody or objectInvalid,
      * noMajority where it was certainly not taken, changeUnknown where it may have been.
      */
     async putBundle(text: string): Promise<BundleResult> {
--- a/src/daemons/bundleController/prepaidService.ts
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -2,10 +2,10 @@
  * Takes routers' reports of their prepaid tokens to the log. The leader adds what only a clock can tell: how long an
  * earlier start of a router can have lived after its last reports.
  */
+import { getLeaderAddress } from "../../consensus/leaderAddress.js";
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
 import type { PrepaidResult } from "../../domain/prepaidBook.js";
-import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
 import { reportPrepaidMethod } from "../../protocol/fleetMethods.js";
@@ -17,6 +17,7 @@
 /** Added to what was measured, for the grain of the clocks, in milliseconds. */
 const CLOCK_GRAIN_MS = 20;
 
+/** Each controller has one; only the leader's proposes. */
 export class PrepaidService {
     constructor(
         private readonly replica: ReplicatedLog,
@@ -29,10 +30,7 @@
         if (this.replica.isLeader()) {
             return this.proposeReport(report);
         }
-        const leader = this.replica.tryGetLeaderAddress();
-        if (leader === undefined) {
-            throw new RefusalError(createRefusal("noMajority", "no leader is known", "no"));
-        }
+        const leader = getLeaderAddress(this.replica);
         return this.network.call(leader.address, reportPrepaidMethod, { report }, FORWARD_TIMEOUT_MS);
     }
 
--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -18,7 +18,7 @@
 
 /** Told of what a controller says. */
 export interface FeedListener {
-    receiveFollowAnswer(address: string, answer: FollowAnswer): void;
+    receiveFollowAnswer(answer: FollowAnswer): void;
     receiveBundle(revision: number, text: string): void;
     /** The newest revision that is in force here; undefined where there is none yet. */
     getBundleRevision(): number | undefined;
@@ -100,7 +100,7 @@
             this.heardAt = this.clock.getMonotonicMs();
             this.hasMajority = answer.hasMajority;
             onAnswer();
-            this.listener.receiveFollowAnswer(this.address, answer);
+            this.listener.receiveFollowAnswer(answer);
             if (answer.bundleRevision !== undefined) {
                 void this.fetchBundle(answer.bundleRevision);
             }
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -215,7 +215,7 @@
     override async waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         if (this.reporter.isInContact()) {
             await this.reporter.waitGrant(Math.min(timeoutMs, this.options.controllerGrantMs));
-            if (this.purse.covers(account, tokens, rank, this.clock.getMonotonicMs())) {
+            if (this.purse.hasEnough(account, tokens, rank, this.clock.getMonotonicMs())) {
                 return;
             }
         }
@@ -274,7 +274,7 @@
         void this.reporter.waitGrant(0);
     }
 
-    receiveFollowAnswer(_address: string, answer: FollowAnswer): void {
+    receiveFollowAnswer(answer: FollowAnswer): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
         const others = answer.routers.filter(router => router !== this.options.address);
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -17,6 +17,7 @@
     readonly mostHeldPart: number;
     /** Part of the prepaid tokens that all routers together ask for before they know the demand. */
     readonly firstPart: number;
+    /** How fast the measured demand forgets, in milliseconds. */
     readonly demandHalfLifeMs: number;
     /** Demand that may be committed at once between two reports, in milliseconds. */
     readonly burstMs: number;
@@ -39,6 +40,7 @@
     readonly perSecond: number;
 }
 
+/** The purse's part of one account. Tokens. */
 interface Account {
     granted: number;
     consumed: number;
@@ -47,7 +49,9 @@
     waiting: number;
     /** What other routers have lent, spent or not. */
     borrowed: number;
+    /** What no router has been granted, as far as the newest answer says. */
     free: number;
+    /** Most that all routers may consume together. */
     prepaid: number;
     /** Tokens reserved a second, and the part of what was reserved that is consumed in the end. */
     readonly demand: MovingRate;
@@ -57,14 +61,15 @@
     allowance: Allowance;
 }
 
-/** What came of asking for a reservation. */
+/** What came of asking for a reservation; `short`: there may be enough after the next grant. */
 export type ReserveOutcome = "reserved" | "short" | "exhausted";
 
 const NO_ALLOWANCE: Allowance = { committed: 0, burst: 0, perSecond: 0 };
 const MS_PER_SECOND = 1_000;
-/** How much one request moves the part of reservations that is consumed. */
+/** Part by which one request moves `usedPart`; 20 requests count for most of it. */
 const USED_PART_WEIGHT = 0.05;
 
+/** Times passed in (`now`) are on the monotonic clock of the router's process, in milliseconds. */
 export class PrepaidPurse {
     private readonly accounts = new Map<string, Account>();
     private sequence = 0;
@@ -107,7 +112,7 @@
         if (entry === undefined) {
             return "reserved";
         }
-        if (tokens + this.computeRankReserve(entry, rank, now) <= this.computeRoom(entry, now)) {
+        if (this.hasRoom(entry, tokens, rank, now)) {
             entry.reserved += tokens;
             entry.demand.add(tokens, now);
             return "reserved";
@@ -116,10 +121,9 @@
     }
 
     /** Whether a reservation would be made now. */
-    covers(account: string, tokens: number, rank: number, now: number): boolean {
+    hasEnough(account: string, tokens: number, rank: number, now: number): boolean {
         const entry = this.accounts.get(account);
-        return entry === undefined
-            || tokens + this.computeRankReserve(entry, rank, now) <= this.computeRoom(entry, now);
+        return entry === undefined || this.hasRoom(entry, tokens, rank, now);
     }
 
     /** Gives tokens away to another router for good, unless this router would soon miss them. */
@@ -129,7 +133,7 @@
             return false;
         }
         const ownNeed = this.computeDemand(entry, now) * this.options.lendReserveMs / MS_PER_SECOND;
-        if (tokens + ownNeed + this.computeRankReserve(entry, rank, now) > this.computeRoom(entry, now)) {
+        if (!this.hasRoom(entry, tokens + ownNeed, rank, now)) {
             return false;
         }
         entry.consumed += tokens;
@@ -212,6 +216,10 @@
         };
     }
 
+    private hasRoom(entry: Account, tokens: number, rank: number, now: number): boolean {
+        return tokens + this.computeRankReserve(entry, rank, now) <= this.computeRoom(entry, now);
+    }
+
     /** Tokens that may be reserved now. */
     private computeRoom(entry: Account, now: number): number {
         return Math.min(entry.granted, this.computeAllowed(entry, now)) - getCharged(entry);
--- a/src/ports/bundleDecoder.ts
+++ b/src/ports/bundleDecoder.ts
@@ -2,6 +2,9 @@
 import type { Bundle } from "../domain/bundle.js";
 
 export abstract class BundleDecoder {
-    /** The bundle in `text`. Throws objectInvalid where it does not fit its format, or its parts do not fit together. */
+    /**
+     * The bundle in `text`. Throws malformedBody where it cannot be read at all, objectInvalid where it does not fit its
+     * format or its parts do not fit together.
+     */
     abstract decode(text: string): Bundle;
 }
