--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -11,19 +11,24 @@
 export interface ControllerFeedOptions {
     /** Where other routers reach this one. */
     readonly address: string;
+    /** Pause between questions to one controller. */
     readonly followPeriodMs: number;
     readonly callTimeoutMs: number;
+    /** Pause after a connection that was lost or not made. */
     readonly redialMs: number;
 }
 
 /** Told of what a controller says. */
 export interface FeedListener {
+    /** Takes a controller's answer to the regular question. */
     receiveFollowAnswer(answer: FollowAnswer): void;
+    /** Takes a bundle as the operator sent it. */
     receiveBundle(revision: number, text: string): void;
     /** The newest revision that is in force here; undefined where there is none yet. */
     getBundleRevision(): number | undefined;
 }
 
+/** What this router hears from one controller. */
 export class ControllerFeed {
     /** When the controller last answered. Monotonic clock, milliseconds. */
     heardAt = -Infinity;
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -13,23 +13,20 @@
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
-import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
+import type { FeedListener } from "./controllerFeed.js";
+import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { RelayContext, type RelayOptions } from "./relayContext.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 
-/** Times in milliseconds. */
-export interface DirectRouterOptions extends RelayOptions, ControllerFeedOptions {
+/** What a router goes by. Times in milliseconds. */
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
     /** Addresses of controllers to begin with. */
     readonly seeds: readonly string[];
     /** An upstream that has not been heard for so long, while controllers are heard, counts as lost. */
     readonly upstreamSilenceMs: number;
-    /** A controller that has not answered for so long is asked no more, unless it is a seed or named by others. */
-    readonly forgetControllerMs: number;
-    /** Without a majority of the controllers a router calls itself ready after so long. */
-    readonly unconfirmedReadyMs: number;
     /** Retries that all routers together may make for each request to a service, and beyond that in one window. */
     readonly retryRatio: number;
     readonly retrySlack: number;
@@ -41,13 +38,12 @@
     readonly assumedRouters: number;
 }
 
+/** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener {
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
-    private readonly feeds = new Map<string, ControllerFeed>();
+    private readonly feeds: ControllerFeeds;
     private readonly retryBudgets = new Map<string, RetryBudget>();
-    private readonly startedAt: number;
-    private named: readonly string[] = [];
     private routers: number;
     private running = 0;
     private stopping = false;
@@ -67,38 +63,37 @@
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
         private readonly borrower: PrepaidBorrower,
-        private readonly network: PeerNetwork,
+        network: PeerNetwork,
         private readonly clock: Clock,
     ) {
         super();
-        this.startedAt = clock.getMonotonicMs();
+        this.feeds = new ControllerFeeds(network, clock, log, this, options);
         this.routers = options.assumedRouters;
     }
 
     /** Registers what controllers tell over the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(bundleNoticeMethod, notice => this.feeds.get(notice.controller)?.fetchBundle(notice.revision));
+        handlers.add(bundleNoticeMethod, notice => this.feeds.fetchBundle(notice.controller, notice.revision));
         this.borrower.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
     }
 
     start(): void {
-        this.updateFeeds(this.options.seeds);
+        this.feeds.setSeeds(this.options.seeds);
         void this.reporter.run();
     }
 
     /** Takes new seeds from changed settings. */
     setSeeds(seeds: readonly string[]): void {
-        this.updateFeeds([...seeds, ...this.named]);
+        this.feeds.setSeeds(seeds);
     }
 
     /** Addresses of the controllers that are followed, those that answer first. */
     getControllers(): string[] {
-        const feeds = [...this.feeds.values()];
-        feeds.sort((a, b) => Number(b.hasMajority) - Number(a.hasMajority) || b.heardAt - a.heardAt);
-        return feeds.map(feed => feed.address);
+        return this.feeds.getAddresses();
     }
 
+    /** Requests that have no final answer yet. */
     getRunningCount(): number {
         return this.running;
     }
@@ -110,7 +105,7 @@
 
     /** Whether this router should be sent callers. */
     isReady(): boolean {
-        const ready = !this.stopping && this.index !== undefined && this.isConfirmed();
+        const ready = !this.stopping && this.index !== undefined && this.feeds.isConfirmed();
         if (ready !== this.wasReady) {
             this.wasReady = ready;
             this.log.info("ready_changed", { ready, revision: this.index?.bundle.revision });
@@ -135,7 +130,7 @@
 
     /** Ends a planned stop: gives back what is left of the grants. */
     async finishStop(): Promise<void> {
-        this.feeds.forEach(feed => feed.stop());
+        this.feeds.stop();
         await this.reporter.stop();
         this.upstreams.close();
     }
@@ -282,8 +277,7 @@
         this.borrower.setOthers(others);
         this.purse.setRouters(this.routers);
         if (answer.hasMajority) {
-            this.named = answer.controllers;
-            this.updateFeeds(answer.controllers);
+            this.feeds.setNamed(answer.controllers);
         }
         if (now - this.heardAt > this.getGapMs()) {
             this.heardSince = now;
@@ -305,33 +299,4 @@
             }
         }
     }
-
-    private updateFeeds(addresses: readonly string[]): void {
-        for (const address of addresses) {
-            if (!this.feeds.has(address)) {
-                const feed = new ControllerFeed(address, this.network, this.clock, this.log, this, this.options);
-                this.feeds.set(address, feed);
-                void feed.run();
-            }
-        }
-        this.forgetFeeds(addresses);
-    }
-
-    private forgetFeeds(wanted: readonly string[]): void {
-        const now = this.clock.getMonotonicMs();
-        for (const [address, feed] of this.feeds) {
-            const silentMs = now - Math.max(feed.heardAt, this.startedAt);
-            if (!wanted.includes(address) && silentMs > this.options.forgetControllerMs) {
-                feed.stop();
-                this.feeds.delete(address);
-            }
-        }
-    }
-
-    /** Whether enough controllers have been heard that no newer bundle can be in force. */
-    private isConfirmed(): boolean {
-        const feeds = [...this.feeds.values()];
-        return feeds.some(feed => feed.hasMajority)
-            || this.clock.getMonotonicMs() - this.startedAt > this.options.unconfirmedReadyMs;
-    }
 }
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -8,6 +8,7 @@
 
 /** Times in milliseconds. */
 export interface PrepaidReporterOptions {
+    /** Pause between reports when nobody waits. */
     readonly periodMs: number;
     /** Least pause between reports when requests wait for a grant. */
     readonly urgentPauseMs: number;
@@ -19,6 +20,7 @@
     routers = 1;
     private readonly urgent = new Signal();
     private readonly granted = new Signal();
+    /** The controller that answered last. */
     private preferred: string | undefined;
     private stopped = false;
     private answeredAt = -Infinity;
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -38,14 +38,12 @@
 /** One service and what is known of its upstreams. */
 export interface BundleService {
     readonly name: string;
-    readonly healthPath: string;
     /** Connections that one upstream takes from all callers together. */
     readonly maxConnections: number;
     /** Set for model engines. */
     readonly engine?: {
+        /** Requests that it works on at once. */
         readonly slots: number;
-        /** Tokens that the engine's memory holds. */
-        readonly memoryTokens: number;
         /** Most tokens that one event of a stream holds. */
         readonly tokensPerEvent: number;
     } | undefined;
@@ -69,7 +67,9 @@
     readonly idleTimeoutMs: number;
 }
 
+/** What is in force of an operator's word at one revision. */
 export interface Bundle {
+    /** The operator's own; the highest one wins. */
     readonly revision: number;
     readonly routes: readonly BundleRoute[];
     readonly services: readonly BundleService[];
--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -84,6 +84,7 @@
 const MAX_ENDED = 2_000;
 const MS_PER_SECOND = 1_000;
 
+/** Changed only by what the replicated log holds, so that every replica has the same. */
 export class PrepaidBook {
     private readonly accounts = new Map<string, Account>();
     private readonly grantees = new Map<string, Grantee>();
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -69,9 +69,10 @@
     cancel(): void;
 }
 
+/** The connections of a router to its upstreams. */
 export abstract class DirectUpstreams {
+    /** Sends a request; `listener` is told of the answer. Never throws. */
     abstract send(call: UpstreamCall, listener: UpstreamListener): UpstreamExchange;
-    /** Closes idle connections to upstreams that are not in `known` (by address). */
-    abstract forgetExcept(known: ReadonlySet<string>): void;
+    /** Closes every connection, also those in use. */
     abstract close(): void;
 }
