--- a/src/consensus/logApplier.ts
+++ b/src/consensus/logApplier.ts
@@ -35,6 +35,7 @@
         this.appliedHandlers.push(handler);
     }
 
+    /** Calls back when a state has come in place of entries that were not applied one by one. */
     onSnapshotLoaded(handler: () => void): void {
         this.snapshotHandlers.push(handler);
     }
--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -13,6 +13,7 @@
 
 export class PrepaidBorrower {
     private others: readonly string[] = [];
+    /** Counts the routers asked, so that each is asked in turn. */
     private next = 0;
 
     constructor(
--- a/src/domain/bundleStore.ts
+++ b/src/domain/bundleStore.ts
@@ -29,10 +29,12 @@
         return { type: "bundle", changed: true, revision: command.revision };
     }
 
+    /** The bundle in force; undefined before the first one. */
     tryGet(): StoredBundle | undefined {
         return this.held;
     }
 
+    /** Takes what a snapshot holds. */
     load(bundle: StoredBundle | undefined): void {
         this.held = bundle;
     }
--- a/src/domain/eventSplitter.ts
+++ b/src/domain/eventSplitter.ts
@@ -4,6 +4,7 @@
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/g;
 
+/** Holds back what follows the last whole event until the rest of it comes. */
 export class EventSplitter {
     /** How many whole events have come. */
     eventCount = 0;
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -98,6 +98,7 @@
         return ready;
     }
 
+    /** What an upstream last said of itself, also where it is gone. */
     tryGet(id: string): UpstreamRegistration | undefined {
         return this.entries.get(id)?.registration;
     }
