--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -74,7 +74,9 @@
 
     /** Everything known, for a router that begins to follow or repeats its question. */
     list(): HeardRegistration[] {
-        return this.registry.list(this.clock.getMonotonicMs());
+        const now = this.clock.getMonotonicMs();
+        this.registry.forgetOld(now);
+        return this.registry.list(now);
     }
 
     private spread(registrations: readonly UpstreamRegistration[]): void {
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -13,22 +13,20 @@
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
-import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
+import type { FeedListener } from "./controllerFeed.js";
+import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { RelayContext, type RelayOptions } from "./relayContext.js";
-import { type RelayRequest, RelayRun, type ResolvedRequest } from "./relayRun.js";
+import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import { RelayRun } from "./relayRun.js";
 
-/** Times in milliseconds. */
-export interface DirectRouterOptions extends RelayOptions, ControllerFeedOptions {
+/** What a router goes by. Times in milliseconds. */
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
     /** Addresses of controllers to begin with. */
     readonly seeds: readonly string[];
     /** An upstream that has not been heard for so long, while controllers are heard, counts as lost. */
     readonly upstreamSilenceMs: number;
-    /** A controller that has not answered for so long is asked no more, unless it is a seed or named by others. */
-    readonly forgetControllerMs: number;
-    /** Without a majority of the controllers a router calls itself ready after so long. */
-    readonly unconfirmedReadyMs: number;
     /** Retries that all routers together may make for each request to a service, and beyond that in one window. */
     readonly retryRatio: number;
     readonly retrySlack: number;
@@ -40,16 +38,19 @@
     readonly assumedRouters: number;
 }
 
+/** One router's process, without its interface to callers. */
+/** How often what belongs to upstreams that are long gone is forgotten, in milliseconds. */
+const FORGET_PERIOD_MS = 10_000;
+
 export class DirectRouterDaemon extends RelayContext implements FeedListener {
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
-    private readonly feeds = new Map<string, ControllerFeed>();
+    private readonly feeds: ControllerFeeds;
     private readonly retryBudgets = new Map<string, RetryBudget>();
-    private readonly startedAt: number;
-    private named: readonly string[] = [];
     private routers: number;
     private running = 0;
     private stopping = false;
+    private forgetTimer: NodeJS.Timeout | undefined;
     private refusing = false;
     private wasReady = false;
     /** When a controller last answered, and since when they have done so without a gap. */
@@ -66,38 +67,38 @@
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
         private readonly borrower: PrepaidBorrower,
-        private readonly network: PeerNetwork,
+        network: PeerNetwork,
         private readonly clock: Clock,
     ) {
         super();
-        this.startedAt = clock.getMonotonicMs();
+        this.feeds = new ControllerFeeds(network, clock, log, this, options);
         this.routers = options.assumedRouters;
     }
 
     /** Registers what controllers tell over the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(bundleNoticeMethod, notice => this.feeds.get(notice.controller)?.fetchBundle(notice.revision));
+        handlers.add(bundleNoticeMethod, notice => this.feeds.fetchBundle(notice.controller, notice.revision));
         this.borrower.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
     }
 
     start(): void {
-        this.updateFeeds(this.options.seeds);
+        this.feeds.setSeeds(this.options.seeds);
         void this.reporter.run();
+        this.forgetTimer = setInterval(() => this.forgetUpstreams(), FORGET_PERIOD_MS);
     }
 
     /** Takes new seeds from changed settings. */
     setSeeds(seeds: readonly string[]): void {
-        this.updateFeeds([...seeds, ...this.named]);
+        this.feeds.setSeeds(seeds);
     }
 
     /** Addresses of the controllers that are followed, those that answer first. */
     getControllers(): string[] {
-        const feeds = [...this.feeds.values()];
-        feeds.sort((a, b) => Number(b.hasMajority) - Number(a.hasMajority) || b.heardAt - a.heardAt);
-        return feeds.map(feed => feed.address);
+        return this.feeds.getAddresses();
     }
 
+    /** Requests that have no final answer yet. */
     getRunningCount(): number {
         return this.running;
     }
@@ -109,7 +110,7 @@
 
     /** Whether this router should be sent callers. */
     isReady(): boolean {
-        const ready = !this.stopping && this.index !== undefined && this.isConfirmed();
+        const ready = !this.stopping && this.index !== undefined && this.feeds.isConfirmed();
         if (ready !== this.wasReady) {
             this.wasReady = ready;
             this.log.info("ready_changed", { ready, revision: this.index?.bundle.revision });
@@ -134,7 +135,8 @@
 
     /** Ends a planned stop: gives back what is left of the grants. */
     async finishStop(): Promise<void> {
-        this.feeds.forEach(feed => feed.stop());
+        clearInterval(this.forgetTimer);
+        this.feeds.stop();
         await this.reporter.stop();
         this.upstreams.close();
     }
@@ -204,17 +206,21 @@
     override getRetryBudget(service: string): RetryBudget {
         let budget = this.retryBudgets.get(service);
         if (budget === undefined) {
-            const { retryRatio, retrySlack, assumedRouters } = this.options;
-            budget = new RetryBudget(retryRatio, Math.max(1, retrySlack / Math.max(this.routers, assumedRouters)));
+            budget = new RetryBudget(this.options.retryRatio, this.computeRetrySlack());
             this.retryBudgets.set(service, budget);
         }
         return budget;
     }
 
+    /** This router's part of the retries that all routers together may save up. */
+    private computeRetrySlack(): number {
+        return Math.max(1, this.options.retrySlack / Math.max(this.routers, this.options.assumedRouters));
+    }
+
     override async waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         if (this.reporter.isInContact()) {
             await this.reporter.waitGrant(Math.min(timeoutMs, this.options.controllerGrantMs));
-            if (this.purse.covers(account, tokens, rank, this.clock.getMonotonicMs())) {
+            if (this.purse.hasEnough(account, tokens, rank, this.clock.getMonotonicMs())) {
                 return;
             }
         }
@@ -273,16 +279,14 @@
         void this.reporter.waitGrant(0);
     }
 
-    receiveFollowAnswer(_address: string, answer: FollowAnswer): void {
+    receiveFollowAnswer(answer: FollowAnswer): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
         const others = answer.routers.filter(router => router !== this.options.address);
-        this.routers = Math.max(1 + others.length, this.reporter.routers);
+        this.setRouters(Math.max(1 + others.length, this.reporter.routers));
         this.borrower.setOthers(others);
-        this.purse.setRouters(this.routers);
         if (answer.hasMajority) {
-            this.named = answer.controllers;
-            this.updateFeeds(answer.controllers);
+            this.feeds.setNamed(answer.controllers);
         }
         if (now - this.heardAt > this.getGapMs()) {
             this.heardSince = now;
@@ -290,6 +294,23 @@
         this.heardAt = now;
     }
 
+    private setRouters(routers: number): void {
+        if (routers !== this.routers) {
+            this.routers = routers;
+            this.purse.setRouters(routers);
+            this.retryBudgets.forEach(budget => budget.setMost(this.computeRetrySlack()));
+        }
+    }
+
+    /** Forgets what belongs to upstreams that are long gone. */
+    private forgetUpstreams(): void {
+        const now = this.clock.getMonotonicMs();
+        this.registry.forgetOld(now);
+        const known = this.registry.list(now).map(({ registration }) => registration);
+        this.load.forgetExcept(new Set(known.map(registration => registration.id)));
+        this.upstreams.forgetExcept(new Set(known.map(registration => registration.address)));
+    }
+
     private receiveUpstreams(upstreams: readonly HeardRegistration[]): void {
         const now = this.clock.getMonotonicMs();
         for (const { registration, ageMs } of upstreams) {
@@ -304,33 +325,4 @@
             }
         }
     }
-
-    private updateFeeds(addresses: readonly string[]): void {
-        for (const address of addresses) {
-            if (!this.feeds.has(address)) {
-                const feed = new ControllerFeed(address, this.network, this.clock, this.log, this, this.options);
-                this.feeds.set(address, feed);
-                void feed.run();
-            }
-        }
-        this.forgetFeeds(addresses);
-    }
-
-    private forgetFeeds(wanted: readonly string[]): void {
-        const now = this.clock.getMonotonicMs();
-        for (const [address, feed] of this.feeds) {
-            const silentMs = now - Math.max(feed.heardAt, this.startedAt);
-            if (!wanted.includes(address) && silentMs > this.options.forgetControllerMs) {
-                feed.stop();
-                this.feeds.delete(address);
-            }
-        }
-    }
-
-    /** Whether enough controllers have been heard that no newer bundle can be in force. */
-    private isConfirmed(): boolean {
-        const feeds = [...this.feeds.values()];
-        return feeds.some(feed => feed.hasMajority)
-            || this.clock.getMonotonicMs() - this.startedAt > this.options.unconfirmedReadyMs;
-    }
 }
--- a/src/domain/retryBudget.ts
+++ b/src/domain/retryBudget.ts
@@ -3,10 +3,16 @@
     private tokens: number;
 
     /** `ratio`: retries earned by each fresh request. `most`: retries that can be saved up. */
-    constructor(private readonly ratio = 0.2, private readonly most = 20) {
+    constructor(private readonly ratio = 0.2, private most = 20) {
         this.tokens = most;
     }
 
+    /** Changes how many retries can be saved up; what was saved beyond that is lost. */
+    setMost(most: number): void {
+        this.most = most;
+        this.tokens = Math.min(this.tokens, most);
+    }
+
     recordRequest(): void {
         this.tokens = Math.min(this.most, this.tokens + this.ratio);
     }
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -30,6 +30,8 @@
 
 /** How long an upstream that is gone is remembered, so that a late report does not bring it back. Milliseconds. */
 const KEEP_GONE_MS = 60_000;
+/** How long one that says nothing is remembered: longer than any cut between it and the controllers. Milliseconds. */
+const KEEP_SILENT_MS = 600_000;
 
 export class UpstreamRegistry {
     private readonly entries = new Map<string, Entry>();
@@ -74,13 +76,18 @@
         return gone;
     }
 
-    /** Everything known, with its age at `now`. Forgets what has long been gone. */
-    list(now: number): HeardRegistration[] {
-        for (const [id, entry] of this.entries) {
-            if (now - entry.heardAt > KEEP_GONE_MS && entry.registration.state === "gone") {
+    /** Forgets what has long been gone or silent. */
+    forgetOld(now: number): void {
+        for (const [id, { registration, heardAt }] of this.entries) {
+            const keepMs = registration.state === "gone" ? KEEP_GONE_MS : KEEP_SILENT_MS;
+            if (now - heardAt > keepMs) {
                 this.entries.delete(id);
             }
         }
+    }
+
+    /** Everything known, with its age at `now`. */
+    list(now: number): HeardRegistration[] {
         return [...this.entries.values()].map(({ registration, heardAt }) => ({
             registration,
             ageMs: Math.max(0, Math.round(now - heardAt)),
@@ -98,6 +105,7 @@
         return ready;
     }
 
+    /** What an upstream last said of itself, also where it is gone. */
     tryGet(id: string): UpstreamRegistration | undefined {
         return this.entries.get(id)?.registration;
     }
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -69,9 +69,12 @@
     cancel(): void;
 }
 
+/** The connections of a router to its upstreams. */
 export abstract class DirectUpstreams {
+    /** Sends a request; `listener` is told of the answer. Never throws. */
     abstract send(call: UpstreamCall, listener: UpstreamListener): UpstreamExchange;
-    /** Closes idle connections to upstreams that are not in `known` (by address). */
+    /** Closes every connection, also those in use. */
+    /** Closes the idle connections to addresses that are not in `known`. */
     abstract forgetExcept(known: ReadonlySet<string>): void;
     abstract close(): void;
 }
--- a/test/consensus/replicaSet.test.ts
+++ b/test/consensus/replicaSet.test.ts
@@ -157,10 +157,13 @@
         await proposing.stop();
         world.faults.loss = 0;
         world.faults.doubles = 0;
-        await waitUntil("all to hold the newest", () =>
-            [...world.replicas.values()].every(replica =>
-                (replica.state.bundle.tryGet()?.revision ?? 0) >= proposing.accepted
-            ));
+        await waitUntil(
+            "all to hold the newest",
+            () =>
+                [...world.replicas.values()].every(replica =>
+                    (replica.state.bundle.tryGet()?.revision ?? 0) >= proposing.accepted
+                ),
+        );
         t.same(world.tryGetVoters(), [...FOUNDERS, ...JOINERS].filter(name => name !== gone).sort());
         await Promise.all([...world.replicas.keys()].map(name => world.crash(name)));
     });
