A refusal after a sending that may have run does not say that nothing ran

Cause: found by reading: a repeatable request whose first sending was interrupted, and for which then no upstream or no grant was left, was refused as not run. directFleet.test.ts was red first (503 in place of 502).

--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -214,7 +214,9 @@
             : createRefusal("upstreamFailed", this.lastReason, "unknown");
     }
 
-    private finish(refusal: Refusal): void {
+    private finish(cause: Refusal): void {
+        // Whatever ended the last sending, an earlier one may have run.
+        const refusal: Refusal = this.mayHaveRun ? { ...cause, ran: "unknown" } : cause;
         this.context.recordRefused(this.resolved, refusal, this.endedEarly);
         if (this.endedEarly === "gone") {
             return;
--- a/test/platform/directFleet.test.ts
+++ b/test/platform/directFleet.test.ts
@@ -15,6 +15,10 @@
         response.writeHead(503, { "Not-Executed": "1" }).end();
         return;
     }
+    if (engineMode === "dies") {
+        response.destroy();
+        return;
+    }
     const from = Number(message.headers["last-event-id"] ?? 0);
     response.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
     for (let id = from + 1; id <= 4; id++) {
@@ -119,6 +123,14 @@
         t.same(registry.getReady("engines", performance.now(), Infinity).map(upstream => upstream.id), ["e1"]);
     });
 
+    await t.test("a request that may have run is not refused as not run when no other engine is left", async t => {
+        engineMode = "dies";
+        const answer = await callRouter("/s/x", "a6");
+        engineMode = "whole";
+        t.equal(answer.statusCode, 502);
+        await answer.body.dump();
+    });
+
     await t.test("a malformed report of an engine is refused and changes nothing", async t => {
         const url = fleet.getOperatorUrl("c1", "/loomwinch/instances/e1");
         t.equal((await fleet.call("PUT", url, "{")).status, 400);
