--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -230,6 +230,7 @@
     private noteBoot(): void {
         if (this.storedBoot !== this.clock.boot) {
             this.takenTimes.clear();
+            // A journal that fails once fails every later write too; whoever waits for one of those logs it.
             this.write({ type: "boot", boot: this.clock.boot }).catch(() => undefined);
         }
     }
