Nothing is held back for urgent ranks while grants are refilled

Cause: what is held back from an account that runs out is refused though it would have been covered; what does not fit at the end is rightly refused.

--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -25,8 +25,8 @@
     readonly openingFactor: number;
     /** Own demand that is kept back from other routers, in milliseconds. */
     readonly lendReserveMs: number;
-    /** While grants are refilled, a rank leaves the more urgent ones their demand of so long, in milliseconds. */
-    readonly rankReserveMs: number;
+    /** Part of the more urgent ranks' demand that a rank leaves them while the grant cannot be refilled. */
+    readonly rankReservePart: number;
     /** A router whose report was not answered for so long counts as cut off, in milliseconds. */
     readonly outOfContactMs: number;
     /** What a grant may be above what is wanted before the rest is given back. */
@@ -122,7 +122,7 @@
 
     /**
      * Sets tokens aside for one run. `exhausted` where what nobody holds would not cover it either. `rank`: 0 is the
-     * most urgent; where tokens run short, the others leave some for more urgent requests.
+     * most urgent; while the grant cannot be refilled, the others leave some for more urgent requests.
      */
     tryReserve(account: string, tokens: number, rank: number, now: number): ReserveOutcome {
         const entry = this.accounts.get(account);
@@ -257,8 +257,7 @@
 
     /** Tokens that requests of a rank may reserve now. */
     private computeUsable(entry: Account, rank: number, now: number): number {
-        const refill = this.isInContact(now) ? entry.free / this.routers : 0;
-        const left = entry.granted - getCharged(entry) + refill;
+        const left = entry.granted - getCharged(entry);
         return Math.min(this.computeRoom(entry, now), left - this.computeRankReserve(entry, rank, now));
     }
 
@@ -267,12 +266,18 @@
         return Math.min(entry.granted, this.computeAllowed(entry, now)) - getCharged(entry);
     }
 
-    /** What requests of a rank leave to more urgent ones: their demand until tokens may come again. */
+    /**
+     * What requests of a rank leave to more urgent ones until tokens may come again. Nothing while the grant can be
+     * refilled: what is held back from an account that runs out is refused though it would have been covered.
+     */
     private computeRankReserve(entry: Account, rank: number, now: number): number {
-        const { horizonMs, rankReserveMs } = this.options;
-        const ms = this.isInContact(now) ? rankReserveMs : Math.max(0, horizonMs - (now - this.answeredAt));
+        if (this.isInContact(now)) {
+            return 0;
+        }
+        const { horizonMs, rankReservePart } = this.options;
+        const seconds = Math.max(0, horizonMs - (now - this.answeredAt)) / MS_PER_SECOND;
         const urgent = entry.rankDemand.slice(0, rank).reduce((sum, demand) => sum + demand.getUnbiasedRate(now), 0);
-        return Math.floor(urgent * entry.usedPart * ms / MS_PER_SECOND);
+        return Math.floor(urgent * entry.usedPart * seconds * rankReservePart);
     }
 
     /** Whether the grant can be refilled. */
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -125,7 +125,7 @@
             burstMs: 1_500,
             openingFactor: 2,
             lendReserveMs: 500,
-            rankReserveMs: 1_000,
+            rankReservePart: 0.5,
             outOfContactMs: 600,
             keepFactor: 1.25,
         });
