Ranks leave tokens to urgent ones where an account is short for what was written off

Cause: where grants were written off with routers that lost power, what is left is short though it is owed; small requests took it before the large urgent ones. Change: the book counts what it wrote off without a report, and routers reserve 2.5 s of the more urgent demand above 3 in 100 of the prepaid tokens.

--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -37,6 +37,8 @@
     prepaid: number;
     /** What routers that have ended may have spent. */
     closed: number;
+    /** The part of `closed` that no report of theirs has told of: lost to the account, spent or not. */
+    writtenOff: number;
     /** Granted to routers that may still spend. */
     open: number;
 }
@@ -55,6 +57,8 @@
     /** What no router has been granted yet. */
     readonly free: number;
     readonly prepaid: number;
+    /** What routers that have ended may have spent without a report of it. */
+    readonly writtenOff: number;
 }
 
 /** Answers of the book. */
@@ -137,13 +141,7 @@
 
     /** The accounts of which least is free, by part of their prepaid tokens. */
     listScarcest(count: number): PrepaidAccountState[] {
-        const all = [...this.accounts].map(([account, { prepaid, closed, open }]) => ({
-            account,
-            prepaid,
-            closed,
-            open,
-            free: this.getFree(account),
-        }));
+        const all = [...this.accounts].map(([account, entry]) => ({ account, ...entry, free: this.getFree(account) }));
         return all.sort((a, b) => a.free / (a.prepaid + 1) - b.free / (b.prepaid + 1)).slice(0, count);
     }
 
@@ -176,8 +174,8 @@
         this.accounts.clear();
         this.grantees.clear();
         this.ended.clear();
-        for (const { account, prepaid, closed, open } of snapshot.accounts) {
-            this.accounts.set(account, { prepaid, closed, open });
+        for (const { account, prepaid, closed, writtenOff, open } of snapshot.accounts) {
+            this.accounts.set(account, { prepaid, closed, writtenOff, open });
         }
         for (const { router, incarnation, grants, answered, newest } of snapshot.grantees) {
             const copied = grants.map(({ account, granted, committed }) => [account, { granted, committed }] as const);
@@ -223,7 +221,8 @@
             grant.granted += given;
         }
         const free = this.getFree(entry.account);
-        return { account: entry.account, granted: grant.granted, free, prepaid: account.prepaid };
+        const { prepaid, writtenOff } = account;
+        return { account: entry.account, granted: grant.granted, free, prepaid, writtenOff };
     }
 
     /** No report takes all that is free, so that the next router that asks finds something too. */
@@ -237,7 +236,9 @@
         for (const [name, grant] of grantee.grants) {
             const account = this.getAccount(name);
             account.open -= grant.granted;
-            account.closed += Math.min(grant.granted, getSpent(name));
+            const closed = Math.min(grant.granted, getSpent(name));
+            account.closed += closed;
+            account.writtenOff += Math.max(0, closed - grant.committed);
         }
         this.grantees.delete(router);
         this.ended.add(grantee.incarnation);
@@ -249,7 +250,7 @@
     private getAccount(name: string): Account {
         let account = this.accounts.get(name);
         if (account === undefined) {
-            account = { prepaid: 0, closed: 0, open: 0 };
+            account = { prepaid: 0, closed: 0, writtenOff: 0, open: 0 };
             this.accounts.set(name, account);
         }
         return account;
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -27,6 +27,10 @@
     readonly lendReserveMs: number;
     /** Part of the more urgent ranks' demand that a rank leaves them while the grant cannot be refilled. */
     readonly rankReservePart: number;
+    /** Part of the prepaid tokens that may be written off before ranks leave tokens to more urgent ones for good. */
+    readonly writtenOffPart: number;
+    /** More urgent ranks' demand that a rank leaves them from then on, in milliseconds. */
+    readonly shortReserveMs: number;
     /** A router whose report was not answered for so long counts as cut off, in milliseconds. */
     readonly outOfContactMs: number;
     /** What a grant may be above what is wanted before the rest is given back. */
@@ -53,6 +57,8 @@
     free: number;
     /** Most that all routers may consume together. */
     prepaid: number;
+    /** What was lost with routers that have ended, as far as the newest answer says. */
+    writtenOff: number;
     /** Tokens reserved a second: in all, and of each rank, the most urgent first. */
     readonly demand: MovingRate;
     readonly rankDemand: MovingRate[];
@@ -229,6 +235,7 @@
             if (entry !== undefined) {
                 entry.granted = answer.granted;
                 entry.free = answer.free;
+                entry.writtenOff = answer.writtenOff;
                 entry.allowance = entry.reported;
             }
         }
@@ -244,6 +251,7 @@
             usedPart: 1,
             free: prepaid,
             prepaid,
+            writtenOff: 0,
             demand: new MovingRate(this.options.demandHalfLifeMs),
             rankDemand: Array.from({ length: LAST_RANK + 1 }, () => new MovingRate(this.options.demandHalfLifeMs)),
             reported: NO_ALLOWANCE,
@@ -266,18 +274,28 @@
         return Math.min(entry.granted, this.computeAllowed(entry, now)) - getCharged(entry);
     }
 
+    /** What requests of a rank leave to more urgent ones: a part of their demand until tokens may come again. */
+    private computeRankReserve(entry: Account, rank: number, now: number): number {
+        const urgent = entry.rankDemand.slice(0, rank).reduce((sum, demand) => sum + demand.getUnbiasedRate(now), 0);
+        const reserve = urgent * entry.usedPart * this.getRankReserveMs(entry, now) / MS_PER_SECOND;
+        return Math.floor(Math.max(0, reserve - this.getRefill(entry, now)));
+    }
+
     /**
-     * What requests of a rank leave to more urgent ones until tokens may come again. Nothing while the grant can be
-     * refilled: what is held back from an account that runs out is refused though it would have been covered.
+     * Nothing is left to others while the grant can be refilled, since what is held back from an account that runs out
+     * is refused though it would have been covered; unless it is short for what was written off.
      */
-    private computeRankReserve(entry: Account, rank: number, now: number): number {
-        if (this.isInContact(now)) {
-            return 0;
+    private getRankReserveMs(entry: Account, now: number): number {
+        const { horizonMs, rankReservePart, writtenOffPart, shortReserveMs } = this.options;
+        if (!this.isInContact(now)) {
+            return Math.max(0, horizonMs - (now - this.answeredAt)) * rankReservePart;
         }
-        const { horizonMs, rankReservePart } = this.options;
-        const seconds = Math.max(0, horizonMs - (now - this.answeredAt)) / MS_PER_SECOND;
-        const urgent = entry.rankDemand.slice(0, rank).reduce((sum, demand) => sum + demand.getUnbiasedRate(now), 0);
-        return Math.floor(urgent * entry.usedPart * seconds * rankReservePart);
+        return entry.writtenOff > entry.prepaid * writtenOffPart ? shortReserveMs : 0;
+    }
+
+    /** This router's part of what no router has been granted, while it can be had. */
+    private getRefill(entry: Account, now: number): number {
+        return this.isInContact(now) ? entry.free / this.routers : 0;
     }
 
     /** Whether the grant can be refilled. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -63,7 +63,7 @@
     z.object({ report: prepaidReportCommand }),
 );
 
-/** One router asks another for prepaid tokens. Answers how many it gives away for good: all of them, or none. */
+/** One router asks another for prepaid tokens. Answers how many it gives away for good. */
 export const lendPrepaidMethod = createPeerMethod<
     { account: string; tokens: number; rank: number; },
     { tokens: number; }
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -126,6 +126,8 @@
             openingFactor: 2,
             lendReserveMs: 500,
             rankReservePart: 0.5,
+            writtenOffPart: 0.03,
+            shortReserveMs: 2_500,
             outOfContactMs: 600,
             keepFactor: 1.25,
         });
