--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -276,7 +276,7 @@
         const limits = this.index.bundle.accounts.filter(account => account.prepaidTokens !== undefined);
         this.purse.setLimits(limits.map(account => ({ account: account.name, tokens: account.prepaidTokens! })));
         this.log.info("bundle_in_force", { revision, routes: this.index.bundle.routes.length });
-        void this.reporter.waitGrant(0);
+        this.reporter.requestReport();
     }
 
     receiveFollowAnswer(answer: FollowAnswer): void {
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -23,6 +23,11 @@
     /** The controller that answered last. */
     private preferred: string | undefined;
     private stopped = false;
+    /** Somebody has asked for a report since the newest one was made. */
+    private isAsked = false;
+    /** Rounds of reports begun, and the newest one that was answered. */
+    private begun = 0;
+    private answered = 0;
     private answeredAt = -Infinity;
     private isReaching = true;
 
@@ -40,7 +45,9 @@
         while (!this.stopped) {
             await this.sendReport(false);
             await this.clock.wait(this.options.urgentPauseMs);
-            await this.urgent.wait(this.options.periodMs - this.options.urgentPauseMs);
+            if (!this.isAsked && !this.stopped) {
+                await this.urgent.wait(this.options.periodMs - this.options.urgentPauseMs);
+            }
         }
     }
 
@@ -49,19 +56,37 @@
         return this.clock.getMonotonicMs() - this.answeredAt < this.options.periodMs * 2;
     }
 
-    /** Asks for a report soon, and resolves at the next grant or after `timeoutMs`. */
-    waitGrant(timeoutMs: number): Promise<void> {
+    /** Asks for a report soon; the one under way does not tell of what has just changed. */
+    requestReport(): void {
+        this.isAsked = true;
         this.urgent.notifyAll();
-        return this.granted.wait(timeoutMs);
+    }
+
+    /** Asks for a report, and resolves when it has been answered, or after `timeoutMs`. */
+    async waitGrant(timeoutMs: number): Promise<void> {
+        const wanted = this.begun + 1;
+        const giveUpAt = this.clock.getMonotonicMs() + timeoutMs;
+        this.requestReport();
+        while (this.answered < wanted) {
+            const left = giveUpAt - this.clock.getMonotonicMs();
+            if (left <= 0) {
+                return;
+            }
+            await this.granted.wait(left);
+        }
     }
 
     /** Gives back what is left, as the router stops. */
     async stop(): Promise<void> {
         this.stopped = true;
+        this.urgent.notifyAll();
         await this.sendReport(true);
     }
 
     private async sendReport(closing: boolean): Promise<void> {
+        this.begun += 1;
+        const round = this.begun;
+        this.isAsked = false;
         for (const address of this.getOrder()) {
             const report = this.purse.createReport(this.clock.getMonotonicMs(), closing);
             if (report.accounts.length === 0) {
@@ -74,6 +99,7 @@
                 this.routers = Math.max(1, answer.routers);
                 this.preferred = address;
                 this.answeredAt = this.clock.getMonotonicMs();
+                this.answered = round;
                 this.noteReaching(true, "");
                 this.granted.notifyAll();
                 return;
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -4,7 +4,7 @@
  */
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
 import { PrepaidBook, type PrepaidResult } from "../../src/domain/prepaidBook.js";
-import { PrepaidPurse } from "../../src/domain/prepaidPurse.js";
+import { PrepaidPurse, type PrepaidPurseOptions } from "../../src/domain/prepaidPurse.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
@@ -23,6 +23,22 @@
 /** Late reports wait at most so long, in milliseconds. */
 const MAX_DELAY_MS = 3_000;
 
+/** How purses of tests size what they ask for. */
+export const testPurseOptions: PrepaidPurseOptions = {
+    horizonMs: 10_000,
+    mostHeldPart: 0.6,
+    firstPart: 0.15,
+    demandHalfLifeMs: 4_000,
+    burstMs: 1_500,
+    openingFactor: 2,
+    lendReserveMs: 500,
+    rankReservePart: 0.5,
+    writtenOffPart: 0.03,
+    shortReserveMs: 2_500,
+    outOfContactMs: 600,
+    keepFactor: 1.25,
+};
+
 interface Reservation {
     readonly account: string;
     readonly tokens: number;
@@ -117,20 +133,7 @@
     private startRouter(router: string): void {
         this.lifeCount += 1;
         const incarnation = `i${this.lifeCount}`;
-        const purse = new PrepaidPurse(router, incarnation, {
-            horizonMs: 10_000,
-            mostHeldPart: 0.6,
-            firstPart: 0.15,
-            demandHalfLifeMs: 4_000,
-            burstMs: 1_500,
-            openingFactor: 2,
-            lendReserveMs: 500,
-            rankReservePart: 0.5,
-            writtenOffPart: 0.03,
-            shortReserveMs: 2_500,
-            outOfContactMs: 600,
-            keepFactor: 1.25,
-        });
+        const purse = new PrepaidPurse(router, incarnation, testPurseOptions);
         purse.setRouters(ROUTERS.length);
         this.lives.set(router, { incarnation, startedAt: this.now, purse, open: [], isCut: false });
         this.applyLimits();
