Borrowed tokens count at once, also where a router has spent nothing of its own

Cause: what counts against a grant never went below 0, so tokens that a router had borrowed beyond what it had spent of its own bought it nothing, while the lender had given them away.

--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -319,7 +319,8 @@
     }
 
     private reportAccount(account: string, entry: Account, now: number, closing: boolean) {
-        const spent = getCharged(entry);
+        // To the book, borrowed tokens are spent by the lender, so what is left of them is none of this grant.
+        const spent = Math.max(0, getCharged(entry));
         const committed = spent + (closing ? 0 : entry.waiting);
         const demand = this.computeDemand(entry, now);
         const wanted = closing ? 0 : this.computeWanted(entry, demand);
@@ -348,7 +349,7 @@
     }
 }
 
-/** What counts against the grant: borrowed tokens are spent first. */
+/** What counts against the grant: borrowed tokens are spent first. Negative while some of them are left. */
 function getCharged(entry: Account): number {
-    return Math.max(0, entry.consumed + entry.reserved - entry.borrowed);
+    return entry.consumed + entry.reserved - entry.borrowed;
 }
--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -53,6 +53,7 @@
     book.applyReport(createReport({ incarnation: "i2", predecessor }, 0), 3);
     // At most 300 + 100 + 50 a second for one second by its newest report.
     t.equal(book.getFree("a"), 10_000 - 450 - 1_000);
+    t.equal(book.listScarcest(1)[0]!.writtenOff, 150, "beyond what it had reported");
     book.checkConservation();
     t.end();
 });
@@ -65,6 +66,18 @@
     t.end();
 });
 
+void t.test("what was written off is told to routers and outlives a snapshot", t => {
+    const book = createBook();
+    book.applyReport(createReport({}, 0), 1);
+    book.applyReport(createReport({ incarnation: "i2" }, 0), 2);
+    const copy = new PrepaidBook();
+    copy.loadSnapshot(book.createSnapshot());
+    const result = copy.applyReport(createReport({ incarnation: "i2", sequence: 2 }, 0), 3);
+    t.equal(result.accounts[0]!.writtenOff, 1_000);
+    t.same(copy.listScarcest(1), book.listScarcest(1));
+    t.end();
+});
+
 void t.test("a late report of an incarnation that has ended opens nothing", t => {
     const book = createBook();
     book.applyReport(createReport({}, 0), 1);
@@ -79,5 +92,6 @@
     book.applyReport(createReport({}, 0), 1);
     book.applyReport(createReport({ sequence: 2, answered: 1, closing: true }, 250), 2);
     t.equal(book.getFree("a"), 10_000 - 250);
+    t.equal(book.listScarcest(1)[0]!.writtenOff, 0);
     t.end();
 });
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -11,8 +11,9 @@
 const LARGEST_REQUEST = 120;
 /** Part of the time that a router is cut off. */
 const CUT_PART = 0.3;
-/** All requests are of the most urgent rank, which leaves nothing unspent. */
-const RANK = 0;
+/** Ranks of requests; the most urgent come most often, since they leave nothing unspent. */
+const RANKS = [0, 0, 0, 1, 2];
+const MOST_URGENT = 0;
 /** Requests of a router that end in one step. */
 const SETTLED_AT_ONCE = 6;
 /** Part of the steps in which a router gets many requests at once, and how many. */
@@ -142,8 +143,9 @@
     private reserve(life: RouterLife): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
+        const rank = this.pick(RANKS);
         const tryReserve = (): boolean => {
-            const outcome = life.purse.tryReserve(account, tokens, RANK, this.now - life.startedAt);
+            const outcome = life.purse.tryReserve(account, tokens, rank, this.now - life.startedAt);
             if (outcome === "reserved") {
                 life.open.push({ account, tokens });
             }
@@ -213,7 +215,9 @@
         const account = this.pick(ACCOUNTS);
         const count = this.random() < 0.7 ? BURST_COUNT : 0;
         for (let i = 0; i < count; i++) {
-            if (life.purse.tryReserve(account, LARGEST_REQUEST, RANK, this.now - life.startedAt) === "reserved") {
+            if (
+                life.purse.tryReserve(account, LARGEST_REQUEST, MOST_URGENT, this.now - life.startedAt) === "reserved"
+            ) {
                 life.open.push({ account, tokens: LARGEST_REQUEST });
             }
         }
@@ -234,7 +238,9 @@
     private lend(lender: RouterLife, borrower: RouterLife): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * LARGEST_REQUEST);
-        const lent = lender === borrower ? 0 : lender.purse.lend(account, tokens, RANK, this.now - lender.startedAt);
+        const lent = lender === borrower
+            ? 0
+            : lender.purse.lend(account, tokens, this.pick(RANKS), this.now - lender.startedAt);
         if (this.random() < 0.8) {
             borrower.purse.addBorrowed(account, lent);
         }
