--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -179,6 +179,14 @@
         .command("result-codes", "print the table of result codes", {}, async () => {
             process.stdout.write(`${(await import("./resultCodeTable.js")).formatResultCodeTable()}\n`);
         })
+        .command(
+            "explain <request> <log..>",
+            "print what processes logged of one request, in order, with what decided on a refusal marked",
+            parser =>
+                parser.positional("request", { type: "string", demandOption: true })
+                    .positional("log", { type: "string", array: true, demandOption: true }),
+            async args => (await import("./explainCommand.js")).explainRequest(args.request, args.log),
+        )
         .command(
             "replay <trace>",
             "replay a trace at a running fleet and judge the outcome",
--- /dev/null
+++ b/test/cli/explainCommand.test.ts
@@ -0,0 +1,51 @@
+/** One request's story out of the logs of several processes. */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import t from "tap";
+import { explainRequest, formatStory, tryParseLogLine } from "../../src/cli/explainCommand.js";
+
+function createLine(second: number, name: string, event: string, rest: string): string {
+    return `time=2026-01-01T00:00:0${second}.000Z level=info role=router name=${name} zone=z event=${event} ${rest}`;
+}
+
+const ATTEMPT = createLine(1, "r1", "attempt_ended", "request=q1 upstream=e1 reason=\"status 503\"");
+const TOKENS = createLine(2, "r2", "tokens_not_reserved", "request=q1 account=a wanted_tokens=900 room_tokens=20");
+const REFUSED = createLine(2, "r2", "request_refused", "request=q1 refusal=\"LW1203 budgetUnreachable: a\" ran=no");
+const OTHER = createLine(0, "r1", "request_answered", "request=q10 status=200");
+
+void t.test("the lines of a request in order, with what decided marked", t => {
+    const lines = [TOKENS, REFUSED, ATTEMPT].map(text => tryParseLogLine(text)!);
+    t.same(formatStory(lines), [
+        "  2026-01-01T00:00:01.000Z r1 attempt_ended upstream=e1 reason=\"status 503\"",
+        "* 2026-01-01T00:00:02.000Z r2 tokens_not_reserved account=a wanted_tokens=900 room_tokens=20",
+        "  2026-01-01T00:00:02.000Z r2 request_refused refusal=\"LW1203 budgetUnreachable: a\" ran=no",
+    ]);
+    t.end();
+});
+
+void t.test("a refusal that nothing before it explains is marked itself; an answer is not", t => {
+    t.match(formatStory([tryParseLogLine(REFUSED)!])[0], /^\* .* request_refused /);
+    t.match(formatStory([tryParseLogLine(OTHER)!])[0], /^ {2}.* request_answered /);
+    t.end();
+});
+
+void t.test("lines that are none of ours are passed over, quotes that are cut off too", t => {
+    t.equal(tryParseLogLine("q1 something else"), undefined);
+    t.equal(tryParseLogLine(createLine(1, "r1", "x", "reason=\"\\x\""))?.fields.get("reason"), "\"\\x\"");
+    t.end();
+});
+
+void t.test("files are read whole, and what is not there is refused by a number", async t => {
+    const folder = await mkdtemp(join(tmpdir(), "loomwinch-explain-"));
+    t.teardown(() => rm(folder, { recursive: true }));
+    const [first, second] = [join(folder, "r1.log"), join(folder, "r2.log")];
+    await writeFile(first, `${OTHER}\n${ATTEMPT}\n`);
+    await writeFile(second, `torn q1 line\n${TOKENS}\n${REFUSED}`);
+    const written = t.capture(process.stdout, "write", () => true);
+    await explainRequest("q1", [first, second]);
+    const lines = written().map(call => String(call.args[0]));
+    t.equal(lines.length, 3, "the line without an end too, and none of another request");
+    await t.rejects(explainRequest("q2", [first]), { message: /notFound/ });
+    await t.rejects(explainRequest("q1", [join(folder, "none.log")]), { message: /notFound/ });
+});
