--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -9,7 +9,8 @@
 import { DirectRouterDaemon, type DirectRouterOptions } from "./daemons/directRouter/directRouterDaemon.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
-import { PrepaidPurse, type PrepaidPurseOptions } from "./domain/prepaidPurse.js";
+import { PrepaidPurse } from "./domain/prepaidPurse.js";
+import type { PrepaidPurseOptions } from "./domain/prepaidPurseOptions.js";
 import { UpstreamLoad, type UpstreamLoadOptions } from "./domain/upstreamLoad.js";
 import type { BundleDecoder } from "./ports/bundleDecoder.js";
 import type { DirectUpstreams } from "./ports/directUpstream.js";
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -1,5 +1,5 @@
 /** The prepaid tokens of one request: set aside before each sending, settled by what came of it. */
-import type { ReserveOutcome } from "../../domain/prepaidPurse.js";
+import type { ReserveOutcome } from "../../domain/purseAccount.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { Attempt, AttemptOutcome } from "./attempt.js";
 import type { RelayContext } from "./relayContext.js";
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -4,7 +4,8 @@
  */
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
 import { PrepaidBook, type PrepaidResult } from "../../src/domain/prepaidBook.js";
-import { PrepaidPurse, type PrepaidPurseOptions } from "../../src/domain/prepaidPurse.js";
+import { PrepaidPurse } from "../../src/domain/prepaidPurse.js";
+import type { PrepaidPurseOptions } from "../../src/domain/prepaidPurseOptions.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
