--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -38,10 +38,10 @@
     readonly assumedRouters: number;
 }
 
-/** One router's process, without its interface to callers. */
 /** How often what belongs to upstreams that are long gone is forgotten, in milliseconds. */
 const FORGET_PERIOD_MS = 10_000;
 
+/** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener {
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
@@ -276,7 +276,7 @@
         const limits = this.index.bundle.accounts.filter(account => account.prepaidTokens !== undefined);
         this.purse.setLimits(limits.map(account => ({ account: account.name, tokens: account.prepaidTokens! })));
         this.log.info("bundle_in_force", { revision, routes: this.index.bundle.routes.length });
-        this.reporter.requestReport();
+        this.reporter.askReport();
     }
 
     receiveFollowAnswer(answer: FollowAnswer): void {
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -1,5 +1,6 @@
 /** Reports a router's prepaid tokens to the controllers, one report at a time, and hands the grants to the purse. */
 import { Signal } from "../../consensus/signal.js";
+import type { PrepaidResult } from "../../domain/prepaidBook.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -28,7 +29,9 @@
     /** Rounds of reports begun, and the newest one that was answered. */
     private begun = 0;
     private answered = 0;
+    /** When that answer arrived. Monotonic clock, milliseconds. */
     private answeredAt = -Infinity;
+    /** Whether the newest report was taken, as far as the log says. */
     private isReaching = true;
 
     constructor(
@@ -57,7 +60,7 @@
     }
 
     /** Asks for a report soon; the one under way does not tell of what has just changed. */
-    requestReport(): void {
+    askReport(): void {
         this.isAsked = true;
         this.urgent.notifyAll();
     }
@@ -66,7 +69,7 @@
     async waitGrant(timeoutMs: number): Promise<void> {
         const wanted = this.begun + 1;
         const giveUpAt = this.clock.getMonotonicMs() + timeoutMs;
-        this.requestReport();
+        this.askReport();
         while (this.answered < wanted) {
             const left = giveUpAt - this.clock.getMonotonicMs();
             if (left <= 0) {
@@ -83,6 +86,7 @@
         await this.sendReport(true);
     }
 
+    /** Sends a report to one controller after the other until one answers. */
     private async sendReport(closing: boolean): Promise<void> {
         this.begun += 1;
         const round = this.begun;
@@ -95,13 +99,7 @@
             try {
                 const { callTimeoutMs } = this.options;
                 const answer = await this.network.call(address, reportPrepaidMethod, { report }, callTimeoutMs);
-                this.purse.applyAnswer(report.sequence, answer.accounts, this.clock.getMonotonicMs());
-                this.routers = Math.max(1, answer.routers);
-                this.preferred = address;
-                this.answeredAt = this.clock.getMonotonicMs();
-                this.answered = round;
-                this.noteReaching(true, "");
-                this.granted.notifyAll();
+                this.receiveAnswer(address, report.sequence, round, answer);
                 return;
             }
             catch (error) {
@@ -111,6 +109,18 @@
         }
     }
 
+    /** Hands an answer to the purse, and wakes those who wait for it. `round`: the round of the report. */
+    private receiveAnswer(address: string, sequence: number, round: number, answer: PrepaidResult): void {
+        this.purse.applyAnswer(sequence, answer.accounts, this.clock.getMonotonicMs());
+        this.routers = Math.max(1, answer.routers);
+        this.preferred = address;
+        this.answeredAt = this.clock.getMonotonicMs();
+        this.answered = round;
+        this.noteReaching(true, "");
+        this.granted.notifyAll();
+    }
+
+    /** Logs once when reports are no longer taken, and once when they are again. */
     private noteReaching(isReaching: boolean, error: string): void {
         if (this.isReaching !== isReaching) {
             this.isReaching = isReaching;
@@ -118,6 +128,7 @@
         }
     }
 
+    /** Addresses of the controllers, the one that answered last first. */
     private getOrder(): string[] {
         const all = this.getControllers();
         const { preferred } = this;
--- a/test/daemons/prepaidReporter.test.ts
+++ b/test/daemons/prepaidReporter.test.ts
@@ -69,7 +69,7 @@
     network.answerNext();
     await waitUntil("the grant", () => isGranted);
 
-    reporter.requestReport();
+    reporter.askReport();
     await waitUntil("a last report", () => network.reports.length === 3);
     const stopped = reporter.stop();
     network.answerNext();
