--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -133,6 +133,74 @@
     );
 });
 
+/** The head that an engine is sent of a request with these headers of its caller's. */
+async function readSentHead(headers: readonly string[]): Promise<string> {
+    let sent = "";
+    await withEngine(
+        (socket, text) => {
+            sent += text;
+            socket.write("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        },
+        async (client, address) => {
+            const call = createCall(address);
+            await exchange(client, { ...call, request: { ...call.request, headers } });
+        },
+    );
+    return sent;
+}
+
+/** The values of a header in the head of a message. */
+function getValues(head: string, name: string): string[] {
+    return [...head.matchAll(new RegExp(`^${name}: (.*)\r$`, "gim"))].map(match => match[1]!);
+}
+
+/** What the router sets itself in these tests; the other names have no value of its own. */
+const OWN_VALUES = new Map([["deadline-ms", "1000"], ["expect-instance", "u1"], ["tenant", "acc"], [
+    "request-priority",
+    "2",
+]]);
+const STEERING_NAMES = [
+    "Deadline-Ms",
+    "Expect-Instance",
+    "Expect-Version",
+    "Request-Priority",
+    "Tenant",
+    "Credential",
+    "Hold",
+    "Pin-Ms",
+    "Kv-Fetch",
+    "Kv-From",
+    "Kv-Backup",
+];
+
+for (const name of STEERING_NAMES) {
+    void t.test(`a caller does not steer an engine by ${name}`, async t => {
+        const own = OWN_VALUES.get(name.toLowerCase());
+        const expected = own === undefined ? [] : [own];
+        const spellings = [
+            [name, "5"],
+            [name.toUpperCase(), "5"],
+            [name.toLowerCase(), "5", name, "6"],
+            ["Connection", name, name, "5"],
+        ];
+        for (const headers of spellings) {
+            const head = await readSentHead(["Attempt-Id", "a1", ...headers]);
+            t.same(getValues(head, name), expected, headers.join(" "));
+            t.same(getValues(head, "Attempt-Id"), ["a1"]);
+        }
+    });
+}
+
+void t.test("a caller that lists what it asks in Connection asks it all the same", async t => {
+    const asked = ["Attempt-Id", "a1", "Model", "m", "Token-Usage", "5,6", "Prefix-Hash", "a:5", "Last-Event-Id", "3"];
+    const names = asked.filter((_, i) => i % 2 === 0);
+    const head = await readSentHead(["Connection", `${names.join(", ")}, X-Hop`, "X-Hop", "1", ...asked]);
+    for (const name of names) {
+        t.same(getValues(head, name), [asked[asked.indexOf(name) + 1]], name);
+    }
+    t.same(getValues(head, "X-Hop"), []);
+});
+
 void t.test("a stray answer to another request is told apart", async t => {
     await withEngine(
         socket =>
