Routers tell each other of what they send to model engines; pauses in streams are what is late

Hypothesis: late answers wait for first tokens. Measured: request_answered now says when tokens were reserved, when the first bytes came, the longest pause, and what the engine had to read. The pauses come where an engine is sent 30,000 tokens to read or more within half a second: below 20,000 in 2 of 100 streams, above 40,000 in 9 of 10. Cause: each router knows only what it sends itself, so several of them send long prompts to one engine at once. Ruled out: tokens, resends. Change: routers notify each other of placements; an engine's reading is one queue, whose speed is learned; what is read beyond half of the longest wait in time counts for each stream beside it.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -7,6 +7,7 @@
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
 import { BundleControllerDaemon } from "./daemons/bundleController/bundleControllerDaemon.js";
 import { DirectRouterDaemon, type DirectRouterOptions } from "./daemons/directRouter/directRouterDaemon.js";
+import { PlacementSharer, type PlacementSharerOptions } from "./daemons/directRouter/placementSharer.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
 import { PrepaidPurse } from "./domain/prepaidPurse.js";
@@ -57,6 +58,7 @@
     readonly purse: PrepaidPurseOptions;
     readonly reporter: PrepaidReporterOptions;
     readonly borrower: PrepaidBorrowerOptions;
+    readonly sharer: PlacementSharerOptions;
     readonly upstreams: DirectUpstreams;
 }
 
@@ -143,6 +145,7 @@
     const base = await createBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, identity } = base;
     const purse = new PrepaidPurse(settings.name, identity.incarnation, settings.purse);
+    const load = new UpstreamLoad(settings.zone, settings.load);
     const reporter = new PrepaidReporter(
         purse,
         network,
@@ -153,7 +156,7 @@
     );
     const daemon: DirectRouterDaemon = new DirectRouterDaemon(
         settings.router,
-        new UpstreamLoad(settings.zone, settings.load),
+        load,
         purse,
         settings.upstreams,
         log,
@@ -161,6 +164,7 @@
         settings.decoder,
         reporter,
         new PrepaidBorrower(purse, network, log, settings.borrower),
+        new PlacementSharer(load, network, clock, log, settings.sharer),
         network,
         clock,
     );
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -31,6 +31,21 @@
     /** Whole events that the caller has. */
     eventCount = 0;
     lastEventId: string | undefined;
+    /** When the first and the last bytes of a body came, and the longest pause between. Monotonic clock, milliseconds. */
+    firstBytesAt: number | undefined;
+    longestPauseMs = 0;
+    private lastBytesAt = 0;
+
+    /** Notes that bytes of a body came. */
+    noteBytes(now: number): void {
+        if (this.firstBytesAt === undefined) {
+            this.firstBytesAt = now;
+        }
+        else {
+            this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastBytesAt);
+        }
+        this.lastBytesAt = now;
+    }
 }
 
 /** What an attempt needs to know of its request. */
@@ -46,7 +61,7 @@
     readonly shouldRetryFailed: () => boolean;
     /** Silence after which it is given up, in milliseconds; undefined where it is waited for. */
     readonly silenceMs: number | undefined;
-    /** Called once, when the body of the answer begins or it is certain that none will. */
+    /** Called once, when the body of the answer begins. */
     readonly onFirstByte: () => void;
 }
 
@@ -54,6 +69,8 @@
 export class Attempt implements UpstreamListener {
     /** Whole events that came in this attempt. */
     eventCount = 0;
+    /** Whether the body of an answer has begun. */
+    hasFirstByte = false;
     /** When the last bytes came. Monotonic clock, milliseconds. */
     heardAt = performance.now();
     private readonly splitter: EventSplitter | undefined;
@@ -61,7 +78,6 @@
     private finish: (outcome: AttemptOutcome) => void = () => undefined;
     private done = false;
     private status = 0;
-    private hasFirstByte = false;
     private silenceTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly upstreams: DirectUpstreams, private readonly options: AttemptOptions) {
@@ -87,8 +103,8 @@
         this.endEarly({ type: "stopped" });
     }
 
-    /** Notes that the upstream has read the prompt, or never will. Only the first call counts. */
-    noteFirstByte(): void {
+    /** Notes that the upstream has read the prompt. Only the first call counts. */
+    private noteFirstByte(): void {
         if (!this.hasFirstByte) {
             this.hasFirstByte = true;
             this.options.onFirstByte();
@@ -122,6 +138,7 @@
         this.heardAt = performance.now();
         this.noteFirstByte();
         const { sink, progress, isResumable } = this.options;
+        progress.noteBytes(this.heardAt);
         const whole = this.splitter?.add(bytes);
         if (this.splitter !== undefined) {
             const added = this.splitter.eventCount - this.eventCount;
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -3,7 +3,7 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import { createRefusal, formatRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
-import type { UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import { type HeardRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
@@ -15,9 +15,10 @@
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
+import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
-import { RelayContext, type RelayOptions } from "./relayContext.js";
+import { type AnswerStory, RelayContext, type RelayOptions } from "./relayContext.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 
@@ -67,6 +68,7 @@
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
         private readonly borrower: PrepaidBorrower,
+        private readonly sharer: PlacementSharer,
         network: PeerNetwork,
         private readonly clock: Clock,
     ) {
@@ -79,6 +81,7 @@
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(bundleNoticeMethod, notice => this.feeds.fetchBundle(notice.controller, notice.revision));
         this.borrower.addHandlers(handlers);
+        this.sharer.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
     }
 
@@ -181,6 +184,14 @@
 
     // What the requests ask for
 
+    override getLongestWaitMs(service: string): number {
+        return this.index?.getLongestWaitMs(service) ?? Infinity;
+    }
+
+    override sharePlacement(placement: Placement, request: RelayRequest): void {
+        this.sharer.share(placement.upstream.id, placement.newTokens, request.parts);
+    }
+
     override getRouterCount(): number {
         return this.routers;
     }
@@ -231,14 +242,22 @@
         }
     }
 
-    override recordAnswered(resolved: ResolvedRequest, status: number): void {
+    override recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void {
         const age = performance.now() - resolved.request.arrivedAt;
         this.metrics.addCount("requests_answered");
         this.metrics.recordTiming("request_ms", age);
         this.log.info("request_answered", {
             request: resolved.request.passed.id,
             route: resolved.route.name,
-            status,
+            status: story.status,
+            goal_ms: resolved.route.goalMs,
+            reserved_ms: Math.round(story.reservedAgeMs),
+            first_ms: story.firstBytesAgeMs === undefined ? undefined : Math.round(story.firstBytesAgeMs),
+            pause_ms: Math.round(story.longestPauseMs),
+            sendings: story.sendings,
+            upstream: story.upstream,
+            read_tokens: story.newTokens,
+            ahead_ms: Math.round(story.aheadMs),
             age_ms: Math.round(age),
         });
     }
@@ -285,6 +304,7 @@
         const others = answer.routers.filter(router => router !== this.options.address);
         this.setRouters(Math.max(1 + others.length, this.reporter.routers));
         this.borrower.setOthers(others);
+        this.sharer.setOthers(others);
         if (answer.hasMajority) {
             this.feeds.setNamed(answer.controllers);
         }
--- /dev/null
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -0,0 +1,96 @@
+/**
+ * Tells the other routers what this one sends to which model engine, and hears the same of them: all of them read from
+ * one queue, and a part of a prompt that one router's request has brought there is kept for the others' too.
+ */
+import type { PromptPart, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { Peer, PeerHandlers, PeerNetwork } from "../../ports/peer.js";
+import { placementNoticeMethod, type SharedPlacement } from "../../protocol/fleetMethods.js";
+
+export interface PlacementSharerOptions {
+    /** How long placements gather before they are told, in milliseconds. */
+    readonly gatherMs: number;
+    /** Prompts that leave less to read are not told of, in tokens. */
+    readonly leastTokens: number;
+}
+
+/** Most placements that gather; what is beyond them is not told. */
+const MAX_GATHERED = 500;
+
+export class PlacementSharer {
+    private others: readonly string[] = [];
+    private readonly peers = new Map<string, Peer>();
+    private readonly connecting = new Set<string>();
+    private gathered: SharedPlacement[] = [];
+    private isFlushDue = false;
+
+    constructor(
+        private readonly load: UpstreamLoad,
+        private readonly network: PeerNetwork,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly options: PlacementSharerOptions,
+    ) {}
+
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(placementNoticeMethod, ({ placements }) => {
+            const now = this.clock.getMonotonicMs();
+            for (const { upstream, newTokens, parts } of placements) {
+                this.load.recordOther(upstream, newTokens, parts, now);
+            }
+        });
+    }
+
+    /** Takes the addresses of the other routers. */
+    setOthers(others: readonly string[]): void {
+        this.others = others;
+    }
+
+    /** Tells the others of a placement soon. */
+    share(upstream: string, newTokens: number, parts: readonly PromptPart[]): void {
+        if (newTokens < this.options.leastTokens || this.gathered.length >= MAX_GATHERED) {
+            return;
+        }
+        this.gathered.push({ upstream, newTokens, parts: parts.map(part => part.id) });
+        if (!this.isFlushDue) {
+            this.isFlushDue = true;
+            void this.flushSoon();
+        }
+    }
+
+    private async flushSoon(): Promise<void> {
+        await this.clock.wait(this.options.gatherMs);
+        const placements = this.gathered;
+        this.gathered = [];
+        this.isFlushDue = false;
+        this.others.forEach(address => this.tell(address, placements));
+    }
+
+    /** Who cannot be told now is not told later: by then the prompts have been read. */
+    private tell(address: string, placements: readonly SharedPlacement[]): void {
+        const peer = this.peers.get(address);
+        if (peer?.isOpen()) {
+            peer.notify(placementNoticeMethod, { placements });
+        }
+        else if (!this.connecting.has(address)) {
+            void this.connect(address);
+        }
+    }
+
+    private async connect(address: string): Promise<void> {
+        this.connecting.add(address);
+        try {
+            const peer = await this.network.connect(address);
+            // Counts as waiting on the connection, so that one that was cut without a sign is closed in time.
+            peer.onClose(() => this.peers.delete(address));
+            this.peers.set(address, peer);
+        }
+        catch (error) {
+            this.log.info("router_not_told", { router: address, error: String(error) });
+        }
+        finally {
+            this.connecting.delete(address);
+        }
+    }
+}
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -3,11 +3,11 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { Refusal } from "../../domain/resultCodes.js";
 import type { RetryBudget } from "../../domain/retryBudget.js";
-import type { UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
-import type { ResolvedRequest } from "./relayRequest.js";
+import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 
 /** How long requests wait, and how long callers are told to. Times in milliseconds. */
 export interface RelayOptions {
@@ -23,6 +23,23 @@
     readonly silenceGoals: number;
 }
 
+/** How a request came to its answer, for logs. Ages count from its arrival, in milliseconds. */
+export interface AnswerStory {
+    /** The upstream's status. */
+    readonly status: number;
+    /** When prepaid tokens were set aside for the last sending. */
+    readonly reservedAgeMs: number;
+    /** When the body began; undefined where there is none. */
+    readonly firstBytesAgeMs: number | undefined;
+    /** Longest pause within the body. */
+    readonly longestPauseMs: number;
+    readonly sendings: number;
+    /** Where it was sent last, what that upstream had to read of it, and how long it had to read before. */
+    readonly upstream: string;
+    readonly newTokens: number;
+    readonly aheadMs: number;
+}
+
 /** What a request asks of its router. */
 export abstract class RelayContext {
     abstract readonly options: RelayOptions;
@@ -32,6 +49,10 @@
     abstract readonly purse: PrepaidPurse;
     abstract readonly upstreams: DirectUpstreams;
 
+    /** Longest wait with which every answer of a service is in time, in milliseconds. */
+    abstract getLongestWaitMs(service: string): number;
+    /** Tells the other routers of a sending. */
+    abstract sharePlacement(placement: Placement, request: RelayRequest): void;
     /** How many routers there are, as far as is known; at least 1. */
     abstract getRouterCount(): number;
     /** Age beyond which an upstream that has not been heard counts as lost, in milliseconds. */
@@ -42,8 +63,8 @@
     abstract getRetryBudget(service: string): RetryBudget;
     /** Asks for tokens of an account; resolves when there may be more of them, or after `timeoutMs`. */
     abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
-    /** Notes that the caller has the whole answer. `status`: the upstream's. */
-    abstract recordAnswered(resolved: ResolvedRequest, status: number): void;
+    /** Notes that the caller has the whole answer. */
+    abstract recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void;
     /** Notes a refusal. `endedEarly`: why the router broke off, where it did. */
     abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -3,10 +3,10 @@
  * another one after it, until the caller has a final answer.
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
-import type { LoadOutcome, Placement } from "../../domain/upstreamLoad.js";
+import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { AnswerProgress, Attempt, type AttemptOutcome } from "./attempt.js";
-import type { RelayContext } from "./relayContext.js";
+import type { AnswerStory, RelayContext } from "./relayContext.js";
 import type { ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
@@ -25,6 +25,8 @@
     private readonly deadline: number;
     private readonly tokens: TokenReservation;
     private attempt: Attempt | undefined;
+    private placement: Placement | undefined;
+    private reservedAt = 0;
     private sendings = 0;
     /** Something under this request may have run. */
     private mayHaveRun = false;
@@ -65,6 +67,7 @@
                 this.finish(refusal);
                 return;
             }
+            this.reservedAt = performance.now();
             const placement = this.tryPlace();
             if (placement === undefined) {
                 this.tokens.release();
@@ -86,20 +89,30 @@
         const { load, registry } = this.context;
         const now = performance.now();
         const ready = registry.getReady(service.name, now, this.context.getMaxUpstreamAgeMs());
-        return load.tryChoose(ready, request, this.tried, this.context.getRouterCount(), now);
+        const terms = {
+            tried: this.tried,
+            routers: this.context.getRouterCount(),
+            longestWaitMs: this.context.getLongestWaitMs(service.name),
+        };
+        return load.tryChoose(ready, request, terms, now);
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
         const { load } = this.context;
         this.tried.add(placement.upstream.id);
-        load.recordStart(placement, this.resolved.request);
-        const attempt = this.createAttempt(placement);
+        this.placement = placement;
+        const { request } = this.resolved;
+        const started = load.recordStart(placement, request, performance.now());
+        this.context.sharePlacement(placement, request);
+        const attempt = this.createAttempt(started);
         this.attempt = attempt;
         this.sendings += 1;
         const outcome = this.endedEarly === undefined
             ? await attempt.run()
             : { type: "notRun", cause: "full", reason: "given up before it was sent" } as const;
-        attempt.noteFirstByte();
+        if (!attempt.hasFirstByte) {
+            load.recordUnanswered(started);
+        }
         load.recordEnd(placement);
         this.mayHaveRun ||= outcome.type !== "notRun";
         this.recordOutcome(placement.upstream.id, outcome);
@@ -107,7 +120,7 @@
         return outcome;
     }
 
-    private createAttempt(placement: Placement): Attempt {
+    private createAttempt(placement: StartedPlacement): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
@@ -128,7 +141,7 @@
             isResumable: route.kind === "stream" && route.isResumable,
             shouldRetryFailed: () => this.isRepeatable() && this.mayTryAgain(),
             silenceMs: mayMove ? Math.max(options.leastSilenceMs, route.goalMs * options.silenceGoals) : undefined,
-            onFirstByte: () => this.context.load.recordFirstByte(placement),
+            onFirstByte: () => this.context.load.recordFirstByte(placement, performance.now()),
         });
     }
 
@@ -195,7 +208,7 @@
 
     private finishAfter(outcome: AttemptOutcome): void {
         if (outcome.type === "answered") {
-            this.context.recordAnswered(this.resolved, outcome.status);
+            this.context.recordAnswered(this.resolved, this.createStory(outcome.status));
             return;
         }
         if (this.endedEarly === "late" || this.mayHaveRun) {
@@ -205,6 +218,22 @@
         this.finish(createRefusal("queueFull", this.lastReason, "no", this.context.options.retryAfterMs));
     }
 
+    private createStory(status: number): AnswerStory {
+        const { arrivedAt } = this.resolved.request;
+        const { firstBytesAt, longestPauseMs } = this.progress;
+        const { upstream, newTokens, aheadMs } = this.placement!;
+        return {
+            status,
+            reservedAgeMs: this.reservedAt - arrivedAt,
+            firstBytesAgeMs: firstBytesAt === undefined ? undefined : firstBytesAt - arrivedAt,
+            longestPauseMs,
+            sendings: this.sendings,
+            upstream: upstream.id,
+            newTokens,
+            aheadMs,
+        };
+    }
+
     private createLateRefusal(): Refusal {
         if (!this.mayHaveRun) {
             return createRefusal("noUpstream", "the deadline passed", "no", this.context.options.retryAfterMs);
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -33,6 +33,8 @@
     readonly isPublic: boolean;
     /** An interrupted stream may go on at another upstream. */
     readonly isResumable: boolean;
+    /** Longest pause within a stream with which its answer is in time. */
+    readonly pauseLimitMs?: number | undefined;
 }
 
 /** One service and what is known of its upstreams. */
@@ -127,6 +129,7 @@
     private readonly routes = new Map<string, BundleRoute[]>();
     private readonly services = new Map<string, BundleService>();
     private readonly accountsByKey = new Map<string, BundleAccount>();
+    private readonly longestWaits = new Map<string, number>();
 
     constructor(readonly bundle: Bundle) {
         for (const route of bundle.routes) {
@@ -135,9 +138,22 @@
         }
         this.routes.forEach(routes => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
         bundle.services.forEach(service => this.services.set(service.name, service));
+        bundle.routes.forEach(route => this.addWaits(route));
         bundle.accounts.forEach(account => account.keys.forEach(key => this.accountsByKey.set(key, account)));
     }
 
+    /** Longest wait with which every answer of a service is in time. Milliseconds. */
+    getLongestWaitMs(service: string): number {
+        return this.longestWaits.get(service) ?? Infinity;
+    }
+
+    private addWaits(route: BundleRoute): void {
+        const waitMs = Math.min(route.goalMs > 0 ? route.goalMs : Infinity, route.pauseLimitMs ?? Infinity);
+        for (const { service } of route.targets) {
+            this.longestWaits.set(service, Math.min(waitMs, this.getLongestWaitMs(service)));
+        }
+    }
+
     /** The route of the host with the longest prefix of the path. `host` may carry a port. */
     tryGetRoute(host: string, path: string): BundleRoute | undefined {
         const name = host.toLowerCase();
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -1,10 +1,13 @@
 /**
- * What a router knows of the load and the memory of its upstreams, from its own requests alone, and the choice by it.
+ * What a router knows of the load and the memory of its upstreams, from its own requests and from what the other
+ * routers tell of theirs, and the choice by it.
  *
  * A model engine keeps the parts of prompts it has read; a prompt costs the time to read the rest. The chooser weighs
- * that work against the wait, so that a kept prompt attracts its like until its engine would keep callers waiting.
+ * that work against the wait, so that a kept prompt attracts its like until its engine would keep callers waiting. What
+ * an engine reads also holds up every stream that runs beside it, so long prompts go where little is read already.
  */
 import { chooseByRendezvous } from "./identifiers.js";
+import { type QueuedPrompt, ReadingQueue, ReadingSpeed, type ReadingSpeedOptions } from "./readingQueue.js";
 import type { UpstreamRegistration } from "./upstreamRegistry.js";
 
 /** A part of a prompt that other prompts may share. */
@@ -19,16 +22,28 @@
     readonly promptTokens: number;
 }
 
+/** What a choice goes by beside the request. */
+export interface ChoiceTerms {
+    /** Upstreams that are left out. */
+    readonly tried: ReadonlySet<string>;
+    /** How many routers send to the upstreams. */
+    readonly routers: number;
+    /** Longest wait, for a first token or between two, with which an answer of the service is in time. Milliseconds. */
+    readonly longestWaitMs: number;
+}
+
 /** Weights of the choice and times of what is forgotten. */
 export interface UpstreamLoadOptions {
-    /** Prompt tokens that a model engine reads in a millisecond. */
-    readonly promptTokensPerMs: number;
-    /** What a wait counts beside the work of reading a prompt, as long as both stay below `comfortableMs`. */
+    readonly readingSpeed: ReadingSpeedOptions;
+    /** What a wait counts beside the work of reading a prompt, as long as both stay comfortable. */
     readonly waitWeight: number;
-    /** Time to the first token that no caller minds, in milliseconds: well below the goals of streams. */
-    readonly comfortableMs: number;
-    /** What each millisecond beyond that counts on top. */
+    /** Part of the longest wait in time that an engine may read at a stretch without harm. */
+    readonly comfortablePart: number;
+    /** What each millisecond beyond that counts on top for the request itself, and for each stream beside it. */
     readonly beyondWeight: number;
+    readonly beyondStreamWeight: number;
+    /** Part of the shared parts that the upstream preferred by hash is presumed to keep where nobody has told so. */
+    readonly presumedKeptPart: number;
     /** What all slots of an upstream taken add to the estimate, in milliseconds. */
     readonly runningCostMs: number;
     /** What a request to another availability zone is charged, in milliseconds. */
@@ -47,8 +62,8 @@
 
 interface Load {
     running: number;
-    /** Prompt tokens sent whose answers have not begun. */
-    pendingTokens: number;
+    readonly speed: ReadingSpeed;
+    readonly reading: ReadingQueue;
     /** Prompt parts that the upstream was sent, oldest first. */
     readonly parts: Set<string>;
     /** Part of the requests that failed, as of `failureAt`. */
@@ -63,6 +78,13 @@
     readonly upstream: UpstreamRegistration;
     /** Prompt tokens that the upstream probably has to read. */
     readonly newTokens: number;
+    /** How long the upstream has to read before it. Milliseconds. */
+    readonly aheadMs: number;
+}
+
+/** A placed request until its prompt has been read. */
+export interface StartedPlacement extends Placement {
+    readonly prompt: QueuedPrompt;
 }
 
 /** How a request came out, as far as it tells of its upstream. */
@@ -73,25 +95,25 @@
 
     constructor(private readonly zone: string, private readonly options: UpstreamLoadOptions) {}
 
-    /** Chooses among upstreams that take new work; `tried` are left out. Undefined where none is left. */
+    /** Chooses among upstreams that take new work. Undefined where none is left. */
     tryChoose(
         candidates: readonly UpstreamRegistration[],
         demand: RequestDemand,
-        tried: ReadonlySet<string>,
-        routers: number,
+        terms: ChoiceTerms,
         now: number,
     ): Placement | undefined {
-        const open = candidates.filter(candidate => !tried.has(candidate.id));
+        const open = candidates.filter(candidate => !terms.tried.has(candidate.id));
         const awake = open.filter(candidate => this.getLoad(candidate.id).pausedUntil <= now);
         const usable = awake.length > 0 ? awake : open;
         const preferred = this.findPreferred(usable, demand);
         let best: Placement | undefined;
         let bestCost = Infinity;
         for (const upstream of usable) {
-            const newTokens = this.countNewTokens(upstream.id, demand, upstream.id === preferred);
-            const cost = this.estimateMs(upstream, newTokens, routers, now);
+            const newTokens = this.countNewTokens(upstream.id, demand);
+            const presumed = upstream.id === preferred ? this.countPresumed(demand, newTokens) : 0;
+            const cost = this.estimateMs(upstream, newTokens - presumed, terms, now);
             if (cost < bestCost) {
-                best = { upstream, newTokens };
+                best = { upstream, newTokens, aheadMs: this.getLoad(upstream.id).reading.getBacklogMs(now) };
                 bestCost = cost;
             }
         }
@@ -99,22 +121,28 @@
     }
 
     /** Notes a request that is being sent. */
-    recordStart(placement: Placement, demand: RequestDemand): void {
+    recordStart(placement: Placement, demand: RequestDemand, now: number): StartedPlacement {
         const load = this.getLoad(placement.upstream.id);
         load.running += 1;
-        load.pendingTokens += placement.newTokens;
-        for (const part of demand.parts) {
-            load.parts.delete(part.id);
-            load.parts.add(part.id);
-        }
-        while (load.parts.size > this.options.maxParts) {
-            load.parts.delete(load.parts.values().next().value!);
-        }
+        this.addParts(load, demand.parts.map(part => part.id));
+        return { ...placement, prompt: load.reading.add(placement.newTokens, now) };
+    }
+
+    /** Notes a request that another router has sent. */
+    recordOther(upstream: string, newTokens: number, parts: readonly string[], now: number): void {
+        const load = this.getLoad(upstream);
+        this.addParts(load, parts);
+        load.reading.addOther(newTokens, now);
     }
 
     /** Notes that the answer of a request has begun, so that its prompt has been read. */
-    recordFirstByte(placement: Placement): void {
-        this.getLoad(placement.upstream.id).pendingTokens -= placement.newTokens;
+    recordFirstByte(placement: StartedPlacement, now: number): void {
+        this.getLoad(placement.upstream.id).reading.recordRead(placement.prompt, now);
+    }
+
+    /** Notes that a request ended before its answer began. */
+    recordUnanswered(placement: StartedPlacement): void {
+        this.getLoad(placement.upstream.id).reading.recordDropped(placement.prompt);
     }
 
     /** Notes that a request has come to its end, of whatever kind. */
@@ -160,32 +188,28 @@
         }
     }
 
-    private estimateMs(upstream: UpstreamRegistration, newTokens: number, routers: number, now: number): number {
+    private estimateMs(upstream: UpstreamRegistration, newTokens: number, terms: ChoiceTerms, now: number): number {
         const load = this.getLoad(upstream.id);
-        const { promptTokensPerMs, runningCostMs, otherZoneCostMs, failureCostMs } = this.options;
-        const { waitWeight, comfortableMs, beyondWeight } = this.options;
-        const readMs = newTokens / promptTokensPerMs;
-        const waitMs = load.pendingTokens / promptTokensPerMs;
+        const { waitWeight, comfortablePart, beyondWeight, beyondStreamWeight } = this.options;
+        const { runningCostMs, otherZoneCostMs, failureCostMs } = this.options;
+        const readMs = newTokens * load.speed.msPerToken;
+        const waitMs = load.reading.getBacklogMs(now);
         // The other routers send about as many as this one.
-        const slotShare = load.running * routers / Math.max(1, upstream.slots);
+        const running = load.running * terms.routers;
+        const beyondMs = Math.max(0, readMs + waitMs - terms.longestWaitMs * comfortablePart);
         return readMs + waitMs * waitWeight
-            + Math.max(0, readMs + waitMs - comfortableMs) * beyondWeight
-            + slotShare * runningCostMs
+            + beyondMs * (beyondWeight + running * beyondStreamWeight)
+            + running / Math.max(1, upstream.slots) * runningCostMs
             + this.getFailureShare(load, now) * failureCostMs
             + (upstream.zone === this.zone ? 0 : otherZoneCostMs);
     }
 
-    /**
-     * Prompt tokens that an upstream would have to read. The one that hashing prefers probably keeps the parts that are
-     * shared, because the other routers send their like there.
-     */
-    private countNewTokens(upstream: string, demand: RequestDemand, isPreferred: boolean): number {
+    /** Prompt tokens that an upstream has to read, as far as is known. */
+    private countNewTokens(upstream: string, demand: RequestDemand): number {
         const { parts } = this.getLoad(upstream);
-        const shared = demand.parts.length - 1;
         let kept = 0;
-        for (let i = 0; i < demand.parts.length; i++) {
-            const part = demand.parts[i]!;
-            if (!parts.has(part.id) && !(isPreferred && i < shared)) {
+        for (const part of demand.parts) {
+            if (!parts.has(part.id)) {
                 break;
             }
             kept += part.tokens;
@@ -193,6 +217,22 @@
         return Math.max(0, demand.promptTokens - kept);
     }
 
+    /** The part of `newTokens` that an upstream probably keeps though nobody has told of it. */
+    private countPresumed(demand: RequestDemand, newTokens: number): number {
+        const own = demand.parts.at(-1)?.tokens ?? 0;
+        return Math.max(0, newTokens - own) * this.options.presumedKeptPart;
+    }
+
+    private addParts(load: Load, ids: readonly string[]): void {
+        for (const id of ids) {
+            load.parts.delete(id);
+            load.parts.add(id);
+        }
+        while (load.parts.size > this.options.maxParts) {
+            load.parts.delete(load.parts.values().next().value!);
+        }
+    }
+
     /** The upstream that all routers would prefer for a prompt, by hash of the longest part that it may share. */
     private findPreferred(candidates: readonly UpstreamRegistration[], demand: RequestDemand): string | undefined {
         const shared = demand.parts[Math.max(0, demand.parts.length - 2)];
@@ -204,9 +244,11 @@
     private getLoad(upstream: string): Load {
         let load = this.loads.get(upstream);
         if (load === undefined) {
+            const speed = new ReadingSpeed(this.options.readingSpeed, this.computeTypicalMsPerToken());
             load = {
                 running: 0,
-                pendingTokens: 0,
+                speed,
+                reading: new ReadingQueue(speed),
                 parts: new Set(),
                 failureShare: 0,
                 failureAt: 0,
@@ -217,4 +259,10 @@
         }
         return load;
     }
+
+    /** Upstreams that nothing is known of are taken for like the others. Undefined where there are none. */
+    private computeTypicalMsPerToken(): number | undefined {
+        const speeds = [...this.loads.values()].map(load => load.speed.msPerToken).sort((a, b) => a - b);
+        return speeds[Math.floor(speeds.length / 2)];
+    }
 }
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -63,6 +63,27 @@
     z.object({ report: prepaidReportCommand }),
 );
 
+/** A request that a router has sent to a model engine. */
+export interface SharedPlacement {
+    readonly upstream: string;
+    /** Prompt tokens that the engine probably has to read. */
+    readonly newTokens: number;
+    /** The parts of its prompt, in order. */
+    readonly parts: readonly string[];
+}
+
+const placementSchema = z.object({
+    upstream: name,
+    newTokens: count,
+    parts: z.array(name).max(1_000),
+}) satisfies z.ZodType<SharedPlacement>;
+
+/** Tells another router what was sent to model engines. */
+export const placementNoticeMethod = createPeerMethod<{ placements: readonly SharedPlacement[]; }, void>(
+    "fleet.placementNotice",
+    z.object({ placements: z.array(placementSchema).max(1_000) }),
+);
+
 /** One router asks another for prepaid tokens. Answers how many it gives away for good. */
 export const lendPrepaidMethod = createPeerMethod<
     { account: string; tokens: number; rank: number; },
--- a/test/domain/upstreamLoad.test.ts
+++ b/test/domain/upstreamLoad.test.ts
@@ -1,17 +1,18 @@
 /** The choice of an upstream: kept prompts attract their like, busy and failing upstreams lose, nobody is left out. */
 import t from "tap";
-import { UpstreamLoad } from "../../src/domain/upstreamLoad.js";
+import { type ChoiceTerms, UpstreamLoad } from "../../src/domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../src/domain/upstreamRegistry.js";
 
-const ROUTERS = 1;
-const NOBODY = new Set<string>();
+const TERMS: ChoiceTerms = { tried: new Set(), routers: 1, longestWaitMs: 500 };
 
 function createLoad(): UpstreamLoad {
     return new UpstreamLoad("z1", {
-        promptTokensPerMs: 50,
+        readingSpeed: { assumedMsPerToken: 0.02, leastTokens: 2_000, weight: 0.2 },
         waitWeight: 0.35,
-        comfortableMs: 350,
+        comfortablePart: 0.5,
         beyondWeight: 2,
+        beyondStreamWeight: 0.1,
+        presumedKeptPart: 0.5,
         runningCostMs: 300,
         otherZoneCostMs: 2,
         maxParts: 100,
@@ -38,14 +39,13 @@
 }
 
 void t.test("prompts that share a part go to one upstream, at all routers alike", t => {
-    const first = createLoad().tryChoose(upstreams, createDemand("p", "x"), NOBODY, ROUTERS, 0)!;
+    const first = createLoad().tryChoose(upstreams, createDemand("p", "x"), TERMS, 0)!;
     const load = createLoad();
     for (let i = 0; i < 5; i++) {
         const demand = createDemand("p", `own-${i}`);
-        const placement = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!;
+        const placement = load.tryChoose(upstreams, demand, TERMS, 0)!;
         t.equal(placement.upstream.id, first.upstream.id);
-        load.recordStart(placement, demand);
-        load.recordFirstByte(placement);
+        load.recordFirstByte(load.recordStart(placement, demand, 0), 100);
     }
     t.end();
 });
@@ -53,25 +53,25 @@
 void t.test("they go elsewhere when the upstream that keeps the part would let them wait", t => {
     const load = createLoad();
     const demand = createDemand("p", "x");
-    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!;
+    const first = load.tryChoose(upstreams, demand, TERMS, 0)!;
     for (let i = 0; i < 10; i++) {
-        load.recordStart({ upstream: first.upstream, newTokens: 6_000 }, createDemand(`other-${i}`, "y"));
+        load.recordStart({ ...first, newTokens: 6_000 }, createDemand(`other-${i}`, "y"), 0);
     }
-    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id, first.upstream.id);
+    t.not(load.tryChoose(upstreams, demand, TERMS, 0)!.upstream.id, first.upstream.id);
     t.end();
 });
 
 void t.test("an upstream that cannot be reached rests, and is asked again where no other is left", t => {
     const load = createLoad();
     const demand = createDemand("p", "x");
-    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id;
+    const first = load.tryChoose(upstreams, demand, TERMS, 0)!.upstream.id;
     load.recordOutcome(first, "unreachable", 0);
-    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 100)!.upstream.id, first);
+    t.not(load.tryChoose(upstreams, demand, TERMS, 100)!.upstream.id, first);
     const others = new Set(upstreams.map(upstream => upstream.id).filter(id => id !== first));
-    t.equal(load.tryChoose(upstreams, demand, others, ROUTERS, 100)!.upstream.id, first);
-    t.equal(load.tryChoose(upstreams, demand, new Set([...others, first]), ROUTERS, 100), undefined);
+    t.equal(load.tryChoose(upstreams, demand, { ...TERMS, tried: others }, 100)!.upstream.id, first);
+    t.equal(load.tryChoose(upstreams, demand, { ...TERMS, tried: new Set([...others, first]) }, 100), undefined);
     load.recordOutcome(first, "good", 500);
-    t.equal(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 500)!.upstream.id, first);
+    t.equal(load.tryChoose(upstreams, demand, TERMS, 500)!.upstream.id, first);
     t.end();
 });
 
@@ -81,18 +81,18 @@
     for (let i = 0; i < 20; i++) {
         load.recordOutcome("a", i % 2 === 0 ? "failed" : "good", i);
     }
-    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 1_000)!.upstream.id, "a");
+    t.not(load.tryChoose(upstreams, demand, TERMS, 1_000)!.upstream.id, "a");
     t.end();
 });
 
 void t.test("failures are forgotten with time", t => {
     const load = createLoad();
     const demand = createDemand("p", "x");
-    const first = load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 0)!.upstream.id;
+    const first = load.tryChoose(upstreams, demand, TERMS, 0)!.upstream.id;
     for (let i = 0; i < 20; i++) {
         load.recordOutcome(first, i % 2 === 0 ? "failed" : "good", i);
     }
-    t.not(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 100)!.upstream.id, first);
-    t.equal(load.tryChoose(upstreams, demand, NOBODY, ROUTERS, 60_000)!.upstream.id, first);
+    t.not(load.tryChoose(upstreams, demand, TERMS, 100)!.upstream.id, first);
+    t.equal(load.tryChoose(upstreams, demand, TERMS, 60_000)!.upstream.id, first);
     t.end();
 });
