Long prompts go where few streams run, and streams go elsewhere; routers that a controller does not name are kept

Hypothesis: what still pauses streams are single prompts of 28,000 to 60,000 tokens, each beside 15 to 30 streams. Change: such a prompt counts for each stream beside it, and for a while the engine that read it counts as disturbed, so that streams gather elsewhere. Second finding: after a cut each controller names only the routers that follow it again, and the last answer won, so routers did not tell (nor ask for loans) some of the others. Now one is forgotten when none has named it for 10 s.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -15,6 +15,7 @@
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
+import { KnownRouters } from "./knownRouters.js";
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
@@ -47,6 +48,7 @@
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
     private readonly feeds: ControllerFeeds;
+    private readonly knownRouters: KnownRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private routers: number;
     private running = 0;
@@ -74,6 +76,7 @@
     ) {
         super();
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
+        this.knownRouters = new KnownRouters(options.address);
         this.routers = options.assumedRouters;
     }
 
@@ -189,7 +192,7 @@
     }
 
     override sharePlacement(placement: Placement, request: RelayRequest): void {
-        this.sharer.share(placement.upstream.id, placement.newTokens, request.parts);
+        this.sharer.share(placement, request.parts);
     }
 
     override getRouterCount(): number {
@@ -301,17 +304,18 @@
     receiveFollowAnswer(answer: FollowAnswer): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
-        const others = answer.routers.filter(router => router !== this.options.address);
+        if (now - this.heardAt > this.getGapMs()) {
+            this.heardSince = now;
+        }
+        this.heardAt = now;
+        this.knownRouters.record(answer.routers, this.heardSince, now);
+        const others = this.knownRouters.list();
         this.setRouters(Math.max(1 + others.length, this.reporter.routers));
         this.borrower.setOthers(others);
         this.sharer.setOthers(others);
         if (answer.hasMajority) {
             this.feeds.setNamed(answer.controllers);
         }
-        if (now - this.heardAt > this.getGapMs()) {
-            this.heardSince = now;
-        }
-        this.heardAt = now;
     }
 
     private setRouters(routers: number): void {
--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -2,7 +2,7 @@
  * Tells the other routers what this one sends to which model engine, and hears the same of them: all of them read from
  * one queue, and a part of a prompt that one router's request has brought there is kept for the others' too.
  */
-import type { PromptPart, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { Placement, PromptPart, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { Peer, PeerHandlers, PeerNetwork } from "../../ports/peer.js";
@@ -36,8 +36,8 @@
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(placementNoticeMethod, ({ placements }) => {
             const now = this.clock.getMonotonicMs();
-            for (const { upstream, newTokens, parts } of placements) {
-                this.load.recordOther(upstream, newTokens, parts, now);
+            for (const { upstream, newTokens, beyondMs, parts } of placements) {
+                this.load.recordOther(upstream, newTokens, beyondMs, parts, now);
             }
         });
     }
@@ -45,14 +45,15 @@
     /** Takes the addresses of the other routers. */
     setOthers(others: readonly string[]): void {
         this.others = others;
+        others.forEach(address => this.tryGetPeer(address));
     }
 
     /** Tells the others of a placement soon. */
-    share(upstream: string, newTokens: number, parts: readonly PromptPart[]): void {
+    share({ upstream, newTokens, beyondMs }: Placement, parts: readonly PromptPart[]): void {
         if (newTokens < this.options.leastTokens || this.gathered.length >= MAX_GATHERED) {
             return;
         }
-        this.gathered.push({ upstream, newTokens, parts: parts.map(part => part.id) });
+        this.gathered.push({ upstream: upstream.id, newTokens, beyondMs, parts: parts.map(part => part.id) });
         if (!this.isFlushDue) {
             this.isFlushDue = true;
             void this.flushSoon();
@@ -69,13 +70,19 @@
 
     /** Who cannot be told now is not told later: by then the prompts have been read. */
     private tell(address: string, placements: readonly SharedPlacement[]): void {
+        this.tryGetPeer(address)?.notify(placementNoticeMethod, { placements });
+    }
+
+    /** The connection to a router; one is begun where there is none. */
+    private tryGetPeer(address: string): Peer | undefined {
         const peer = this.peers.get(address);
         if (peer?.isOpen()) {
-            peer.notify(placementNoticeMethod, { placements });
+            return peer;
         }
-        else if (!this.connecting.has(address)) {
+        if (!this.connecting.has(address)) {
             void this.connect(address);
         }
+        return undefined;
     }
 
     private async connect(address: string): Promise<void> {
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -7,6 +7,7 @@
  * an engine reads also holds up every stream that runs beside it, so long prompts go where little is read already.
  */
 import { chooseByRendezvous } from "./identifiers.js";
+import { MovingRate } from "./movingAverage.js";
 import { type QueuedPrompt, ReadingQueue, ReadingSpeed, type ReadingSpeedOptions } from "./readingQueue.js";
 import type { UpstreamRegistration } from "./upstreamRegistry.js";
 
@@ -42,6 +43,10 @@
     /** What each millisecond beyond that counts on top for the request itself, and for each stream beside it. */
     readonly beyondWeight: number;
     readonly beyondStreamWeight: number;
+    /** What an expected millisecond of such reading counts beside a stream of a second. */
+    readonly disturbanceWeight: number;
+    /** How fast it is forgotten that an upstream read at a stretch, in milliseconds. */
+    readonly disturbanceHalfLifeMs: number;
     /** Part of the shared parts that the upstream preferred by hash is presumed to keep where nobody has told so. */
     readonly presumedKeptPart: number;
     /** What all slots of an upstream taken add to the estimate, in milliseconds. */
@@ -64,6 +69,8 @@
     running: number;
     readonly speed: ReadingSpeed;
     readonly reading: ReadingQueue;
+    /** Milliseconds that the upstream reads at a stretch beyond what is comfortable, a second. */
+    readonly disturbance: MovingRate;
     /** Prompt parts that the upstream was sent, oldest first. */
     readonly parts: Set<string>;
     /** Part of the requests that failed, as of `failureAt`. */
@@ -80,6 +87,8 @@
     readonly newTokens: number;
     /** How long the upstream has to read before it. Milliseconds. */
     readonly aheadMs: number;
+    /** How long the upstream reads it alone beyond what is comfortable to streams beside. Milliseconds. */
+    readonly beyondMs: number;
 }
 
 /** A placed request until its prompt has been read. */
@@ -106,31 +115,51 @@
         const awake = open.filter(candidate => this.getLoad(candidate.id).pausedUntil <= now);
         const usable = awake.length > 0 ? awake : open;
         const preferred = this.findPreferred(usable, demand);
-        let best: Placement | undefined;
+        let best: UpstreamRegistration | undefined;
         let bestCost = Infinity;
         for (const upstream of usable) {
             const newTokens = this.countNewTokens(upstream.id, demand);
             const presumed = upstream.id === preferred ? this.countPresumed(demand, newTokens) : 0;
             const cost = this.estimateMs(upstream, newTokens - presumed, terms, now);
             if (cost < bestCost) {
-                best = { upstream, newTokens, aheadMs: this.getLoad(upstream.id).reading.getBacklogMs(now) };
+                best = upstream;
                 bestCost = cost;
             }
         }
-        return best;
+        return best === undefined ? undefined : this.createPlacement(best, demand, terms, now);
+    }
+
+    private createPlacement(
+        upstream: UpstreamRegistration,
+        demand: RequestDemand,
+        terms: ChoiceTerms,
+        now: number,
+    ): Placement {
+        const load = this.getLoad(upstream.id);
+        const newTokens = this.countNewTokens(upstream.id, demand);
+        const readMs = newTokens * load.speed.msPerToken;
+        const beyondMs = Math.max(0, Math.round(readMs - this.getComfortableMs(terms)));
+        return { upstream, newTokens, aheadMs: load.reading.getBacklogMs(now), beyondMs };
+    }
+
+    /** How long an engine may read at a stretch without harm to the streams beside. */
+    private getComfortableMs(terms: ChoiceTerms): number {
+        return terms.longestWaitMs * this.options.comfortablePart;
     }
 
     /** Notes a request that is being sent. */
     recordStart(placement: Placement, demand: RequestDemand, now: number): StartedPlacement {
         const load = this.getLoad(placement.upstream.id);
         load.running += 1;
+        load.disturbance.add(placement.beyondMs, now);
         this.addParts(load, demand.parts.map(part => part.id));
         return { ...placement, prompt: load.reading.add(placement.newTokens, now) };
     }
 
     /** Notes a request that another router has sent. */
-    recordOther(upstream: string, newTokens: number, parts: readonly string[], now: number): void {
+    recordOther(upstream: string, newTokens: number, beyondMs: number, parts: readonly string[], now: number): void {
         const load = this.getLoad(upstream);
+        load.disturbance.add(beyondMs, now);
         this.addParts(load, parts);
         load.reading.addOther(newTokens, now);
     }
@@ -190,20 +219,27 @@
 
     private estimateMs(upstream: UpstreamRegistration, newTokens: number, terms: ChoiceTerms, now: number): number {
         const load = this.getLoad(upstream.id);
-        const { waitWeight, comfortablePart, beyondWeight, beyondStreamWeight } = this.options;
-        const { runningCostMs, otherZoneCostMs, failureCostMs } = this.options;
+        const { waitWeight, runningCostMs, otherZoneCostMs, failureCostMs, disturbanceWeight } = this.options;
         const readMs = newTokens * load.speed.msPerToken;
         const waitMs = load.reading.getBacklogMs(now);
         // The other routers send about as many as this one.
         const running = load.running * terms.routers;
-        const beyondMs = Math.max(0, readMs + waitMs - terms.longestWaitMs * comfortablePart);
         return readMs + waitMs * waitWeight
-            + beyondMs * (beyondWeight + running * beyondStreamWeight)
+            + this.estimateHarmMs(readMs + waitMs, running, terms)
+            + load.disturbance.getRate(now) * disturbanceWeight
             + running / Math.max(1, upstream.slots) * runningCostMs
             + this.getFailureShare(load, now) * failureCostMs
             + (upstream.zone === this.zone ? 0 : otherZoneCostMs);
     }
 
+    /** What it counts that an engine reads for `stretchMs`. Who is late already is not harmed by more of it. */
+    private estimateHarmMs(stretchMs: number, running: number, terms: ChoiceTerms): number {
+        const { beyondWeight, beyondStreamWeight } = this.options;
+        const beyondMs = Math.max(0, stretchMs - this.getComfortableMs(terms));
+        const late = Math.min(beyondMs, terms.longestWaitMs);
+        return late * (beyondWeight + running * beyondStreamWeight);
+    }
+
     /** Prompt tokens that an upstream has to read, as far as is known. */
     private countNewTokens(upstream: string, demand: RequestDemand): number {
         const { parts } = this.getLoad(upstream);
@@ -249,6 +285,7 @@
                 running: 0,
                 speed,
                 reading: new ReadingQueue(speed),
+                disturbance: new MovingRate(this.options.disturbanceHalfLifeMs),
                 parts: new Set(),
                 failureShare: 0,
                 failureAt: 0,
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -68,6 +68,8 @@
     readonly upstream: string;
     /** Prompt tokens that the engine probably has to read. */
     readonly newTokens: number;
+    /** How long that takes beyond what is comfortable to streams beside, in milliseconds. */
+    readonly beyondMs: number;
     /** The parts of its prompt, in order. */
     readonly parts: readonly string[];
 }
@@ -75,6 +77,7 @@
 const placementSchema = z.object({
     upstream: name,
     newTokens: count,
+    beyondMs: count,
     parts: z.array(name).max(1_000),
 }) satisfies z.ZodType<SharedPlacement>;
 
