--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -1,7 +1,7 @@
 /** The replicated log on disk: term and vote, entries, and the snapshot that stands for the entries before it. */
 import type { LogEntry, Replica } from "../domain/commands.js";
 import type { StateSnapshot } from "../domain/declaredState.js";
-import { BoxClock, type SteadyClock } from "../ports/clock.js";
+import { type Clock, SystemClock } from "../ports/clock.js";
 import type { Journal, OpenedJournal } from "../ports/journal.js";
 
 /** A state with the place in the log it stands for. */
@@ -16,11 +16,17 @@
 type StoredRecord =
     | { readonly type: "member"; }
     | { readonly type: "term"; readonly term: number; readonly votedFor?: string; }
-    | { readonly type: "entries"; readonly entries: readonly LogEntry[]; readonly takenAt?: number; }
-    | { readonly type: "taken"; readonly times: readonly (readonly [number, number])[]; }
-    | { readonly type: "boot"; readonly boot: string; }
+    | { readonly type: "entries"; readonly entries: readonly LogEntry[]; readonly takenWallMs?: number; }
+    | { readonly type: "taken"; readonly wallMs: readonly (readonly [number, number])[]; }
     | { readonly type: "snapshot"; readonly snapshot: LogSnapshot; };
 
+/** When an entry was taken. */
+interface TakenTime {
+    readonly wallMs: number;
+    /** Undefined where an earlier process took it: nobody can tell whether the box's clock has run on since. */
+    readonly monotonicMs: number | undefined;
+}
+
 /** Of how many entries it is remembered when they were taken. */
 const TAKEN_TIMES = 4_096;
 
@@ -38,29 +44,27 @@
     private entries: LogEntry[] = [];
     private readonly journal: Journal;
     private lastWrite: Promise<void> = Promise.resolve();
-    private readonly takenTimes = new Map<number, number>();
-    private storedBoot: string | undefined;
+    private readonly takenTimes = new Map<number, TakenTime>();
 
-    /**
-     * `clock`: runs on while this process does not; with another `boot` it has begun anew, and times of before say
-     * nothing any more.
-     */
-    constructor(opened: OpenedJournal, private readonly clock: SteadyClock = new BoxClock()) {
+    constructor(opened: OpenedJournal, private readonly clock: Clock = new SystemClock()) {
         this.journal = opened.journal;
         (opened.records as readonly StoredRecord[]).forEach(record => this.load(record));
         this.syncedIndex = this.getLastIndex();
-        this.noteBoot();
         this.replicas = this.findReplicas(this.getLastIndex());
     }
 
-    /** When this replica took the entry at `index`, on the steady clock of its box; undefined where it cannot say. */
-    tryGetTakenAt(index: number): number | undefined {
-        return this.takenTimes.get(index);
-    }
-
-    /** Milliseconds since a time of `tryGetTakenAt`. */
-    getMsSince(takenAt: number): number {
-        return this.clock.getMs() - takenAt;
+    /**
+     * Milliseconds since this replica took the entry at `index`, undefined where it cannot say: by the monotonic clock
+     * where this process took it, else by the box's time of day, which may have stepped since.
+     */
+    tryGetMsSinceTaken(index: number): number | undefined {
+        const taken = this.takenTimes.get(index);
+        if (taken === undefined) {
+            return undefined;
+        }
+        return taken.monotonicMs === undefined
+            ? this.clock.getWallMs() - taken.wallMs
+            : this.clock.getMonotonicMs() - taken.monotonicMs;
     }
 
     getLastIndex(): number {
@@ -159,9 +163,9 @@
         }
         this.placeEntries(entries);
         this.syncedIndex = Math.min(this.syncedIndex, entries[0]!.index - 1);
-        const takenAt = this.clock.getMs();
-        this.noteTaken(entries, takenAt);
-        await this.write({ type: "entries", entries, takenAt });
+        const wallMs = this.clock.getWallMs();
+        this.noteTaken(entries, { wallMs, monotonicMs: this.clock.getMonotonicMs() });
+        await this.write({ type: "entries", entries, takenWallMs: wallMs });
         const last = entries[entries.length - 1]!;
         if (this.tryGetTerm(last.index) === last.term) {
             this.syncedIndex = Math.max(this.syncedIndex, last.index);
@@ -180,8 +184,7 @@
             { type: "snapshot", snapshot },
             { type: "term", term: this.term, ...(this.votedFor === undefined ? {} : { votedFor: this.votedFor }) },
             ...(rest.length > 0 ? [{ type: "entries", entries: rest }] : []),
-            { type: "boot", boot: this.clock.boot },
-            { type: "taken", times: [...this.takenTimes] },
+            { type: "taken", wallMs: [...this.takenTimes].map(([index, { wallMs }]) => [index, wallMs]) },
         ]);
         await this.lastWrite;
         this.syncedIndex = Math.max(this.syncedIndex, this.snapshot.lastIndex);
@@ -206,18 +209,14 @@
                 this.votedFor = record.votedFor;
                 return;
             case "entries":
-                if (record.takenAt !== undefined) {
-                    this.noteTaken(record.entries, record.takenAt);
+                if (record.takenWallMs !== undefined) {
+                    this.noteTaken(record.entries, { wallMs: record.takenWallMs, monotonicMs: undefined });
                 }
                 return this.placeEntries(record.entries);
-            case "boot":
-                if (record.boot !== this.storedBoot) {
-                    this.takenTimes.clear();
-                }
-                this.storedBoot = record.boot;
-                return;
             case "taken":
-                record.times.forEach(([index, takenAt]) => this.takenTimes.set(index, takenAt));
+                for (const [index, wallMs] of record.wallMs) {
+                    this.takenTimes.set(index, { wallMs, monotonicMs: undefined });
+                }
                 return;
             case "snapshot":
                 this.snapshot = record.snapshot;
@@ -226,19 +225,10 @@
         }
     }
 
-    /** Forgets the times of before where the box has started anew since. */
-    private noteBoot(): void {
-        if (this.storedBoot !== this.clock.boot) {
-            this.takenTimes.clear();
-            // A journal that fails once fails every later write too; whoever waits for one of those logs it.
-            this.write({ type: "boot", boot: this.clock.boot }).catch(() => undefined);
-        }
-    }
-
-    private noteTaken(entries: readonly LogEntry[], takenAt: number): void {
+    private noteTaken(entries: readonly LogEntry[], taken: TakenTime): void {
         for (const entry of entries) {
             this.takenTimes.delete(entry.index);
-            this.takenTimes.set(entry.index, takenAt);
+            this.takenTimes.set(entry.index, taken);
         }
         while (this.takenTimes.size > TAKEN_TIMES) {
             this.takenTimes.delete(this.takenTimes.keys().next().value!);
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -146,10 +146,10 @@
         return this.progress.tryGet(name);
     }
 
-    /** Milliseconds since this replica took the entry at `index`; undefined where it cannot say. */
-    tryGetMsSinceTaken(index: number): number | undefined {
-        const takenAt = this.storage.tryGetTakenAt(index);
-        return takenAt === undefined ? undefined : this.storage.getMsSince(takenAt);
+    /** Since when this replica has the entry at `index`, and whether it proposed it itself in the term that it leads. */
+    getEntryAge(index: number): { readonly ms: number | undefined; readonly isOwn: boolean; } {
+        const isOwn = this.isLeader() && this.storage.tryGetTerm(index) === this.storage.term;
+        return { ms: this.storage.tryGetMsSinceTaken(index), isOwn };
     }
 
     /** Whether the newest change of the replicas is committed, so that another may follow. */
--- a/src/daemons/bundleController/prepaidService.ts
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -5,7 +5,8 @@
 import { getLeaderAddress } from "../../consensus/leaderAddress.js";
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
-import type { PrepaidResult } from "../../domain/prepaidBook.js";
+import type { PrepaidResult, ReportTime } from "../../domain/prepaidBook.js";
+import { computeLongestLifeMs, type LifeEvidence } from "../../domain/routerLife.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
@@ -13,16 +14,15 @@
 
 /** How long a report may take from here to the leader and back, in milliseconds. */
 const FORWARD_TIMEOUT_MS = 900;
-/** Part by which the clocks of two boxes may run apart, a hundred times what quartz clocks do. */
-const CLOCK_MARGIN = 1.02;
-/** Added to what was measured, for the grain of the clocks, in milliseconds. */
-const CLOCK_GRAIN_MS = 20;
 /** How often, and of how many accounts, the leader logs what is left. */
 const LOG_PERIOD_MS = 5_000;
 const LOGGED_ACCOUNTS = 10;
 
 /** Each controller has one; only the leader's proposes. */
 export class PrepaidService {
+    /** Of routers that run anew: their newest report of before, and how long nothing ran there after it. */
+    private readonly silences = new Map<string, { readonly index: number; readonly ms: number; }>();
+
     constructor(
         private readonly replica: ReplicatedLog,
         private readonly network: PeerNetwork,
@@ -61,27 +61,41 @@
         if (reports === undefined) {
             return undefined;
         }
-        const sinceNewestMs = this.tryMeasure(reports.newestIndex, report.uptimeMs);
-        const sinceAnsweredMs = reports.answeredIndex === undefined
+        const { answered, newest } = reports;
+        const sinceNewestMs = computeLongestLifeMs(this.gatherEvidence(newest, report));
+        const sinceAnsweredMs = answered === undefined
             ? 0
-            : this.tryMeasure(reports.answeredIndex, report.uptimeMs);
+            : computeLongestLifeMs(this.gatherEvidence(answered, report));
+        this.silences.set(report.router, { index: newest.index, ms: getSilenceMs(newest, report) });
         this.log.info("router_replaced", {
             router: report.router,
             incarnation: report.incarnation,
             since_newest_ms: sinceNewestMs,
             since_answered_ms: sinceAnsweredMs,
+            measured: this.replica.getEntryAge(newest.index).isOwn,
         });
         return sinceNewestMs === undefined || sinceAnsweredMs === undefined
             ? undefined
             : { sinceAnsweredMs, sinceNewestMs };
     }
 
-    /** From when an entry was taken until the router's new process began; its old one cannot have lived longer. */
-    private tryMeasure(index: number, uptimeMs: number): number | undefined {
-        const sinceTaken = this.replica.tryGetMsSinceTaken(index);
-        // A clock that began anew would show less than the new process has run.
-        return sinceTaken === undefined || sinceTaken < uptimeMs
-            ? undefined
-            : Math.ceil((sinceTaken - uptimeMs) * CLOCK_MARGIN + CLOCK_GRAIN_MS);
+    /** What this leader knows of the time from when a report was taken until the process that makes `report` started. */
+    private gatherEvidence(earlier: ReportTime, report: PrepaidReportCommand): LifeEvidence {
+        const age = this.replica.getEntryAge(earlier.index);
+        const byLeader = age.ms === undefined ? undefined : age.ms - report.uptimeMs;
+        if (age.isOwn) {
+            return { measuredMs: byLeader, witnessedMs: [] };
+        }
+        // Another router whose last report came no earlier was silent for no longer than this one lived, at the most.
+        const others = [...this.silences].filter(([router, { index }]) =>
+            router !== report.router && index >= earlier.index
+        );
+        const witnessedMs = [byLeader, getSilenceMs(earlier, report), ...others.map(([, { ms }]) => ms)];
+        return { measuredMs: undefined, witnessedMs: witnessedMs.filter(ms => ms !== undefined) };
     }
 }
+
+/** From an earlier report until the start of the process that makes `report`, by the time of day at the router's box. */
+function getSilenceMs(earlier: ReportTime, report: PrepaidReportCommand): number {
+    return report.wallMs - report.uptimeMs - earlier.wallMs;
+}
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -92,7 +92,7 @@
         const round = this.begun;
         this.isAsked = false;
         for (const address of this.getOrder()) {
-            const report = this.purse.createReport(this.clock.getMonotonicMs(), closing);
+            const report = this.purse.createReport(this.clock.getMonotonicMs(), this.clock.getWallMs(), closing);
             if (report.accounts.length === 0) {
                 return;
             }
--- a/src/domain/bundleCommands.ts
+++ b/src/domain/bundleCommands.ts
@@ -29,6 +29,10 @@
     answered: count,
     /** How long the router's process has run, in milliseconds. */
     uptimeMs: count,
+    /** The time of day at the router's box when it made the report, in milliseconds since 1970. */
+    wallMs: count,
+    /** Without an answer for so long, the router may commit all that it was granted. Milliseconds. */
+    wholeAfterMs: count,
     /** The router has stopped: what is left of its grants is given back. */
     closing: z.boolean(),
     /**
@@ -42,7 +46,7 @@
         committed: count,
         /**
          * Until the next report is answered the router commits at most `committed`, `burst` and `perSecond` for each
-         * second since this one was answered, and never more than it was granted.
+         * second since this one was answered, until `wholeAfterMs`; and never more than it was granted.
          */
         burst: count,
         perSecond: count,
--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -20,6 +20,9 @@
     readonly sequence: number;
     /** Index in the log, by which the leader knows when it was taken. */
     readonly index: number;
+    /** The time of day at the router's box when it was made, in milliseconds. */
+    readonly wallMs: number;
+    readonly wholeAfterMs: number;
     readonly accounts: readonly Pick<ReportedAccount, "account" | "committed" | "burst" | "perSecond">[];
 }
 
@@ -83,11 +86,14 @@
     readonly ended: readonly string[];
 }
 
-/** Log indexes of the reports that bound a router which runs under another incarnation now. */
+/** When a report was made. */
+export type ReportTime = Pick<Bound, "index" | "wallMs">;
+
+/** The reports that bound a router which runs under another incarnation now. */
 export interface PredecessorReports {
     /** Undefined where the router never had an answer. */
-    readonly answeredIndex: number | undefined;
-    readonly newestIndex: number;
+    readonly answered: ReportTime | undefined;
+    readonly newest: ReportTime;
 }
 
 /** How many ended incarnations are remembered, so that a report of theirs that comes late opens nothing. */
@@ -130,7 +136,7 @@
         const known = this.grantees.get(router);
         return known === undefined || known.incarnation === incarnation || known.newest === undefined
             ? undefined
-            : { answeredIndex: known.answered?.index, newestIndex: known.newest.index };
+            : { answered: known.answered, newest: known.newest };
     }
 
     /** Tokens of an account that no router has been granted. */
@@ -264,7 +270,8 @@
         burst,
         perSecond,
     }));
-    return { sequence: report.sequence, index, accounts };
+    const { sequence, wallMs, wholeAfterMs } = report;
+    return { sequence, index, wallMs, wholeAfterMs, accounts };
 }
 
 /** Most that a router can have committed of an account, by the report it went by last: one of the two it may have. */
@@ -285,7 +292,10 @@
 /** Before its first answer a router may commit nothing, so without a report there is nothing. */
 function computeMostUnder(bound: Bound | undefined, account: string, livedMs: number): number {
     const entry = bound?.accounts.find(entry => entry.account === account);
-    return entry === undefined
-        ? 0
+    if (bound === undefined || entry === undefined) {
+        return 0;
+    }
+    return livedMs >= bound.wholeAfterMs
+        ? Infinity
         : entry.committed + entry.burst + Math.ceil(entry.perSecond * livedMs / MS_PER_SECOND);
 }
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -85,8 +85,8 @@
         this.accounts.get(account)?.settle(reserved, used);
     }
 
-    /** The next report. What it gives back is not used any more from here on. */
-    createReport(now: number, closing: boolean): PrepaidReportCommand {
+    /** The next report. What it gives back is not used any more from here on. `wallMs`: the box's time of day. */
+    createReport(now: number, wallMs: number, closing: boolean): PrepaidReportCommand {
         this.sequence += 1;
         return {
             type: "reportPrepaid",
@@ -95,6 +95,8 @@
             sequence: this.sequence,
             answered: this.answeredSequence,
             uptimeMs: Math.floor(now),
+            wallMs,
+            wholeAfterMs: this.options.wholeAfterMs,
             closing,
             accounts: [...this.accounts].map(([name, account]) => account.createReportEntry(name, now, closing)),
         };
--- a/src/domain/prepaidPurseOptions.ts
+++ b/src/domain/prepaidPurseOptions.ts
@@ -12,6 +12,8 @@
     readonly burstMs: number;
     /** How much faster than the demand a grant opens while no report is answered. */
     readonly openingFactor: number;
+    /** Silence after which all of a grant is open, in milliseconds: by then the router is surely cut off. */
+    readonly wholeAfterMs: number;
     /** Own demand that is kept back from other routers, in milliseconds. */
     readonly lendReserveMs: number;
     /** Part of the more urgent ranks' demand that a rank leaves them while the grant cannot be refilled. */
--- a/src/domain/purseAccount.ts
+++ b/src/domain/purseAccount.ts
@@ -185,7 +185,10 @@
     /** What the newest answered report allows to have been committed by `now`. */
     private computeAllowed(now: number): number {
         const { committed, burst, perSecond } = this.allowance;
-        return committed + burst + Math.floor(perSecond * (now - this.contact.answeredAt) / MS_PER_SECOND);
+        const silentMs = now - this.contact.answeredAt;
+        return this.allowance !== NO_ALLOWANCE && silentMs >= this.options.wholeAfterMs
+            ? this.granted
+            : committed + burst + Math.floor(perSecond * silentMs / MS_PER_SECOND);
     }
 
     /** What counts against the grant: borrowed tokens are spent first. Negative while some of them are left. */
@@ -239,7 +242,6 @@
         return Math.ceil(Math.max(Math.min(Math.max(byDemand, least), left * mostHeldPart), this.waiting));
     }
 
-    /** A grant is open after its horizon at the latest, whatever the demand was before. */
     private createAllowance(committed: number, demand: number, wanted: number): Allowance {
         const { horizonMs, burstMs, openingFactor } = this.options;
         return {
--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -16,6 +16,8 @@
         sequence: 1,
         answered: 0,
         uptimeMs: 1_000,
+        wallMs: 1_000,
+        wholeAfterMs: 3_000,
         closing: false,
         accounts: [{ account: "a", committed, burst: 100, perSecond: 50, ceiling: 1_000, wanted: 1_000 }],
         ...part,
--- a/test/domain/prepaidPurse.test.ts
+++ b/test/domain/prepaidPurse.test.ts
@@ -28,7 +28,7 @@
 }
 
 function answer(purse: PrepaidPurse, { granted, free, writtenOff = 0 }: Grant, now: number): PrepaidReportCommand {
-    const report = purse.createReport(now, false);
+    const report = purse.createReport(now, now, false);
     purse.applyAnswer(report.sequence, [{ account: "a", granted, free, prepaid: PREPAID, writtenOff }], now);
     return report;
 }
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -33,6 +33,7 @@
     demandHalfLifeMs: 4_000,
     burstMs: 1_500,
     openingFactor: 2,
+    wholeAfterMs: 3_000,
     lendReserveMs: 500,
     rankReservePart: 0.5,
     writtenOffPart: 0.03,
@@ -173,7 +174,7 @@
     }
 
     private report(life: RouterLife, closing: boolean): void {
-        const report = life.purse.createReport(this.now - life.startedAt, closing);
+        const report = life.purse.createReport(this.now - life.startedAt, this.now, closing);
         const draw = this.random();
         if (life.isCut || draw < 0.1) {
             this.late.push({ dueAt: this.now + Math.floor(this.random() * MAX_DELAY_MS), report });
@@ -198,8 +199,8 @@
         }
         const measure = (taken: number): number => Math.max(0, this.now - this.takenAt[taken]! - report.uptimeMs);
         const predecessor = {
-            sinceNewestMs: measure(before.newestIndex),
-            sinceAnsweredMs: before.answeredIndex === undefined ? 0 : measure(before.answeredIndex),
+            sinceNewestMs: measure(before.newest.index),
+            sinceAnsweredMs: before.answered === undefined ? 0 : measure(before.answered.index),
         };
         return this.book.applyReport({ ...report, predecessor }, index);
     }
