--- a/src/domain/routerLife.ts
+++ b/src/domain/routerLife.ts
@@ -13,7 +13,7 @@
 /** Added to what a monotonic clock measured, for its grain, in milliseconds. */
 const CLOCK_GRAIN_MS = 20;
 /** Added to what clocks of the time of day witnessed, which are slewed now and then, in milliseconds. */
-const WITNESS_MARGIN_MS = 300;
+const WITNESS_MARGIN_MS = 100;
 /** One clock alone may have stepped. */
 const LEAST_WITNESSES = 2;
 
