--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -36,14 +36,14 @@
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 import { Signal } from "./signal.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
-import { collectVotes, createVoteParams, isLogUpToDate } from "./voting.js";
+import { collectVotes, computeCandidacyTimeoutMs, createVoteParams, hasVotedFor, isLogUpToDate } from "./voting.js";
 
 export class ReplicatedLog {
     readonly state: DeclaredState;
     private role: "follower" | "candidate" | "leader" = "follower";
     private leader: string | undefined;
     private commitIndex = 0;
-    private heardFromLeaderAt: number;
+    private heardFromLeaderAt = -Infinity;
     readonly replicas: ReplicaSet;
     private readonly progress: LeaderProgress;
     private readonly proposals: PendingProposals;
@@ -59,7 +59,6 @@
         private readonly log: Log,
         private readonly options: ReplicatedLogOptions,
     ) {
-        this.heardFromLeaderAt = clock.getMonotonicMs();
         this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
         this.replicas = new ReplicaSet(storage, options);
         this.progress = new LeaderProgress(options.name, this.replicas);
@@ -278,7 +277,7 @@
 
     private async runElections(): Promise<void> {
         while (!this.stopped) {
-            const timeout = this.options.electionTimeoutMs * (1 + this.options.random());
+            const timeout = computeCandidacyTimeoutMs(this.options, this.heardFromLeaderAt);
             const since = this.clock.getMonotonicMs();
             await this.clock.wait(timeout);
             if (this.stopped) {
@@ -349,24 +348,26 @@
         if (params.term < this.storage.term || !this.storage.isMember) {
             return { term: this.storage.term, granted: false };
         }
+        const candidate = isLogUpToDate(this.storage, params) ? params.candidate : undefined;
         if (params.term > this.storage.term) {
             this.role = "follower";
             this.leader = undefined;
             this.proposals.failAll();
-            await this.storage.saveTerm(
-                params.term,
-                isLogUpToDate(this.storage, params) ? params.candidate : undefined,
-            );
+            await this.saveVote(params.term, candidate);
         }
-        else if (this.storage.votedFor === undefined && isLogUpToDate(this.storage, params)) {
-            await this.storage.saveTerm(params.term, params.candidate);
+        else if (this.storage.votedFor === undefined && candidate !== undefined) {
+            await this.saveVote(params.term, candidate);
         }
         await this.storage.waitSynced();
-        const granted = this.storage.term === params.term && this.storage.votedFor === params.candidate;
-        if (granted) {
+        return { term: this.storage.term, granted: hasVotedFor(this.storage, params) };
+    }
+
+    /** Who gives its vote waits for what comes of it: from then on, not from when the vote is synced. */
+    private saveVote(term: number, candidate: string | undefined): Promise<void> {
+        if (candidate !== undefined) {
             this.heardFromLeaderAt = this.clock.getMonotonicMs();
         }
-        return { term: this.storage.term, granted };
+        return this.storage.saveTerm(term, candidate);
     }
 
     /** Steps down where a higher term has been seen. */
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -171,7 +171,7 @@
             return createRefusal("draining", undefined, "no", this.options.retryAfterMs);
         }
         if (index === undefined) {
-            return createRefusal("notReady", "no bundle yet", "no", this.options.retryAfterMs);
+            return createRefusal("notReady", "no bundle yet", "no", this.options.startRetryAfterMs);
         }
         const route = index.tryGetRoute(request.host, request.passed.target);
         if (route === undefined) {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -13,6 +13,8 @@
 export interface RelayOptions {
     /** When a caller that was refused for want of an upstream should come back. */
     readonly retryAfterMs: number;
+    /** The same where the router has just started: when it will have heard what is in force. */
+    readonly startRetryAfterMs: number;
     /** The same where it was refused for want of a grant: when a router that is cut off may be back. */
     readonly grantRetryAfterMs: number;
     /** How long a request waits for a grant. */
