--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -68,6 +68,12 @@
                 return;
             }
             this.reservedAt = performance.now();
+            if (!this.hasTimeLeft()) {
+                // A router that lags behind may come to a request when its time is up.
+                this.tokens.release();
+                this.finish(this.createLateRefusal());
+                return;
+            }
             const placement = this.tryPlace();
             if (placement === undefined) {
                 this.tokens.release();
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -32,9 +32,16 @@
 const KEEP_GONE_MS = 60_000;
 /** How long one that says nothing is remembered: longer than any cut between it and the controllers. Milliseconds. */
 const KEEP_SILENT_MS = 600_000;
+/**
+ * How long the holder of an address keeps it against one that was known before, in milliseconds: reports come every second
+ * or so, so one that is silent for longer has probably ended.
+ */
+const HOLD_ADDRESS_MS = 3_000;
 
 export class UpstreamRegistry {
     private readonly entries = new Map<string, Entry>();
+    /** Which upstream is at an address: one that has ended may still be heard of after another has taken its place. */
+    private readonly holders = new Map<string, string>();
 
     /**
      * Takes a report that was heard at `heardAt`. Answers what it changed: `state` where routing is affected, `beat`
@@ -44,6 +51,7 @@
         const known = this.entries.get(registration.id);
         if (known === undefined) {
             this.entries.set(registration.id, { registration, heardAt });
+            this.tryTakeAddress(registration, heardAt, 0);
             return "state";
         }
         if (known.registration.state === "gone") {
@@ -57,7 +65,22 @@
             || known.registration.slots !== registration.slots;
         known.registration = registration;
         known.heardAt = Math.max(known.heardAt, heardAt);
-        return changed ? "state" : "beat";
+        const hasTakenAddress = this.tryTakeAddress(registration, heardAt, HOLD_ADDRESS_MS);
+        return changed || hasTakenAddress ? "state" : "beat";
+    }
+
+    /** Gives an upstream its address where the holder has been silent for `silentMs` or longer. */
+    private tryTakeAddress({ id, address, state }: UpstreamRegistration, heardAt: number, silentMs: number): boolean {
+        const holder = this.holders.get(address);
+        if (holder === id || state === "gone") {
+            return false;
+        }
+        const holderHeardAt = holder === undefined ? undefined : this.entries.get(holder)?.heardAt;
+        if (holderHeardAt !== undefined && heardAt - holderHeardAt < silentMs) {
+            return false;
+        }
+        this.holders.set(address, id);
+        return true;
     }
 
     /** Marks an upstream as gone; answers the registration to tell others, if it was known. */
@@ -82,6 +105,9 @@
             const keepMs = registration.state === "gone" ? KEEP_GONE_MS : KEEP_SILENT_MS;
             if (now - heardAt > keepMs) {
                 this.entries.delete(id);
+                if (this.holders.get(registration.address) === id) {
+                    this.holders.delete(registration.address);
+                }
             }
         }
     }
@@ -94,11 +120,13 @@
         }));
     }
 
-    /** The upstreams of a service that take new work and were heard within `maxAgeMs`. */
+    /** The upstreams of a service that hold their address, take new work and were heard within `maxAgeMs`. */
     getReady(service: string, now: number, maxAgeMs: number): UpstreamRegistration[] {
         const ready: UpstreamRegistration[] = [];
         for (const { registration, heardAt } of this.entries.values()) {
-            if (registration.service === service && registration.state === "ready" && now - heardAt <= maxAgeMs) {
+            const isReady = registration.service === service && registration.state === "ready";
+            const isHolder = this.holders.get(registration.address) === registration.id;
+            if (isReady && isHolder && now - heardAt <= maxAgeMs) {
                 ready.push(registration);
             }
         }
--- a/test/domain/upstreamRegistry.test.ts
+++ b/test/domain/upstreamRegistry.test.ts
@@ -38,3 +38,38 @@
     t.equal(registry.tryGet("u"), undefined);
     t.end();
 });
+
+/** Ids of the upstreams that are ready at `now`. */
+function listReady(registry: UpstreamRegistry, now: number): string[] {
+    return registry.getReady("s", now, Infinity).map(registration => registration.id);
+}
+
+void t.test("a late report of one whose address another has taken does not bring it back", t => {
+    const registry = new UpstreamRegistry();
+    registry.record(createRegistration({ id: "old", sequence: 1 }), 0);
+    t.equal(registry.record(createRegistration({ id: "new", sequence: 1 }), 4_000), "state");
+    t.same(listReady(registry, 4_000), ["new"]);
+    t.equal(registry.record(createRegistration({ id: "old", sequence: 2 }), 4_500), "beat");
+    t.same(listReady(registry, 4_500), ["new"]);
+    t.end();
+});
+
+void t.test("one that was taken for ended holds its address again when the other is silent", t => {
+    const registry = new UpstreamRegistry();
+    registry.record(createRegistration({ id: "here", sequence: 7 }), 0);
+    registry.record(createRegistration({ id: "late", sequence: 3 }), 100);
+    registry.record(createRegistration({ id: "here", sequence: 8 }), 1_200);
+    t.same(listReady(registry, 1_200), ["late"]);
+    t.equal(registry.record(createRegistration({ id: "here", sequence: 9 }), 3_600), "state");
+    t.same(listReady(registry, 3_600), ["here"]);
+    t.end();
+});
+
+void t.test("of two that are told together the one heard last holds the address, and one that is gone holds none", t => {
+    const registry = new UpstreamRegistry();
+    registry.record(createRegistration({ id: "new" }), 5_000);
+    registry.record(createRegistration({ id: "old" }), 1_000);
+    registry.record(createRegistration({ id: "ended", state: "gone" }), 6_000);
+    t.same(listReady(registry, 6_000), ["new"]);
+    t.end();
+});
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -1,6 +1,7 @@
 /** What callers send wrong: heads and bodies over the limits, half requests, bytes that are no HTTP. Nothing runs of it. */
 import { once } from "node:events";
 import { connect } from "node:net";
+import { Worker } from "node:worker_threads";
 import t from "tap";
 import { request } from "undici";
 import { DirectFleet } from "../tools/directFleet.js";
@@ -28,6 +29,23 @@
     return received;
 }
 
+/** Sends bytes and closes the connection from another thread, while this one, and the router in it, stands still. */
+function blockUntilSentAndLeft(bytes: string): void {
+    const done = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+    const worker = new Worker(
+        `const { workerData } = require("node:worker_threads");
+        const socket = require("node:net").connect(workerData.port, workerData.ip, () => socket.end(workerData.bytes));
+        socket.on("finish", () => {
+            Atomics.store(workerData.done, 0, 1);
+            Atomics.notify(workerData.done, 0);
+            socket.destroy();
+        });`,
+        { eval: true, workerData: { port: CALLER_PORT, ip: fleet.getIp("r1"), bytes, done } },
+    );
+    worker.unref();
+    Atomics.wait(done, 0, 0);
+}
+
 function createHead(extra: readonly string[] = []): string {
     return [
         "POST /s/x HTTP/1.1",
@@ -91,7 +109,7 @@
     await waitUntil("bundle in force", () => daemon.getBundleRevision() === 1);
     // The time limits are taken over with the first request after a bundle.
     t.equal(await callRouter({}, "{}"), 200);
-    const ran = fleet.engineRequests.length;
+    let ran = fleet.engineRequests.length;
 
     await t.test("a head over the configured limit", async t => {
         t.equal(await callRouter({ "X-Filler": "f".repeat(MAX_HEAD_BYTES) }, "{}"), 431);
@@ -127,5 +145,11 @@
         t.equal(await callRouter({}, "{}"), 200, "the router serves on");
     });
 
+    await t.test("a caller that has left before a router that lags behind reads its request", async t => {
+        blockUntilSentAndLeft(createHead(["Content-Length: 2"]) + "{}");
+        t.equal(await callRouter({}, "{}"), 200, "the router serves on");
+        ran += 1;
+    });
+
     t.equal(fleet.engineRequests.length, ran + 1, "nothing but the last good request has reached the engine");
 });
