Lives are witnessed by all controllers; a late first report does not end the router that runs

Ruled out: the clocks. Change: an incarnation replaces another with the report that shows that it had an answer. And where the leader did not take a router's last reports itself, it asks the other controllers since when they have them: three clocks at the least, the longest span counts.

--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -79,6 +79,12 @@
     z.object({}),
 );
 
+/** Since when a replica has the entry of a term at an index, in milliseconds; `ms` is left out where it cannot say. */
+export const entryAgeMethod = createPeerMethod<{ index: number; term: number; }, { ms?: number | undefined; }>(
+    "log.entryAge",
+    z.object({ index: z.int().min(0), term: z.int().min(0) }),
+);
+
 /** A controller asks to be added to the replicas. Any controller takes it; the leader does it. */
 export const joinMethod = createPeerMethod<{ name: string; address: string; }, { isReplica: boolean; }>(
     "log.join",
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
+import { EntryAges } from "./entryAges.js";
 import { runJoining } from "./joining.js";
 import { type AppliedHandler, LogApplier } from "./logApplier.js";
 import type { LogStorage } from "./logStorage.js";
@@ -45,6 +46,7 @@
     private commitIndex = 0;
     private heardFromLeaderAt = -Infinity;
     readonly replicas: ReplicaSet;
+    readonly entryAges: EntryAges;
     private readonly progress: LeaderProgress;
     private readonly proposals: PendingProposals;
     private readonly work = new Signal();
@@ -61,6 +63,7 @@
     ) {
         this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
         this.replicas = new ReplicaSet(storage, options);
+        this.entryAges = new EntryAges(storage, this.replicas, network, log, () => this.isLeader());
         this.progress = new LeaderProgress(options.name, this.replicas);
         this.applier = new LogApplier(storage, this.proposals, log, options.snapshotEvery);
         this.state = this.applier.state;
@@ -79,6 +82,7 @@
         handlers.add(proposeMethod, params => this.proposeAsLeader(params.command));
         handlers.add(readIndexMethod, params => this.confirmAsLeader(params.exclude));
         handlers.add(replicaStateMethod, () => this.getReplicaState());
+        this.entryAges.addHandlers(handlers);
     }
 
     /** Starts the task that watches for a silent leader, and on a new or emptied disk the one that joins. */
@@ -145,12 +149,6 @@
         return this.progress.tryGet(name);
     }
 
-    /** Since when this replica has the entry at `index`, and whether it proposed it itself in the term that it leads. */
-    getEntryAge(index: number): { readonly ms: number | undefined; readonly isOwn: boolean; } {
-        const isOwn = this.isLeader() && this.storage.tryGetTerm(index) === this.storage.term;
-        return { ms: this.storage.tryGetMsSinceTaken(index), isOwn };
-    }
-
     /** Whether the newest change of the replicas is committed, so that another may follow. */
     isReplicaSetSettled(): boolean {
         return this.storage.findReplicasIndex() <= this.commitIndex
--- a/src/daemons/bundleController/prepaidService.ts
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -5,8 +5,8 @@
 import { getLeaderAddress } from "../../consensus/leaderAddress.js";
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
-import type { PrepaidResult, ReportTime } from "../../domain/prepaidBook.js";
-import { computeLongestLifeMs, type LifeEvidence } from "../../domain/routerLife.js";
+import type { PrepaidResult } from "../../domain/prepaidBook.js";
+import { RouterLives } from "../../domain/routerLife.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
@@ -20,8 +20,7 @@
 
 /** Each controller has one; only the leader's proposes. */
 export class PrepaidService {
-    /** Of routers that run anew: their newest report of before, and how long nothing ran there after it. */
-    private readonly silences = new Map<string, { readonly index: number; readonly ms: number; }>();
+    private readonly lives = new RouterLives();
 
     constructor(
         private readonly replica: ReplicatedLog,
@@ -51,51 +50,29 @@
     }
 
     private async proposeReport(report: PrepaidReportCommand): Promise<PrepaidResult> {
-        const predecessor = this.tryMeasurePredecessor(report);
+        const predecessor = await this.tryMeasurePredecessor(report);
         const { result } = await this.replica.propose({ ...report, predecessor });
         return result as PrepaidResult;
     }
 
-    private tryMeasurePredecessor(report: PrepaidReportCommand): PrepaidReportCommand["predecessor"] {
+    private async tryMeasurePredecessor(report: PrepaidReportCommand): Promise<PrepaidReportCommand["predecessor"]> {
         const reports = this.replica.state.prepaid.tryGetPredecessor(report.router, report.incarnation);
         if (reports === undefined) {
             return undefined;
         }
-        const { answered, newest } = reports;
-        const sinceNewestMs = computeLongestLifeMs(this.gatherEvidence(newest, report));
-        const sinceAnsweredMs = answered === undefined
-            ? 0
-            : computeLongestLifeMs(this.gatherEvidence(answered, report));
-        this.silences.set(report.router, { index: newest.index, ms: getSilenceMs(newest, report) });
+        const { entryAges } = this.replica;
+        const [newest, answered] = await Promise.all([
+            entryAges.gather(reports.newest.index),
+            reports.answered === undefined ? undefined : entryAges.gather(reports.answered.index),
+        ]);
+        const predecessor = this.lives.measure(reports, report, { newest, answered });
         this.log.info("router_replaced", {
             router: report.router,
             incarnation: report.incarnation,
-            since_newest_ms: sinceNewestMs,
-            since_answered_ms: sinceAnsweredMs,
-            measured: this.replica.getEntryAge(newest.index).isOwn,
+            since_newest_ms: predecessor?.sinceNewestMs,
+            since_answered_ms: predecessor?.sinceAnsweredMs,
+            witnesses: newest.witnessedMs.length,
         });
-        return sinceNewestMs === undefined || sinceAnsweredMs === undefined
-            ? undefined
-            : { sinceAnsweredMs, sinceNewestMs };
+        return predecessor;
     }
-
-    /** What this leader knows of the time from when a report was taken until the process that makes `report` started. */
-    private gatherEvidence(earlier: ReportTime, report: PrepaidReportCommand): LifeEvidence {
-        const age = this.replica.getEntryAge(earlier.index);
-        const byLeader = age.ms === undefined ? undefined : age.ms - report.uptimeMs;
-        if (age.isOwn) {
-            return { measuredMs: byLeader, witnessedMs: [] };
-        }
-        // Another router whose last report came no earlier was silent for no longer than this one lived, at the most.
-        const others = [...this.silences].filter(([router, { index }]) =>
-            router !== report.router && index >= earlier.index
-        );
-        const witnessedMs = [byLeader, getSilenceMs(earlier, report), ...others.map(([, { ms }]) => ms)];
-        return { measuredMs: undefined, witnessedMs: witnessedMs.filter(ms => ms !== undefined) };
-    }
-}
-
-/** From an earlier report until the start of the process that makes `report`, by the time of day at the router's box. */
-function getSilenceMs(earlier: ReportTime, report: PrepaidReportCommand): number {
-    return report.wallMs - report.uptimeMs - earlier.wallMs;
 }
--- a/src/daemons/directRouter/prepaidReporter.ts
+++ b/src/daemons/directRouter/prepaidReporter.ts
@@ -117,6 +117,9 @@
         this.answeredAt = this.clock.getMonotonicMs();
         this.answered = round;
         this.noteReaching(true, "");
+        if (answer.awaitsConfirmation) {
+            this.askReport();
+        }
         this.granted.notifyAll();
     }
 
--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -33,6 +33,8 @@
     /** The newest report that its router is known to have the answer to. */
     answered: Bound | undefined;
     newest: Bound | undefined;
+    /** Other incarnations that have reported and are not known to live: the report may be a late one of a dead process. */
+    readonly challengers: Set<string>;
 }
 
 interface Account {
@@ -69,6 +71,8 @@
     readonly type: "prepaid";
     /** False where the report was late, or from an incarnation that has been replaced; nothing was granted then. */
     readonly taken: boolean;
+    /** The incarnation takes the place of an earlier one with its next report, which shows that it has this answer. */
+    readonly awaitsConfirmation: boolean;
     readonly routers: number;
     readonly accounts: readonly PrepaidAnswer[];
 }
@@ -82,6 +86,7 @@
         readonly grants: readonly (Grant & { readonly account: string; })[];
         readonly answered: Bound | undefined;
         readonly newest: Bound | undefined;
+        readonly challengers: readonly string[];
     }[];
     readonly ended: readonly string[];
 }
@@ -98,6 +103,8 @@
 
 /** How many ended incarnations are remembered, so that a report of theirs that comes late opens nothing. */
 const MAX_ENDED = 2_000;
+/** How many incarnations of one router may wait for confirmation; the oldest give way. */
+const MAX_CHALLENGERS = 20;
 const MS_PER_SECOND = 1_000;
 
 /** Changed only by what the replicated log holds, so that every replica has the same. */
@@ -118,7 +125,8 @@
     applyReport(report: PrepaidReportCommand, index: number): PrepaidResult {
         const grantee = this.tryOpenGrantee(report);
         if (grantee === undefined) {
-            return { type: "prepaid", taken: false, routers: this.grantees.size, accounts: [] };
+            const awaitsConfirmation = this.grantees.get(report.router)?.challengers.has(report.incarnation) ?? false;
+            return { type: "prepaid", taken: false, awaitsConfirmation, routers: this.grantees.size, accounts: [] };
         }
         if (grantee.newest?.sequence === report.answered) {
             grantee.answered = grantee.newest;
@@ -128,7 +136,7 @@
         if (report.closing) {
             this.closeGrantee(report.router, name => grantee.grants.get(name)!.committed);
         }
-        return { type: "prepaid", taken: true, routers: this.grantees.size, accounts };
+        return { type: "prepaid", taken: true, awaitsConfirmation: false, routers: this.grantees.size, accounts };
     }
 
     /** Where the book holds open grants of an earlier start of a router: the reports that bound what it spent. */
@@ -165,12 +173,13 @@
     createSnapshot(): PrepaidSnapshot {
         return {
             accounts: [...this.accounts].map(([account, entry]) => ({ account, ...entry })),
-            grantees: [...this.grantees].map(([router, { incarnation, grants, answered, newest }]) => ({
+            grantees: [...this.grantees].map(([router, { incarnation, grants, answered, newest, challengers }]) => ({
                 router,
                 incarnation,
                 grants: [...grants].map(([account, grant]) => ({ account, ...grant })),
                 answered,
                 newest,
+                challengers: [...challengers],
             })),
             ended: [...this.ended],
         };
@@ -183,9 +192,15 @@
         for (const { account, prepaid, closed, writtenOff, open } of snapshot.accounts) {
             this.accounts.set(account, { prepaid, closed, writtenOff, open });
         }
-        for (const { router, incarnation, grants, answered, newest } of snapshot.grantees) {
+        for (const { router, incarnation, grants, answered, newest, challengers } of snapshot.grantees) {
             const copied = grants.map(({ account, granted, committed }) => [account, { granted, committed }] as const);
-            this.grantees.set(router, { incarnation, grants: new Map(copied), answered, newest });
+            this.grantees.set(router, {
+                incarnation,
+                grants: new Map(copied),
+                answered,
+                newest,
+                challengers: new Set(challengers),
+            });
         }
         snapshot.ended.forEach(incarnation => this.ended.add(incarnation));
     }
@@ -199,18 +214,39 @@
             return report.sequence > (known.newest?.sequence ?? 0) ? known : undefined;
         }
         if (known !== undefined) {
+            if (!this.isConfirmed(known, report)) {
+                return undefined;
+            }
             this.closeGrantee(report.router, name => computeMostSpent(known, name, report.predecessor));
+            known.challengers.forEach(incarnation => this.addEnded(incarnation));
+            this.ended.delete(report.incarnation);
         }
         const opened: Grantee = {
             incarnation: report.incarnation,
             grants: new Map(),
             answered: undefined,
             newest: undefined,
+            challengers: new Set(),
         };
         this.grantees.set(report.router, opened);
         return opened;
     }
 
+    /**
+     * Whether an incarnation that reports beside the known one has had an answer, so that it lives. The first report of a
+     * process that has died may come late, after another one has taken its place.
+     */
+    private isConfirmed({ challengers }: Grantee, report: PrepaidReportCommand): boolean {
+        if (challengers.has(report.incarnation) && report.answered > 0) {
+            return true;
+        }
+        challengers.add(report.incarnation);
+        if (challengers.size > MAX_CHALLENGERS) {
+            challengers.delete(challengers.values().next().value!);
+        }
+        return false;
+    }
+
     private applyEntry(grantee: Grantee, entry: ReportedAccount, closing: boolean): PrepaidAnswer {
         const account = this.getAccount(entry.account);
         const grant = grantee.grants.get(entry.account) ?? { granted: 0, committed: 0 };
@@ -247,7 +283,11 @@
             account.writtenOff += Math.max(0, closed - grant.committed);
         }
         this.grantees.delete(router);
-        this.ended.add(grantee.incarnation);
+        this.addEnded(grantee.incarnation);
+    }
+
+    private addEnded(incarnation: string): void {
+        this.ended.add(incarnation);
         if (this.ended.size > MAX_ENDED) {
             this.ended.delete(this.ended.values().next().value!);
         }
--- a/src/domain/routerLife.ts
+++ b/src/domain/routerLife.ts
@@ -8,29 +8,72 @@
  * of day of every witness was set back within it.
  */
 
+import type { EntryAge } from "../consensus/entryAges.js";
+import type { PrepaidReportCommand } from "./bundleCommands.js";
+import type { PredecessorReports, ReportTime } from "./prepaidBook.js";
+
 /** Part by which the clocks of two boxes may run apart, a hundred times what quartz clocks do. */
 const CLOCK_MARGIN = 1.02;
 /** Added to what a monotonic clock measured, for its grain, in milliseconds. */
 const CLOCK_GRAIN_MS = 20;
 /** Added to what clocks of the time of day witnessed, which are slewed now and then, in milliseconds. */
 const WITNESS_MARGIN_MS = 100;
-/** One clock alone may have stepped. */
-const LEAST_WITNESSES = 2;
-
-/** What is known of the time from when a report was taken until another process of the router started. Milliseconds. */
-export interface LifeEvidence {
-    /** By the monotonic clock of the leader that took it. */
-    readonly measuredMs: number | undefined;
-    /** By clocks of the time of day, each on a box of its own. */
-    readonly witnessedMs: readonly number[];
-}
+/** Two clocks may have stepped. */
+const LEAST_WITNESSES = 3;
+
+type Predecessor = NonNullable<PrepaidReportCommand["predecessor"]>;
+
+/** What a leader goes by to bound the lives of routers' earlier processes. */
+export class RouterLives {
+    /** Of routers that run anew: their newest report of before, and how long nothing ran there after it. */
+    private readonly silences = new Map<string, { readonly index: number; readonly ms: number; }>();
+
+    /**
+     * Longest time that the process before the one that makes `report` can have lived after its last reports; undefined
+     * where nobody can say. `ages`: of the entries of those reports.
+     */
+    measure(
+        { answered, newest }: PredecessorReports,
+        report: PrepaidReportCommand,
+        ages: { readonly answered: EntryAge | undefined; readonly newest: EntryAge; },
+    ): Predecessor | undefined {
+        const sinceNewestMs = this.tryMeasureSince(newest, report, ages.newest);
+        const sinceAnsweredMs = answered === undefined || ages.answered === undefined
+            ? 0
+            : this.tryMeasureSince(answered, report, ages.answered);
+        this.silences.set(report.router, { index: newest.index, ms: getSilenceMs(newest, report) });
+        return sinceNewestMs === undefined || sinceAnsweredMs === undefined
+            ? undefined
+            : { sinceAnsweredMs, sinceNewestMs };
+    }
 
-/** Longest time that the router's earlier process can have lived after the report; undefined where nobody can say. */
-export function computeLongestLifeMs({ measuredMs, witnessedMs }: LifeEvidence): number | undefined {
-    if (measuredMs !== undefined) {
-        return Math.ceil(Math.max(0, measuredMs) * CLOCK_MARGIN + CLOCK_GRAIN_MS);
+    private tryMeasureSince(
+        earlier: ReportTime,
+        report: PrepaidReportCommand,
+        { measuredMs, witnessedMs }: EntryAge,
+    ): number | undefined {
+        if (measuredMs !== undefined) {
+            return Math.ceil(Math.max(0, measuredMs - report.uptimeMs) * CLOCK_MARGIN + CLOCK_GRAIN_MS);
+        }
+        // Another router whose last report came no earlier was silent for no longer than this one lived, at the most.
+        const others = [...this.silences].filter(([router, { index }]) =>
+            router !== report.router && index >= earlier.index
+        );
+        return tryComputeWitnessedMs([
+            getSilenceMs(earlier, report),
+            ...witnessedMs.map(ms => ms - report.uptimeMs),
+            ...others.map(([, { ms }]) => ms),
+        ]);
     }
-    return witnessedMs.length < LEAST_WITNESSES
+}
+
+function tryComputeWitnessedMs(witnesses: readonly number[]): number | undefined {
+    return witnesses.length < LEAST_WITNESSES
         ? undefined
-        : Math.ceil(Math.max(0, ...witnessedMs) * CLOCK_MARGIN + WITNESS_MARGIN_MS);
+        : Math.ceil(Math.max(0, ...witnesses) * CLOCK_MARGIN + WITNESS_MARGIN_MS);
+}
+
+/** From an earlier report until the start of the process that makes `report`, by the time of day at the router's box. */
+function getSilenceMs(earlier: ReportTime, report: PrepaidReportCommand): number {
+    return report.wallMs - report.uptimeMs - earlier.wallMs;
 }
--- a/test/domain/upstreamLoad.test.ts
+++ b/test/domain/upstreamLoad.test.ts
@@ -98,3 +98,39 @@
     t.equal(load.tryChoose(upstreams, demand, TERMS, 60_000)!.upstream.id, first);
     t.end();
 });
+
+void t.test("what other routers have sent is waited for, and what it brought there is kept", t => {
+    const load = createLoad();
+    const demand = createDemand("p", "x");
+    const first = load.tryChoose(upstreams, demand, TERMS, 0)!.upstream.id;
+    load.recordOther(first, 40_000, 0, [], 0);
+    const second = load.tryChoose(upstreams, demand, TERMS, 0)!.upstream.id;
+    t.not(second, first);
+    load.recordOther(second, 6_000, 0, ["p", "y"], 0);
+    const third = load.tryChoose(upstreams, demand, TERMS, 2_000)!;
+    t.equal(third.upstream.id, second);
+    t.equal(third.newTokens, 1_000, "the shared part is kept");
+    t.end();
+});
+
+void t.test("a long prompt goes where no streams run, and streams then go elsewhere", t => {
+    const load = createLoad();
+    const short = { promptTokens: 200, parts: [{ id: "s", tokens: 200 }] };
+    for (const upstream of upstreams.slice(0, 3)) {
+        for (let i = 0; i < 8; i++) {
+            const placement = { upstream, newTokens: 0, aheadMs: 0, beyondMs: 0 };
+            load.recordFirstByte(load.recordStart(placement, short, 0), 0);
+        }
+    }
+    const long = { promptTokens: 40_000, parts: [{ id: "l", tokens: 40_000 }] };
+    const placement = load.tryChoose(upstreams, long, TERMS, 0)!;
+    t.equal(placement.upstream.id, "d");
+    t.equal(placement.beyondMs, 550, "800 ms of reading where 250 are comfortable");
+    const started = load.recordStart(placement, long, 0);
+    load.recordFirstByte(started, 900);
+    load.recordEnd(started);
+    const others = new Set(["a", "b"]);
+    const next = load.tryChoose(upstreams, short, { ...TERMS, tried: others }, 1_000)!;
+    t.equal(next.upstream.id, "c", "though fewer run at d");
+    t.end();
+});
--- a/test/platform/wireBundle.test.ts
+++ b/test/platform/wireBundle.test.ts
@@ -15,6 +15,20 @@
     t.end();
 });
 
+void t.test("the longest wait of a service is the least that a route of it names", t => {
+    const wire = createWireBundle(1);
+    const [stream] = wire.routes;
+    const routes = [
+        { ...stream!, goal_ms: 800, itl_target_ms: 400 },
+        { ...stream!, name: "other", path_prefix: "/o/", goal_ms: 500, itl_target_ms: 0 },
+        ...wire.routes.slice(1),
+    ];
+    const index = new BundleIndex(decoder.decode(JSON.stringify({ ...wire, routes })));
+    t.equal(index.getLongestWaitMs("engines"), 400);
+    t.equal(index.getLongestWaitMs("none"), Infinity);
+    t.end();
+});
+
 void t.test("the longest prefix of the host wins, and a route without weight is never picked", t => {
     const wire = createWireBundle(1);
     wire.routes.push({ ...wire.routes[0]!, name: "longer", path_prefix: "/s/long/" });
