--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -5,7 +5,7 @@
 import { createRefusal, RefusalError } from "../domain/resultCodes.js";
 
 /** One line of a log, taken apart. */
-interface LogLine {
+export interface LogLine {
     readonly time: string;
     readonly name: string;
     readonly event: string;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -187,6 +187,18 @@
                     .positional("log", { type: "string", array: true, demandOption: true }),
             async args => (await import("./explainCommand.js")).explainRequest(args.request, args.log),
         )
+        .command(
+            "losses <log..>",
+            "count what became of requests by route, and why answers were late or refused",
+            parser =>
+                parser.positional("log", { type: "string", array: true, demandOption: true })
+                    .option("pauseLimit", {
+                        type: "number",
+                        default: 400,
+                        describe: "longest pause within a stream that is in time, in milliseconds",
+                    }),
+            async args => (await import("./lossesCommand.js")).printLosses(args.log, args.pauseLimit),
+        )
         .command(
             "replay <trace>",
             "replay a trace at a running fleet and judge the outcome",
