--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -22,6 +22,8 @@
     private others: readonly string[] = [];
     private readonly peers = new Map<string, Peer>();
     private readonly connecting = new Set<string>();
+    /** Addresses that could not be connected to the last time. */
+    private readonly unreached = new Set<string>();
     private gathered: SharedPlacement[] = [];
     private isFlushDue = false;
 
@@ -45,6 +47,7 @@
     /** Takes the addresses of the other routers. */
     setOthers(others: readonly string[]): void {
         this.others = others;
+        this.unreached.forEach(address => others.includes(address) || this.unreached.delete(address));
         others.forEach(address => this.tryGetPeer(address));
     }
 
@@ -92,12 +95,21 @@
             // Counts as waiting on the connection, so that one that was cut without a sign is closed in time.
             peer.onClose(() => this.peers.delete(address));
             this.peers.set(address, peer);
+            this.unreached.delete(address);
         }
         catch (error) {
-            this.log.info("router_not_told", { router: address, error: String(error) });
+            this.noteUnreached(address, String(error));
         }
         finally {
             this.connecting.delete(address);
         }
     }
+
+    /** Logs once until the router is reached again. */
+    private noteUnreached(address: string, error: string): void {
+        if (!this.unreached.has(address)) {
+            this.unreached.add(address);
+            this.log.info("router_not_told", { router: address, error });
+        }
+    }
 }
--- a/src/domain/readingQueue.ts
+++ b/src/domain/readingQueue.ts
@@ -23,6 +23,12 @@
     readonly weight: number;
 }
 
+/**
+ * What one observation may be above the estimate at the most: an engine that stood still once is not slow, and one that is
+ * taken for far slower than it is would not be asked again and could not show otherwise.
+ */
+const MOST_SAMPLE_FACTOR = 3;
+
 /** How long an engine takes for a token of a prompt, learned from prompts that had nothing before them. */
 export class ReadingSpeed {
     constructor(private readonly options: ReadingSpeedOptions, private current = options.assumedMsPerToken) {}
@@ -34,7 +40,8 @@
     /** Takes how long a prompt took that nothing was known to be before. */
     observe(tokens: number, ms: number): void {
         if (tokens >= this.options.leastTokens) {
-            this.current += (ms / tokens - this.current) * this.options.weight;
+            const sample = Math.min(ms / tokens, this.current * MOST_SAMPLE_FACTOR);
+            this.current += (sample - this.current) * this.options.weight;
         }
     }
 }
--- /dev/null
+++ b/test/daemons/placementSharer.test.ts
@@ -0,0 +1,82 @@
+/** Placements are told to the other routers that can be reached, and those told of are waited for. */
+import t from "tap";
+import { PlacementSharer } from "../../src/daemons/directRouter/placementSharer.js";
+import type { UpstreamLoad } from "../../src/domain/upstreamLoad.js";
+import type { Log } from "../../src/ports/log.js";
+import { Peer, PeerHandlers, type PeerIdentity, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
+import { FakeClock, settlePromises } from "../tools/fakes.js";
+
+const UPSTREAM = { id: "u", service: "s", address: "u:1", zone: "z", slots: 4, state: "ready", sequence: 1 } as const;
+const LEAST_TOKENS = 500;
+
+/** Keeps what it is told. */
+class HearingPeer extends Peer {
+    override readonly identity: PeerIdentity = { name: "r2", role: "router", zone: "z", incarnation: "i" };
+    readonly heard: unknown[] = [];
+
+    override call(): Promise<never> {
+        return Promise.reject(new Error("not used"));
+    }
+    override notify<P>(_method: PeerMethod<P, void>, params: P): void {
+        this.heard.push(params);
+    }
+    override onClose(): () => void {
+        return () => undefined;
+    }
+    override isOpen(): boolean {
+        return true;
+    }
+}
+
+/** Reaches one router. */
+class SmallNetwork extends PeerNetwork {
+    readonly peer = new HearingPeer();
+
+    override connect(address: string): Promise<Peer> {
+        return address === "r2" ? Promise.resolve(this.peer) : Promise.reject(new Error("unreachable"));
+    }
+}
+
+function createSharer() {
+    const network = new SmallNetwork();
+    const recorded: unknown[][] = [];
+    const logged: string[] = [];
+    const log: Log = { info: event => logged.push(event), warn: () => undefined, error: () => undefined };
+    const load = { recordOther: (...args: unknown[]) => recorded.push(args) } as unknown as UpstreamLoad;
+    const options = { gatherMs: 1, leastTokens: LEAST_TOKENS };
+    const sharer = new PlacementSharer(load, network, new FakeClock(), log, options);
+    return { sharer, network, recorded, logged };
+}
+
+void t.test("what gathers is told at once to all that can be reached, short prompts not", async t => {
+    const { sharer, network, logged } = createSharer();
+    sharer.setOthers(["r2", "r3"]);
+    await settlePromises();
+    sharer.share({ upstream: UPSTREAM, newTokens: 900, aheadMs: 0, beyondMs: 0 }, [{ id: "p", tokens: 900 }]);
+    sharer.share({ upstream: UPSTREAM, newTokens: 700, aheadMs: 0, beyondMs: 3 }, []);
+    sharer.share({ upstream: UPSTREAM, newTokens: LEAST_TOKENS - 1, aheadMs: 0, beyondMs: 0 }, []);
+    await settlePromises();
+    t.same(network.peer.heard, [{
+        placements: [
+            { upstream: "u", newTokens: 900, beyondMs: 0, parts: ["p"] },
+            { upstream: "u", newTokens: 700, beyondMs: 3, parts: [] },
+        ],
+    }]);
+    t.same(logged, ["router_not_told"], "once, not with each placement");
+});
+
+void t.test("what another router tells is recorded; what does not fit is refused by a number", async t => {
+    const { sharer, network, recorded } = createSharer();
+    const handlers = new PeerHandlers();
+    sharer.addHandlers(handlers);
+    const placement = { upstream: "u", newTokens: 900, beyondMs: 5, parts: ["p"] };
+    await handlers.handle("fleet.placementNotice", { placements: [placement] }, network.peer);
+    t.match(recorded, [["u", 900, 5, ["p"]]]);
+    const broken = [{ ...placement, newTokens: -1 }, { ...placement, parts: "p" }, { upstream: "u" }, undefined];
+    for (const bad of broken) {
+        await t.rejects(handlers.handle("fleet.placementNotice", { placements: [bad] }, network.peer), {
+            message: /^LW\d{4} peerMalformed/,
+        });
+    }
+    t.equal(recorded.length, 1);
+});
--- a/test/domain/readingQueue.test.ts
+++ b/test/domain/readingQueue.test.ts
@@ -33,6 +33,13 @@
     t.end();
 });
 
+void t.test("an engine that stood still once is not taken for slow", t => {
+    const { queue, speed } = createQueue();
+    queue.recordRead(queue.add(2_000, 0), 60_000);
+    t.equal(Math.round(speed.msPerToken * 1_000), 40, "in microseconds: half way to three times the estimate");
+    t.end();
+});
+
 void t.test("the speed is learned from long prompts that waited for nothing", t => {
     const { queue, speed } = createQueue();
     queue.recordRead(queue.add(10_000, 0), 400);
