--- a/src/domain/prepaidBook.ts
+++ b/src/domain/prepaidBook.ts
@@ -6,6 +6,7 @@
  * So when a router has ended without a last report, what it cannot have come to spend goes back to the account.
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
+import { computeMostSpent, createReportBound, type ReportBound, type ReportTime } from "./reportBound.js";
 
 /** One router's part of one account. Tokens. */
 interface Grant {
@@ -15,24 +16,13 @@
 
 type ReportedAccount = PrepaidReportCommand["accounts"][number];
 
-/** A report as it bounds what its router may commit. */
-interface Bound {
-    readonly sequence: number;
-    /** Index in the log, by which the leader knows when it was taken. */
-    readonly index: number;
-    /** The time of day at the router's box when it was made, in milliseconds. */
-    readonly wallMs: number;
-    readonly wholeAfterMs: number;
-    readonly accounts: readonly Pick<ReportedAccount, "account" | "committed" | "burst" | "perSecond">[];
-}
-
 /** One start of a router that may still spend. */
 interface Grantee {
     readonly incarnation: string;
     readonly grants: Map<string, Grant>;
     /** The newest report that its router is known to have the answer to. */
-    answered: Bound | undefined;
-    newest: Bound | undefined;
+    answered: ReportBound | undefined;
+    newest: ReportBound | undefined;
     /** Other incarnations that have reported and are not known to live: the report may be a late one of a dead process. */
     readonly challengers: Set<string>;
 }
@@ -84,16 +74,13 @@
         readonly router: string;
         readonly incarnation: string;
         readonly grants: readonly (Grant & { readonly account: string; })[];
-        readonly answered: Bound | undefined;
-        readonly newest: Bound | undefined;
+        readonly answered: ReportBound | undefined;
+        readonly newest: ReportBound | undefined;
         readonly challengers: readonly string[];
     }[];
     readonly ended: readonly string[];
 }
 
-/** When a report was made. */
-export type ReportTime = Pick<Bound, "index" | "wallMs">;
-
 /** The reports that bound a router which runs under another incarnation now. */
 export interface PredecessorReports {
     /** Undefined where the router never had an answer. */
@@ -105,7 +92,6 @@
 const MAX_ENDED = 2_000;
 /** How many incarnations of one router may wait for confirmation; the oldest give way. */
 const MAX_CHALLENGERS = 20;
-const MS_PER_SECOND = 1_000;
 
 /** Changed only by what the replicated log holds, so that every replica has the same. */
 export class PrepaidBook {
@@ -131,7 +117,7 @@
         if (grantee.newest?.sequence === report.answered) {
             grantee.answered = grantee.newest;
         }
-        grantee.newest = createBound(report, index);
+        grantee.newest = createReportBound(report, index);
         const accounts = report.accounts.map(entry => this.applyEntry(grantee, entry, report.closing));
         if (report.closing) {
             this.closeGrantee(report.router, name => grantee.grants.get(name)!.committed);
@@ -302,40 +288,3 @@
         return account;
     }
 }
-
-function createBound(report: PrepaidReportCommand, index: number): Bound {
-    const accounts = report.accounts.map(({ account, committed, burst, perSecond }) => ({
-        account,
-        committed,
-        burst,
-        perSecond,
-    }));
-    const { sequence, wallMs, wholeAfterMs } = report;
-    return { sequence, index, wallMs, wholeAfterMs, accounts };
-}
-
-/** Most that a router can have committed of an account, by the report it went by last: one of the two it may have. */
-function computeMostSpent(
-    grantee: Grantee,
-    account: string,
-    lived: PrepaidReportCommand["predecessor"],
-): number {
-    if (lived === undefined) {
-        return Infinity;
-    }
-    return Math.max(
-        computeMostUnder(grantee.answered, account, lived.sinceAnsweredMs),
-        computeMostUnder(grantee.newest, account, lived.sinceNewestMs),
-    );
-}
-
-/** Before its first answer a router may commit nothing, so without a report there is nothing. */
-function computeMostUnder(bound: Bound | undefined, account: string, livedMs: number): number {
-    const entry = bound?.accounts.find(entry => entry.account === account);
-    if (bound === undefined || entry === undefined) {
-        return 0;
-    }
-    return livedMs >= bound.wholeAfterMs
-        ? Infinity
-        : entry.committed + entry.burst + Math.ceil(entry.perSecond * livedMs / MS_PER_SECOND);
-}
--- a/src/domain/routerLife.ts
+++ b/src/domain/routerLife.ts
@@ -10,7 +10,8 @@
 
 import type { EntryAge } from "../consensus/entryAges.js";
 import type { PrepaidReportCommand } from "./bundleCommands.js";
-import type { PredecessorReports, ReportTime } from "./prepaidBook.js";
+import type { PredecessorReports } from "./prepaidBook.js";
+import type { ReportTime } from "./reportBound.js";
 
 /** Part by which the clocks of two boxes may run apart, a hundred times what quartz clocks do. */
 const CLOCK_MARGIN = 1.02;
