--- a/src/consensus/entryAges.ts
+++ b/src/consensus/entryAges.ts
@@ -2,6 +2,7 @@
  * Since when the replicas have an entry of the log. A leader that took the entry itself measures it; any other asks the
  * replicas, since its own clock may say nothing of a time before its process, or may have stepped.
  */
+import type { EntryAge } from "../domain/routerLife.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import type { LogStorage } from "./logStorage.js";
@@ -11,14 +12,6 @@
 /** How long other replicas are waited for, in milliseconds: some ten times the way between zones and back. */
 const ASK_TIMEOUT_MS = 100;
 
-/** Since when an entry was in the log, in milliseconds. */
-export interface EntryAge {
-    /** By the monotonic clock of the leader that took it, where it still leads. */
-    readonly measuredMs: number | undefined;
-    /** By what other clocks say, each on a box of its own, some of them clocks of the time of day. */
-    readonly witnessedMs: readonly number[];
-}
-
 export class EntryAges {
     constructor(
         private readonly storage: LogStorage,
--- a/src/domain/routerLife.ts
+++ b/src/domain/routerLife.ts
@@ -8,7 +8,6 @@
  * of day of every witness was set back within it.
  */
 
-import type { EntryAge } from "../consensus/entryAges.js";
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 import type { PredecessorReports } from "./prepaidBook.js";
 import type { ReportTime } from "./reportBound.js";
@@ -22,6 +21,14 @@
 /** Two clocks may have stepped. */
 const LEAST_WITNESSES = 3;
 
+/** Since when an entry was in the log, in milliseconds. */
+export interface EntryAge {
+    /** By the monotonic clock of the leader that took it, where it still leads. */
+    readonly measuredMs: number | undefined;
+    /** By what other clocks say, each on a box of its own, some of them clocks of the time of day. */
+    readonly witnessedMs: readonly number[];
+}
+
 type Predecessor = NonNullable<PrepaidReportCommand["predecessor"]>;
 
 /** What a leader goes by to bound the lives of routers' earlier processes. */
--- a/test/domain/routerLife.test.ts
+++ b/test/domain/routerLife.test.ts
@@ -1,8 +1,7 @@
 /** How long a router's earlier process can have lived: never too short, whatever one clock says. */
 import t from "tap";
-import type { EntryAge } from "../../src/consensus/entryAges.js";
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
-import { RouterLives } from "../../src/domain/routerLife.js";
+import { type EntryAge, RouterLives } from "../../src/domain/routerLife.js";
 
 const EARLIER = { index: 7, wallMs: 100_000 };
 
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -2,12 +2,11 @@
  * A small world around the real prepaid book and purses: routers that reserve, settle, are cut off, killed and started
  * again, and reports that are lost, late or taken without their answer coming back.
  */
-import type { EntryAge } from "../../src/consensus/entryAges.js";
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
 import { PrepaidBook, type PrepaidResult } from "../../src/domain/prepaidBook.js";
 import { PrepaidPurse } from "../../src/domain/prepaidPurse.js";
 import type { PrepaidPurseOptions } from "../../src/domain/prepaidPurseOptions.js";
-import { RouterLives } from "../../src/domain/routerLife.js";
+import { type EntryAge, RouterLives } from "../../src/domain/routerLife.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
