Bundles are fetched once for the whole router, as changes and compressed

One fetch at a time for the whole router, of the newest version that is told of, from another controller where the first does not answer, with twice the time after each one that came to nothing. Controllers send the change from the version that the router has (four are remembered), compressed.

Bytes that a router receives (test, 333,312 characters of text): start three times the length -> 24,420; change of one route more than the length -> 1,052.

--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -19,6 +19,7 @@
     reportPrepaidMethod,
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
+import { BundlePublisher } from "./bundlePublisher.js";
 import { Followers } from "./followers.js";
 import { PrepaidService } from "./prepaidService.js";
 import { RegistrationService } from "./registrationService.js";
@@ -34,6 +35,7 @@
     readonly registrations: RegistrationService;
     private readonly prepaid: PrepaidService;
     private readonly followers = new Followers();
+    private readonly publisher = new BundlePublisher();
     private seeds: readonly string[];
 
     constructor(
@@ -56,17 +58,18 @@
         );
         replica.onApplied((entry, result) => {
             if (entry.command.type === "putBundle" && (result as BundleResult).changed) {
-                this.announceBundle(entry.command.revision);
+                this.publishBundle(entry.command);
             }
         });
-        replica.onSnapshotLoaded(() => this.announceBundle(replica.state.bundle.tryGet()?.revision));
+        replica.onSnapshotLoaded(() => this.publishLoaded());
+        this.publishLoaded();
     }
 
     addHandlers(handlers: PeerHandlers): void {
         this.replica.addHandlers(handlers);
         this.keeper.addHandlers(handlers);
         handlers.add(followMethod, (params, peer) => this.follow(params.address, peer));
-        handlers.add(getBundleMethod, () => ({ ...this.replica.state.bundle.tryGet() }));
+        handlers.add(getBundleMethod, async ({ held }) => ({ bundle: await this.publisher.tryGetFor(held) }));
         handlers.add(upstreamNoticeMethod, notice => this.registrations.receive(notice.upstreams));
         handlers.add(reportPrepaidMethod, ({ report }) => this.prepaid.takeReport(report));
     }
@@ -139,11 +142,18 @@
         };
     }
 
-    private announceBundle(revision: number | undefined): void {
-        if (revision !== undefined) {
-            this.followers.notifyAll(bundleNoticeMethod, { controller: this.options.address, revision });
+    /** Publishes the bundle that a snapshot brought, also one that was loaded from the disk. */
+    private publishLoaded(): void {
+        const bundle = this.replica.state.bundle.tryGet();
+        if (bundle !== undefined) {
+            this.publishBundle(bundle);
         }
     }
+
+    private publishBundle({ revision, text }: StoredBundle): void {
+        this.publisher.setNewest({ revision, text });
+        this.followers.notifyAll(bundleNoticeMethod, { controller: this.options.address, revision });
+    }
 }
 
 function getPrepaidLimits(bundle: Bundle): { account: string; tokens: number; }[] {
--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -5,7 +5,8 @@
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { Peer, PeerNetwork } from "../../ports/peer.js";
-import { type FollowAnswer, followMethod, getBundleMethod } from "../../protocol/fleetMethods.js";
+import { type FollowAnswer, followMethod } from "../../protocol/fleetMethods.js";
+import type { BundleFetcher } from "./bundleFetcher.js";
 
 /** Times in milliseconds. */
 export interface ControllerFeedOptions {
@@ -18,14 +19,10 @@
     readonly redialMs: number;
 }
 
-/** Told of what a controller says. */
+/** Told of what a controller answers. */
 export interface FeedListener {
     /** Takes a controller's answer to the regular question. */
     receiveFollowAnswer(answer: FollowAnswer): void;
-    /** Takes a bundle as the operator sent it. */
-    receiveBundle(revision: number, text: string): void;
-    /** The newest revision that is in force here; undefined where there is none yet. */
-    getBundleRevision(): number | undefined;
 }
 
 /** What this router hears from one controller. */
@@ -35,8 +32,6 @@
     /** Whether the controller said that it reaches a majority of the others. */
     hasMajority = false;
     private stopped = false;
-    private fetching = false;
-    private wantedRevision = -1;
 
     constructor(
         readonly address: string,
@@ -44,6 +39,7 @@
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly listener: FeedListener,
+        private readonly fetcher: BundleFetcher,
         private readonly options: ControllerFeedOptions,
     ) {}
 
@@ -75,30 +71,6 @@
         this.stopped = true;
     }
 
-    /** Fetches the bundle unless one as new is in force here; at most one fetch is under way. */
-    async fetchBundle(revision: number): Promise<void> {
-        this.wantedRevision = Math.max(this.wantedRevision, revision);
-        if (this.fetching) {
-            return;
-        }
-        this.fetching = true;
-        try {
-            while ((this.listener.getBundleRevision() ?? -1) < this.wantedRevision) {
-                const answer = await this.network.call(this.address, getBundleMethod, {}, this.options.callTimeoutMs);
-                if (answer.revision === undefined || answer.text === undefined) {
-                    return;
-                }
-                this.listener.receiveBundle(answer.revision, answer.text);
-            }
-        }
-        catch (error) {
-            this.log.warn("bundle_not_fetched", { controller: this.address, revision, error: String(error) });
-        }
-        finally {
-            this.fetching = false;
-        }
-    }
-
     private async follow(peer: Peer, onAnswer: () => void): Promise<void> {
         while (!this.stopped) {
             const answer = await peer.call(followMethod, { address: this.options.address }, this.options.callTimeoutMs);
@@ -107,7 +79,7 @@
             onAnswer();
             this.listener.receiveFollowAnswer(answer);
             if (answer.bundleRevision !== undefined) {
-                void this.fetchBundle(answer.bundleRevision);
+                void this.fetcher.fetch(this.address, answer.bundleRevision);
             }
             await this.clock.wait(this.options.followPeriodMs);
         }
--- a/src/daemons/directRouter/controllerFeeds.ts
+++ b/src/daemons/directRouter/controllerFeeds.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
+import { BundleFetcher, type BundleListener } from "./bundleFetcher.js";
 import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
 
 /** Times in milliseconds. */
@@ -16,16 +17,18 @@
     private readonly feeds = new Map<string, ControllerFeed>();
     /** Monotonic clock, milliseconds. */
     private readonly startedAt: number;
+    private readonly fetcher: BundleFetcher;
     private named: readonly string[] = [];
 
     constructor(
         private readonly network: PeerNetwork,
         private readonly clock: Clock,
         private readonly log: Log,
-        private readonly listener: FeedListener,
+        private readonly listener: FeedListener & BundleListener,
         private readonly options: ControllerFeedsOptions,
     ) {
         this.startedAt = clock.getMonotonicMs();
+        this.fetcher = new BundleFetcher(network, log, listener, options.callTimeoutMs);
     }
 
     /** Follows the seeds beside the controllers that were named. */
@@ -48,7 +51,9 @@
 
     /** Fetches the bundle from a controller that told of it, if that one is followed. */
     async fetchBundle(address: string, revision: number): Promise<void> {
-        await this.feeds.get(address)?.fetchBundle(revision);
+        if (this.feeds.has(address)) {
+            await this.fetcher.fetch(address, revision);
+        }
     }
 
     /** Whether enough controllers have been heard that no newer bundle can be in force. */
@@ -72,6 +77,7 @@
                     this.clock,
                     this.log,
                     this.listener,
+                    this.fetcher,
                     this.options,
                 );
                 this.feeds.set(address, feed);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
 import { KnownRouters } from "./knownRouters.js";
@@ -44,7 +45,7 @@
 const FORGET_PERIOD_MS = 10_000;
 
 /** One router's process, without its interface to callers. */
-export class DirectRouterDaemon extends RelayContext implements FeedListener {
+export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
     private readonly feeds: ControllerFeeds;
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -4,6 +4,7 @@
 import type { PrepaidResult } from "../domain/prepaidBook.js";
 import type { HeardRegistration, UpstreamRegistration } from "../domain/upstreamRegistry.js";
 import { createPeerMethod } from "../ports/peer.js";
+import type { EncodedBundle } from "./bundleTransfer.js";
 
 const name = z.string().max(128);
 const count = z.int().min(0);
@@ -45,11 +46,11 @@
     z.object({ controller: name, revision: count }),
 );
 
-/** Fetches the bundle in force. */
+/** Fetches the bundle in force, as its change from the one of revision `held` where the controller remembers that. */
 export const getBundleMethod = createPeerMethod<
-    Record<string, unknown>,
-    { revision?: number | undefined; text?: string | undefined; }
->("fleet.getBundle", z.object({}));
+    { held?: number | undefined; },
+    { bundle?: EncodedBundle | undefined; }
+>("fleet.getBundle", z.object({ held: count.optional() }));
 
 /** Tells a follower, or another controller, what upstreams have reported. */
 export const upstreamNoticeMethod = createPeerMethod<{ upstreams: readonly HeardRegistration[]; }, void>(
--- a/test/daemons/bundleFetch.test.ts
+++ b/test/daemons/bundleFetch.test.ts
@@ -1,7 +1,8 @@
 /** How a router fetches a bundle that several controllers tell of: once, from one of them at a time. */
 import t, { type Test } from "tap";
-import { ControllerFeeds, type ControllerFeedsOptions } from "../../src/daemons/directRouter/controllerFeeds.js";
+import type { BundleListener } from "../../src/daemons/directRouter/bundleFetcher.js";
 import type { FeedListener } from "../../src/daemons/directRouter/controllerFeed.js";
+import { ControllerFeeds, type ControllerFeedsOptions } from "../../src/daemons/directRouter/controllerFeeds.js";
 import { createRefusal, RefusalError } from "../../src/domain/resultCodes.js";
 import { SystemClock } from "../../src/ports/clock.js";
 import type { Log } from "../../src/ports/log.js";
@@ -11,10 +12,9 @@
 
 const CONTROLLERS = ["c1", "c2", "c3", "c4", "c5"];
 const NO_LOG: Log = { info: () => undefined, warn: () => undefined, error: () => undefined };
-const NO_BUNDLE: FeedListener = {
+const NO_BUNDLE: FeedListener & BundleListener = {
     receiveFollowAnswer: () => undefined,
     receiveBundle: () => undefined,
-    getBundleRevision: () => undefined,
 };
 const options: ControllerFeedsOptions = {
     address: "r1",
