--- /dev/null
+++ b/test/soak/preload.ts
@@ -0,0 +1,74 @@
+/**
+ * Loaded into each process of the soak before its program, which stays as it is: leads its connections to other processes
+ * through relays, and lets its time of day and its disk misbehave as a file says, which is read anew at SIGUSR2.
+ */
+import { readFileSync } from "node:fs";
+import { type FileHandle, open } from "node:fs/promises";
+import { syncBuiltinESMExports } from "node:module";
+import net, { type NetConnectOpts } from "node:net";
+
+/** What is wrong with one process's box. */
+export interface BoxFaults {
+    /** Added to the time of day, in milliseconds. */
+    readonly clockMs: number;
+    /** `stall`: writes and syncs wait; `refuse`: they fail. */
+    readonly disk: "sound" | "stall" | "refuse";
+}
+
+/** Names of the variables that the soak sets for each process. */
+export const SoakVariables = { links: "SOAK_LINKS", faults: "SOAK_FAULTS" } as const;
+
+const STALL_TURN_MS = 20;
+const SOUND: BoxFaults = { clockMs: 0, disk: "sound" };
+
+let faults = SOUND;
+
+function readFaults(): void {
+    faults = JSON.parse(readFileSync(process.env[SoakVariables.faults]!, "utf8")) as BoxFaults;
+}
+
+/** Leads connections to addresses of other boxes to the relays of this box. */
+function relayConnections(portsByAddress: Readonly<Record<string, number>>): void {
+    const connect = net.connect.bind(net);
+    net.connect = ((options: NetConnectOpts, ...rest: []) => {
+        const { host, port } = options as { host?: string; port?: number; };
+        const relayPort = portsByAddress[`${host}:${port}`];
+        return relayPort === undefined
+            ? connect(options, ...rest)
+            : connect({ ...options, host: "127.0.0.1", port: relayPort } as NetConnectOpts, ...rest);
+    }) as typeof net.connect;
+    syncBuiltinESMExports();
+}
+
+function stepTimeOfDay(): void {
+    const now = Date.now.bind(Date);
+    Date.now = () => now() + faults.clockMs;
+}
+
+async function spoilDisk(): Promise<void> {
+    const handle = await open("/dev/null", "r");
+    const prototype = Object.getPrototypeOf(handle) as FileHandle;
+    await handle.close();
+    for (const name of ["appendFile", "writeFile", "datasync", "sync"] as const) {
+        const original = prototype[name] as (...args: unknown[]) => Promise<void>;
+        Object.assign(prototype, {
+            [name]: async function(this: FileHandle, ...args: unknown[]): Promise<void> {
+                while (faults.disk === "stall") {
+                    await new Promise(resolve => setTimeout(resolve, STALL_TURN_MS));
+                }
+                if (faults.disk === "refuse") {
+                    throw Object.assign(new Error("ENOSPC: no space left on device"), { code: "ENOSPC" });
+                }
+                await original.apply(this, args);
+            },
+        });
+    }
+}
+
+if (process.env[SoakVariables.faults] !== undefined) {
+    readFaults();
+    process.on("SIGUSR2", readFaults);
+    relayConnections(JSON.parse(process.env[SoakVariables.links]!) as Record<string, number>);
+    stepTimeOfDay();
+    await spoilDisk();
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,209 @@
+/**
+ * A soak of the real programs: separate processes on one machine, random faults from outside, and the promises checked by
+ * what callers, the operator and upstreams see. The faults of a seed are always the same; how they meet is not.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { wait, waitUntil } from "../tools/waiting.js";
+import { ADMIN_PORT, type BoxRole, PEER_PORT, SoakBox } from "./soakBox.js";
+import { findCallerFaults, SoakCallers } from "./soakCallers.js";
+import { RunBook, SoakEngine } from "./soakEngine.js";
+import { SoakFaults } from "./soakFaults.js";
+import { SoakOperator } from "./soakOperator.js";
+
+export interface SoakOptions {
+    readonly seed: number;
+    /** How long faults come, in milliseconds. */
+    readonly faultMs: number;
+    readonly routers: number;
+    readonly controllers: number;
+    readonly callers: number;
+    /** Where logs stay of a run in which something was found; removed otherwise. */
+    readonly folder?: string;
+}
+
+export interface SoakResult {
+    /** Promises that were broken, one line each. */
+    readonly faults: readonly string[];
+    readonly story: readonly string[];
+    /** Requests by status; "none" where the connection failed. */
+    readonly outcomes: Readonly<Record<string, number>>;
+    readonly folder: string;
+}
+
+/** Seeds run at the same time have addresses of their own. */
+const FIRST_NETWORK = 100;
+const NETWORKS = 100;
+/** How long a fleet may take until it serves again after the last fault. */
+const RECOVERY_MS = 60_000;
+/** Requests in a row that a router has to answer to count as serving again. */
+const SERVED_IN_A_ROW = 10;
+/** After this a router that is in touch sends nothing to an upstream that leaves, in milliseconds. */
+const LEAVE_MS = 3_000;
+const STREAMS_AT_STOP = 8;
+
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const soak = new Soak(options, await mkdtemp(join(options.folder ?? tmpdir(), `soak-${options.seed}-`)));
+    let faults: string[];
+    try {
+        faults = await soak.run();
+    }
+    catch (error) {
+        faults = [String(error)];
+    }
+    await soak.close();
+    if (faults.length === 0) {
+        await rm(soak.folder, { recursive: true });
+    }
+    return { faults, story: soak.getStory(), outcomes: soak.countOutcomes(), folder: soak.folder };
+}
+
+class Soak {
+    private readonly random: () => number;
+    private readonly network: number;
+    private readonly book = new RunBook();
+    private readonly controllers: SoakBox[];
+    private readonly routers: SoakBox[];
+    private readonly engines: SoakEngine[];
+    private readonly operator: SoakOperator;
+    private faults: SoakFaults | undefined;
+    private callers: SoakCallers | undefined;
+
+    constructor(private readonly options: SoakOptions, readonly folder: string) {
+        const generator = xoroshiro128plus(options.seed);
+        this.random = () => (generator.next() >>> 0) / 2 ** 32;
+        this.network = FIRST_NETWORK + options.seed % NETWORKS;
+        this.controllers = this.createBoxes("controller", options.controllers);
+        this.routers = this.createBoxes("router", options.routers);
+        const admins = this.listAdminAddresses();
+        this.engines = [["engines", "e1"], ["engines", "e2"], ["engines", "e3"], ["plain", "p1"], ["plain", "p2"]].map(
+            ([service, name], i) => new SoakEngine(name!, service!, this.getIp(3, i + 1), this.book, admins),
+        );
+        this.operator = new SoakOperator(admins, this.random);
+    }
+
+    /** Answers the promises that were broken. */
+    async run(): Promise<string[]> {
+        await Promise.all(this.controllers.map(box => box.start()));
+        const ports = await Promise.all(this.routers.map(box => box.start()));
+        await Promise.all(this.engines.map(engine => engine.start()));
+        const callers = new SoakCallers(ports, this.random);
+        this.callers = callers;
+        await this.operator.putNext();
+        await this.waitServing(callers);
+        this.faults = new SoakFaults(
+            { routers: this.routers, controllers: this.controllers, engines: this.engines },
+            this.random,
+        );
+        this.operator.start();
+        callers.start(this.options.callers);
+        await this.faults.run(this.options.faultMs);
+        await this.operator.stop();
+        await callers.stop();
+
+        await this.operator.putNext();
+        await this.waitServing(callers);
+        const faults = [...await this.checkLeaving(callers), ...await this.checkPlannedStop(callers)];
+        return [...faults, ...this.operator.faults, ...findCallerFaults(callers, this.book)];
+    }
+
+    getStory(): readonly string[] {
+        return this.faults?.story ?? [];
+    }
+
+    countOutcomes(): Record<string, number> {
+        const counts: Record<string, number> = {};
+        for (const { status } of this.callers?.outcomes ?? []) {
+            const key = String(status ?? "none");
+            counts[key] = (counts[key] ?? 0) + 1;
+        }
+        return counts;
+    }
+
+    async close(): Promise<void> {
+        this.engines.forEach(engine => engine.stop());
+        await Promise.all([...this.routers, ...this.controllers].map(box => box.stop()));
+        await this.callers?.close();
+    }
+
+    /** Every router serves by the newest configuration, several requests in a row. */
+    private async waitServing(callers: SoakCallers): Promise<void> {
+        for (let router = 0; router < this.routers.length; router++) {
+            let inARow = 0;
+            await waitUntil(
+                `${this.routers[router]!.options.name} to serve`,
+                async () => {
+                    const { status } = await callers.send("probe", router, "lookup", this.operator.getProbePath());
+                    inARow = status === 200 ? inARow + 1 : 0;
+                    return inARow >= SERVED_IN_A_ROW;
+                },
+                RECOVERY_MS,
+            );
+        }
+        // A route that a router does not know yet is refused with 404, rightly.
+        callers.outcomes.splice(0, callers.outcomes.length, ...callers.outcomes.filter(({ status }) => status !== 404));
+    }
+
+    /** An upstream that leaves gets nothing new after some seconds. */
+    private async checkLeaving(callers: SoakCallers): Promise<string[]> {
+        const [engine] = this.engines;
+        await engine!.leave();
+        await wait(LEAVE_MS);
+        const leftAt = performance.now();
+        callers.start(this.options.callers);
+        await wait(LEAVE_MS / 3);
+        await callers.stop();
+        return this.book.runs.filter(({ upstream, at }) => upstream === engine!.getId() && at > leftAt)
+            .map(({ id }) => `${id} was sent to an upstream that had left`);
+    }
+
+    /** A planned stop cuts nothing off. */
+    private async checkPlannedStop(callers: SoakCallers): Promise<string[]> {
+        const [router] = this.routers;
+        const requests = Array.from({ length: STREAMS_AT_STOP }, (_, i) => callers.send(`stop-${i}`, 0, "lookup"));
+        const runs = this.book.runs.length;
+        await waitUntil("a request to run", () => this.book.runs.length > runs);
+        const codes = router!.stopCodes.length;
+        router!.signal("SIGTERM");
+        const outcomes = await Promise.all(requests);
+        await waitUntil("the planned stop", () => router!.stopCodes.length > codes);
+        return [
+            ...outcomes.filter(({ status }) => status !== 200).map(({ id, status }) =>
+                `${id} got ${status} at a planned stop`
+            ),
+            ...router!.stopCodes.at(-1) === 0 ? [] : [`a planned stop ended with code ${router!.stopCodes.at(-1)}`],
+        ];
+    }
+
+    private createBoxes(role: BoxRole, count: number): SoakBox[] {
+        const addresses = [
+            ...this.listIps(1, this.options.controllers),
+            ...this.listIps(2, this.options.routers),
+        ].map(ip => `${ip}:${PEER_PORT}`);
+        return this.listIps(role === "controller" ? 1 : 2, count).map((ip, i) =>
+            new SoakBox({
+                name: `${role}-${i + 1}`,
+                role,
+                ip,
+                others: addresses.filter(address => address !== `${ip}:${PEER_PORT}`),
+                seeds: this.listAdminAddresses().slice(0, 3),
+                folder: this.folder,
+                toleratedLosses: 1,
+            })
+        );
+    }
+
+    private listAdminAddresses(): string[] {
+        return this.listIps(1, this.options.controllers).map(ip => `${ip}:${ADMIN_PORT}`);
+    }
+
+    private listIps(group: number, count: number): string[] {
+        return Array.from({ length: count }, (_, i) => this.getIp(group, i + 1));
+    }
+
+    private getIp(group: number, number: number): string {
+        return `127.${this.network}.${group}.${number}`;
+    }
+}
--- /dev/null
+++ b/test/soak/soakBox.ts
@@ -0,0 +1,174 @@
+/** One box of the soak: a real program in a process of its own, with relays on its links to the other boxes. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { mkdir, rm } from "node:fs/promises";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { CutRelay } from "../tools/cutRelay.js";
+import { type BoxFaults, SoakVariables } from "./preload.js";
+
+export const PEER_PORT = 7340;
+export const ADMIN_PORT = 8229;
+export const CALLER_PORT = 8227;
+/** Pause before a process that has ended is started again. */
+const RESTART_MS = 250;
+/** The longest that a planned stop takes. */
+const GRACE_S = 8;
+const HEARTBEAT_MS = 400;
+
+const root = join(fileURLToPath(import.meta.url), "..", "..", "..");
+
+export type BoxRole = "router" | "controller";
+
+export interface SoakBoxOptions {
+    readonly name: string;
+    readonly role: BoxRole;
+    readonly ip: string;
+    /** Addresses of the other boxes' interfaces to each other. */
+    readonly others: readonly string[];
+    /** Addresses of the operators' interface on the controllers to begin with. */
+    readonly seeds: readonly string[];
+    readonly folder: string;
+    /** Disks that may be lost at once. */
+    readonly toleratedLosses: number;
+}
+
+export class SoakBox {
+    /** Relays on the way from this box to each other one, by its address. */
+    readonly links = new Map<string, CutRelay>();
+    /** Relay in front of the interface that callers use. */
+    readonly entrance: CutRelay;
+    /** Exit codes of planned stops. */
+    readonly stopCodes: number[] = [];
+    private readonly ports: Record<string, number> = {};
+    private child: ChildProcess | undefined;
+    private faults: BoxFaults = { clockMs: 0, disk: "sound" };
+    private isFirstStart = true;
+    private isWanted = true;
+    private isWiping = false;
+
+    constructor(readonly options: SoakBoxOptions) {
+        this.entrance = new CutRelay(CALLER_PORT, options.ip);
+    }
+
+    /** Opens the relays and starts the process. Answers the port at which callers reach it. */
+    async start(): Promise<number> {
+        for (const address of this.options.others) {
+            const [host, port] = address.split(":") as [string, string];
+            const link = new CutRelay(Number(port), host);
+            this.links.set(address, link);
+            this.ports[address] = await link.start();
+        }
+        await mkdir(this.getDataFolder(), { recursive: true });
+        this.writeFaults();
+        this.spawnProcess();
+        return this.entrance.start();
+    }
+
+    isRunning(): boolean {
+        return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+    }
+
+    /** Sends a signal to the process, if it runs. A process that ends is started again. */
+    signal(signal: NodeJS.Signals): void {
+        this.child?.kill(signal);
+    }
+
+    setFaults(faults: Partial<BoxFaults>): void {
+        this.faults = { ...this.faults, ...faults };
+        this.writeFaults();
+        this.signal("SIGUSR2");
+    }
+
+    /** The process is killed and comes back with an empty disk. */
+    loseDisk(): void {
+        this.isWiping = true;
+        this.signal("SIGKILL");
+    }
+
+    /** Ends the process for good. */
+    async stop(): Promise<void> {
+        this.isWanted = false;
+        const { child } = this;
+        if (child !== undefined && this.isRunning()) {
+            const ended = new Promise(resolve => child.once("exit", resolve));
+            child.kill("SIGKILL");
+            await ended;
+        }
+        this.links.forEach(link => link.stop());
+        this.entrance.stop();
+    }
+
+    private getDataFolder(): string {
+        return join(this.options.folder, this.options.name);
+    }
+
+    private getFaultsPath(): string {
+        return join(this.options.folder, `${this.options.name}.faults.json`);
+    }
+
+    private writeFaults(): void {
+        writeFileSync(this.getFaultsPath(), JSON.stringify(this.faults));
+    }
+
+    private spawnProcess(): void {
+        const { name, role, folder } = this.options;
+        const settingsPath = join(folder, `${name}.toml`);
+        writeFileSync(settingsPath, this.formatSettings());
+        const preload = join(root, "test", "soak", "preload.js");
+        const child = spawn(process.execPath, ["--import", preload, join(root, "platform", "main.js"), role], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: {
+                PATH: process.env["PATH"],
+                LOOMWINCH_NODE_FILE: settingsPath,
+                LOOMWINCH_FLEET_SECRET: "soak-fleet-secret",
+                [SoakVariables.links]: JSON.stringify(this.ports),
+                [SoakVariables.faults]: this.getFaultsPath(),
+            },
+        });
+        const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
+        child.stdout.pipe(log, { end: false });
+        child.stderr.pipe(log, { end: false });
+        child.once("exit", code => void this.handleExit(code ?? undefined));
+        this.child = child;
+        this.isFirstStart = false;
+    }
+
+    private async handleExit(code: number | undefined): Promise<void> {
+        if (code !== undefined) {
+            this.stopCodes.push(code);
+        }
+        if (this.isWiping) {
+            this.isWiping = false;
+            await rm(this.getDataFolder(), { recursive: true });
+            await mkdir(this.getDataFolder());
+        }
+        setTimeout(() => {
+            if (this.isWanted) {
+                this.spawnProcess();
+            }
+        }, RESTART_MS);
+    }
+
+    private formatSettings(): string {
+        const { name, ip, seeds, toleratedLosses } = this.options;
+        return `
+            node_name = "${name}"
+            ip = "${ip}"
+            zone = "z"
+            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
+            seeds = [${seeds.map(seed => `"${seed}"`).join(",")}]
+            bootstrap = ${this.isFirstStart}
+            data_dir = "${this.getDataFolder()}"
+            heartbeat_ms = ${HEARTBEAT_MS}
+            [listen]
+            admin = "${ip}:${ADMIN_PORT}"
+            http = "${ip}:${CALLER_PORT}"
+            readiness = "${ip}:8220"
+            [fault_budget]
+            machines = ${toleratedLosses}
+            [bounds]
+            grace_s = ${GRACE_S}
+        `;
+    }
+}
--- /dev/null
+++ b/test/soak/soakEngine.ts
@@ -0,0 +1,205 @@
+/** An engine or plain service of the soak: notes each run and each token, registers itself, and fails when told. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { request } from "undici";
+import { CutRelay } from "../tools/cutRelay.js";
+
+/** Tokens of one event of a stream. */
+export const TOKENS_PER_EVENT = 5;
+const EVENT_MS = 15;
+const REGISTER_MS = 400;
+const REGISTER_TIMEOUT_MS = 1_000;
+const ENGINE_PORT = 8028;
+
+/** What the upstreams of a soak saw, together. */
+export class RunBook {
+    /** Ids of the requests of each run, in order. */
+    readonly runs: { readonly id: string; readonly upstream: string; readonly at: number; }[] = [];
+    /** Bodies of answers that were made whole, by request. */
+    readonly answers = new Map<string, Set<string>>();
+    /** Tokens that each client account was handed. */
+    readonly tokens = new Map<string, number>();
+    /** What should not have come. */
+    readonly oddities: string[] = [];
+    private readonly prompts = new Set<string>();
+
+    countRuns(id: string): number {
+        return this.runs.filter(run => run.id === id).length;
+    }
+
+    /** A prompt counts once a request. */
+    addPrompt(account: string, id: string, tokens: number): void {
+        if (!this.prompts.has(id)) {
+            this.prompts.add(id);
+            this.addTokens(account, tokens);
+        }
+    }
+
+    addTokens(account: string, tokens: number): void {
+        this.tokens.set(account, (this.tokens.get(account) ?? 0) + tokens);
+    }
+
+    addAnswer(id: string, body: string): void {
+        const bodies = this.answers.get(id) ?? new Set();
+        this.answers.set(id, bodies.add(body));
+    }
+}
+
+/** How many events the answer to a request has: the same at every engine, so that a stream can go on elsewhere. */
+export function computeEventCount(id: string): number {
+    return 3 + Number.parseInt(id.slice(-2), 16) % 7;
+}
+
+/** One event of the answer to a request. */
+export function formatEvent(id: string, number: number): string {
+    return `id: ${number}\ndata: ${id} ${number}\n\n`;
+}
+
+export class SoakEngine {
+    readonly relay: CutRelay;
+    private readonly server: Server;
+    private address = "";
+    private sequence = 0;
+    private incarnation = 0;
+    private isUp = true;
+    private isLeaving = false;
+    private stopped = false;
+
+    constructor(
+        private readonly name: string,
+        private readonly service: string,
+        private readonly ip: string,
+        private readonly book: RunBook,
+        private readonly controllers: readonly string[],
+    ) {
+        this.relay = new CutRelay(ENGINE_PORT, ip);
+        this.server = createServer((message, response) => void this.answer(message, response));
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(ENGINE_PORT, this.ip, resolve));
+        this.address = `127.0.0.1:${await this.relay.start()}`;
+        void this.runRegistering();
+    }
+
+    /** Breaks off everything and says nothing more. */
+    crash(): void {
+        this.isUp = false;
+        this.server.closeAllConnections();
+    }
+
+    /** Comes back as a new incarnation at the same address. */
+    restart(): void {
+        if (!this.isUp) {
+            this.isUp = true;
+            this.incarnation += 1;
+            this.sequence = 0;
+        }
+    }
+
+    /** Says that it leaves; resolves once a controller has acknowledged it. */
+    async leave(): Promise<void> {
+        this.isLeaving = true;
+        while (!await this.register()) {
+            await new Promise(resolve => setTimeout(resolve, REGISTER_MS));
+        }
+    }
+
+    getId(): string {
+        return `${this.name}-${this.incarnation}`;
+    }
+
+    stop(): void {
+        this.stopped = true;
+        this.server.closeAllConnections();
+        this.server.close();
+        this.relay.stop();
+    }
+
+    private async runRegistering(): Promise<void> {
+        while (!this.stopped) {
+            if (this.isUp) {
+                await this.register();
+            }
+            await new Promise(resolve => setTimeout(resolve, REGISTER_MS));
+        }
+    }
+
+    /** Tells the first controller that answers; whether one did. */
+    private async register(): Promise<boolean> {
+        this.sequence += 1;
+        const body = JSON.stringify({
+            backend: this.service,
+            address: this.address,
+            zone: "z",
+            slots: 64,
+            state: this.isLeaving ? "draining" : "ready",
+            seqno: this.sequence,
+            config_rev: "v1",
+        });
+        for (const controller of this.controllers) {
+            try {
+                const url = `http://${controller}/loomwinch/instances/${this.getId()}`;
+                const signal = AbortSignal.timeout(REGISTER_TIMEOUT_MS);
+                const answer = await request(url, { method: "PUT", body, signal });
+                await answer.body.dump();
+                if (answer.statusCode === 200) {
+                    return true;
+                }
+            }
+            catch {
+                // The next controller is asked.
+            }
+        }
+        return false;
+    }
+
+    private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const id = String(message.headers["attempt-id"]);
+        const expected = message.headers["expect-instance"];
+        if (!this.isUp) {
+            message.socket.destroy();
+            return;
+        }
+        if (expected !== undefined && expected !== this.getId()) {
+            response.writeHead(421, { "Not-Executed": "1", "Attempt-Id": id }).end();
+            return;
+        }
+        this.book.runs.push({ id, upstream: this.getId(), at: performance.now() });
+        response.on("error", () => undefined);
+        if (message.url!.startsWith("/s/")) {
+            await this.answerStream(id, message, response);
+        }
+        else {
+            this.answerLookup(id, response);
+        }
+    }
+
+    private answerLookup(id: string, response: ServerResponse): void {
+        const body = `${id} from ${this.getId()}`;
+        this.book.addAnswer(id, body);
+        setTimeout(() => {
+            response.writeHead(200, { "Attempt-Id": id, "Instance-Signature": this.getId() }).end(body);
+        }, EVENT_MS);
+    }
+
+    private async answerStream(id: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const account = String(message.headers["tenant"]);
+        const [promptTokens] = String(message.headers["token-usage"]).split(",");
+        this.book.addPrompt(account, id, Number(promptTokens));
+        const from = Number(message.headers["last-event-id"] ?? 0);
+        response.writeHead(200, {
+            "Attempt-Id": id,
+            "Instance-Signature": this.getId(),
+            "Content-Type": "text/event-stream",
+        });
+        for (let number = from + 1; number <= computeEventCount(id); number++) {
+            await new Promise(resolve => setTimeout(resolve, EVENT_MS));
+            if (response.destroyed || !this.isUp) {
+                return;
+            }
+            this.book.addTokens(account, TOKENS_PER_EVENT);
+            response.write(formatEvent(id, number));
+        }
+        response.end();
+    }
+}
--- /dev/null
+++ b/test/soak/soakOperator.ts
@@ -0,0 +1,113 @@
+/** The operator of the soak: changes the configuration again and again, and reads it back anywhere. */
+import { request } from "undici";
+import { createWireBundle } from "../tools/wireBundle.js";
+import { SoakAccounts } from "./soakCallers.js";
+
+const PAUSE_MS = 200;
+const TIMEOUT_MS = 3_000;
+
+export class SoakOperator {
+    readonly faults: string[] = [];
+    /** The newest revision that was acknowledged. */
+    acknowledged = 0;
+    private revision = 0;
+    private running = true;
+    private tasks: Promise<void>[] = [];
+
+    /** `controllers`: addresses of the operators' interface. */
+    constructor(private readonly controllers: readonly string[], private readonly random: () => number) {}
+
+    start(): void {
+        this.tasks = [this.runChanging(), this.runReading()];
+    }
+
+    async stop(): Promise<void> {
+        this.running = false;
+        await Promise.all(this.tasks);
+    }
+
+    /** Sends the next revision until a controller has acknowledged it. */
+    async putNext(): Promise<void> {
+        this.revision += 1;
+        const { revision } = this;
+        while (!await this.put(revision)) {
+            await wait();
+        }
+    }
+
+    /** A path that is routed only by the newest acknowledged revision. */
+    getProbePath(): string {
+        return formatProbePath(this.acknowledged);
+    }
+
+    private async runChanging(): Promise<void> {
+        while (this.running) {
+            this.revision += 1;
+            await this.put(this.revision);
+            await wait();
+        }
+    }
+
+    private async runReading(): Promise<void> {
+        while (this.running) {
+            const least = this.acknowledged;
+            const read = await this.tryCall("GET");
+            if (read?.status === 200) {
+                const { config_rev: revision } = JSON.parse(read.text) as { config_rev: number; };
+                if (revision < least) {
+                    this.faults.push(`revision ${revision} was read after ${least} was acknowledged`);
+                }
+            }
+            await wait();
+        }
+    }
+
+    private async put(revision: number): Promise<boolean> {
+        const answer = await this.tryCall("PUT", JSON.stringify(createSoakBundle(revision)));
+        if (answer?.status === 200) {
+            this.acknowledged = Math.max(this.acknowledged, revision);
+        }
+        else if (answer !== undefined && answer.status < 500) {
+            this.faults.push(`revision ${revision} was refused with ${answer.status} ${answer.text}`);
+        }
+        return answer?.status === 200;
+    }
+
+    private async tryCall(
+        method: "GET" | "PUT",
+        body?: string,
+    ): Promise<{ status: number; text: string; } | undefined> {
+        const controller = this.controllers[Math.floor(this.random() * this.controllers.length)]!;
+        try {
+            const signal = AbortSignal.timeout(TIMEOUT_MS);
+            const answer = await request(`http://${controller}/loomwinch/config`, {
+                method,
+                signal,
+                ...body && { body },
+            });
+            return { status: answer.statusCode, text: await answer.body.text() };
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
+
+function wait(): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, PAUSE_MS));
+}
+
+function formatProbePath(revision: number): string {
+    return `/revision-${revision}/`;
+}
+
+function createSoakBundle(revision: number) {
+    const bundle = createWireBundle(revision);
+    const lookup = bundle.routes.find(route => route.name === "lookup")!;
+    return {
+        ...bundle,
+        routes: [...bundle.routes, { ...lookup, name: `revision-${revision}`, path_prefix: formatProbePath(revision) }],
+        backends: bundle.backends.map(service => ({ ...service, max_conns: 400 })),
+        tenants: SoakAccounts.map(({ name, key, prepaid }) => ({ name, api_keys: [key], prio: 1, prepaid })),
+    };
+}
