--- a/test/consensus/logStorage.test.ts
+++ b/test/consensus/logStorage.test.ts
@@ -5,7 +5,7 @@
 import { PendingProposals } from "../../src/consensus/pendingProposals.js";
 import type { LogEntry } from "../../src/domain/commands.js";
 import { NoLog } from "../../src/ports/log.js";
-import { FakeJournal } from "../tools/fakes.js";
+import { FakeClock, FakeJournal } from "../tools/fakes.js";
 
 const TEXT_LENGTH = 400_000;
 const MAX_LENGTH = 1_000_000;
@@ -57,3 +57,21 @@
     await storage.append([{ ...createBundleEntry(2), term: 2 }]);
     t.equal(storage.getLengthAfterSnapshot(), 2 * one);
 });
+
+/** A log on a disk that outlasts its process. */
+function openStorage(journal: FakeJournal, clock: FakeClock): LogStorage {
+    return new LogStorage({ journal, records: journal.crash(), tornBytes: 0 }, clock);
+}
+
+void t.test("a clock that was set back while the process ran does not make entries younger", async t => {
+    const journal = new FakeJournal(true);
+    const clock = new FakeClock();
+    const storage = openStorage(journal, clock);
+    await storage.append([createBundleEntry(1, 10)]);
+    clock.advance(7_000);
+    clock.stepWall(-5_000);
+    await storage.append([createBundleEntry(2, 10)]);
+    clock.advance(1_500);
+    const ageMs = openStorage(journal, clock).tryGetMsSinceTaken(1);
+    t.ok(ageMs === undefined || ageMs >= 8_500, `${ageMs} ms`);
+});
--- a/test/domain/routerLife.test.ts
+++ b/test/domain/routerLife.test.ts
@@ -57,3 +57,9 @@
     t.equal(measure(age, createReport(), stranger), 2_140, "one that reported earlier may have been silent for longer");
     t.end();
 });
+
+void t.test("where every clock reads earlier than it did, nobody can say", t => {
+    const setBack = createReport({ wallMs: 100_100 });
+    t.equal(measure({ measuredMs: undefined, witnessedMs: [100, 200, 300] }, setBack), undefined);
+    t.end();
+});
--- a/test/tools/fakes.ts
+++ b/test/tools/fakes.ts
@@ -5,13 +5,19 @@
 /** A clock that moves only when told. */
 export class FakeClock extends Clock {
     private now = 1_000;
+    private wallStepMs = 0;
 
     override getMonotonicMs(): number {
         return this.now;
     }
 
     override getWallMs(): number {
-        return this.now;
+        return this.now + this.wallStepMs;
+    }
+
+    /** Sets the time of day ahead, or back. */
+    stepWall(ms: number): void {
+        this.wallStepMs += ms;
     }
 
     override wait(): Promise<void> {
