--- a/src/consensus/entryAges.ts
+++ b/src/consensus/entryAges.ts
@@ -3,6 +3,7 @@
  * replicas, since its own clock may say nothing of a time before its process, or may have stepped.
  */
 import type { EntryAge } from "../domain/routerLife.js";
+import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import type { LogStorage } from "./logStorage.js";
@@ -12,6 +13,12 @@
 /** How long other replicas are waited for, in milliseconds: some ten times the way between zones and back. */
 const ASK_TIMEOUT_MS = 100;
 
+/**
+ * How often the box's time of day is looked at, in milliseconds: a step that comes less than this and a sync before a loss
+ * of power is not known afterwards.
+ */
+const CLOCK_WATCH_MS = 100;
+
 export class EntryAges {
     constructor(
         private readonly storage: LogStorage,
@@ -27,6 +34,24 @@
         }));
     }
 
+    /** The task that notices steps of the box's time of day. */
+    async runClockWatch(clock: Clock, isStopped: () => boolean): Promise<void> {
+        let aheadMs = this.storage.getClockAheadMs();
+        while (!isStopped()) {
+            try {
+                await this.storage.observeClock();
+            }
+            catch (error) {
+                this.log.warn("clock_step_not_saved", { error: String(error) });
+            }
+            if (this.storage.getClockAheadMs() !== aheadMs) {
+                aheadMs = this.storage.getClockAheadMs();
+                this.log.warn("clock_stepped", { ahead_ms: Math.round(aheadMs) });
+            }
+            await clock.wait(CLOCK_WATCH_MS);
+        }
+    }
+
     async gather(index: number): Promise<EntryAge> {
         const ownMs = this.storage.tryGetMsSinceTaken(index);
         const term = this.storage.tryGetTerm(index);
--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -1,6 +1,7 @@
 /** The replicated log on disk: term and vote, entries, and the snapshot that stands for the entries before it. */
 import type { LogEntry, Replica } from "../domain/commands.js";
 import type { StateSnapshot } from "../domain/declaredState.js";
+import { TimeOfDayWatch } from "../domain/timeOfDayWatch.js";
 import { type Clock, SystemClock } from "../ports/clock.js";
 import type { Journal, OpenedJournal } from "../ports/journal.js";
 import { computeEntryLength, sumEntryLengths } from "./entryLength.js";
@@ -18,12 +19,15 @@
     | { readonly type: "member"; }
     | { readonly type: "term"; readonly term: number; readonly votedFor?: string; }
     | { readonly type: "entries"; readonly entries: readonly LogEntry[]; readonly takenWallMs?: number; }
+    /** The times of day noted before it say nothing any more. `aheadMs`: how far the steps so far come to. */
+    | { readonly type: "clockStep"; readonly aheadMs: number; }
     | { readonly type: "taken"; readonly wallMs: readonly (readonly [number, number])[]; }
     | { readonly type: "snapshot"; readonly snapshot: LogSnapshot; };
 
 /** When an entry was taken. */
 interface TakenTime {
-    readonly wallMs: number;
+    /** Undefined where the box's time of day could not be gone by, or has stepped since. */
+    readonly wallMs: number | undefined;
     /** Undefined where an earlier process took it: nobody can tell whether the box's clock has run on since. */
     readonly monotonicMs: number | undefined;
 }
@@ -47,6 +51,7 @@
     private readonly journal: Journal;
     private lastWrite: Promise<void> = Promise.resolve();
     private readonly takenTimes = new Map<number, TakenTime>();
+    private readonly timeOfDay = new TimeOfDayWatch();
 
     constructor(opened: OpenedJournal, private readonly clock: Clock = new SystemClock()) {
         this.journal = opened.journal;
@@ -57,16 +62,27 @@
 
     /**
      * Milliseconds since this replica took the entry at `index`, undefined where it cannot say: by the monotonic clock
-     * where this process took it, else by the box's time of day, which may have stepped since.
+     * where this process took it, else by the box's time of day, which may have stepped while no process ran.
      */
     tryGetMsSinceTaken(index: number): number | undefined {
         const taken = this.takenTimes.get(index);
-        if (taken === undefined) {
-            return undefined;
+        if (taken?.monotonicMs !== undefined) {
+            return this.clock.getMonotonicMs() - taken.monotonicMs;
+        }
+        return taken?.wallMs === undefined ? undefined : this.clock.getWallMs() - taken.wallMs;
+    }
+
+    /** Looks whether the box's time of day has stepped; resolves once that is saved. */
+    async observeClock(): Promise<void> {
+        if (this.timeOfDay.observe(this.clock.getWallMs(), this.clock.getMonotonicMs())) {
+            this.forgetTimesOfDay();
+            await this.write({ type: "clockStep", aheadMs: this.timeOfDay.getAheadMs() });
         }
-        return taken.monotonicMs === undefined
-            ? this.clock.getWallMs() - taken.wallMs
-            : this.clock.getMonotonicMs() - taken.monotonicMs;
+    }
+
+    /** How far the steps of the box's time of day come to, in milliseconds; 0 once they have been taken back. */
+    getClockAheadMs(): number {
+        return this.timeOfDay.getAheadMs();
     }
 
     getLastIndex(): number {
@@ -176,9 +192,12 @@
         }
         this.placeEntries(entries);
         this.syncedIndex = Math.min(this.syncedIndex, entries[0]!.index - 1);
-        const wallMs = this.clock.getWallMs();
-        this.noteTaken(entries, { wallMs, monotonicMs: this.clock.getMonotonicMs() });
-        await this.write({ type: "entries", entries, takenWallMs: wallMs });
+        const stepSaved = this.observeClock();
+        const monotonicMs = this.clock.getMonotonicMs();
+        const wallMs = this.timeOfDay.isSteady(monotonicMs) ? this.clock.getWallMs() : undefined;
+        this.noteTaken(entries, { wallMs, monotonicMs });
+        const takenWallMs = wallMs === undefined ? {} : { takenWallMs: wallMs };
+        await Promise.all([stepSaved, this.write({ type: "entries", entries, ...takenWallMs })]);
         const last = entries[entries.length - 1]!;
         if (this.tryGetTerm(last.index) === last.term) {
             this.syncedIndex = Math.max(this.syncedIndex, last.index);
@@ -198,7 +217,8 @@
             { type: "snapshot", snapshot },
             { type: "term", term: this.term, ...(this.votedFor === undefined ? {} : { votedFor: this.votedFor }) },
             ...(rest.length > 0 ? [{ type: "entries", entries: rest }] : []),
-            { type: "taken", wallMs: [...this.takenTimes].map(([index, { wallMs }]) => [index, wallMs]) },
+            { type: "clockStep", aheadMs: this.timeOfDay.getAheadMs() },
+            { type: "taken", wallMs: this.listTimesOfDay() },
         ]);
         await this.lastWrite;
         this.syncedIndex = Math.max(this.syncedIndex, this.snapshot.lastIndex);
@@ -227,6 +247,9 @@
                     this.noteTaken(record.entries, { wallMs: record.takenWallMs, monotonicMs: undefined });
                 }
                 return this.placeEntries(record.entries);
+            case "clockStep":
+                this.timeOfDay.resume(record.aheadMs);
+                return this.forgetTimesOfDay();
             case "taken":
                 for (const [index, wallMs] of record.wallMs) {
                     this.takenTimes.set(index, { wallMs, monotonicMs: undefined });
@@ -240,6 +263,18 @@
         }
     }
 
+    private forgetTimesOfDay(): void {
+        this.takenTimes.forEach(({ monotonicMs }, index) => {
+            this.takenTimes.set(index, { wallMs: undefined, monotonicMs });
+        });
+    }
+
+    private listTimesOfDay(): (readonly [number, number])[] {
+        return [...this.takenTimes].flatMap(([index, { wallMs }]) =>
+            wallMs === undefined ? [] : [[index, wallMs] as const]
+        );
+    }
+
     private noteTaken(entries: readonly LogEntry[], taken: TakenTime): void {
         for (const entry of entries) {
             this.takenTimes.delete(entry.index);
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -88,6 +88,7 @@
     /** Starts the task that watches for a silent leader, and on a new or emptied disk the one that joins. */
     start(): void {
         void this.runElections();
+        void this.entryAges.runClockWatch(this.clock, () => this.stopped);
         if (!this.storage.isMember) {
             void runJoining(this, this.storage, this.network, this.clock, this.log, this.options);
         }
--- a/src/domain/routerLife.ts
+++ b/src/domain/routerLife.ts
@@ -4,8 +4,9 @@
  *
  * Where the leader that took the report still leads, its monotonic clock tells. Else nothing runs on through a loss of
  * power but boxes' clocks of the time of day, any of which may step. Each of them is a witness by itself, against its
- * own reading of before, and the longest span that one of them has seen is believed. It is too short only where the time
- * of day of every witness was set back within it.
+ * own reading of before, and the longest span that one of them has seen is believed. Controllers whose time of day has
+ * stepped while they ran say nothing, and neither does a clock that reads earlier than it did. So the answer is too short
+ * only where the time of day of every other witness was set back while nothing ran there, or right before.
  */
 
 import type { PrepaidReportCommand } from "./bundleCommands.js";
@@ -18,14 +19,16 @@
 const CLOCK_GRAIN_MS = 20;
 /** Added to what clocks of the time of day witnessed, which are slewed now and then, in milliseconds. */
 const WITNESS_MARGIN_MS = 100;
-/** Two clocks may have stepped. */
+/** Two clocks may have stepped unseen. */
 const LEAST_WITNESSES = 3;
+/** Controllers among them: a router's process has no disk, and what it knew of its clock is lost with it. */
+const LEAST_CONTROLLERS = 2;
 
 /** Since when an entry was in the log, in milliseconds. */
 export interface EntryAge {
     /** By the monotonic clock of the leader that took it, where it still leads. */
     readonly measuredMs: number | undefined;
-    /** By what other clocks say, each on a box of its own, some of them clocks of the time of day. */
+    /** By what controllers' clocks say, each on a box of its own, most of them clocks of the time of day. */
     readonly witnessedMs: readonly number[];
 }
 
@@ -67,7 +70,7 @@
         const others = [...this.silences].filter(([router, { index }]) =>
             router !== report.router && index >= earlier.index
         );
-        return tryComputeWitnessedMs([
+        return witnessedMs.length < LEAST_CONTROLLERS ? undefined : tryComputeWitnessedMs([
             getSilenceMs(earlier, report),
             ...witnessedMs.map(ms => ms - report.uptimeMs),
             ...others.map(([, { ms }]) => ms),
@@ -76,9 +79,11 @@
 }
 
 function tryComputeWitnessedMs(witnesses: readonly number[]): number | undefined {
-    return witnesses.length < LEAST_WITNESSES
+    const longestMs = Math.max(...witnesses);
+    // Where the longest is below 0, every clock was set back.
+    return witnesses.length < LEAST_WITNESSES || longestMs < 0
         ? undefined
-        : Math.ceil(Math.max(0, ...witnesses) * CLOCK_MARGIN + WITNESS_MARGIN_MS);
+        : Math.ceil(longestMs * CLOCK_MARGIN + WITNESS_MARGIN_MS);
 }
 
 /** From an earlier report until the start of the process that makes `report`, by the time of day at the router's box. */
--- a/test/consensus/logStorage.test.ts
+++ b/test/consensus/logStorage.test.ts
@@ -75,3 +75,42 @@
     const ageMs = openStorage(journal, clock).tryGetMsSinceTaken(1);
     t.ok(ageMs === undefined || ageMs >= 8_500, `${ageMs} ms`);
 });
+
+void t.test("what is taken while a clock is known to be off says nothing of its age after a restart", async t => {
+    const journal = new FakeJournal(true);
+    const clock = new FakeClock();
+    const storage = openStorage(journal, clock);
+    await storage.append([createBundleEntry(1, 10)]);
+    clock.stepWall(5_000);
+    await storage.append([createBundleEntry(2, 10)]);
+    t.equal(storage.tryGetMsSinceTaken(2), 0, "the process that took it measures by its monotonic clock");
+    // The step is taken back while nothing runs.
+    clock.advance(3_000);
+    clock.stepWall(-5_000);
+    const reopened = openStorage(journal, clock);
+    t.equal(reopened.tryGetMsSinceTaken(1), undefined);
+    t.equal(reopened.tryGetMsSinceTaken(2), undefined);
+    await reopened.append([createBundleEntry(3, 10)]);
+    t.equal(
+        openStorage(journal, clock).tryGetMsSinceTaken(3),
+        undefined,
+        "it is not known that the clock is right again",
+    );
+});
+
+void t.test("a snapshot keeps what is known of the clock", async t => {
+    const journal = new FakeJournal(true);
+    const clock = new FakeClock();
+    const storage = openStorage(journal, clock);
+    await storage.append([createBundleEntry(1, 10)]);
+    const applier = new LogApplier(storage, new PendingProposals(1_000, 1_000), new NoLog(), 1);
+    applier.applyUpTo(1);
+    clock.advance(2_000);
+    t.equal(openStorage(journal, clock).tryGetMsSinceTaken(1), 2_000);
+    clock.stepWall(5_000);
+    await storage.append([createBundleEntry(2, 10)]);
+    applier.applyUpTo(2);
+    await storage.waitSynced();
+    t.equal(openStorage(journal, clock).getClockAheadMs(), 5_000);
+    t.equal(openStorage(journal, clock).tryGetMsSinceTaken(1), undefined);
+});
--- a/test/domain/routerLife.test.ts
+++ b/test/domain/routerLife.test.ts
@@ -63,3 +63,16 @@
     t.equal(measure({ measuredMs: undefined, witnessedMs: [100, 200, 300] }, setBack), undefined);
     t.end();
 });
+
+void t.test("routers' clocks alone are too little to say", t => {
+    const lives = new RouterLives();
+    const age = { measuredMs: undefined, witnessedMs: [2_500] };
+    for (const router of ["r2", "r3", "r4"]) {
+        lives.measure({ answered: undefined, newest: { index: 8, wallMs: 100_000 } }, createReport({ router }), {
+            answered: undefined,
+            newest: age,
+        });
+    }
+    t.equal(measure(age, createReport(), lives), undefined);
+    t.end();
+});
