--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -80,7 +80,9 @@
     private stepped: { readonly boxes: readonly string[]; readonly ms: number; } = { boxes: [], ms: 0 };
     private steppedAt = 0;
     /** The times of day at the controllers' boxes when each entry was taken. */
-    private readonly takenWall: number[][] = [[0]];
+    private readonly takenWall: (number | undefined)[][] = [[0]];
+    /** Controllers know that their clocks have stepped and not been set right: they do not go by them. */
+    private areClocksKnownOff = false;
     private readonly lives = new Map<string, RouterLife>();
     private late: LateReport[] = [];
     private now = 10_000;
@@ -135,6 +137,9 @@
         else if (draw < 0.987) {
             this.stepClocks();
         }
+        else if (draw < 0.989) {
+            this.stepAllClocks();
+        }
         this.check();
     }
 
@@ -228,7 +233,7 @@
                 answered: before.answered && this.getEntryAge(before.answered.index),
             });
         this.takenAt.push(this.now);
-        this.takenWall.push(CONTROLLERS.map(box => this.getWallMs(box)));
+        this.takenWall.push(CONTROLLERS.map(box => this.areClocksKnownOff ? undefined : this.getWallMs(box)));
         return this.book.applyReport({ ...report, predecessor }, index);
     }
 
@@ -237,7 +242,10 @@
             ? { measuredMs: this.now - this.takenAt[index]!, witnessedMs: [] }
             : {
                 measuredMs: undefined,
-                witnessedMs: CONTROLLERS.map((box, i) => this.getWallMs(box) - this.takenWall[index]![i]!),
+                witnessedMs: CONTROLLERS.flatMap((box, i) => {
+                    const takenMs = this.takenWall[index]![i];
+                    return takenMs === undefined ? [] : [this.getWallMs(box) - takenMs];
+                }),
             };
     }
 
@@ -256,6 +264,16 @@
         this.stepped = this.stepped.boxes.length > 0 ? { boxes: [], ms: 0 } : { boxes, ms };
     }
 
+    /** The times of day of all boxes step ahead, or back again; controllers that run notice it. */
+    private stepAllClocks(): void {
+        this.areClocksKnownOff = this.stepped.boxes.length === 0;
+        this.stepped = this.areClocksKnownOff
+            ? { boxes: [...CONTROLLERS, ...ROUTERS], ms: MOST_STEP_MS }
+            : { boxes: [], ms: 0 };
+        this.steppedAt = this.now;
+        this.takenWall.forEach(walls => walls.fill(undefined));
+    }
+
     /** Another leader, whose process knows of the entries of before only what its box's time of day says. */
     private changeLeader(): void {
         this.ownFrom = this.takenAt.length;
@@ -270,6 +288,10 @@
             this.now += Math.floor(this.random() * 400);
             alone.forEach(router => this.reserveAlone(this.lives.get(router)!));
         }
+        if (this.areClocksKnownOff && this.random() < CUT_PART) {
+            // They are set right while nothing runs, and nobody notices.
+            this.stepped = { boxes: [], ms: 0 };
+        }
         ROUTERS.forEach(router => this.kill(router));
     }
 
