--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,7 +1,7 @@
 /** A router that reaches its upstreams itself: keeps what the controllers say in force and serves callers by it. */
 import { BundleIndex, type BundleService, pickTarget } from "../../domain/bundle.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
-import { createRefusal, formatRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import { type HeardRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
@@ -23,6 +23,7 @@
 import { type AnswerStory, RelayContext, type RelayOptions } from "./relayContext.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
+import { RequestRecorder } from "./requestRecorder.js";
 
 /** What a router goes by. Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
@@ -48,6 +49,7 @@
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
     private index: BundleIndex | undefined;
+    private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
     private readonly knownRouters: KnownRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
@@ -67,7 +69,7 @@
         override readonly purse: PrepaidPurse,
         override readonly upstreams: DirectUpstreams,
         override readonly log: Log,
-        private readonly metrics: Metrics,
+        metrics: Metrics,
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
         private readonly borrower: PrepaidBorrower,
@@ -76,6 +78,7 @@
         private readonly clock: Clock,
     ) {
         super();
+        this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
         this.knownRouters = new KnownRouters(options.address);
         this.routers = options.assumedRouters;
@@ -247,23 +250,7 @@
     }
 
     override recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void {
-        const age = performance.now() - resolved.request.arrivedAt;
-        this.metrics.addCount("requests_answered");
-        this.metrics.recordTiming("request_ms", age);
-        this.log.info("request_answered", {
-            request: resolved.request.passed.id,
-            route: resolved.route.name,
-            status: story.status,
-            goal_ms: resolved.route.goalMs,
-            reserved_ms: Math.round(story.reservedAgeMs),
-            first_ms: story.firstBytesAgeMs === undefined ? undefined : Math.round(story.firstBytesAgeMs),
-            pause_ms: Math.round(story.longestPauseMs),
-            sendings: story.sendings,
-            upstream: story.upstream,
-            read_tokens: story.newTokens,
-            ahead_ms: Math.round(story.aheadMs),
-            age_ms: Math.round(age),
-        });
+        this.recorder.recordAnswered(resolved, story);
     }
 
     override recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void {
@@ -271,17 +258,11 @@
     }
 
     private logRefusal(request: RelayRequest, route: string, refusal: Refusal, endedEarly: string | undefined): void {
-        this.metrics.addCount("requests_refused");
-        this.metrics.addCount(`requests_refused_${refusal.code}`);
-        this.log.warn("request_refused", {
-            request: request.passed.id,
+        this.recorder.recordRefused(request, refusal, {
             route,
-            refusal: formatRefusal(refusal),
             account: this.index?.tryGetAccount(request.key ?? "")?.name,
-            ran: refusal.ran,
-            ended_early: endedEarly,
-            age_ms: Math.round(performance.now() - request.arrivedAt),
             revision: this.index?.bundle.revision,
+            endedEarly,
         });
     }
 
