--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -9,7 +9,7 @@
 import { wait, waitUntil } from "../tools/waiting.js";
 import { ADMIN_PORT, type BoxRole, PEER_PORT, SoakBox } from "./soakBox.js";
 import { findCallerFaults, SoakCallers } from "./soakCallers.js";
-import { RunBook, SoakEngine } from "./soakEngine.js";
+import { RunBook, SLOW_LOOKUP_PATH, SoakEngine } from "./soakEngine.js";
 import { SoakFaults } from "./soakFaults.js";
 import { SoakOperator } from "./soakOperator.js";
 
@@ -33,7 +33,7 @@
     readonly folder: string;
 }
 
-/** Seeds run at the same time have addresses of their own. */
+/** Seeds run at the same time have addresses of their own, unless they are a multiple of this apart. */
 const FIRST_NETWORK = 100;
 const NETWORKS = 100;
 /** How long a fleet may take until it serves again after the last fault. */
@@ -42,7 +42,7 @@
 const SERVED_IN_A_ROW = 10;
 /** After this a router that is in touch sends nothing to an upstream that leaves, in milliseconds. */
 const LEAVE_MS = 3_000;
-const STREAMS_AT_STOP = 8;
+const REQUESTS_AT_STOP = 8;
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const soak = new Soak(options, await mkdtemp(join(options.folder ?? tmpdir(), `soak-${options.seed}-`)));
@@ -159,12 +159,15 @@
             .map(({ id }) => `${id} was sent to an upstream that had left`);
     }
 
-    /** A planned stop cuts nothing off. */
+    /** A planned stop with requests in flight answers them and cuts nothing off. */
     private async checkPlannedStop(callers: SoakCallers): Promise<string[]> {
         const [router] = this.routers;
-        const requests = Array.from({ length: STREAMS_AT_STOP }, (_, i) => callers.send(`stop-${i}`, 0, "lookup"));
         const runs = this.book.runs.length;
-        await waitUntil("a request to run", () => this.book.runs.length > runs);
+        const requests = Array.from(
+            { length: REQUESTS_AT_STOP },
+            (_, i) => callers.send(`stop-${i}`, 0, "lookup", SLOW_LOOKUP_PATH),
+        );
+        await waitUntil("the requests to run", () => this.book.runs.length >= runs + REQUESTS_AT_STOP);
         const codes = router!.stopCodes.length;
         router!.signal("SIGTERM");
         const outcomes = await Promise.all(requests);
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -33,6 +33,10 @@
     readonly toleratedLosses: number;
 }
 
+/** Also where the soak itself breaks off, nothing that it started goes on. */
+const children = new Set<ChildProcess>();
+process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
+
 export class SoakBox {
     /** Relays on the way from this box to each other one, by its address. */
     readonly links = new Map<string, CutRelay>();
@@ -129,6 +133,8 @@
         const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
         child.stdout.pipe(log, { end: false });
         child.stderr.pipe(log, { end: false });
+        children.add(child);
+        child.once("exit", () => children.delete(child));
         child.once("exit", code => void this.handleExit(code ?? undefined));
         this.child = child;
         this.isFirstStart = false;
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -6,6 +6,9 @@
 /** Tokens of one event of a stream. */
 export const TOKENS_PER_EVENT = 5;
 const EVENT_MS = 15;
+/** A lookup of this path takes a while. */
+export const SLOW_LOOKUP_PATH = "/l/slow";
+const SLOW_LOOKUP_MS = 1_000;
 const REGISTER_MS = 400;
 const REGISTER_TIMEOUT_MS = 1_000;
 const ENGINE_PORT = 8028;
@@ -76,7 +79,10 @@
     }
 
     async start(): Promise<void> {
-        await new Promise<void>(resolve => this.server.listen(ENGINE_PORT, this.ip, resolve));
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(ENGINE_PORT, this.ip, resolve);
+        });
         this.address = `127.0.0.1:${await this.relay.start()}`;
         void this.runRegistering();
     }
@@ -170,16 +176,16 @@
             await this.answerStream(id, message, response);
         }
         else {
-            this.answerLookup(id, response);
+            this.answerLookup(id, message.url === SLOW_LOOKUP_PATH ? SLOW_LOOKUP_MS : EVENT_MS, response);
         }
     }
 
-    private answerLookup(id: string, response: ServerResponse): void {
+    private answerLookup(id: string, ms: number, response: ServerResponse): void {
         const body = `${id} from ${this.getId()}`;
         this.book.addAnswer(id, body);
         setTimeout(() => {
             response.writeHead(200, { "Attempt-Id": id, "Instance-Signature": this.getId() }).end(body);
-        }, EVENT_MS);
+        }, ms);
     }
 
     private async answerStream(id: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
