--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -33,8 +33,9 @@
     readonly folder: string;
 }
 
-/** Seeds run at the same time have addresses of their own, unless they are a multiple of this apart. */
+/** Second part of the addresses of the first seed. */
 const FIRST_NETWORK = 100;
+/** Seeds that run at the same time have addresses of their own, unless they are a multiple of this apart. */
 const NETWORKS = 100;
 /** How long a fleet may take until it serves again after the last fault. */
 const RECOVERY_MS = 60_000;
