--- a/src/domain/purseAccount.ts
+++ b/src/domain/purseAccount.ts
@@ -304,14 +304,17 @@
 
     /** Tokens that the grant should hold beyond what is committed. */
     private computeWanted(demand: number): number {
-        const { horizonMs, mostHeldPart, firstPart } = this.options;
-        const byDemand = demand * horizonMs / MS_PER_SECOND;
-        // Once a demand is known anywhere, nothing is held where there is none.
-        const isFirst = this.holding.isHolder && this.demandPart === undefined;
-        const least = isFirst ? this.prepaid * firstPart / this.holding.holders : 0;
-        // A killed router may leave all it holds behind as spent, so the last tokens are not shared out in advance.
-        const left = this.getFreePart() + Math.max(0, this.granted - this.getCharged());
-        return Math.ceil(Math.max(Math.min(Math.max(byDemand, least), left * mostHeldPart), this.waiting));
+        const { horizonMs, firstPart } = this.options;
+        const { isHolder, holders } = this.holding;
+        const byDemand = Math.min(demand * horizonMs / MS_PER_SECOND, this.computeMostHeld(this.getFreePart()));
+        // A holder that nobody has asked yet holds something for the first that will.
+        const least = Math.min(this.prepaid * firstPart / holders, this.computeMostHeld(this.free / holders));
+        return Math.ceil(Math.max(byDemand, isHolder ? least : 0, this.waiting));
+    }
+
+    /** A killed router may leave all it holds behind as spent, so the last tokens are not shared out in advance. */
+    private computeMostHeld(freePart: number): number {
+        return (freePart + Math.max(0, this.granted - this.getCharged())) * this.options.mostHeldPart;
     }
 
     private createAllowance(committed: number, demand: number, wanted: number): Allowance {
