--- a/src/domain/routerGroups.ts
+++ b/src/domain/routerGroups.ts
@@ -2,8 +2,9 @@
  * Routers in groups, so that what each of them has to tell all others costs messages by the number of routers and not by
  * its square: a router tells the relay of its group, the relay tells its group and the relays of the other groups.
  *
- * The load that this answers: of 68 routers that place 290 long prompts a second, each told each other one, which came to
- * 570 notices and 530 pings on idle connections a second at every router, nine tenths of what passed between processes.
+ * The load that this answers: 68 routers that place 290 long prompts a second. Told by each to each, one placement of each
+ * router costs 4,556 notices, through relays 280 (counted in memory); the bytes between zones in 12 s of such a load fell
+ * from 0.393 GB, without any telling, to 0.115 GB with relays and what else grows less with routers (one day each).
  * Every router computes the groups by itself from the routers it knows. Where two know of different ones for a while,
  * something is heard twice or not at all, which what is told this way has to bear.
  */
--- a/test/daemons/placementSpread.test.ts
+++ b/test/daemons/placementSpread.test.ts
@@ -139,7 +139,7 @@
 }
 
 void t.test("what one placement costs grows with the number of routers, not its square", async t => {
-    // Told by each to each, one placement of each of 68 routers came to 4,556 notices; relays that gather tell them in 290.
+    // Told by each to each, one placement of each of 68 routers came to 4,556 notices; relays that gather tell them in 280.
     const contacts = createContacts(68);
     const fleet = new Fleet(contacts);
     await fleet.settle();
