A connection between processes that went silent for good is closed, also where each call on it is given up soon

Cause, by reading: a connection counts as waited on only while a call is pending or somebody watches its end. Loans are given up after 60 ms, between two looks 500 ms apart, so a silent connection to another group's holder would have been used for ever; connections to all other routers were watched before there were groups. Test: tcpPeer.test.ts, red before (12 s without an end), green after.

--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -40,6 +40,11 @@
     private lostHandler: () => void = () => undefined;
     private receivedAt = performance.now();
     private bytesSeen = 0;
+    /**
+     * A call was given up and nothing has come since. The connection may have gone silent for good, which calls of 60 ms,
+     * each given up between two looks at it, would never show.
+     */
+    private isSuspect = false;
     private readonly watchTimer: NodeJS.Timeout;
 
     constructor(
@@ -60,6 +65,7 @@
         try {
             for await (const line of readLines(this.socket)) {
                 this.receivedAt = performance.now();
+                this.isSuspect = false;
                 this.receive(line);
             }
         }
@@ -87,7 +93,9 @@
             return answer as R;
         }
         catch (error) {
-            throw new RefusalError(getPeerRefusal(error, method.name));
+            const refusal = getPeerRefusal(error, method.name);
+            this.isSuspect ||= refusal.code === "peerTimeout";
+            throw new RefusalError(refusal);
         }
         finally {
             this.pendingCalls -= 1;
@@ -144,7 +152,7 @@
             this.bytesSeen = this.socket.bytesRead;
             this.receivedAt = performance.now();
         }
-        const isWaitedOn = this.pendingCalls > 0 || this.closeHandlers.size > 0;
+        const isWaitedOn = this.pendingCalls > 0 || this.closeHandlers.size > 0 || this.isSuspect;
         const silentMs = performance.now() - this.receivedAt;
         if (!isWaitedOn) {
             this.receivedAt = performance.now();
--- a/test/adapters/tcpPeer.test.ts
+++ b/test/adapters/tcpPeer.test.ts
@@ -1,4 +1,4 @@
-/** A connection over which bytes come slowly is not a silent one. */
+/** A connection over which bytes come slowly is not a silent one; one that leaves a call unanswered may be. */
 import { once } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
 import t from "tap";
@@ -40,3 +40,24 @@
     const answer = await peer.call(method, {}, 60_000);
     t.match(answer.text, /^x+$/);
 });
+
+void t.test("a connection that went silent is closed, though each call on it is given up soon", async t => {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.resume();
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const socket = connect((server.address() as { port: number; }).port, "127.0.0.1");
+    await once(socket, "connect");
+    const peer = new TcpPeer(socket, new PeerHandlers(), () => true);
+    const lost = new Promise<void>(resolve => peer.onLost(resolve));
+    void peer.run();
+    t.teardown(() => {
+        peer.close();
+        server.close();
+    });
+    await t.rejects(peer.call(method, {}, TURN_MS), { message: /peerTimeout/ });
+    await lost;
+    t.equal(peer.closedBy?.code, "peerStalled");
+});
