--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -330,7 +330,7 @@
 
     /** Where each router holds for itself, those count too that the book knows and the controllers have not named. */
     private updateHolders(): void {
-        const holders = this.holders.areAllHolders() ? this.routers : this.holders.getHolderCount();
+        const holders = this.holders.hasOnlyHolders() ? this.routers : this.holders.getHolderCount();
         this.purse.setHoldings(account => ({ isHolder: this.holders.isHolder(account), holders }));
     }
 
--- a/src/domain/routerGroups.ts
+++ b/src/domain/routerGroups.ts
@@ -45,7 +45,7 @@
     for (const { address, zone } of routers) {
         zones.set(zone, [...zones.get(zone) ?? [], address]);
     }
-    return [...zones.values()].flatMap(addresses => splitEvenly(addresses.sort()));
+    return [...zones.values()].flatMap(addresses => createEvenParts(addresses.sort()));
 }
 
 /**
@@ -68,8 +68,8 @@
     };
 }
 
-/** Parts of about the same size, none above what a group may have. */
-function splitEvenly(addresses: readonly string[]): string[][] {
+/** Parts of about the same size, none larger than a group may be. */
+function createEvenParts(addresses: readonly string[]): string[][] {
     const count = Math.ceil(addresses.length / MOST_IN_GROUP);
     return Array.from({ length: count }, (_, i) => {
         const from = Math.floor(i * addresses.length / count);
--- a/src/domain/tokenHolders.ts
+++ b/src/domain/tokenHolders.ts
@@ -35,7 +35,7 @@
     }
 
     /** Whether each router holds for itself alone. */
-    areAllHolders(): boolean {
+    hasOnlyHolders(): boolean {
         return this.groups.every(group => group.length === 1);
     }
 
