What depends on the other routers stands in a module of its own; groups are computed once, where they change

Moves code of the router's daemon and of the placement sharer; the same calls in the same order but for one: holdings are set once where both the routers and their number have changed.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -3,7 +3,6 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
-import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import { type HeardRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
@@ -18,7 +17,7 @@
 import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
-import { KnownRouters } from "./knownRouters.js";
+import { OtherRouters } from "./otherRouters.js";
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
@@ -53,11 +52,8 @@
     private index: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
-    private readonly knownRouters: KnownRouters;
+    private readonly others: OtherRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
-    private routers: number;
-    /** What `holders` was last set to. */
-    private otherAddresses = "";
     private running = 0;
     private stopping = false;
     private forgetTimer: NodeJS.Timeout | undefined;
@@ -77,7 +73,7 @@
         private readonly decoder: BundleDecoder,
         private readonly reporter: PrepaidReporter,
         private readonly borrower: PrepaidBorrower,
-        private readonly holders: TokenHolders,
+        holders: TokenHolders,
         private readonly sharer: PlacementSharer,
         network: PeerNetwork,
         private readonly clock: Clock,
@@ -85,8 +81,7 @@
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
-        this.knownRouters = new KnownRouters(options.address);
-        this.routers = options.assumedRouters;
+        this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer);
     }
 
     /** Registers what controllers tell over the connections that this router opens. */
@@ -208,7 +203,7 @@
     }
 
     override getRouterCount(): number {
-        return this.routers;
+        return this.others.getCount();
     }
 
     override getMaxUpstreamAgeMs(): number {
@@ -225,8 +220,8 @@
     }
 
     override getMaxConnections(service: BundleService): number {
-        const routers = Math.max(this.routers, this.options.assumedRouters);
-        return Math.max(1, Math.floor(service.maxConnections * this.options.connectionPart / routers));
+        const { connectionPart } = this.options;
+        return Math.max(1, Math.floor(service.maxConnections * connectionPart / this.getSharingCount()));
     }
 
     override getRetryBudget(service: string): RetryBudget {
@@ -240,7 +235,12 @@
 
     /** This router's part of the retries that all routers together may save up. */
     private computeRetrySlack(): number {
-        return Math.max(1, this.options.retrySlack / Math.max(this.routers, this.options.assumedRouters));
+        return Math.max(1, this.options.retrySlack / this.getSharingCount());
+    }
+
+    /** Routers that share what holds for all of them together. */
+    private getSharingCount(): number {
+        return Math.max(this.others.getCount(), this.options.assumedRouters);
     }
 
     override async waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
@@ -301,39 +301,14 @@
             this.heardSince = now;
         }
         this.heardAt = now;
-        this.knownRouters.record(answer.routers, this.heardSince, now);
-        const others = this.knownRouters.list();
-        this.setOthers(others);
-        this.setRouters(Math.max(1 + others.length, this.reporter.routers));
-        this.sharer.setOthers(others);
-        if (answer.hasMajority) {
-            this.feeds.setNamed(answer.controllers);
-        }
-    }
-
-    private setRouters(routers: number): void {
-        if (routers !== this.routers) {
-            this.routers = routers;
-            this.updateHolders();
+        if (this.others.record(answer.routers, this.heardSince, this.reporter.routers, now)) {
             this.retryBudgets.forEach(budget => budget.setMost(this.computeRetrySlack()));
         }
-    }
-
-    private setOthers(others: readonly RouterContact[]): void {
-        const addresses = others.map(({ address }) => address).sort().join(" ");
-        if (addresses !== this.otherAddresses) {
-            this.otherAddresses = addresses;
-            this.holders.setOthers(others);
-            this.updateHolders();
+        if (answer.hasMajority) {
+            this.feeds.setNamed(answer.controllers);
         }
     }
 
-    /** Where each router holds for itself, those count too that the book knows and the controllers have not named. */
-    private updateHolders(): void {
-        const holders = this.holders.hasOnlyHolders() ? this.routers : this.holders.getHolderCount();
-        this.purse.setHoldings(account => ({ isHolder: this.holders.isHolder(account), holders }));
-    }
-
     /** Forgets what belongs to upstreams that are long gone. */
     private forgetUpstreams(): void {
         const now = this.clock.getMonotonicMs();
--- /dev/null
+++ b/src/daemons/directRouter/otherRouters.ts
@@ -0,0 +1,61 @@
+/** The other routers: who and how many they are, and which parts of this router have to know when that changes. */
+import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import type { RouterContact } from "../../domain/routerGroups.js";
+import type { TokenHolders } from "../../domain/tokenHolders.js";
+import { KnownRouters } from "./knownRouters.js";
+import type { PlacementSharer } from "./placementSharer.js";
+
+export class OtherRouters {
+    private readonly known: KnownRouters;
+    /** The addresses that holders and groups were made of. */
+    private addresses = "";
+
+    /**
+     * `address`: this router's own. `count`: routers to reckon with, this one among them, before the controllers have said
+     * how many there are.
+     */
+    constructor(
+        address: string,
+        private count: number,
+        private readonly purse: PrepaidPurse,
+        private readonly holders: TokenHolders,
+        private readonly sharer: PlacementSharer,
+    ) {
+        this.known = new KnownRouters(address);
+    }
+
+    /** How many routers there are, this one among them. */
+    getCount(): number {
+        return this.count;
+    }
+
+    /**
+     * Takes the routers that a controller names. `heardSince`: since when controllers have been heard without a gap.
+     * `reporting`: how many routers report prepaid tokens. Answers whether there are more or fewer than before.
+     */
+    record(named: readonly RouterContact[], heardSince: number, reporting: number, now: number): boolean {
+        this.known.record(named, heardSince, now);
+        const others = this.known.list();
+        const count = Math.max(1 + others.length, reporting);
+        const hasNewCount = count !== this.count;
+        this.count = count;
+        const addresses = others.map(({ address }) => address).sort().join(" ");
+        const hasNewOthers = addresses !== this.addresses;
+        if (hasNewOthers) {
+            this.addresses = addresses;
+            this.holders.setOthers(others);
+            this.sharer.setOthers(others);
+        }
+        if (hasNewOthers || hasNewCount) {
+            this.updateHoldings();
+        }
+        this.sharer.keepLinks();
+        return hasNewCount;
+    }
+
+    /** Where each router holds for itself, those count too that report and that no controller has named. */
+    private updateHoldings(): void {
+        const holders = this.holders.hasOnlyHolders() ? this.count : this.holders.getHolderCount();
+        this.purse.setHoldings(account => ({ isHolder: this.holders.isHolder(account), holders }));
+    }
+}
--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -34,8 +34,6 @@
 
 export class PlacementSharer {
     private groups: readonly (readonly string[])[] = [];
-    /** What `groups` was made of. */
-    private groupedAddresses = "";
     private links: GroupLinks = { relay: undefined, members: [], otherRelays: [] };
     private outgoing: Outgoing[] = [];
     private isFlushDue = false;
@@ -59,13 +57,13 @@
     /** Takes the other routers. */
     setOthers(others: readonly RouterContact[]): void {
         const all = [this.self, ...others];
-        const addresses = all.map(({ address }) => address).sort().join(" ");
-        if (addresses !== this.groupedAddresses) {
-            this.groupedAddresses = addresses;
-            this.groups = createRouterGroups(all);
-            this.routers.forgetExcept(new Set(all.map(({ address }) => address)));
-            this.updateLinks();
-        }
+        this.groups = createRouterGroups(all);
+        this.routers.forgetExcept(new Set(all.map(({ address }) => address)));
+        this.updateLinks();
+    }
+
+    /** Tries again to connect to those that were not reached. */
+    keepLinks(): void {
         this.routers.keep(this.listLinked());
     }
 
@@ -143,7 +141,7 @@
         if (this.links.relay !== before) {
             this.log.info("placement_relay_changed", { relay: this.links.relay ?? this.self.address });
         }
-        this.routers.keep(this.listLinked());
+        this.keepLinks();
     }
 
     /**
