--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -2,8 +2,8 @@
  * A router's own side of the prepaid tokens: what it was granted, what its requests have reserved and consumed.
  *
  * It never lets the two pass the grant, nor what its last answered report allows by now (see prepaidBook.ts), so it
- * needs to reach nobody to be safe. Routers lend each other tokens while the controllers are away: to the book the
- * lender has spent them, and the borrower spends them before its own.
+ * needs to reach nobody to be safe. Routers lend each other tokens: to the book the lender has spent them, and the borrower
+ * spends them before its own. What goes back of a loan is a loan the other way.
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 import type { PrepaidAnswer } from "./prepaidBook.js";
