--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -2,12 +2,11 @@
  * Asks other routers for prepaid tokens: first the one that holds the account for this router, then, when the controllers
  * cannot be reached or have none left, the account's other holders. Gives back what is left.
  */
-import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import type { LeftOfLoan, PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { lendPrepaidMethod, returnPrepaidMethod } from "../../protocol/fleetMethods.js";
-
 import type { RouterLinks } from "./routerLinks.js";
 
 /** Times in milliseconds. */
@@ -26,7 +25,6 @@
     private next = 0;
     /** Until when routers that did not answer are not asked. Monotonic clock, milliseconds. */
     private readonly avoidedUntil = new Map<string, number>();
-
     private returnTimer: NodeJS.Timeout | undefined;
 
     constructor(
@@ -38,6 +36,15 @@
         private readonly options: PrepaidBorrowerOptions,
     ) {}
 
+    /** Begins to give back what is left of loans. */
+    start(): void {
+        this.returnTimer = setInterval(() => this.returnLoans(), this.options.returnPeriodMs);
+    }
+
+    stop(): void {
+        clearInterval(this.returnTimer);
+    }
+
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(lendPrepaidMethod, ({ account, tokens, rank, isHeldForAsker }) => {
             const lent = this.purse.lend(account, tokens, rank, isHeldForAsker, performance.now());
@@ -58,7 +65,7 @@
      * where they are, the rests of an account of 100,000 tokens came to 16,000 at single routers.
      */
     returnLoans(): void {
-        const byHolder = new Map<string, { account: string; tokens: number; }[]>();
+        const byHolder = new Map<string, LeftOfLoan[]>();
         for (const left of this.purse.listLeftOfLoans()) {
             const holder = this.holders.tryFindNearest(left.account, address => this.isAsked(address));
             if (holder !== undefined) {
@@ -72,15 +79,6 @@
         }
     }
 
-    /** Begins to give back what is left of loans. */
-    start(): void {
-        this.returnTimer = setInterval(() => this.returnLoans(), this.options.returnPeriodMs);
-    }
-
-    stop(): void {
-        clearInterval(this.returnTimer);
-    }
-
     /** Asks the nearest holder for what a reservation lacks. Answers whether that came together. */
     async borrowFromHolder(account: string, tokens: number, rank: number): Promise<boolean> {
         const holder = this.holders.tryFindNearest(account, address => this.isAsked(address));
--- a/src/domain/prepaidPurse.ts
+++ b/src/domain/prepaidPurse.ts
@@ -10,6 +10,12 @@
 import type { PrepaidPurseOptions } from "./prepaidPurseOptions.js";
 import { type AccountHolding, PurseAccount, type PurseState, type ReserveOutcome } from "./purseAccount.js";
 
+/** Tokens of an account that were lent for a request and not used. */
+export interface LeftOfLoan {
+    readonly account: string;
+    readonly tokens: number;
+}
+
 const HELD_ALONE: AccountHolding = { isHolder: true, holders: 1 };
 
 /** Times passed in (`now`) are on the monotonic clock of the router's process, in milliseconds. */
@@ -85,7 +91,7 @@
     }
 
     /** What is left of loans, of the accounts that other routers hold for this one. */
-    listLeftOfLoans(): { account: string; tokens: number; }[] {
+    listLeftOfLoans(): LeftOfLoan[] {
         return [...this.accounts].flatMap(([account, entry]) => {
             const tokens = entry.getLeftOfLoans();
             return tokens > 0 ? [{ account, tokens }] : [];
