--- a/src/daemons/directRouter/controllerFeeds.ts
+++ b/src/daemons/directRouter/controllerFeeds.ts
@@ -71,7 +71,7 @@
     /**
      * About once a period one controller is asked for all upstreams, the one that was not for longest, since a controller
      * that is cut off from upstreams knows nothing new. Asking each of five in each period costs a router five times the
-     * bytes: 60 KB a second for 60 upstreams, 7 in 100 of a link of 7 Mbit/s.
+     * bytes: by reckoning 60 KB a second for 60 upstreams, 7 in 100 of a link of 7 Mbit/s.
      */
     private isUpstreamTurn(feed: ControllerFeed): boolean {
         const now = this.clock.getMonotonicMs();
--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -62,7 +62,8 @@
 
     /**
      * Gives the holders back what requests have left of their loans. A request reserves the most that it may consume; left
-     * where they are, the rests of an account of 100,000 tokens came to 16,000 at single routers.
+     * where they are, they came to 16,272 tokens of one account at one router, and to 1.25 million at 245 of the 507 refusals
+     * that 21 routers logged in a cut (one run).
      */
     returnLoans(): void {
         const byHolder = new Map<string, LeftOfLoan[]>();
--- a/src/domain/purseAccount.ts
+++ b/src/domain/purseAccount.ts
@@ -329,7 +329,7 @@
     /**
      * The part of what no router has been granted that this one may reckon with: by its part of the demand. In equal parts
      * a router that all callers of an account come to would be left with one of 68 parts of what is free, and refuse in a
-     * cut what nobody else needs.
+     * cut what nobody else needs. Its gain was not measured apart: one day of a cut of 68 routers showed none.
      */
     private getFreePart(): number {
         return this.free * (this.demandPart ?? 1 / this.holding.holders);
