--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -78,7 +78,7 @@
 ): Promise<RunningBundleRole<BundleControllerDaemon>> {
     await mkdir(settings.dataFolder, { recursive: true });
     const base = await createBase({ ...settings, role: "controller", listen: settings.peerAddress });
-    const { clock, log, network, handlers, peerAddress } = base;
+    const { clock, log, network, handlers, loop, peerAddress } = base;
     const journal = await openJournalFile(join(settings.dataFolder, "log.journal"), {
         retryWriteMs: settings.retryWriteMs,
         onRefused: error => log.warn("disk_refused_write", { error: String(error) }),
@@ -87,7 +87,7 @@
     const replica = createReplica(new LogStorage(journal), founders, settings, base);
     const keeper = createReplicaSetKeeper(replica, settings, base);
     const { seeds, decoder } = settings;
-    const daemon = new BundleControllerDaemon(replica, keeper, decoder, network, clock, log, {
+    const daemon = new BundleControllerDaemon(replica, keeper, decoder, network, clock, log, loop, {
         address: peerAddress,
         seeds,
     });
@@ -145,7 +145,7 @@
     settings: DirectRouterSettings,
 ): Promise<RunningBundleRole<DirectRouterDaemon>> {
     const base = await createBase({ ...settings, role: "router", listen: settings.router.address });
-    const { clock, log, metrics, network, handlers, identity } = base;
+    const { clock, log, metrics, network, handlers, loop, identity } = base;
     const self = { address: settings.router.address, zone: settings.zone };
     const holders = new TokenHolders(self);
     const routerLinks = new RouterLinks(network, log);
@@ -173,6 +173,7 @@
         new PlacementSharer(self, load, routerLinks, clock, log, settings.sharer),
         network,
         clock,
+        loop,
     );
     daemon.addHandlers(handlers);
     daemon.start();
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -19,6 +19,7 @@
     reportPrepaidMethod,
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
+import type { LoopWatch } from "../loopWatch.js";
 import { BundlePublisher } from "./bundlePublisher.js";
 import { Followers } from "./followers.js";
 import { PrepaidService } from "./prepaidService.js";
@@ -45,6 +46,7 @@
         network: PeerNetwork,
         private readonly clock: Clock,
         private readonly log: Log,
+        private readonly loop: LoopWatch,
         private readonly options: BundleControllerOptions,
     ) {
         this.seeds = options.seeds;
@@ -97,7 +99,7 @@
      * noMajority where it was certainly not taken, changeUnknown where it may have been.
      */
     async putBundle(text: string): Promise<BundleResult> {
-        const bundle = this.decoder.decode(text);
+        const bundle = this.loop.measure("bundles", () => this.decoder.decode(text));
         const answer = await this.replica.propose({
             type: "putBundle",
             revision: bundle.revision,
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -14,6 +14,7 @@
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
 import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+import type { LoopWatch } from "../loopWatch.js";
 import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
@@ -21,7 +22,7 @@
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
-import { type AnswerStory, RelayContext, type RelayOptions } from "./relayContext.js";
+import { type AnswerStory, type RefusalEnding, RelayContext, type RelayOptions } from "./relayContext.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -77,6 +78,7 @@
         private readonly sharer: PlacementSharer,
         network: PeerNetwork,
         private readonly clock: Clock,
+        readonly loop: LoopWatch,
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
@@ -158,7 +160,7 @@
     async handle(request: RelayRequest, sink: PassThroughSink): Promise<void> {
         const resolved = this.resolve(request);
         if ("code" in resolved) {
-            this.logRefusal(request, "", resolved, undefined);
+            this.logRefusal(request, "", resolved, { endedEarly: undefined, overMs: undefined });
             sink.refuse(resolved);
             return;
         }
@@ -264,16 +266,16 @@
         this.recorder.recordAnswered(resolved, story);
     }
 
-    override recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void {
-        this.logRefusal(resolved.request, resolved.route.name, refusal, endedEarly);
+    override recordRefused(resolved: ResolvedRequest, refusal: Refusal, ending: RefusalEnding): void {
+        this.logRefusal(resolved.request, resolved.route.name, refusal, ending);
     }
 
-    private logRefusal(request: RelayRequest, route: string, refusal: Refusal, endedEarly: string | undefined): void {
+    private logRefusal(request: RelayRequest, route: string, refusal: Refusal, ending: RefusalEnding): void {
         this.recorder.recordRefused(request, refusal, {
             route,
             account: this.index?.tryGetAccount(request.key ?? "")?.name,
             revision: this.index?.bundle.revision,
-            endedEarly,
+            ...ending,
         });
     }
 
@@ -284,9 +286,12 @@
     }
 
     receiveBundle(revision: number, text: string): void {
-        if (this.index !== undefined && revision <= this.index.bundle.revision) {
-            return;
+        if (this.index === undefined || revision > this.index.bundle.revision) {
+            this.loop.measure("bundles", () => this.putInForce(revision, text));
         }
+    }
+
+    private putInForce(revision: number, text: string): void {
         this.index = new BundleIndex(this.decoder.decode(text));
         const limits = this.index.bundle.accounts.filter(account => account.prepaidTokens !== undefined);
         this.purse.setLimits(limits.map(account => ({ account: account.name, tokens: account.prepaidTokens! })));
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -42,6 +42,14 @@
     readonly aheadMs: number;
 }
 
+/** How a request came to be refused, for logs. */
+export interface RefusalEnding {
+    /** Why the router broke off, where it did. */
+    readonly endedEarly: "gone" | "late" | undefined;
+    /** Time since its deadline, in milliseconds; undefined before it. */
+    readonly overMs: number | undefined;
+}
+
 /** What a request asks of its router. */
 export abstract class RelayContext {
     abstract readonly options: RelayOptions;
@@ -67,6 +75,6 @@
     abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Notes that the caller has the whole answer. */
     abstract recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void;
-    /** Notes a refusal. `endedEarly`: why the router broke off, where it did. */
-    abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, endedEarly: string | undefined): void;
+    /** Notes a refusal. */
+    abstract recordRefused(resolved: ResolvedRequest, refusal: Refusal, ending: RefusalEnding): void;
 }
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -3,13 +3,22 @@
 import type { PromptPart } from "../../domain/upstreamLoad.js";
 import type { PassedRequest } from "../../ports/directUpstream.js";
 
-/** A caller's request as it was read. Times on the monotonic clock, milliseconds. */
-export interface RelayRequest {
+/** When a request came. Monotonic clock, milliseconds. */
+export interface RequestTimes {
+    /** When it probably reached this box; its deadline counts from then. */
+    readonly arrivedAt: number;
+    /** When it was read. */
+    readonly readAt: number;
+    /** When its connection was taken, where it is the first request on it. */
+    readonly connectedAt: number | undefined;
+}
+
+/** A caller's request as it was read. */
+export interface RelayRequest extends RequestTimes {
     readonly passed: PassedRequest;
     readonly host: string;
     readonly key: string | undefined;
-    readonly arrivedAt: number;
-    /** How long the caller waits; undefined where it does not say. */
+    /** How long the caller waits, in milliseconds; undefined where it does not say. */
     readonly waitMs: number | undefined;
     readonly promptTokens: number;
     /** Most tokens that the answer may have. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -252,7 +252,11 @@
     private finish(cause: Refusal): void {
         // Whatever ended the last sending, an earlier one may have run.
         const refusal: Refusal = this.mayHaveRun ? { ...cause, ran: "unknown" } : cause;
-        this.context.recordRefused(this.resolved, refusal, this.endedEarly);
+        const overMs = performance.now() - this.deadline;
+        this.context.recordRefused(this.resolved, refusal, {
+            endedEarly: this.endedEarly,
+            overMs: overMs > 0 ? overMs : undefined,
+        });
         if (this.endedEarly === "gone") {
             return;
         }
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -1,19 +1,17 @@
 /** Tells logs and metrics how each request of a router ended: one line a request. */
 import { formatRefusal, type Refusal } from "../../domain/resultCodes.js";
-import type { Log } from "../../ports/log.js";
+import type { Log, LogFields } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
-import type { AnswerStory } from "./relayContext.js";
+import type { AnswerStory, RefusalEnding } from "./relayContext.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 
 /** What was known of a request that was refused. */
-export interface RefusalStory {
+export interface RefusalStory extends RefusalEnding {
     /** Empty where none was found. */
     readonly route: string;
     readonly account: string | undefined;
     /** Revision of the bundle in force. */
     readonly revision: number | undefined;
-    /** Why the router broke off, where it did. */
-    readonly endedEarly: string | undefined;
 }
 
 export class RequestRecorder {
@@ -36,6 +34,7 @@
             upstream: story.upstream,
             read_tokens: story.newTokens,
             ahead_ms: Math.round(story.aheadMs),
+            ...formatTimes(request),
             age_ms: Math.round(age),
         });
     }
@@ -51,8 +50,18 @@
             account: story.account,
             ran: refusal.ran,
             ended_early: story.endedEarly,
+            over_ms: story.overMs === undefined ? undefined : Math.round(story.overMs),
+            ...formatTimes(request),
             age_ms: Math.round(performance.now() - request.arrivedAt),
             revision: story.revision,
         });
     }
 }
+
+/** How long a request waited before it was read, and for its connection to be read from, as far as is known. */
+function formatTimes({ arrivedAt, readAt, connectedAt }: RelayRequest): LogFields {
+    return {
+        unread_ms: Math.round(readAt - arrivedAt),
+        connected_ms: connectedAt === undefined ? undefined : Math.round(readAt - connectedAt),
+    };
+}
--- /dev/null
+++ b/src/daemons/loopWatch.ts
@@ -0,0 +1,112 @@
+/**
+ * Watches how late the event loop of a process runs, and what it did meanwhile, so that an answer that came late can be told
+ * from one that was made late. On a box with little processor time one turn of the loop may take hundreds of milliseconds,
+ * in which no caller is read and no timer runs.
+ */
+import { performance } from "node:perf_hooks";
+import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
+import type { Metrics } from "../ports/metrics.js";
+
+/** Work that is counted, where it may fill a turn: `calls` are those of the system's other processes. */
+export type LoopWork = "requests" | "connections" | "calls" | "bundles";
+
+/** How often the loop is looked at, in milliseconds: a small part of the shortest goal of a route. */
+export const LOOP_TICK_MS = 50;
+/** A tick that is later than this gives a line, in milliseconds: a caller notices a third of the shortest goals. */
+const LATE_MS = 100;
+/** Least time between two lines, in milliseconds. */
+const LINE_PERIOD_MS = 1_000;
+
+/** What was seen since the last line. Times in milliseconds. */
+interface LoopPeriod {
+    readonly startedAt: number;
+    longestLateMs: number;
+    lateTicks: number;
+    lateMs: number;
+    readonly counts: Map<LoopWork, number>;
+    readonly tookMs: Map<LoopWork, number>;
+}
+
+/** Runs from `start` until `stop`. */
+export class LoopWatch {
+    private timer: NodeJS.Timeout | undefined;
+    private dueAt = 0;
+    private period: LoopPeriod = createPeriod(0);
+    private utilization = performance.eventLoopUtilization();
+
+    constructor(private readonly clock: Clock, private readonly log: Log, private readonly metrics: Metrics) {}
+
+    start(): void {
+        const now = this.clock.getMonotonicMs();
+        this.dueAt = now + LOOP_TICK_MS;
+        this.period = createPeriod(now);
+        this.timer = setInterval(() => this.recordTick(this.clock.getMonotonicMs()), LOOP_TICK_MS);
+        this.timer.unref();
+    }
+
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    /** Counts one piece of work. */
+    noteWork(work: LoopWork): void {
+        const { counts } = this.period;
+        counts.set(work, (counts.get(work) ?? 0) + 1);
+    }
+
+    /** Counts one piece of work and how long it holds the loop. */
+    measure<T>(work: LoopWork, run: () => T): T {
+        const startedAt = performance.now();
+        try {
+            return run();
+        }
+        finally {
+            this.noteWork(work);
+            const { tookMs } = this.period;
+            tookMs.set(work, (tookMs.get(work) ?? 0) + performance.now() - startedAt);
+        }
+    }
+
+    /** Called by the timer. */
+    recordTick(now: number): void {
+        const lateMs = Math.max(0, now - this.dueAt);
+        this.dueAt = now + LOOP_TICK_MS;
+        this.metrics.recordTiming("loop_late_ms", lateMs);
+        const { period } = this;
+        if (lateMs > LATE_MS) {
+            period.lateTicks += 1;
+            period.lateMs += lateMs;
+            period.longestLateMs = Math.max(period.longestLateMs, lateMs);
+        }
+        if (now - period.startedAt >= LINE_PERIOD_MS) {
+            this.logPeriod(now);
+            this.period = createPeriod(now);
+        }
+    }
+
+    private logPeriod(now: number): void {
+        const { period } = this;
+        const last = this.utilization;
+        this.utilization = performance.eventLoopUtilization();
+        if (period.lateTicks === 0) {
+            return;
+        }
+        this.log.warn("loop_late", {
+            longest_late_ms: Math.round(period.longestLateMs),
+            late_turns: period.lateTicks,
+            late_ms: Math.round(period.lateMs),
+            period_ms: Math.round(now - period.startedAt),
+            busy_ms: Math.round(performance.eventLoopUtilization(this.utilization, last).active),
+            requests: period.counts.get("requests") ?? 0,
+            connections: period.counts.get("connections") ?? 0,
+            calls: period.counts.get("calls") ?? 0,
+            bundles: period.counts.get("bundles") ?? 0,
+            bundles_ms: Math.round(period.tookMs.get("bundles") ?? 0),
+        });
+    }
+}
+
+function createPeriod(startedAt: number): LoopPeriod {
+    return { startedAt, longestLateMs: 0, lateTicks: 0, lateMs: 0, counts: new Map(), tookMs: new Map() };
+}
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -71,6 +71,9 @@
 export class PeerHandlers {
     private readonly handlers = new Map<string, UntypedHandler>();
 
+    /** `onHandle`: called for each call, before it is handled. */
+    constructor(private readonly onHandle: () => void = () => undefined) {}
+
     /** Answers `method` by `handler`, which sees only what fits the schema. */
     add<P, R>(method: PeerMethod<P, R>, handler: (params: P, peer: Peer) => Promise<R> | R): void {
         this.handlers.set(method.name, async (params, peer) => {
@@ -86,6 +89,7 @@
 
     /** Runs the handler of a method. */
     async handle(name: string, params: unknown, peer: Peer): Promise<unknown> {
+        this.onHandle();
         const handler = this.handlers.get(name);
         if (handler === undefined) {
             throw new RefusalError(createRefusal("peerMalformed", `unknown method ${name}`));
--- a/src/roleBase.ts
+++ b/src/roleBase.ts
@@ -2,6 +2,7 @@
 import { readFile } from "node:fs/promises";
 import { KeyValueLog } from "./adapters/keyValueLog.js";
 import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
+import { LoopWatch } from "./daemons/loopWatch.js";
 import { createRandomId } from "./domain/identifiers.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
 import { SystemClock } from "./ports/clock.js";
@@ -18,6 +19,7 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly handlers: PeerHandlers;
+    readonly loop: LoopWatch;
     readonly network: TcpNetwork;
     /** HOST:PORT where other processes reach it; the port is the one that was opened. */
     readonly peerAddress: string;
@@ -37,17 +39,21 @@
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
     const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
     const metrics = await createMetrics(settings);
-    const handlers = new PeerHandlers();
+    const clock = new SystemClock();
+    const loop = new LoopWatch(clock, log, metrics);
+    const handlers = new PeerHandlers(() => loop.noteWork("calls"));
     const secret = await readFleetSecret(settings);
     const network = new TcpNetwork({ identity, secret, handlers, log, addressMap: settings.addressMap ?? {} });
     const { host, port: asked } = parseAddress(settings.listen);
     const port = await network.listen(host, asked);
     const peerAddress = `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}`;
-    return { identity, clock: new SystemClock(), log, metrics, handlers, network, peerAddress };
+    loop.start();
+    return { identity, clock, log, metrics, handlers, loop, network, peerAddress };
 }
 
 /** Closes what `createBase` opened. */
 export function closeBase(base: RoleBase): void {
+    base.loop.stop();
     base.network.close();
     base.metrics.close();
 }
--- /dev/null
+++ b/test/daemons/loopWatch.test.ts
@@ -0,0 +1,55 @@
+/** A loop that runs late gives one line a second at most, with what was done meanwhile. */
+import t from "tap";
+import { LOOP_TICK_MS, LoopWatch } from "../../src/daemons/loopWatch.js";
+import { Log, type LogFields } from "../../src/ports/log.js";
+import { NoMetrics } from "../../src/ports/metrics.js";
+import { FakeClock } from "../tools/fakes.js";
+
+class KeptLog extends Log {
+    readonly lines: LogFields[] = [];
+
+    override info(): void {}
+
+    override warn(event: string, fields: LogFields = {}): void {
+        this.lines.push({ event, ...fields });
+    }
+
+    override error(): void {}
+}
+
+/** Ticks in time until `untilMs`. */
+function tickInTime(watch: LoopWatch, clock: FakeClock, untilMs: number): void {
+    while (clock.getMonotonicMs() < untilMs) {
+        clock.advance(LOOP_TICK_MS);
+        watch.recordTick(clock.getMonotonicMs());
+    }
+}
+
+void t.test("late turns are told once a period, with the work in them; a loop in time says nothing", t => {
+    const clock = new FakeClock();
+    const log = new KeptLog();
+    const watch = new LoopWatch(clock, log, new NoMetrics());
+    watch.start();
+    t.teardown(() => watch.stop());
+    tickInTime(watch, clock, 5_000);
+    t.same(log.lines, []);
+    for (const lateMs of [400, 300, 0, 250]) {
+        watch.noteWork("requests");
+        watch.measure("bundles", () => undefined);
+        clock.advance(LOOP_TICK_MS + lateMs);
+        watch.recordTick(clock.getMonotonicMs());
+    }
+    t.equal(log.lines.length, 1);
+    t.match(log.lines[0], {
+        event: "loop_late",
+        longest_late_ms: 400,
+        late_turns: 3,
+        late_ms: 950,
+        requests: 4,
+        bundles: 4,
+        calls: 0,
+    });
+    tickInTime(watch, clock, 9_000);
+    t.equal(log.lines.length, 1, "nothing more while the loop is in time");
+    t.end();
+});
