--- a/test/platform/bundleTransfer.test.ts
+++ b/test/platform/bundleTransfer.test.ts
@@ -4,7 +4,7 @@
 import t from "tap";
 import { DirectFleet } from "../tools/directFleet.js";
 import { waitUntil } from "../tools/waiting.js";
-import { createWireBundle } from "../tools/wireBundle.js";
+import { createLargeWireBundle } from "../tools/wireBundle.js";
 
 const NETWORK = 84;
 const CONTROLLERS = ["c1", "c2", "c3"];
@@ -14,19 +14,6 @@
 /** Most of that length that a change of one route may cost, with all else that passes meanwhile. */
 const MOST_OF_CHANGE = 0.05;
 
-/** A configuration of many routes. `timeoutMs`: of one of them. */
-function createLargeBundle(revision: number, timeoutMs: number) {
-    const bundle = createWireBundle(revision);
-    const [first] = bundle.routes;
-    const more = Array.from({ length: ROUTES }, (_, i) => ({
-        ...first!,
-        name: `route-${(i * 7_919).toString(36)}`,
-        path_prefix: `/more/${(i * 104_729).toString(36)}/`,
-        timeout_ms: i === ROUTES / 2 ? timeoutMs : first!.timeout_ms,
-    }));
-    return { ...bundle, routes: [...bundle.routes, ...more] };
-}
-
 /** Counts the bytes that arrive over connections to controllers that are opened from now on. */
 function countBytesFromControllers(fleet: DirectFleet): () => number {
     const sockets: Socket[] = [];
@@ -46,8 +33,8 @@
     await fleet.open();
     t.teardown(() => fleet.close());
     await Promise.all(CONTROLLERS.map(box => fleet.startController(box, true)));
-    await fleet.putBundle("c1", createLargeBundle(1, 4_000));
-    const { length } = JSON.stringify(createLargeBundle(1, 4_000));
+    await fleet.putBundle("c1", createLargeWireBundle(1, ROUTES));
+    const { length } = JSON.stringify(createLargeWireBundle(1, ROUTES));
 
     const getReceived = countBytesFromControllers(fleet);
     await fleet.startRouter("r1");
@@ -56,7 +43,7 @@
     const whole = getReceived();
     t.ok(whole < length * MOST_OF_WHOLE, `the whole in ${whole} of ${length} bytes`);
 
-    await fleet.putBundle("c2", createLargeBundle(2, 5_000));
+    await fleet.putBundle("c2", createLargeWireBundle(2, ROUTES, 5_000));
     await waitUntil("the change", () => router.getBundleRevision() === 2);
     const change = getReceived() - whole;
     t.ok(change < length * MOST_OF_CHANGE, `a change in ${change} of ${length} bytes`);
--- a/test/tools/wireBundle.ts
+++ b/test/tools/wireBundle.ts
@@ -26,6 +26,19 @@
     };
 }
 
+/** A configuration of many routes. `timeoutMs`: of one of them. */
+export function createLargeWireBundle(revision: number, routes: number, timeoutMs = 4_000) {
+    const bundle = createWireBundle(revision);
+    const [first] = bundle.routes;
+    const more = Array.from({ length: routes }, (_, i) => ({
+        ...first!,
+        name: `route-${(i * 7_919).toString(36)}`,
+        path_prefix: `/more/${(i * 104_729).toString(36)}/`,
+        timeout_ms: i === routes / 2 ? timeoutMs : first!.timeout_ms,
+    }));
+    return { ...bundle, routes: [...bundle.routes, ...more] };
+}
+
 function createRoute(name: string, prefix: string, type: string, service: string, attempts: number) {
     return {
         name,
