--- a/src/daemons/directRouter/bundleFetcher.ts
+++ b/src/daemons/directRouter/bundleFetcher.ts
@@ -1,10 +1,11 @@
 /**
  * Fetches bundles for a router: from one controller at a time, however many tell of a bundle, and always the newest that
  * the controller has. Several copies at once would hold up the answers to callers on a thin link: fetched whole from each of
- * five controllers, 1,700 routes kept 7 Mbit/s busy for 2.6 s a version.
+ * five controllers, 1,700 routes kept 7 Mbit/s busy for 2.6 s a version. After each version it rests (`versionRest.ts`).
  */
 import { setTimeout } from "node:timers/promises";
 import type { StoredBundle } from "../../domain/bundleStore.js";
+import { computeRestMs } from "../../domain/versionRest.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
 import { decodeBundle, type EncodedBundle } from "../../protocol/bundleTransfer.js";
@@ -13,17 +14,6 @@
 /** After so many fetches in a row that came to nothing, the time that one may take grows no more. */
 const MOST_DOUBLINGS = 3;
 
-/**
- * After a version a router rests this many times as long as it took to put it in force, so that versions take a fifth of its
- * time at most, however many the operator sends; those that are overtaken meanwhile are passed over. Without it versions of
- * 30 ms each held a router for 243 of 306 ms (`heldRequests.test.ts`, one run).
- */
-const REST_FACTOR = 4;
-/** Longest rest, in milliseconds: a quarter of the 2 s within which a version has to be in force. */
-const MOST_REST_MS = 500;
-/** Shorter rests are left out, in milliseconds: a version that takes 2 ms is no load. */
-const LEAST_REST_MS = 10;
-
 /** Told of bundles. */
 export interface BundleListener {
     /** Takes a bundle as the operator sent it; resolves when it is in force. */
@@ -97,7 +87,7 @@
             if (answer.bundle !== undefined && answer.bundle.revision > this.getHeldRevision()) {
                 const fetchedAt = performance.now();
                 await this.take(answer.bundle);
-                restMs = (performance.now() - fetchedAt) * REST_FACTOR;
+                restMs = computeRestMs(performance.now() - fetchedAt);
                 this.log.info("bundle_fetched", {
                     controller,
                     revision: answer.bundle.revision,
@@ -111,8 +101,8 @@
             this.failures += 1;
             this.log.warn("bundle_not_fetched", { controller, revision, error: String(error) });
         }
-        if (restMs >= LEAST_REST_MS) {
-            await setTimeout(Math.min(restMs, MOST_REST_MS));
+        if (restMs > 0) {
+            await setTimeout(restMs);
         }
     }
 
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -3,6 +3,7 @@
  * another one after it, until the caller has a final answer.
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { isWorthSending } from "../../domain/sendingTime.js";
 import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
@@ -11,13 +12,6 @@
 import type { ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
-/** Least time that is worth a sending, in milliseconds: a round trip to a caller and one to an upstream. */
-const LEAST_SENDING_MS = 15;
-/**
- * Turns of the event loop that a sending waits for on a box that lags: one for a connection to the upstream, one to read the
- * answer. What cannot be back in time is refused as not run, instead of run for a caller that has been told otherwise.
- */
-const LATE_TURNS = 2;
 /** Highest number of a priority. */
 const LOWEST_PRIORITY = 9;
 /** Ranks of routes within one rank of accounts: an account's rank goes before the route's. */
@@ -213,8 +207,8 @@
     }
 
     private hasTimeLeft(): boolean {
-        const leastMs = LEAST_SENDING_MS + LATE_TURNS * this.context.getLoopLateMs();
-        return this.endedEarly === undefined && this.deadline - performance.now() > leastMs;
+        const leftMs = this.deadline - performance.now();
+        return this.endedEarly === undefined && isWorthSending(leftMs, this.context.getLoopLateMs());
     }
 
     // Final answers
