--- a/test/daemons/loopWatch.test.ts
+++ b/test/daemons/loopWatch.test.ts
@@ -1,21 +1,8 @@
 /** A loop that runs late gives one line a second at most, with what was done meanwhile. */
 import t from "tap";
 import { LOOP_TICK_MS, LoopWatch } from "../../src/daemons/loopWatch.js";
-import { Log, type LogFields } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
-import { FakeClock } from "../tools/fakes.js";
-
-class KeptLog extends Log {
-    readonly lines: LogFields[] = [];
-
-    override info(): void {}
-
-    override warn(event: string, fields: LogFields = {}): void {
-        this.lines.push({ event, ...fields });
-    }
-
-    override error(): void {}
-}
+import { FakeClock, KeptLog } from "../tools/fakes.js";
 
 /** Ticks in time until `untilMs`. */
 function tickInTime(watch: LoopWatch, clock: FakeClock, untilMs: number): void {
@@ -32,15 +19,15 @@
     watch.start();
     t.teardown(() => watch.stop());
     tickInTime(watch, clock, 5_000);
-    t.same(log.lines, []);
+    t.same(log.warnings, []);
     for (const lateMs of [400, 300, 0, 250]) {
         watch.noteWork("requests");
         watch.noteWork("bundles");
         clock.advance(LOOP_TICK_MS + lateMs);
         watch.recordTick(clock.getMonotonicMs());
     }
-    t.equal(log.lines.length, 1);
-    t.match(log.lines[0], {
+    t.equal(log.warnings.length, 1);
+    t.match(log.warnings[0], {
         event: "loop_late",
         longest_late_ms: 400,
         late_turns: 3,
@@ -50,6 +37,6 @@
         calls: 0,
     });
     tickInTime(watch, clock, 9_000);
-    t.equal(log.lines.length, 1, "nothing more while the loop is in time");
+    t.equal(log.warnings.length, 1, "nothing more while the loop is in time");
     t.end();
 });
--- a/test/platform/otherWriters.test.ts
+++ b/test/platform/otherWriters.test.ts
@@ -7,9 +7,9 @@
 import t from "tap";
 import { RefusalRecorder } from "../../src/daemons/bundleController/refusalRecorder.js";
 import { createRefusal } from "../../src/domain/resultCodes.js";
-import { Log, type LogFields } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { DirectFleet } from "../tools/directFleet.js";
+import { KeptLog } from "../tools/fakes.js";
 import { createWireBundle } from "../tools/wireBundle.js";
 
 const NETWORK = 86;
@@ -119,22 +119,13 @@
 });
 
 void t.test("refusals of one kind give one line a period, which counts the others", t => {
-    const lines: LogFields[] = [];
-    class KeptLog extends Log {
-        override info(): void {}
-
-        override warn(_event: string, fields: LogFields = {}): void {
-            lines.push(fields);
-        }
-
-        override error(): void {}
-    }
-    const recorder = new RefusalRecorder(new KeptLog(), new NoMetrics());
+    const log = new KeptLog();
+    const recorder = new RefusalRecorder(log, new NoMetrics());
     for (let ms = 0; ms < 1_000; ms++) {
         recorder.record("PUT", `/u/${ms}`, createRefusal("malformedBody"), ms);
     }
     recorder.record("PUT", "/u", createRefusal("serviceUnknown"), 1_000);
     recorder.record("PUT", "/u", createRefusal("malformedBody"), 1_000);
-    t.same(lines.map(({ more }) => more), [undefined, undefined, 999]);
+    t.same(log.warnings.map(({ more }) => more), [undefined, undefined, 999]);
     t.end();
 });
--- a/test/tools/fakes.ts
+++ b/test/tools/fakes.ts
@@ -1,6 +1,7 @@
 /** Small fakes at the ports. */
 import { Clock } from "../../src/ports/clock.js";
 import { Journal } from "../../src/ports/journal.js";
+import { Log, type LogFields } from "../../src/ports/log.js";
 
 /** A clock that moves only when told. */
 export class FakeClock extends Clock {
@@ -29,6 +30,19 @@
     }
 }
 
+/** Keeps the lines that are warnings. */
+export class KeptLog extends Log {
+    readonly warnings: LogFields[] = [];
+
+    override info(): void {}
+
+    override warn(event: string, fields: LogFields = {}): void {
+        this.warnings.push({ event, ...fields });
+    }
+
+    override error(): void {}
+}
+
 /** A journal in memory: what is not synced is lost in a crash. */
 export class FakeJournal extends Journal {
     private records: unknown[] = [];
