--- a/src/domain/overloadGate.ts
+++ b/src/domain/overloadGate.ts
@@ -13,7 +13,7 @@
 
 /**
  * Lateness of the loop that counts as overload, in milliseconds: half of the shortest wait that callers notice. Decoding in
- * parts and other work of ours stays below it on the smallest boxes (6 turns above it at 10 routers in 34 s, one day).
+ * parts and other work of ours stays below it on the smallest boxes (5 turns above it at 10 routers in 34 s, one day).
  */
 const LATE_MS = 100;
 /** How much the level rises with each late tick for each `LATE_MS` of lateness, and at most: long turns have few ticks. */
