--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -195,9 +195,6 @@
         if (!route.isPublic && account === undefined && index.hasAccounts()) {
             return createRefusal(request.key === undefined ? "keyMissing" : "keyWrong");
         }
-        if (this.loop.overload.shouldRefuse(route.rank, Math.random())) {
-            return createRefusal("routerOverloaded", undefined, "no", this.options.overloadRetryAfterMs);
-        }
         const service = index.tryGetService(pickTarget(route, Math.random()).service)!;
         return { request, route, service, account: route.isPublic ? undefined : account };
     }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -15,8 +15,6 @@
     readonly retryAfterMs: number;
     /** The same where the router has just started: when it will have heard what is in force. */
     readonly startRetryAfterMs: number;
-    /** The same where the router has more callers than it can serve: long enough for a new connection, to another one. */
-    readonly overloadRetryAfterMs: number;
     /** The same where it was refused for want of a grant: when a router that is cut off may be back. */
     readonly grantRetryAfterMs: number;
     /** How long a request waits for a grant. */
--- a/src/daemons/loopWatch.ts
+++ b/src/daemons/loopWatch.ts
@@ -5,7 +5,6 @@
  */
 import { performance } from "node:perf_hooks";
 import { ArrivalClock } from "../domain/arrivalClock.js";
-import { LEAST_URGENT_RANK, OverloadGate } from "../domain/overloadGate.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { Metrics } from "../ports/metrics.js";
@@ -33,8 +32,6 @@
 export class LoopWatch {
     /** When what is read now probably came. */
     readonly arrivals: ArrivalClock;
-    /** Which callers a router refuses because it cannot serve all. */
-    readonly overload = new OverloadGate();
     private timer: NodeJS.Timeout | undefined;
     private dueAt = 0;
     private period: LoopPeriod = createPeriod(0);
@@ -68,7 +65,6 @@
     /** Called by the timer. */
     recordTick(now: number): void {
         this.arrivals.recordTick(now);
-        this.overload.recordTick(this.arrivals.getLateMs());
         const lateMs = Math.max(0, now - this.dueAt);
         this.dueAt = now + LOOP_TICK_MS;
         this.metrics.recordTiming("loop_late_ms", lateMs);
@@ -101,7 +97,6 @@
             connections: period.counts.get("connections") ?? 0,
             calls: period.counts.get("calls") ?? 0,
             bundles: period.counts.get("bundles") ?? 0,
-            refused_part: Number(this.overload.getRefusedPart(LEAST_URGENT_RANK).toFixed(2)),
         });
     }
 }
--- a/test/daemons/loopWatch.test.ts
+++ b/test/daemons/loopWatch.test.ts
@@ -35,7 +35,6 @@
         requests: 4,
         bundles: 4,
         calls: 0,
-        refused_part: 0.73,
     });
     tickInTime(watch, clock, 9_000);
     t.equal(log.warnings.length, 1, "nothing more while the loop is in time");
--- a/test/domain/lateBox.test.ts
+++ b/test/domain/lateBox.test.ts
@@ -21,7 +21,6 @@
     versionMs: 400,
     versionParts: 20,
     computeRestMs,
-    hasGate: false,
 };
 const SEEDS = [1, 2, 3, 4, 5];
 
--- a/test/tools/loopWorld.ts
+++ b/test/tools/loopWorld.ts
@@ -5,7 +5,6 @@
  */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ArrivalClock, type ConnectionArrival } from "../../src/domain/arrivalClock.js";
-import { OverloadGate } from "../../src/domain/overloadGate.js";
 import { isWorthSending } from "../../src/domain/sendingTime.js";
 
 export interface LoopLoad {
@@ -23,16 +22,11 @@
     /** Turns that a version is decoded in. */
     readonly versionParts: number;
     readonly computeRestMs: (tookMs: number) => number;
-    /** Whether callers are refused at the door where the loop is late. Refusals cost a step. */
-    readonly hasGate: boolean;
 }
 
 /** What callers got. */
 export interface LoopOutcome {
     answeredInTime: number;
-    /** The same by rank, the most urgent first. */
-    readonly inTimeByRank: number[];
-    readonly askedByRank: number[];
     refusedAtOnce: number;
     /** Final answers after the route's time-out, and how late the latest of them was. */
     late: number;
@@ -46,8 +40,6 @@
 
 interface SimulatedRequest {
     readonly sentAt: number;
-    /** 0 to 2, each as often. */
-    readonly rank: number;
     connection: ConnectionArrival | undefined;
     arrivedAt: number;
     isDone: boolean;
@@ -62,13 +54,10 @@
 
 const TICK_MS = 50;
 const MS_PER_SECOND = 1_000;
-const RANKS = 3;
 
 class LoopWorld {
     readonly outcome: LoopOutcome = {
         answeredInTime: 0,
-        inTimeByRank: [0, 0, 0],
-        askedByRank: [0, 0, 0],
         refusedAtOnce: 0,
         late: 0,
         latestOverMs: 0,
@@ -80,8 +69,6 @@
     private events: PollEvent[] = [];
     private readonly open = new Set<SimulatedRequest>();
     private readonly clock = new ArrivalClock(TICK_MS, 0);
-    private readonly gate = new OverloadGate();
-    private readonly draw: () => number;
     private partsLeft = 0;
     private versionAt = 0;
     private versionBegunAt = 0;
@@ -89,12 +76,9 @@
     constructor(private readonly load: LoopLoad) {
         const random = xoroshiro128plus(load.seed);
         const draw = (): number => (random.next() >>> 0) / 2 ** 32;
-        this.draw = draw;
         const gapMs = MS_PER_SECOND / load.requestsPerSecond;
         for (let at = 0; at < load.lengthMs; at += draw() * 2 * gapMs) {
-            const rank = Math.floor(draw() * RANKS);
-            this.outcome.askedByRank[rank]! += 1;
-            const request = { sentAt: at, rank, connection: undefined, arrivedAt: 0, isDone: false, isSent: false };
+            const request = { sentAt: at, connection: undefined, arrivedAt: 0, isDone: false, isSent: false };
             this.events.push({ at, step: draw() < 0.5 ? "connect" : "read", request });
         }
     }
@@ -112,7 +96,6 @@
     private runTimers(): void {
         if (this.now >= this.nextTickAt) {
             this.clock.recordTick(this.now);
-            this.gate.recordTick(this.clock.getLateMs());
             this.nextTickAt = this.now + TICK_MS;
         }
         for (const request of this.open) {
@@ -155,8 +138,7 @@
 
     private begin(request: SimulatedRequest): void {
         const leftMs = request.arrivedAt + this.load.timeoutMs - this.now;
-        const isShut = this.load.hasGate && this.gate.shouldRefuse(request.rank, this.draw());
-        if (isShut || !isWorthSending(leftMs, this.clock.getLateMs())) {
+        if (!isWorthSending(leftMs, this.clock.getLateMs())) {
             request.isDone = true;
             this.outcome.refusedAtOnce += 1;
             this.noteLate(request);
@@ -174,7 +156,6 @@
         request.isDone = true;
         const isInTime = this.now <= request.sentAt + this.load.timeoutMs;
         this.outcome.answeredInTime += isAnswer && isInTime ? 1 : 0;
-        this.outcome.inTimeByRank[request.rank]! += isAnswer && isInTime ? 1 : 0;
         this.outcome.runInVain += request.isSent && !(isAnswer && isInTime) ? 1 : 0;
         this.noteLate(request);
     }
