--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -327,9 +327,9 @@
     }
 
     /** What was connected to an earlier life of an upstream is of no use: what is sent over it may have run or not. */
-    private renewConnections(before: UpstreamRegistration | undefined, now: UpstreamRegistration | undefined): void {
+    private dropEarlierConnections(before: UpstreamRegistration | undefined, now: UpstreamRegistration | undefined): void {
         if (before?.bornAt !== undefined && before.bornAt !== now?.bornAt) {
-            this.upstreams.renew(before.address);
+            this.upstreams.forget(before.address);
         }
     }
 
@@ -347,7 +347,7 @@
         for (const { registration, ageMs } of upstreams) {
             const before = this.registry.tryGet(registration.id);
             if (this.registry.record(registration, now - ageMs) === "state") {
-                this.renewConnections(before, this.registry.tryGet(registration.id));
+                this.dropEarlierConnections(before, this.registry.tryGet(registration.id));
                 this.log.info("upstream_state", {
                     upstream: registration.id,
                     service: registration.service,
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -76,7 +76,7 @@
     /** Closes the connections to addresses that are not in `known`, once they are idle. */
     abstract forgetExcept(known: ReadonlySet<string>): void;
     /** Has what is sent to an address from now on go over new connections; those to it are closed once they are idle. */
-    abstract renew(address: string): void;
+    abstract forget(address: string): void;
     /** Closes every connection, also those in use. */
     abstract close(): void;
 }
