--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -327,7 +327,10 @@
     }
 
     /** What was connected to an earlier life of an upstream is of no use: what is sent over it may have run or not. */
-    private dropEarlierConnections(before: UpstreamRegistration | undefined, now: UpstreamRegistration | undefined): void {
+    private dropEarlierConnections(
+        before: UpstreamRegistration | undefined,
+        now: UpstreamRegistration | undefined,
+    ): void {
         if (before?.bornAt !== undefined && before.bornAt !== now?.bornAt) {
             this.upstreams.forget(before.address);
         }
