--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -58,10 +58,10 @@
     }
 }
 
-/** How long a request waited before it was read, and for its connection to be read from, as far as is known. */
-function formatTimes({ arrivedAt, readAt, connectedAt }: RelayRequest): LogFields {
+/** How long a request waited before it was read, and for its connection to be read from; left out where it did not wait. */
+function formatTimes({ arrivedAt, readAt, connectedAt = readAt }: RelayRequest): LogFields {
     return {
-        unread_ms: Math.round(readAt - arrivedAt),
-        connected_ms: connectedAt === undefined ? undefined : Math.round(readAt - connectedAt),
+        unread_ms: Math.round(readAt - arrivedAt) || undefined,
+        connected_ms: Math.round(readAt - connectedAt) || undefined,
     };
 }
--- a/src/daemons/loopWatch.ts
+++ b/src/daemons/loopWatch.ts
@@ -14,6 +14,11 @@
 
 /** How often the loop is looked at, in milliseconds: a small part of the shortest goal of a route. */
 export const LOOP_TICK_MS = 50;
+/**
+ * A tick that is later than this is told to the metrics, in milliseconds. With all 20 a second told a router used 0.0796 cores
+ * on a calm day, without 0.0775 (one run each, the machine otherwise busy).
+ */
+const TOLD_MS = 20;
 /** A tick that is later than this gives a line, in milliseconds: a caller notices a third of the shortest goals. */
 const LATE_MS = 100;
 /** Least time between two lines, in milliseconds. */
@@ -45,10 +50,7 @@
         const now = this.clock.getMonotonicMs();
         this.dueAt = now + LOOP_TICK_MS;
         this.period = createPeriod(now);
-        this.timer = setInterval(() => {
-            this.recordTick(this.clock.getMonotonicMs());
-            setImmediate(() => this.arrivals.recordPolled());
-        }, LOOP_TICK_MS);
+        this.timer = setInterval(() => this.watchTurn(), LOOP_TICK_MS);
         this.timer.unref();
     }
 
@@ -62,12 +64,25 @@
         counts.set(work, (counts.get(work) ?? 0) + 1);
     }
 
+    /** Only a late turn needs the call after its poll, which costs another turn of the loop. */
+    private watchTurn(): void {
+        this.recordTick(this.clock.getMonotonicMs());
+        if (this.arrivals.getLateMs() > 0) {
+            setImmediate(() => this.arrivals.recordPolled());
+        }
+        else {
+            this.arrivals.recordPolled();
+        }
+    }
+
     /** Called by the timer. */
     recordTick(now: number): void {
         this.arrivals.recordTick(now);
         const lateMs = Math.max(0, now - this.dueAt);
         this.dueAt = now + LOOP_TICK_MS;
-        this.metrics.recordTiming("loop_late_ms", lateMs);
+        if (lateMs > TOLD_MS) {
+            this.metrics.recordTiming("loop_late_ms", lateMs);
+        }
         const { period } = this;
         if (lateMs > LATE_MS) {
             period.lateTicks += 1;
