Sight: a request that breaks off is named by what it asks, and an upstream that ended is told from a lost connection

Cause sought: the logs cannot tell which of the requests that broke off are the same one under new ids, whether an answer had begun, or whether the upstream ended. attempt_ended now has fingerprint= and begun=, upstream_ended says that an address refuses connections. No decision goes by any of it yet.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -16,8 +16,15 @@
     | { readonly type: "answered"; readonly status: number; }
     /** The upstream certainly has not run it. */
     | { readonly type: "notRun"; readonly cause: "unreachable" | "full"; readonly reason: string; }
-    /** It may have run, and the caller does not have the whole answer. */
-    | { readonly type: "interrupted"; readonly reason: string; }
+    /**
+     * It may have run, and the caller does not have the whole answer. `cause`: its connection was lost, what came was no
+     * answer to it, or nothing came for too long.
+     */
+    | {
+        readonly type: "interrupted";
+        readonly cause: "connection" | "answer" | "silence";
+        readonly reason: string;
+    }
     /** The upstream failed after running it; its answer was not passed on, because the request is to be tried again. */
     | { readonly type: "failed"; readonly status: number; }
     /** The router gave it up: `stop` was called. */
@@ -69,6 +76,8 @@
 export class Attempt implements UpstreamListener {
     /** Whole events that came in this attempt. */
     eventCount = 0;
+    /** Whether the upstream has begun to answer. */
+    hasHead = false;
     /** Whether the body of an answer has begun. */
     hasFirstByte = false;
     /** When the last bytes came. Monotonic clock, milliseconds. */
@@ -115,17 +124,17 @@
         this.heardAt = performance.now();
         this.status = head.status;
         if (!head.isOwn) {
-            return this.reject({ type: "interrupted", reason: "the answer belongs to another request" });
+            return this.rejectAnswer("the answer belongs to another request");
         }
         if (head.isNotRun) {
             return this.reject({ type: "notRun", cause: "full", reason: `status ${head.status}` });
         }
         const isSuccess = head.status >= 200 && head.status < 300;
         if (!head.isSigned) {
-            return this.reject({ type: "interrupted", reason: `status ${head.status} that no engine vouches for` });
+            return this.rejectAnswer(`status ${head.status} that no engine vouches for`);
         }
         if (!isSuccess && this.options.progress.isHeadSent) {
-            return this.reject({ type: "interrupted", reason: `status ${head.status} where a stream was to go on` });
+            return this.rejectAnswer(`status ${head.status} where a stream was to go on`);
         }
         if (head.status >= 500 && this.options.shouldRetryFailed()) {
             return this.reject({ type: "failed", status: head.status });
@@ -167,7 +176,7 @@
 
     onFailure(failure: UpstreamFailure): void {
         if (failure.wasSent) {
-            this.settle({ type: "interrupted", reason: failure.reason });
+            this.settle({ type: "interrupted", cause: "connection", reason: failure.reason });
             return;
         }
         this.settle({ type: "notRun", cause: "unreachable", reason: failure.reason });
@@ -175,6 +184,7 @@
 
     private passHead(head: UpstreamHead): void {
         const { progress, sink } = this.options;
+        this.hasHead = true;
         if (progress.isHeadSent) {
             return;
         }
@@ -184,6 +194,10 @@
         sink.sendHead(head.status, head.headers, head.isFramed);
     }
 
+    private rejectAnswer(reason: string): false {
+        return this.reject({ type: "interrupted", cause: "answer", reason });
+    }
+
     private reject(outcome: AttemptOutcome): false {
         this.endEarly(outcome);
         return false;
@@ -211,7 +225,7 @@
         }
         const left = this.heardAt + silenceMs - performance.now();
         if (left <= 0) {
-            this.endEarly({ type: "interrupted", reason: `silent for ${silenceMs} ms` });
+            this.endEarly({ type: "interrupted", cause: "silence", reason: `silent for ${silenceMs} ms` });
             return;
         }
         this.silenceTimer = setTimeout(() => this.watchSilence(), left);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -31,6 +31,7 @@
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import { RequestRecorder } from "./requestRecorder.js";
+import { type BrokenRequest, UpstreamEndWatch } from "./upstreamEndWatch.js";
 
 /** What a router goes by. Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
@@ -59,6 +60,7 @@
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
     private readonly others: OtherRouters;
+    private readonly ends: UpstreamEndWatch;
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private running = 0;
     private stopping = false;
@@ -88,6 +90,7 @@
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
+        this.ends = new UpstreamEndWatch(upstreams, clock, log, () => undefined);
         this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer);
     }
 
@@ -271,6 +274,12 @@
         return this.loop.arrivals.getLateMs();
     }
 
+    override noteBroken(upstream: UpstreamRegistration, request: BrokenRequest): void {
+        const known = this.registry.tryGet(upstream.id);
+        const isSameLife = known !== undefined && getLifeKey(known) === getLifeKey(upstream);
+        this.ends.noteBroken(isSameLife ? known : upstream, request);
+    }
+
     override recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void {
         this.recorder.recordAnswered(resolved, story);
     }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -4,10 +4,11 @@
 import type { Refusal } from "../../domain/resultCodes.js";
 import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
-import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import type { BrokenRequest } from "./upstreamEndWatch.js";
 
 /** How long requests wait, and how long callers are told to. Times in milliseconds. */
 export interface RelayOptions {
@@ -75,6 +76,8 @@
     abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** How late this router's event loop is just now, in milliseconds; 0 where it is in time. */
     abstract getLoopLateMs(): number;
+    /** Notes that a request broke off at an upstream with its connection. */
+    abstract noteBroken(upstream: UpstreamRegistration, request: BrokenRequest): void;
     /** Notes that the caller has the whole answer. */
     abstract recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void;
     /** Notes a refusal. */
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -1,5 +1,6 @@
 /** A caller's request on its way through a router. */
 import type { BundleAccount, BundleRoute, BundleService } from "../../domain/bundle.js";
+import { computeFingerprint } from "../../domain/requestFingerprint.js";
 import type { PromptPart } from "../../domain/upstreamLoad.js";
 import type { PassedRequest } from "../../ports/directUpstream.js";
 
@@ -35,3 +36,9 @@
     readonly service: BundleService;
     readonly account: BundleAccount | undefined;
 }
+
+/** What a request asks and for whom, whatever its id. */
+export function getFingerprint({ request, account }: ResolvedRequest): string {
+    const { method, target, body } = request.passed;
+    return computeFingerprint({ account: account?.name, method, host: request.host, target, body });
+}
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -9,7 +9,7 @@
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { AnswerProgress, Attempt, type AttemptOutcome } from "./attempt.js";
 import type { AnswerStory, RelayContext } from "./relayContext.js";
-import type { ResolvedRequest } from "./relayRequest.js";
+import { getFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
 /** Highest number of a priority. */
@@ -121,7 +121,7 @@
         }
         load.recordEnd(placement);
         this.mayHaveRun ||= outcome.type !== "notRun";
-        this.recordOutcome(placement.upstream, outcome);
+        this.recordOutcome(placement.upstream, outcome, attempt.hasHead);
         this.tokens.settle(attempt, outcome);
         return outcome;
     }
@@ -151,18 +151,27 @@
         });
     }
 
-    private recordOutcome(upstream: UpstreamRegistration, outcome: AttemptOutcome): void {
+    private recordOutcome(upstream: UpstreamRegistration, outcome: AttemptOutcome, hasBegun: boolean): void {
         const loadOutcome = tryGetLoadOutcome(outcome);
         if (loadOutcome !== undefined) {
             this.context.load.recordOutcome(upstream, loadOutcome, performance.now());
         }
         if (outcome.type !== "answered") {
             this.lastReason = "reason" in outcome ? outcome.reason : outcome.type;
-            this.logUnanswered(upstream.id, outcome.type);
+            const fingerprint = outcome.type === "interrupted" ? getFingerprint(this.resolved) : undefined;
+            this.logUnanswered(upstream.id, outcome.type, hasBegun, fingerprint);
+            if (fingerprint !== undefined && outcome.type === "interrupted" && outcome.cause === "connection") {
+                this.context.noteBroken(upstream, { fingerprint, hasBegun });
+            }
         }
     }
 
-    private logUnanswered(upstream: string, outcome: AttemptOutcome["type"]): void {
+    private logUnanswered(
+        upstream: string,
+        outcome: AttemptOutcome["type"],
+        hasBegun: boolean,
+        fingerprint: string | undefined,
+    ): void {
         const { request, route } = this.resolved;
         this.context.log.info("attempt_ended", {
             request: request.passed.id,
@@ -171,6 +180,8 @@
             attempt: this.sendings,
             outcome,
             reason: this.lastReason,
+            begun: hasBegun || undefined,
+            fingerprint,
             age_ms: Math.round(performance.now() - request.arrivedAt),
         });
     }
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -77,6 +77,11 @@
     abstract forgetExcept(known: ReadonlySet<string>): void;
     /** Has what is sent to an address from now on go over new connections; those to it are closed once they are idle. */
     abstract forget(address: string): void;
+    /**
+     * Whether a process listens at an address: false where a connection to it is refused, undefined where nobody can say.
+     * Nothing is sent. Never rejects.
+     */
+    abstract isListening(address: string): Promise<boolean | undefined>;
     /** Closes every connection, also those in use. */
     abstract close(): void;
 }
