A ledger that is short refuses a budget as exhausted only where nothing is left of it anywhere

Cause: a draw that came while another's refill was under way waited for that one, which asked the other ledgers for its own need only; the share was empty again, and the draw was refused as exhausted. The same where the tokens given back went to a third ledger, or where an allotment had the number of another one and moved nothing.

--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -20,28 +20,37 @@
 /** Routers with open grants of a budget, as connections. */
 export type GrantHolders = (budget: string) => Peer[];
 
+/** What a refill came to, as of its end: whoever waits beside may have drawn what came. */
+export type RefillOutcome =
+    | "filled"
+    /** Nothing is left in any other ledger, nor unallocated. */
+    | "exhausted"
+    /** Tokens moved, and too few of them came here: they went to another ledger, or were too few. */
+    | "moved"
+    /** Not everybody could be asked, so there may be tokens that this ledger does not see. */
+    | "unreachable";
+
 export class BudgetRefiller {
-    private readonly running = new Map<string, Promise<boolean>>();
+    private readonly running = new Map<string, Promise<RefillOutcome>>();
 
     constructor(
         private readonly context: ControllerContext,
         private readonly reporter: ShareReporter,
         private readonly getDemand: (budget: string) => MovingRate,
         private readonly getHolders: GrantHolders,
+        /** Tokens that all draws need together that wait now. */
+        private readonly getWaiting: (budget: string) => number,
     ) {}
 
-    /**
-     * Tries to have `need` tokens free. Answers whether it could ask everywhere: without a majority, or where another
-     * ledger does not answer, there may be tokens that it does not see.
-     */
-    async refill(budget: string, need: number): Promise<boolean> {
+    /** Tries to have `need` tokens free, and what other draws wait for. */
+    async refill(budget: string, need: number): Promise<RefillOutcome> {
         const running = this.running.get(budget);
         if (running !== undefined) {
             return running;
         }
         const refill = this.runRefill(budget, need).catch(error => {
             this.context.events.warn("refill_failed", { budget, reason: formatRefusal(getRefusal(error)) });
-            return false;
+            return "unreachable" as const;
         }).finally(() => this.running.delete(budget));
         this.running.set(budget, refill);
         return refill;
@@ -56,25 +65,41 @@
         return answer.result.type === "accepted" && "tokens" in answer.result ? answer.result.tokens : 0;
     }
 
-    private async runRefill(budget: string, need: number): Promise<boolean> {
-        const { ledger, log } = this.context;
-        const getFree = (): number => ledger.getBalance(budget).free;
-        const unallocated = (): number => log.state.budgets.tryGetBudget(budget)?.unallocated ?? 0;
+    private async runRefill(budget: string, need: number): Promise<RefillOutcome> {
+        const { log } = this.context;
+        const getMissing = (): number => Math.max(need, this.getWaiting(budget)) - this.getFree(budget);
         const connected = log.isConnectedToMajority();
-        if (connected && unallocated() > 0) {
-            await this.allot(budget, Math.max(need - getFree(), this.getTarget(budget) - getFree()));
+        if (connected && this.getUnallocated(budget) > 0) {
+            await this.allot(budget, Math.max(getMissing(), this.getTarget(budget) - this.getFree(budget)));
         }
-        if (getFree() < need) {
+        if (getMissing() > 0) {
             await this.recallGrants(budget);
         }
-        if (getFree() < need && connected && this.mayRecall(budget)) {
-            const allAnswered = await this.recallShares(budget, need - getFree());
-            if (getFree() < need) {
-                await this.allot(budget, need - getFree());
-            }
-            return allAnswered;
+        if (getMissing() <= 0) {
+            return "filled";
+        }
+        if (!connected) {
+            return this.getFree(budget) >= need ? "filled" : "unreachable";
+        }
+        const given = this.mayRecall(budget) ? await this.recallShares(budget, getMissing()) : 0;
+        if (getMissing() > 0 && this.getUnallocated(budget) > 0) {
+            await this.allot(budget, getMissing());
+        }
+        if (this.getFree(budget) >= need) {
+            return "filled";
         }
-        return connected;
+        if (given === undefined) {
+            return "unreachable";
+        }
+        return given > 0 || this.getUnallocated(budget) > 0 ? "moved" : "exhausted";
+    }
+
+    private getFree(budget: string): number {
+        return this.context.ledger.getBalance(budget).free;
+    }
+
+    private getUnallocated(budget: string): number {
+        return this.context.log.state.budgets.tryGetBudget(budget)?.unallocated ?? 0;
     }
 
     private getTarget(budget: string): number {
@@ -110,8 +135,8 @@
         await Promise.allSettled(asked);
     }
 
-    /** Asks every other ledger for what is missing. Answers whether all of them answered. */
-    private async recallShares(budget: string, missing: number): Promise<boolean> {
+    /** Asks every other ledger for what is missing. Answers how much they gave; undefined where one did not answer. */
+    private async recallShares(budget: string, missing: number): Promise<number | undefined> {
         const others = getOtherControllers(this.context);
         const asked = others.map(other =>
             this.context.network.call(
@@ -122,7 +147,8 @@
             )
         );
         const answers = await Promise.allSettled(asked);
-        return answers.every(answer => answer.status === "fulfilled");
+        const given = answers.map(answer => answer.status === "fulfilled" ? answer.value.given : undefined);
+        return given.includes(undefined) ? undefined : given.reduce((sum: number, tokens) => sum + tokens!, 0);
     }
 
     /** Gives back what another ledger asks for, as far as it is free: a request over there would be refused now. */
--- a/src/daemons/controller/ledgerService.ts
+++ b/src/daemons/controller/ledgerService.ts
@@ -18,6 +18,11 @@
 
 /** Half-life of the demand that shares follow, in milliseconds. */
 const DEMAND_HALF_LIFE_MS = 10_000;
+/**
+ * Most refills that one draw waits for: tokens that others gave back may be drawn or allotted elsewhere before they come.
+ * With one, a ledger that had lost its share refused two of three draws that came at once, while the others were full.
+ */
+const MOST_REFILLS = 5;
 /** Largest part of what is free that one draw takes beyond its need, so that several routers can draw. */
 const LARGEST_DRAW_PART = 0.25;
 
@@ -28,6 +33,8 @@
     private readonly routers = new Map<string, Peer>();
     private readonly doneGrants = new Set<string>();
     private readonly deadlines = new Map<string, number>();
+    /** Tokens that draws need which wait now, by budget. */
+    private readonly waiting = new Map<string, number>();
 
     constructor(
         private readonly context: ControllerContext,
@@ -38,7 +45,13 @@
     ) {
         const getDemand = (budget: string): MovingRate => this.getDemand(budget);
         this.reporter = new ShareReporter(context, getDemand);
-        this.refiller = new BudgetRefiller(context, this.reporter, getDemand, budget => this.getHolders(budget));
+        this.refiller = new BudgetRefiller(
+            context,
+            this.reporter,
+            getDemand,
+            budget => this.getHolders(budget),
+            budget => this.waiting.get(budget) ?? 0,
+        );
     }
 
     addHandlers(handlers: PeerHandlers): void {
@@ -103,12 +116,36 @@
         this.checkRegistered();
         this.routers.set(peer.identity.name, peer);
         this.getDemand(params.budget).add(params.need, this.context.clock.getMonotonicMs());
-        const { ledger } = this.context;
-        const isShort = (): boolean => ledger.getBalance(params.budget).free < params.need;
-        if (isShort() && !await this.refiller.refill(params.budget, params.need) && isShort()) {
+        this.addWaiting(params.budget, params.need);
+        try {
+            return await this.drawRefilled(params, peer);
+        }
+        finally {
+            this.addWaiting(params.budget, -params.need);
+        }
+    }
+
+    private addWaiting(budget: string, tokens: number): void {
+        this.waiting.set(budget, (this.waiting.get(budget) ?? 0) + tokens);
+    }
+
+    /** Draws once there is enough; nothing else runs between the look and the draw, so no other draw comes between. */
+    private async drawRefilled(params: Parameters<typeof this.drawOnce>[0], peer: Peer): Promise<DrawAnswer> {
+        const { budget, need } = params;
+        const isShort = (): boolean => this.context.ledger.getBalance(budget).free < need;
+        const refuse = (): never => {
             throw new RefusalError(
-                createRefusal("budgetUnreachable", "this ledger is short and cannot ask for more", "no", 1000),
+                createRefusal("budgetUnreachable", "this ledger is short and could not get more", "no", 1000),
             );
+        };
+        for (let refills = 0; isShort(); refills++) {
+            const outcome = refills < MOST_REFILLS ? await this.refiller.refill(budget, need) : refuse();
+            if (outcome === "exhausted") {
+                break;
+            }
+            if (outcome === "unreachable" && isShort()) {
+                refuse();
+            }
         }
         return this.drawOnce(params, peer);
     }
