Time that a controller's box was suspended for counts in what it measures, and makes what it heard before old

Cause: a leader bounds what a router's process before can have spent since its last report by its own monotonic clock, which does not count a suspension: measured too short, spent tokens are given back. A controller also called itself connected to a majority when it woke, by what it had heard before.

--- a/src/consensus/entryAges.ts
+++ b/src/consensus/entryAges.ts
@@ -1,6 +1,8 @@
 /**
- * Since when the replicas have an entry of the log. A leader that took the entry itself measures it; any other asks the
- * replicas, since its own clock may say nothing of a time before its process, or may have stepped.
+ * Since when the replicas have an entry of the log. A leader that took the entry itself measures it, and those of the others
+ * that did the same: the longest counts, since a box that was suspended may have missed time, and may not know it where its
+ * time of day was set back meanwhile. Any other leader asks for the replicas' times of day too, since its own clock may say
+ * nothing of a time before its process, or may have stepped.
  */
 import type { EntryAge } from "../domain/routerLife.js";
 import type { Clock } from "../ports/clock.js";
@@ -29,9 +31,13 @@
     ) {}
 
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(entryAgeMethod, ({ index, term }) => ({
-            ms: this.storage.tryGetTerm(index) === term ? this.storage.tryGetMsSinceTaken(index) : undefined,
-        }));
+        handlers.add(entryAgeMethod, ({ index, term }) => {
+            if (this.storage.tryGetTerm(index) !== term) {
+                return {};
+            }
+            const measuredMs = this.storage.tryMeasureSinceTaken(index);
+            return { ms: measuredMs ?? this.storage.tryGetMsSinceTaken(index), isMeasured: measuredMs !== undefined };
+        });
     }
 
     /** The task that notices steps of the box's time of day. */
@@ -53,21 +59,34 @@
     }
 
     async gather(index: number): Promise<EntryAge> {
-        const ownMs = this.storage.tryGetMsSinceTaken(index);
         const term = this.storage.tryGetTerm(index);
-        if (this.isLeader() && term === this.storage.term && ownMs !== undefined) {
-            return { measuredMs: ownMs, witnessedMs: [] };
-        }
+        const isOwn = this.isLeader() && term === this.storage.term
+            && this.storage.tryMeasureSinceTaken(index) !== undefined;
         const others = term === undefined ? [] : this.replicas.getOthers();
-        const answers = await Promise.all(others.map(other => this.tryAsk(other.address, index, term!)));
-        return { measuredMs: undefined, witnessedMs: [ownMs, ...answers].filter(ms => ms !== undefined) };
+        const told = await Promise.all(others.map(other => this.tryAsk(other.address, index, term!)));
+        const answers = told.filter(answer => answer !== undefined);
+        // Its own last: the time that it waited for the others counts.
+        const ownMs = this.storage.tryGetMsSinceTaken(index);
+        if (isOwn && ownMs !== undefined) {
+            const measuredMs = answers.filter(({ isMeasured }) => isMeasured).map(({ ms }) => ms);
+            return { measuredMs: Math.max(ownMs, ...measuredMs), witnessedMs: [] };
+        }
+        return {
+            measuredMs: undefined,
+            witnessedMs: [ownMs, ...answers.map(({ ms }) => ms)].filter(ms => ms !== undefined),
+        };
     }
 
-    private async tryAsk(address: string, index: number, term: number): Promise<number | undefined> {
+    private async tryAsk(
+        address: string,
+        index: number,
+        term: number,
+    ): Promise<{ ms: number; isMeasured: boolean; } | undefined> {
         try {
             const startedAt = performance.now();
-            const { ms } = await this.network.call(address, entryAgeMethod, { index, term }, ASK_TIMEOUT_MS);
-            return ms === undefined ? undefined : ms + performance.now() - startedAt;
+            const answer = await this.network.call(address, entryAgeMethod, { index, term }, ASK_TIMEOUT_MS);
+            const ms = answer.ms === undefined ? undefined : answer.ms + performance.now() - startedAt;
+            return ms === undefined ? undefined : { ms, isMeasured: answer.isMeasured === true };
         }
         catch (error) {
             this.log.info("entry_age_not_told", { controller: address, error: String(error) });
--- a/src/consensus/logStorage.ts
+++ b/src/consensus/logStorage.ts
@@ -28,8 +28,11 @@
 interface TakenTime {
     /** Undefined where the box's time of day could not be gone by, or has stepped since. */
     readonly wallMs: number | undefined;
-    /** Undefined where an earlier process took it: nobody can tell whether the box's clock has run on since. */
-    readonly monotonicMs: number | undefined;
+    /**
+     * On the monotonic clock, and what that may have missed. Undefined where an earlier process took it: nobody can tell
+     * whether the box's clock has run on since.
+     */
+    readonly elapsedMs: number | undefined;
 }
 
 /** Of how many entries it is remembered when they were taken. */
@@ -61,17 +64,40 @@
     }
 
     /**
-     * Milliseconds since this replica took the entry at `index`, undefined where it cannot say: by the monotonic clock
-     * where this process took it, else by the box's time of day, which may have stepped while no process ran.
+     * Milliseconds since this replica took the entry at `index`, undefined where it cannot say: as measured where this process
+     * took it, else by the box's time of day, which may have stepped while no process ran.
      */
     tryGetMsSinceTaken(index: number): number | undefined {
         const taken = this.takenTimes.get(index);
-        if (taken?.monotonicMs !== undefined) {
-            return this.clock.getMonotonicMs() - taken.monotonicMs;
+        const measuredMs = this.tryMeasureSinceTaken(index);
+        if (measuredMs !== undefined) {
+            return measuredMs;
         }
         return taken?.wallMs === undefined ? undefined : this.clock.getWallMs() - taken.wallMs;
     }
 
+    /**
+     * The same where this process took it: on the monotonic clock, with the time that the box may have been suspended for. By
+     * the monotonic clock alone a leader that had been suspended gave back tokens that were spent meanwhile.
+     */
+    tryMeasureSinceTaken(index: number): number | undefined {
+        const elapsedMs = this.takenTimes.get(index)?.elapsedMs;
+        return elapsedMs === undefined ? undefined : this.getElapsedMs() - elapsedMs;
+    }
+
+    /**
+     * When the box's monotonic clock last missed time, as far as can be told (see `TimeOfDayWatch`): what was heard before is
+     * older than it looks. On that clock, milliseconds.
+     */
+    getMissedAt(): number {
+        return this.timeOfDay.getMissedAt(this.clock.getWallMs(), this.clock.getMonotonicMs());
+    }
+
+    private getElapsedMs(): number {
+        const monotonicMs = this.clock.getMonotonicMs();
+        return monotonicMs + this.timeOfDay.getMissedMs(this.clock.getWallMs(), monotonicMs);
+    }
+
     /** Looks whether the box's time of day has stepped; resolves once that is saved. */
     async observeClock(): Promise<void> {
         if (this.timeOfDay.observe(this.clock.getWallMs(), this.clock.getMonotonicMs())) {
@@ -195,7 +221,7 @@
         const stepSaved = this.observeClock();
         const monotonicMs = this.clock.getMonotonicMs();
         const wallMs = this.timeOfDay.isSteady(monotonicMs) ? this.clock.getWallMs() : undefined;
-        this.noteTaken(entries, { wallMs, monotonicMs });
+        this.noteTaken(entries, { wallMs, elapsedMs: this.getElapsedMs() });
         const takenWallMs = wallMs === undefined ? {} : { takenWallMs: wallMs };
         await Promise.all([stepSaved, this.write({ type: "entries", entries, ...takenWallMs })]);
         const last = entries[entries.length - 1]!;
@@ -244,7 +270,7 @@
                 return;
             case "entries":
                 if (record.takenWallMs !== undefined) {
-                    this.noteTaken(record.entries, { wallMs: record.takenWallMs, monotonicMs: undefined });
+                    this.noteTaken(record.entries, { wallMs: record.takenWallMs, elapsedMs: undefined });
                 }
                 return this.placeEntries(record.entries);
             case "clockStep":
@@ -252,7 +278,7 @@
                 return this.forgetTimesOfDay();
             case "taken":
                 for (const [index, wallMs] of record.wallMs) {
-                    this.takenTimes.set(index, { wallMs, monotonicMs: undefined });
+                    this.takenTimes.set(index, { wallMs, elapsedMs: undefined });
                 }
                 return;
             case "snapshot":
@@ -264,8 +290,8 @@
     }
 
     private forgetTimesOfDay(): void {
-        this.takenTimes.forEach(({ monotonicMs }, index) => {
-            this.takenTimes.set(index, { wallMs: undefined, monotonicMs });
+        this.takenTimes.forEach(({ elapsedMs }, index) => {
+            this.takenTimes.set(index, { wallMs: undefined, elapsedMs });
         });
     }
 
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -79,8 +79,14 @@
     z.object({}),
 );
 
-/** Since when a replica has the entry of a term at an index, in milliseconds; `ms` is left out where it cannot say. */
-export const entryAgeMethod = createPeerMethod<{ index: number; term: number; }, { ms?: number | undefined; }>(
+/**
+ * Since when a replica has the entry of a term at an index, in milliseconds; `ms` is left out where it cannot say.
+ * `isMeasured`: the process that says so took it itself.
+ */
+export const entryAgeMethod = createPeerMethod<
+    { index: number; term: number; },
+    { ms?: number | undefined; isMeasured?: boolean; }
+>(
     "log.entryAge",
     z.object({ index: z.int().min(0), term: z.int().min(0) }),
 );
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -261,11 +261,14 @@
         );
     }
 
-    /** Whether a majority has answered this leader, or a leader has spoken to this follower, within an election timeout. */
+    /**
+     * Whether a majority has answered this leader, or a leader has spoken to this follower, within an election timeout. What was
+     * heard before the box was suspended does not count: one that was for 10 s called itself connected when it woke.
+     */
     isConnectedToMajority(): boolean {
-        const now = this.clock.getMonotonicMs();
         const heardAt = this.role === "leader" ? this.getMajorityHeardAt() : this.heardFromLeaderAt;
-        return this.leader !== undefined && now - heardAt < this.options.electionTimeoutMs * 2;
+        const leastHeardAt = this.clock.getMonotonicMs() - this.options.electionTimeoutMs * 2;
+        return this.leader !== undefined && heardAt > Math.max(leastHeardAt, this.storage.getMissedAt());
     }
 
     private getMajorityHeardAt(exclude?: string): number {
--- a/test/consensus/logStorage.test.ts
+++ b/test/consensus/logStorage.test.ts
@@ -114,3 +114,20 @@
     t.equal(openStorage(journal, clock).getClockAheadMs(), 5_000);
     t.equal(openStorage(journal, clock).tryGetMsSinceTaken(1), undefined);
 });
+
+void t.test("time that a box was suspended for counts, also where its time of day was set back later", async t => {
+    const clock = new FakeClock();
+    const storage = openStorage(new FakeJournal(true), clock);
+    await storage.append([createBundleEntry(1, 10)]);
+    clock.advance(1_000);
+    clock.suspend(4_000);
+    t.ok(storage.tryGetMsSinceTaken(1)! >= 5_000, "before anybody has noticed");
+    await storage.observeClock();
+    clock.advance(500);
+    clock.stepWall(-4_000);
+    await storage.observeClock();
+    t.ok(storage.tryGetMsSinceTaken(1)! >= 5_500);
+    await storage.append([createBundleEntry(2, 10)]);
+    clock.advance(100);
+    t.equal(storage.tryGetMsSinceTaken(2), 100, "what was missed before an entry is not a part of its age");
+});
--- a/test/consensus/replicatedLog.test.ts
+++ b/test/consensus/replicatedLog.test.ts
@@ -8,7 +8,7 @@
 import { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
 import { checkBudgetConservation } from "../../src/domain/budgetBook.js";
 import { formatCanonicalJson } from "../../src/domain/identifiers.js";
-import { SystemClock } from "../../src/ports/clock.js";
+import { type Clock, SystemClock } from "../../src/ports/clock.js";
 import { Journal } from "../../src/ports/journal.js";
 import { NoLog } from "../../src/ports/log.js";
 import { PeerHandlers } from "../../src/ports/peer.js";
@@ -52,13 +52,13 @@
         this.random = () => (generator.next() >>> 0) / 2 ** 32;
     }
 
-    start(name: string): void {
+    start(name: string, clock: Clock = new SystemClock()): void {
         const disk = this.disks.get(name) ?? new FakeJournal(false);
         this.disks.set(name, disk);
-        const storage = new LogStorage({ journal: new SlowJournal(disk), records: disk.crash(), tornBytes: 0 });
+        const storage = new LogStorage({ journal: new SlowJournal(disk), records: disk.crash(), tornBytes: 0 }, clock);
         const handlers = new PeerHandlers();
         const network = new MemoryNetwork(name, this.processes, this.faults, this.random);
-        const replica = new ReplicatedLog(storage, network, new SystemClock(), new NoLog(), {
+        const replica = new ReplicatedLog(storage, network, clock, new NoLog(), {
             name,
             others: NAMES.filter(other => other !== name).map(other => ({ name: other, address: other })),
             electionTimeoutMs: 60,
@@ -173,3 +173,31 @@
         await world.stopAll();
     });
 }
+
+/** Counts on as it did while its box is suspended; the time of day does not. */
+class SuspendedClock extends SystemClock {
+    private missedMs = 0;
+
+    suspend(ms: number): void {
+        this.missedMs += ms;
+    }
+    override getWallMs(): number {
+        return super.getWallMs() + this.missedMs;
+    }
+}
+
+void t.test("what was confirmed before a box was suspended does not count as fresh after it", async t => {
+    const world = new World(9);
+    const clocks = new Map(NAMES.map(name => [name, new SuspendedClock()]));
+    NAMES.forEach(name => world.start(name, clocks.get(name)));
+    const all = [...world.replicas.values()];
+    await waitUntil("all are connected", () => all.every(replica => replica.isConnectedToMajority()));
+    for (const name of NAMES) {
+        world.faults.cutOff.add(name);
+        clocks.get(name)!.suspend(10_000);
+        t.notOk(world.replicas.get(name)!.isConnectedToMajority(), name);
+        world.faults.cutOff.delete(name);
+    }
+    await waitUntil("they are again once they hear", () => all.every(replica => replica.isConnectedToMajority()));
+    await world.stopAll();
+});
--- a/test/tools/fakes.ts
+++ b/test/tools/fakes.ts
@@ -21,6 +21,11 @@
         this.wallStepMs += ms;
     }
 
+    /** The box is suspended for a while: its monotonic clock does not count that time, its time of day does. */
+    suspend(ms: number): void {
+        this.stepWall(ms);
+    }
+
     override wait(): Promise<void> {
         return Promise.resolve();
     }
