--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -7,6 +7,7 @@
 import { PrepaidPurse } from "../../src/domain/prepaidPurse.js";
 import type { PrepaidPurseOptions } from "../../src/domain/prepaidPurseOptions.js";
 import { type EntryAge, RouterLives } from "../../src/domain/routerLife.js";
+import { TimeOfDayWatch } from "../../src/domain/timeOfDayWatch.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
@@ -27,6 +28,7 @@
 const FIRST_PREPAID = 6_000;
 /** The boxes of the controllers, whose times of day may step like those of the routers. */
 const CONTROLLERS = ["c1", "c2", "c3"];
+const LEADER = "c1";
 /** Most that boxes' times of day are off, in milliseconds, and on how many boxes at once. */
 const MOST_STEP_MS = 5_000;
 const MOST_STEPPED = 2;
@@ -81,6 +83,12 @@
     /** Entries from here on were taken by the leader that leads now. */
     private ownFrom = 0;
     private routerLives = new RouterLives();
+    /** Time that the leader's monotonic clock has missed while its box was suspended. */
+    private leaderMissedMs = 0;
+    /** What the leader notices of it, by the time of day of the box `LEADER`. */
+    private leaderWatch = new TimeOfDayWatch();
+    /** When each entry was taken, by the leader's monotonic clock and what it knew that this had missed. */
+    private readonly takenElapsed: number[] = [0];
     private stepped: { readonly boxes: readonly string[]; readonly ms: number; } = { boxes: [], ms: 0 };
     private steppedAt = 0;
     /** The times of day at the controllers' boxes when each entry was taken. */
@@ -144,6 +152,10 @@
         else if (draw < 0.989) {
             this.stepAllClocks();
         }
+        else if (draw < 0.993) {
+            this.suspendLeader();
+        }
+        this.watchLeaderClock();
         this.check();
     }
 
@@ -251,13 +263,14 @@
                 answered: before.answered && this.getEntryAge(before.answered.index),
             });
         this.takenAt.push(this.now);
+        this.takenElapsed.push(this.getLeaderElapsedMs());
         this.takenWall.push(CONTROLLERS.map(box => this.areClocksKnownOff ? undefined : this.getWallMs(box)));
         return this.book.applyReport({ ...report, predecessor }, index);
     }
 
     private getEntryAge(index: number): EntryAge {
         return index >= this.ownFrom
-            ? { measuredMs: this.now - this.takenAt[index]!, witnessedMs: [] }
+            ? { measuredMs: this.getLeaderElapsedMs() - this.takenElapsed[index]!, witnessedMs: [] }
             : {
                 measuredMs: undefined,
                 witnessedMs: CONTROLLERS.flatMap((box, i) => {
@@ -267,6 +280,27 @@
             };
     }
 
+    /** As `LogStorage` has it. */
+    private getLeaderElapsedMs(): number {
+        const monotonicMs = this.now - this.leaderMissedMs;
+        return monotonicMs + this.leaderWatch.getMissedMs(this.getWallMs(LEADER), monotonicMs);
+    }
+
+    private watchLeaderClock(): void {
+        this.leaderWatch.observe(this.getWallMs(LEADER), this.now - this.leaderMissedMs);
+    }
+
+    /** The leader's box is suspended while routers go on, and most of them die before it hears of them again. */
+    private suspendLeader(): void {
+        for (let i = 0; i < BURST_COUNT; i++) {
+            const ms = Math.floor(this.random() * 400);
+            this.now += ms;
+            this.leaderMissedMs += ms;
+            this.reserveAlone(this.lives.get(this.pick(ROUTERS))!);
+        }
+        ROUTERS.filter(() => this.random() < 0.7).forEach(router => this.kill(router));
+    }
+
     private getWallMs(box: string): number {
         return this.now + MOST_STEP_MS + (this.stepped.boxes.includes(box) ? this.stepped.ms : 0);
     }
@@ -295,6 +329,7 @@
     /** Another leader, whose process knows of the entries of before only what its box's time of day says. */
     private changeLeader(): void {
         this.ownFrom = this.takenAt.length;
+        this.leaderWatch = new TimeOfDayWatch();
         this.routerLives = new RouterLives();
     }
 
