--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -123,6 +123,8 @@
         void this.endReporter.run();
         this.borrower.start();
         this.forgetTimer = setInterval(() => this.forgetUpstreams(), FORGET_PERIOD_MS);
+        // Idle connections have probably been closed meanwhile; a request that may run only once would be lost on one.
+        this.loop.onTimeMissed(() => this.upstreams.forgetExcept(new Set()));
     }
 
     /** Takes new seeds from changed settings. */
--- a/src/daemons/loopWatch.ts
+++ b/src/daemons/loopWatch.ts
@@ -5,6 +5,7 @@
  */
 import { performance } from "node:perf_hooks";
 import { ArrivalClock } from "../domain/arrivalClock.js";
+import { TimeOfDayWatch } from "../domain/timeOfDayWatch.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { Metrics } from "../ports/metrics.js";
@@ -21,6 +22,8 @@
 const TOLD_MS = 20;
 /** A tick that is later than this gives a line, in milliseconds: a caller notices a third of the shortest goals. */
 const LATE_MS = 100;
+/** Time that the box was suspended for, from which on it is told, in milliseconds: shorter than connections stay idle. */
+const LEAST_MISSED_MS = 500;
 /** Least time between two lines, in milliseconds. */
 const LINE_PERIOD_MS = 1_000;
 
@@ -41,6 +44,9 @@
     private dueAt = 0;
     private period: LoopPeriod = createPeriod(0);
     private utilization = performance.eventLoopUtilization();
+    private readonly timeOfDay = new TimeOfDayWatch();
+    private missedMs = 0;
+    private readonly missedHandlers: (() => void)[] = [];
 
     constructor(private readonly clock: Clock, private readonly log: Log, private readonly metrics: Metrics) {
         this.arrivals = new ArrivalClock(LOOP_TICK_MS, clock.getMonotonicMs());
@@ -58,6 +64,11 @@
         clearInterval(this.timer);
     }
 
+    /** Calls back when the box has probably been suspended: what the process believes is older than it looks. */
+    onTimeMissed(handler: () => void): void {
+        this.missedHandlers.push(handler);
+    }
+
     /** Counts one piece of work. */
     noteWork(work: LoopWork): void {
         const { counts } = this.period;
@@ -78,6 +89,7 @@
     /** Called by the timer. */
     recordTick(now: number): void {
         this.arrivals.recordTick(now);
+        this.watchMissedTime(now);
         const lateMs = Math.max(0, now - this.dueAt);
         this.dueAt = now + LOOP_TICK_MS;
         if (lateMs > TOLD_MS) {
@@ -95,6 +107,19 @@
         }
     }
 
+    private watchMissedTime(now: number): void {
+        const wallMs = this.clock.getWallMs();
+        const missedMs = this.timeOfDay.getMissedMs(wallMs, now);
+        this.timeOfDay.observe(wallMs, now);
+        const newMs = missedMs - this.missedMs;
+        this.missedMs = missedMs;
+        if (newMs >= LEAST_MISSED_MS) {
+            this.metrics.addCount("time_missed");
+            this.log.warn("time_missed", { missed_ms: Math.round(newMs) });
+            this.missedHandlers.forEach(handler => handler());
+        }
+    }
+
     private logPeriod(now: number): void {
         const { period } = this;
         const last = this.utilization;
--- a/test/daemons/loopWatch.test.ts
+++ b/test/daemons/loopWatch.test.ts
@@ -40,3 +40,22 @@
     t.equal(log.warnings.length, 1, "nothing more while the loop is in time");
     t.end();
 });
+
+void t.test("a box that was suspended is told once, with how long it was away; small corrections of a clock are not", t => {
+    const clock = new FakeClock();
+    const log = new KeptLog();
+    const watch = new LoopWatch(clock, log, new NoMetrics());
+    watch.start();
+    t.teardown(() => watch.stop());
+    let told = 0;
+    watch.onTimeMissed(() => told += 1);
+    tickInTime(watch, clock, 2_000);
+    clock.stepWall(100);
+    tickInTime(watch, clock, 3_000);
+    t.equal(told, 0);
+    clock.suspend(4_000);
+    tickInTime(watch, clock, 5_000);
+    t.equal(told, 1);
+    t.match(log.warnings, [{ event: "time_missed", missed_ms: 4_000 }]);
+    t.end();
+});
--- a/test/platform/rebornUpstream.test.ts
+++ b/test/platform/rebornUpstream.test.ts
@@ -55,6 +55,18 @@
         t.not(callerPorts[1], callerPorts[0], "over a new connection");
     });
 
+    await t.test("is reached over a new connection by a router whose box was suspended", async t => {
+        t.equal(await callRouter("a5"), 200);
+        const before = callerPorts.at(-1);
+        // The watch's clock has gone on, the box's time of day by ten minutes more.
+        const realNow = Date.now;
+        Date.now = () => realNow() + 600_000;
+        t.teardown(() => Date.now = realNow);
+        daemon.loop.recordTick(performance.now());
+        t.equal(await callRouter("a6"), 200);
+        t.not(callerPorts.at(-1), before);
+    });
+
     await t.test("is not taken out by what comes late of its first life", async t => {
         await register("c3", BORN, 41, "draining");
         const end = await fleet.call("DELETE", fleet.getOperatorUrl("c3", "/loomwinch/instances/e1"), { born: BORN });
