--- a/src/daemons/bundleController/upstreamEndService.ts
+++ b/src/daemons/bundleController/upstreamEndService.ts
@@ -39,10 +39,11 @@
 export class UpstreamEndService {
     /** When each entry that is still held against requests was heard of. By its index; monotonic clock, milliseconds. */
     private heardAt = new Map<number, number>();
-    /** When upstreams had ended that were reported to this leader lately. By life; monotonic clock, milliseconds. */
+    /** When the moment was at which upstreams had ended that were reported to this leader lately. By life; monotonic clock. */
     private readonly endedAt = new Map<string, number>();
     /** What the routers were told last, as text. */
-    private told = "";
+    private told = "[]";
+    private quarantined: ReadonlySet<string> = new Set();
 
     constructor(
         private readonly replica: ReplicatedLog,
@@ -116,7 +117,8 @@
             other !== life && Math.abs(at - endedAt) < SAME_MOMENT_MS
         );
         if (!this.endedAt.has(life)) {
-            this.endedAt.set(life, endedAt);
+            // By its moment's first end, so that many ends in a row do not become one moment.
+            this.endedAt.set(life, known?.[1] ?? endedAt);
         }
         if (this.endedAt.size > MOST_RECENT) {
             this.endedAt.delete(this.endedAt.keys().next().value!);
@@ -145,19 +147,20 @@
         this.heardAt = new Map(indexes.map(index => [index, this.heardAt.get(index) ?? now]));
         const list = this.createList();
         const text = JSON.stringify(list.suspects.map(({ fingerprint, isCulprit }) => [fingerprint, isCulprit]));
-        if (text === this.told || (this.told === "" && list.suspects.length === 0)) {
-            return;
+        if (text !== this.told) {
+            this.told = text;
+            this.followers.notifyAll(suspectNoticeMethod, list);
+            this.logNewCulprits();
         }
-        this.told = text;
-        this.followers.notifyAll(suspectNoticeMethod, list);
-        this.logCulprits();
     }
 
-    private logCulprits(): void {
-        for (const { fingerprint, isCulprit, ends } of this.replica.state.upstreamEnds.getSuspects()) {
-            if (isCulprit) {
+    private logNewCulprits(): void {
+        const culprits = this.replica.state.upstreamEnds.getSuspects().filter(({ isCulprit }) => isCulprit);
+        for (const { fingerprint, ends } of culprits) {
+            if (!this.quarantined.has(fingerprint)) {
                 this.log.warn("request_quarantined", { fingerprint, upstreams: ends.map(end => end.life).join(",") });
             }
         }
+        this.quarantined = new Set(culprits.map(({ fingerprint }) => fingerprint));
     }
 }
