--- a/src/adapters/listeningCheck.ts
+++ b/src/adapters/listeningCheck.ts
@@ -6,12 +6,12 @@
  * False where a connection to HOST:PORT is refused, undefined where there is another error or no answer within `timeoutMs`.
  * The connection is closed at once; nothing is sent over it.
  */
-export function checkListening(address: string, timeoutMs: number): Promise<boolean | undefined> {
+export function isListening(address: string, timeoutMs: number): Promise<boolean | undefined> {
     return new Promise(resolve => {
         const socket = connect({ ...parseAddress(address), timeout: timeoutMs });
-        const finish = (isListening: boolean | undefined): void => {
+        const finish = (answer: boolean | undefined): void => {
             socket.destroy();
-            resolve(isListening);
+            resolve(answer);
         };
         socket.once("connect", () => finish(true));
         socket.once("timeout", () => finish(undefined));
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -10,7 +10,10 @@
 import { PlacementSharer, type PlacementSharerOptions } from "./daemons/directRouter/placementSharer.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
+import { RequestQuarantine } from "./daemons/directRouter/requestQuarantine.js";
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
+import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
+import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
 import { PrepaidPurse } from "./domain/prepaidPurse.js";
 import type { PrepaidPurseOptions } from "./domain/prepaidPurseOptions.js";
 import { TokenHolders } from "./domain/tokenHolders.js";
@@ -159,6 +162,11 @@
         () => daemon.getControllers(),
         settings.reporter,
     );
+    const endReporter = new UpstreamEndReporter(network, clock, log, () => daemon.getControllers(), {
+        callTimeoutMs: settings.router.callTimeoutMs,
+        retryMs: settings.router.redialMs,
+    });
+    const endWatch = new UpstreamEndWatch(settings.upstreams, clock, log, end => endReporter.addEnd(end));
     const daemon: DirectRouterDaemon = new DirectRouterDaemon(
         settings.router,
         load,
@@ -171,6 +179,7 @@
         new PrepaidBorrower(purse, holders, network, routerLinks, log, settings.borrower),
         holders,
         new PlacementSharer(self, load, routerLinks, clock, log, settings.sharer),
+        new RequestQuarantine(endWatch, endReporter, clock),
         network,
         clock,
         loop,
--- a/src/daemons/bundleController/upstreamEndService.ts
+++ b/src/daemons/bundleController/upstreamEndService.ts
@@ -29,7 +29,7 @@
 /**
  * Upstreams that end within this time have probably ended by one cause, such as their box (see endSuspects.ts): a router
  * notices an end within 3 ms, 25 ms on a box of a quarter of a core. A request that ends its upstreams does so 50 ms to 1 s
- * after it came, and its copies come at different times: with 60 it ends 5.8 upstreams instead of 5.6 with 30, and 6.9 with
+ * after it came, and its copies come at different times: with 60 it ends 5.8 upstreams, 5.75 with 30, and 7.5 with
  * 200 (model of `endSuspects.test.ts`, mean of 20 seeds). Milliseconds.
  */
 const SAME_MOMENT_MS = 60;
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -4,7 +4,6 @@
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
-import type { BrokenRequest } from "../../domain/upstreamEndCommands.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import {
     getLifeKey,
@@ -19,27 +18,20 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
-import {
-    bundleNoticeMethod,
-    type FollowAnswer,
-    suspectNoticeMethod,
-    upstreamNoticeMethod,
-} from "../../protocol/fleetMethods.js";
+import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { LoopWatch } from "../loopWatch.js";
 import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
-import { KnownSuspects } from "./knownSuspects.js";
 import { OtherRouters } from "./otherRouters.js";
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { type AnswerStory, type RefusalEnding, RelayContext, type RelayOptions } from "./relayContext.js";
-import { getFingerprint, type RelayRequest, type ResolvedRequest } from "./relayRequest.js";
+import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
-import { UpstreamEndReporter } from "./upstreamEndReporter.js";
-import { UpstreamEndWatch } from "./upstreamEndWatch.js";
 
 /** What a router goes by. Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
@@ -68,9 +60,6 @@
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
     private readonly others: OtherRouters;
-    private readonly ends: UpstreamEndWatch;
-    private readonly endReporter: UpstreamEndReporter;
-    private readonly suspects = new KnownSuspects();
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private running = 0;
     private stopping = false;
@@ -93,6 +82,7 @@
         private readonly borrower: PrepaidBorrower,
         holders: TokenHolders,
         private readonly sharer: PlacementSharer,
+        override readonly quarantine: RequestQuarantine,
         network: PeerNetwork,
         private readonly clock: Clock,
         readonly loop: LoopWatch,
@@ -100,11 +90,6 @@
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
-        this.endReporter = new UpstreamEndReporter(network, clock, log, () => this.getControllers(), {
-            callTimeoutMs: options.callTimeoutMs,
-            retryMs: options.redialMs,
-        });
-        this.ends = new UpstreamEndWatch(upstreams, clock, log, end => this.endReporter.addEnd(end));
         this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer);
     }
 
@@ -114,13 +99,13 @@
         this.borrower.addHandlers(handlers);
         this.sharer.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
-        handlers.add(suspectNoticeMethod, list => this.suspects.receive(list, this.clock.getMonotonicMs()));
+        this.quarantine.addHandlers(handlers);
     }
 
     start(): void {
         this.feeds.setSeeds(this.options.seeds);
         void this.reporter.run();
-        void this.endReporter.run();
+        this.quarantine.start();
         this.borrower.start();
         this.forgetTimer = setInterval(() => this.forgetUpstreams(), FORGET_PERIOD_MS);
         // Idle connections have probably been closed meanwhile; a request that may run only once would be lost on one.
@@ -178,7 +163,7 @@
         this.borrower.stop();
         this.borrower.returnLoans();
         this.feeds.stop();
-        this.endReporter.stop();
+        this.quarantine.stop();
         await this.reporter.stop();
         this.upstreams.close();
     }
@@ -293,27 +278,6 @@
         return this.loop.arrivals.getLateMs();
     }
 
-    override tryGetQuarantineMs(resolved: ResolvedRequest): number | undefined {
-        return this.suspects.isEmpty()
-            ? undefined
-            : this.suspects.tryGetLeftMs(getFingerprint(resolved), this.clock.getMonotonicMs());
-    }
-
-    override noteWhole(resolved: ResolvedRequest): void {
-        if (!this.suspects.isEmpty()) {
-            const fingerprint = getFingerprint(resolved);
-            if (this.suspects.isSuspect(fingerprint)) {
-                this.endReporter.addCleared(fingerprint);
-            }
-        }
-    }
-
-    override noteBroken(upstream: UpstreamRegistration, request: BrokenRequest): void {
-        const known = this.registry.tryGet(upstream.id);
-        const isSameLife = known !== undefined && getLifeKey(known) === getLifeKey(upstream);
-        this.ends.noteBroken(isSameLife ? known : upstream, request);
-    }
-
     override recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void {
         this.recorder.recordAnswered(resolved, story);
     }
@@ -358,7 +322,7 @@
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
         if (answer.suspects !== undefined) {
-            this.suspects.receive(answer.suspects, now);
+            this.quarantine.receive(answer.suspects);
         }
         if (now - this.heardAt > this.getGapMs()) {
             this.heardSince = now;
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -3,12 +3,12 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { Refusal } from "../../domain/resultCodes.js";
 import type { RetryBudget } from "../../domain/retryBudget.js";
-import type { BrokenRequest } from "../../domain/upstreamEndCommands.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
-import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 
 /** How long requests wait, and how long callers are told to. Times in milliseconds. */
 export interface RelayOptions {
@@ -59,6 +59,7 @@
     abstract readonly load: UpstreamLoad;
     abstract readonly purse: PrepaidPurse;
     abstract readonly upstreams: DirectUpstreams;
+    abstract readonly quarantine: RequestQuarantine;
 
     /** Longest wait with which every answer of a service is in time, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
@@ -76,12 +77,6 @@
     abstract waitGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** How late this router's event loop is just now, in milliseconds; 0 where it is in time. */
     abstract getLoopLateMs(): number;
-    /** How much longer a request is not run because upstreams end under it, in milliseconds; undefined where it may run. */
-    abstract tryGetQuarantineMs(resolved: ResolvedRequest): number | undefined;
-    /** Notes that a request was answered whole. */
-    abstract noteWhole(resolved: ResolvedRequest): void;
-    /** Notes that a request broke off at an upstream with its connection. */
-    abstract noteBroken(upstream: UpstreamRegistration, request: BrokenRequest): void;
     /** Notes that the caller has the whole answer. */
     abstract recordAnswered(resolved: ResolvedRequest, story: AnswerStory): void;
     /** Notes a refusal. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -4,6 +4,7 @@
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { isWorthSending } from "../../domain/sendingTime.js";
+import type { BrokenRequest } from "../../domain/upstreamEndCommands.js";
 import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
@@ -62,7 +63,7 @@
 
     private async runAttempts(): Promise<void> {
         for (;;) {
-            const quarantineMs = this.context.tryGetQuarantineMs(this.resolved);
+            const quarantineMs = this.context.quarantine.tryGetLeftMs(this.resolved);
             if (quarantineMs !== undefined) {
                 this.finish(createRefusal("requestQuarantined", undefined, "no", quarantineMs));
                 return;
@@ -161,22 +162,22 @@
         if (loadOutcome !== undefined) {
             this.context.load.recordOutcome(upstream, loadOutcome, performance.now());
         }
-        if (outcome.type !== "answered") {
-            this.lastReason = "reason" in outcome ? outcome.reason : outcome.type;
-            const fingerprint = outcome.type === "interrupted" ? getFingerprint(this.resolved) : undefined;
-            this.logUnanswered(upstream.id, outcome.type, hasBegun, fingerprint);
-            if (fingerprint !== undefined && outcome.type === "interrupted" && outcome.cause === "connection") {
-                this.context.noteBroken(upstream, { fingerprint, hasBegun });
-            }
+        if (outcome.type === "answered") {
+            return;
+        }
+        this.lastReason = "reason" in outcome ? outcome.reason : outcome.type;
+        if (outcome.type !== "interrupted") {
+            this.logUnanswered(upstream.id, outcome.type);
+            return;
+        }
+        const broken = { fingerprint: getFingerprint(this.resolved), hasBegun };
+        this.logUnanswered(upstream.id, outcome.type, broken);
+        if (outcome.cause === "connection") {
+            this.context.quarantine.noteBroken(this.context.registry.getNewest(upstream), broken);
         }
     }
 
-    private logUnanswered(
-        upstream: string,
-        outcome: AttemptOutcome["type"],
-        hasBegun: boolean,
-        fingerprint: string | undefined,
-    ): void {
+    private logUnanswered(upstream: string, outcome: AttemptOutcome["type"], broken?: BrokenRequest): void {
         const { request, route } = this.resolved;
         this.context.log.info("attempt_ended", {
             request: request.passed.id,
@@ -185,8 +186,8 @@
             attempt: this.sendings,
             outcome,
             reason: this.lastReason,
-            begun: hasBegun || undefined,
-            fingerprint,
+            begun: broken?.hasBegun,
+            fingerprint: broken?.fingerprint,
             age_ms: Math.round(performance.now() - request.arrivedAt),
         });
     }
@@ -232,7 +233,7 @@
     private finishAfter(outcome: AttemptOutcome): void {
         if (outcome.type === "answered") {
             if (outcome.isFramed) {
-                this.context.noteWhole(this.resolved);
+                this.context.quarantine.noteWhole(this.resolved);
             }
             this.context.recordAnswered(this.resolved, this.createStory(outcome.status));
             return;
--- a/src/daemons/directRouter/upstreamEndWatch.ts
+++ b/src/daemons/directRouter/upstreamEndWatch.ts
@@ -51,14 +51,14 @@
         const broken = this.broken.get(life);
         if (broken === undefined) {
             this.broken.set(life, { brokenAt: this.clock.getMonotonicMs(), requests: [request] });
-            void this.look(upstream, life);
+            void this.watchEnd(upstream, life);
         }
         else if (broken.requests.length < MOST_BROKEN_REQUESTS) {
             broken.requests.push(request);
         }
     }
 
-    private async look({ id, address }: UpstreamRegistration, life: string): Promise<void> {
+    private async watchEnd({ id, address }: UpstreamRegistration, life: string): Promise<void> {
         let isListening = await this.upstreams.isListening(address);
         if (isListening === true) {
             await this.clock.wait(LOOK_AGAIN_MS);
--- a/src/domain/endSuspects.ts
+++ b/src/domain/endSuspects.ts
@@ -36,8 +36,8 @@
 export const SUSPECT_MOMENTS = 2;
 /**
  * A request counts as the cause from this number of moments on. Where upstreams end for reasons of their own, one of eight
- * each 2 s, and one in 20 callers sends four copies at once, 2 refuses 60 of 47,677 innocent requests and 3 none; a request
- * that ends its upstreams, tried 4 times a second, ends 5.4 of them with 2 and 5.8 with 3 (`endSuspects.test.ts`, a minute
+ * each 2 s, and one in 20 callers sends four copies at once, 2 refuses 61 of 48,091 innocent requests and 3 none; a request
+ * that ends its upstreams, tried 4 times a second, ends 4.9 of them with 2 and 5.8 with 3 (`endSuspects.test.ts`, a minute
  * each of 20 seeds). The worse fault is to refuse innocent ones.
  */
 export const CULPRIT_MOMENTS = 3;
@@ -66,7 +66,7 @@
         .sort((a, b) => b.rank - a.rank);
     const explained = new Set<string>();
     const culprits = new Set<string>();
-    for (const group of splitByRank(found)) {
+    for (const group of gatherByRank(found)) {
         const open = group.map(request => ({ ...request, ends: request.ends.filter(end => !explained.has(end.life)) }));
         const able = open.filter(({ ends }) => countMoments(ends) >= culpritMoments);
         const guilty = able.filter(request =>
@@ -97,7 +97,7 @@
 }
 
 /** The ends by the requests that were there. */
-export function groupByRequest<E extends UpstreamEnd>(ends: Iterable<E>): Map<string, E[]> {
+export function gatherByRequest<E extends UpstreamEnd>(ends: Iterable<E>): Map<string, E[]> {
     const byRequest = new Map<string, E[]>();
     for (const end of ends) {
         for (const fingerprint of end.requests.keys()) {
@@ -127,7 +127,7 @@
     return a.some(end => b.includes(end));
 }
 
-function splitByRank<T extends { readonly rank: number; }>(sorted: readonly T[]): T[][] {
+function gatherByRank<T extends { readonly rank: number; }>(sorted: readonly T[]): T[][] {
     const groups: T[][] = [];
     for (const entry of sorted) {
         const last = groups.at(-1);
--- a/src/domain/upstreamEndBook.ts
+++ b/src/domain/upstreamEndBook.ts
@@ -3,7 +3,7 @@
     countLivesByMoment,
     type EndSuspect,
     findSuspects,
-    groupByRequest,
+    gatherByRequest,
     SUSPECT_MOMENTS,
     type UpstreamEnd,
 } from "./endSuspects.js";
@@ -107,7 +107,7 @@
     loadSnapshot({ lastIndex, lastMoment, ends }: UpstreamEndSnapshot): void {
         this.lastMoment = lastMoment;
         this.ends = new Map(ends.map(end => [end.life, { ...end, requests: new Map(end.requests) }]));
-        this.byRequest = groupByRequest(this.ends.values());
+        this.byRequest = gatherByRequest(this.ends.values());
         this.noteChange(lastIndex);
     }
 
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -168,6 +168,12 @@
         return ready;
     }
 
+    /** What is known now of the same life of an upstream; `registration` itself where that is forgotten, or another has begun. */
+    getNewest(registration: UpstreamRegistration): UpstreamRegistration {
+        const known = this.tryGet(registration.id);
+        return known !== undefined && getLifeKey(known) === getLifeKey(registration) ? known : registration;
+    }
+
     /** What an upstream last said of itself, also where it is gone. */
     tryGet(id: string): UpstreamRegistration | undefined {
         return this.entries.get(id)?.registration;
