A replica that is stopped while it joins ends without an error of its own

Cause by its shape and a test that was red first: a replica with an emptied disk asks the others whether it may join, and writes that it has joined though it was stopped meanwhile.

--- a/src/consensus/joining.ts
+++ b/src/consensus/joining.ts
@@ -22,7 +22,12 @@
 ): Promise<void> {
     while (!replica.isStopped()) {
         const isFleetNew = options.isFirstStart ?? await isWholeFleetNew(network, options);
-        if (isFleetNew || await isCaughtUpWithOthers(replica, storage, network, options)) {
+        const mayJoin = isFleetNew || await isCaughtUpWithOthers(replica, storage, network, options);
+        // The others may have answered after the stop, when the journal is closed.
+        if (replica.isStopped()) {
+            return;
+        }
+        if (mayJoin) {
             await storage.saveMembership();
             log.info("log_joined", { applied: replica.getAppliedIndex(), term: storage.term });
             return;
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -289,19 +289,11 @@
                 this.checkStillLeading();
             }
             else if (this.heardFromLeaderAt < since && this.mayLead()) {
-                await this.runCandidacy().catch(error => this.endCandidacy(error));
+                await this.runCandidacy();
             }
         }
     }
 
-    /** A replica that is stopped as a candidate cannot save its term any more; one that runs has lost its disk, and ends. */
-    private endCandidacy(error: unknown): void {
-        if (!this.stopped) {
-            throw error;
-        }
-        this.log.info("candidacy_ended", { error: String(error) });
-    }
-
     private mayLead(): boolean {
         return this.storage.isMember && this.replicas.isVoter(this.options.name);
     }
