Read over: a draw's refills end in one place; two findings of the reading

A function that only threw, inside a conditional, is gone; behaviour is unchanged (ledgerRefill, lostDisk and split tests pass). Found by reading and not mended now, since it changes what is decided: a whole answer of any status clears a suspect.

--- a/src/daemons/controller/ledgerService.ts
+++ b/src/daemons/controller/ledgerService.ts
@@ -133,18 +133,15 @@
     private async drawRefilled(params: Parameters<typeof this.drawOnce>[0], peer: Peer): Promise<DrawAnswer> {
         const { budget, need } = params;
         const isShort = (): boolean => this.context.ledger.getBalance(budget).free < need;
-        const refuse = (): never => {
-            throw new RefusalError(
-                createRefusal("budgetUnreachable", "this ledger is short and could not get more", "no", 1000),
-            );
-        };
         for (let refills = 0; isShort(); refills++) {
-            const outcome = refills < MOST_REFILLS ? await this.refiller.refill(budget, need) : refuse();
+            const outcome = refills < MOST_REFILLS ? await this.refiller.refill(budget, need) : "unreachable";
             if (outcome === "exhausted") {
                 break;
             }
             if (outcome === "unreachable" && isShort()) {
-                refuse();
+                throw new RefusalError(
+                    createRefusal("budgetUnreachable", "this ledger is short and could not get more", "no", 1000),
+                );
             }
         }
         return this.drawOnce(params, peer);
