Evacuated zones, cold upstreams, and upstreams that were replaced at their address

Three matters of where work may be sent just now, in one place of a router (upstreamCandidates.ts): - An operator's order to evacuate a zone was answered 404. It is now an entry of the replicated log, conditional on the state that it was given in, read through a majority first: a copy that comes after the withdrawal changes nothing. Routers go by the newest index that any controller told; what is under way in the zone goes on. - A cold upstream bears few requests a second from all routers together.

--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -22,6 +22,7 @@
 } from "../../protocol/fleetMethods.js";
 import type { LoopWatch } from "../loopWatch.js";
 import { BundlePublisher } from "./bundlePublisher.js";
+import { EvacuationService } from "./evacuationService.js";
 import { Followers } from "./followers.js";
 import { PrepaidService } from "./prepaidService.js";
 import { RegistrationService } from "./registrationService.js";
@@ -36,6 +37,7 @@
 
 export class BundleControllerDaemon {
     readonly registrations: RegistrationService;
+    readonly evacuations: EvacuationService;
     private readonly prepaid: PrepaidService;
     private readonly upstreamEnds: UpstreamEndService;
     private readonly followers = new Followers();
@@ -57,6 +59,7 @@
         this.seeds = options.seeds;
         this.prepaid = new PrepaidService(replica, network, log);
         this.upstreamEnds = new UpstreamEndService(replica, this.followers, network, clock, log);
+        this.evacuations = new EvacuationService(replica, this.followers, log);
         this.registrations = new RegistrationService(
             this.followers,
             network,
@@ -152,6 +155,7 @@
             routers: this.followers.list(),
             hasMajority: this.replica.isConnectedToMajority(),
             suspects: this.upstreamEnds.createList(),
+            evacuations: this.evacuations.createList(),
         };
     }
 
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -14,8 +14,8 @@
 export type AttemptOutcome =
     /** The caller has the whole answer. `status`: the upstream's. `isFramed`: the answer itself said where it ends. */
     | { readonly type: "answered"; readonly status: number; readonly isFramed: boolean; }
-    /** The upstream certainly has not run it. */
-    | { readonly type: "notRun"; readonly cause: "unreachable" | "full"; readonly reason: string; }
+    /** The upstream certainly has not run it. `replaced`: another upstream has taken its address. */
+    | { readonly type: "notRun"; readonly cause: "unreachable" | "full" | "replaced"; readonly reason: string; }
     /**
      * It may have run, and the caller does not have the whole answer. `cause`: its connection was lost, what came was no
      * answer to it, or nothing came for too long.
@@ -72,6 +72,11 @@
     readonly onFirstByte: () => void;
 }
 
+/** Whether an upstream answers that it has done what was asked. */
+export function isSuccess(status: number): boolean {
+    return status >= 200 && status < 300;
+}
+
 /** One sending; the upstream tells it what comes. Runs once. */
 export class Attempt implements UpstreamListener {
     /** Whole events that came in this attempt. */
@@ -129,13 +134,13 @@
             return this.rejectAnswer("the answer belongs to another request");
         }
         if (head.isNotRun) {
-            return this.reject({ type: "notRun", cause: "full", reason: `status ${head.status}` });
+            const cause = head.isFromAnother ? "replaced" : "full";
+            return this.reject({ type: "notRun", cause, reason: `status ${head.status}` });
         }
-        const isSuccess = head.status >= 200 && head.status < 300;
         if (!head.isSigned) {
             return this.rejectAnswer(`status ${head.status} that no engine vouches for`);
         }
-        if (!isSuccess && this.options.progress.isHeadSent) {
+        if (!isSuccess(head.status) && this.options.progress.isHeadSent) {
             return this.rejectAnswer(`status ${head.status} where a stream was to go on`);
         }
         if (head.status >= 500 && this.options.shouldRetryFailed()) {
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,9 +1,13 @@
 /** A router that reaches its upstreams itself: keeps what the controllers say in force and serves callers by it. */
 import { BundleIndex, type BundleService, pickTarget } from "../../domain/bundle.js";
+import { ColdSharing } from "../../domain/coldSharing.js";
+import { EvacuatedZones } from "../../domain/evacuatedZones.js";
+import type { EvacuationList } from "../../domain/evacuationBook.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
+import { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import {
     getLifeKey,
@@ -18,7 +22,12 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
-import { bundleNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+import {
+    bundleNoticeMethod,
+    evacuationNoticeMethod,
+    type FollowAnswer,
+    upstreamNoticeMethod,
+} from "../../protocol/fleetMethods.js";
 import type { LoopWatch } from "../loopWatch.js";
 import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
@@ -53,9 +62,14 @@
 /** How often what belongs to upstreams that are long gone is forgotten, in milliseconds. */
 const FORGET_PERIOD_MS = 10_000;
 
+/** Controllers that hear of an upstream that was replaced. */
+const CONTROLLERS_TOLD = 2;
+
 /** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
+    override readonly candidates: UpstreamCandidates;
+    private readonly evacuatedZones = new EvacuatedZones();
     private index: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
@@ -83,14 +97,16 @@
         holders: TokenHolders,
         private readonly sharer: PlacementSharer,
         override readonly quarantine: RequestQuarantine,
-        network: PeerNetwork,
+        private readonly network: PeerNetwork,
         private readonly clock: Clock,
         readonly loop: LoopWatch,
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
-        this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer);
+        const coldSharing = new ColdSharing(options.address, Math.random);
+        this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, coldSharing);
+        this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer, coldSharing);
     }
 
     /** Registers what controllers tell over the connections that this router opens. */
@@ -99,6 +115,7 @@
         this.borrower.addHandlers(handlers);
         this.sharer.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
+        handlers.add(evacuationNoticeMethod, list => this.receiveEvacuations(list));
         this.quarantine.addHandlers(handlers);
     }
 
@@ -238,6 +255,22 @@
         return Math.max(1, Math.floor(service.maxConnections * connectionPart / this.getSharingCount()));
     }
 
+    override recordReplaced(upstream: UpstreamRegistration): void {
+        const gone = this.registry.recordReplaced(upstream, this.clock.getMonotonicMs());
+        if (gone === undefined) {
+            return;
+        }
+        this.upstreams.forget(upstream.address);
+        this.log.info("upstream_replaced", { upstream: upstream.id, address: upstream.address });
+        // One is enough for the routers in touch; the second is for a first that is being lost.
+        for (const controller of this.getControllers().slice(0, CONTROLLERS_TOLD)) {
+            this.network.connect(controller).then(
+                peer => peer.notify(upstreamNoticeMethod, { upstreams: [{ registration: gone, ageMs: 0 }] }),
+                error => this.log.info("replacement_not_told", { controller, error: String(error) }),
+            );
+        }
+    }
+
     override getRetryBudget(service: string): RetryBudget {
         let budget = this.retryBudgets.get(service);
         if (budget === undefined) {
@@ -321,6 +354,9 @@
     receiveFollowAnswer(answer: FollowAnswer): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
+        if (answer.evacuations !== undefined) {
+            this.receiveEvacuations(answer.evacuations);
+        }
         if (answer.suspects !== undefined) {
             this.quarantine.receive(answer.suspects);
         }
@@ -355,6 +391,12 @@
         this.upstreams.forgetExcept(new Set(known.map(registration => registration.address)));
     }
 
+    private receiveEvacuations(list: EvacuationList): void {
+        if (this.evacuatedZones.record(list, this.clock.getMonotonicMs())) {
+            this.log.info("evacuations_in_force", { index: list.index, zones: this.evacuatedZones.list().join(",") });
+        }
+    }
+
     private receiveUpstreams(upstreams: readonly HeardRegistration[]): void {
         const now = this.clock.getMonotonicMs();
         for (const { registration, ageMs } of upstreams) {
--- a/src/daemons/directRouter/otherRouters.ts
+++ b/src/daemons/directRouter/otherRouters.ts
@@ -1,10 +1,17 @@
 /** The other routers: who and how many they are, and which parts of this router have to know when that changes. */
+import type { ColdSharing } from "../../domain/coldSharing.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { KnownRouters } from "./knownRouters.js";
 import type { PlacementSharer } from "./placementSharer.js";
 
+/**
+ * How long controllers have to be heard until few routers are missing among those that they name, in milliseconds: where a
+ * whole zone starts again, routers follow within two of their questions.
+ */
+const SETTLE_MS = 2_000;
+
 export class OtherRouters {
     private readonly known: KnownRouters;
     /** The addresses that holders and groups were made of. */
@@ -20,6 +27,7 @@
         private readonly purse: PrepaidPurse,
         private readonly holders: TokenHolders,
         private readonly sharer: PlacementSharer,
+        private readonly coldSharing: ColdSharing,
     ) {
         this.known = new KnownRouters(address);
     }
@@ -37,6 +45,9 @@
         this.known.record(named, heardSince, now);
         const others = this.known.list();
         const count = Math.max(1 + others.length, reporting);
+        if (now - heardSince > SETTLE_MS) {
+            this.coldSharing.settle();
+        }
         const hasNewCount = count !== this.count;
         this.count = count;
         const addresses = others.map(({ address }) => address).sort().join(" ");
@@ -47,6 +58,7 @@
             this.sharer.setOthers(others);
         }
         if (hasNewOthers || hasNewCount) {
+            this.coldSharing.setOthers(others.map(({ address }) => address), count);
             this.updateHoldings();
         }
         this.sharer.keepLinks();
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -3,8 +3,9 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import type { Refusal } from "../../domain/resultCodes.js";
 import type { RetryBudget } from "../../domain/retryBudget.js";
+import type { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
-import type { UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
@@ -56,6 +57,7 @@
     abstract readonly options: RelayOptions;
     abstract readonly log: Log;
     abstract readonly registry: UpstreamRegistry;
+    abstract readonly candidates: UpstreamCandidates;
     abstract readonly load: UpstreamLoad;
     abstract readonly purse: PrepaidPurse;
     abstract readonly upstreams: DirectUpstreams;
@@ -69,6 +71,8 @@
     abstract getRouterCount(): number;
     /** Age beyond which an upstream that has not been heard counts as lost, in milliseconds. */
     abstract getMaxUpstreamAgeMs(): number;
+    /** Notes that another upstream was met at the address of one, and tells the controllers. */
+    abstract recordReplaced(upstream: UpstreamRegistration): void;
     /** Connections that this router may hold to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
     /** The budget of retries that the requests to a service share. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -8,7 +8,7 @@
 import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
-import { AnswerProgress, Attempt, type AttemptOutcome } from "./attempt.js";
+import { AnswerProgress, Attempt, type AttemptOutcome, isSuccess } from "./attempt.js";
 import type { AnswerStory, RelayContext } from "./relayContext.js";
 import { getFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
@@ -29,10 +29,14 @@
     private placement: Placement | undefined;
     private reservedAt = 0;
     private sendings = 0;
+    /** Sendings to upstreams that were not there any more: they count for no attempt of the route. */
+    private misdirected = 0;
     /** Something under this request may have run. */
     private mayHaveRun = false;
     private endedEarly: "gone" | "late" | undefined;
     private lastReason = "";
+    /** How long until an upstream may take the request that none could just now, in milliseconds; undefined where nobody knows. */
+    private candidateWaitMs: number | undefined;
 
     constructor(
         private readonly context: RelayContext,
@@ -83,7 +87,7 @@
             const placement = this.tryPlace();
             if (placement === undefined) {
                 this.tokens.release();
-                this.finish(createRefusal("noUpstream", this.lastReason, "no", this.context.options.retryAfterMs));
+                this.finish(this.createUnplacedRefusal());
                 return;
             }
             const outcome = await this.runAttempt(placement);
@@ -98,15 +102,16 @@
 
     private tryPlace(): Placement | undefined {
         const { request, service } = this.resolved;
-        const { load, registry } = this.context;
+        const { load, candidates } = this.context;
         const now = performance.now();
-        const ready = registry.getReady(service.name, now, this.context.getMaxUpstreamAgeMs());
+        const { upstreams, waitMs } = candidates.list(service, now, this.context.getMaxUpstreamAgeMs());
+        this.candidateWaitMs = waitMs;
         const terms = {
             tried: this.tried,
             routers: this.context.getRouterCount(),
             longestWaitMs: this.context.getLongestWaitMs(service.name),
         };
-        return load.tryChoose(ready, request, terms, now);
+        return load.tryChoose(upstreams, request, terms, now);
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -114,7 +119,9 @@
         this.tried.add(placement.upstream.id);
         this.placement = placement;
         const { request } = this.resolved;
-        const started = load.recordStart(placement, request, performance.now());
+        const now = performance.now();
+        const started = load.recordStart(placement, request, now);
+        this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
         this.context.sharePlacement(placement, request);
         const attempt = this.createAttempt(started);
         this.attempt = attempt;
@@ -136,7 +143,7 @@
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
-        const mayMove = this.isRepeatable() && this.sendings + 1 < route.maxAttempts;
+        const mayMove = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
         return new Attempt(this.context.upstreams, {
             call: {
                 upstream: placement.upstream,
@@ -162,6 +169,10 @@
         if (loadOutcome !== undefined) {
             this.context.load.recordOutcome(upstream, loadOutcome, performance.now());
         }
+        if (outcome.type === "notRun" && outcome.cause === "replaced") {
+            this.misdirected += 1;
+            this.context.recordReplaced(upstream);
+        }
         if (outcome.type === "answered") {
             return;
         }
@@ -219,10 +230,14 @@
 
     private mayTryAgain(): boolean {
         const { route, service } = this.resolved;
-        return this.sendings < route.maxAttempts && this.hasTimeLeft()
+        return this.countAttempts() < route.maxAttempts && this.hasTimeLeft()
             && this.context.getRetryBudget(service.name).trySpend();
     }
 
+    private countAttempts(): number {
+        return this.sendings - this.misdirected;
+    }
+
     private hasTimeLeft(): boolean {
         const leftMs = this.deadline - performance.now();
         return this.endedEarly === undefined && isWorthSending(leftMs, this.context.getLoopLateMs());
@@ -232,7 +247,8 @@
 
     private finishAfter(outcome: AttemptOutcome): void {
         if (outcome.type === "answered") {
-            if (outcome.isFramed) {
+            // A failure does not show that the request can be run: the upstream may not have got as far as its end.
+            if (outcome.isFramed && isSuccess(outcome.status)) {
                 this.context.quarantine.noteWhole(this.resolved);
             }
             this.context.recordAnswered(this.resolved, this.createStory(outcome.status));
@@ -261,6 +277,12 @@
         };
     }
 
+    /** The refusal where no upstream may take the request now; the caller is told when one may, where that is known. */
+    private createUnplacedRefusal(): Refusal {
+        const { retryAfterMs } = this.context.options;
+        return createRefusal("noUpstream", this.lastReason, "no", Math.max(retryAfterMs, this.candidateWaitMs ?? 0));
+    }
+
     private createLateRefusal(): Refusal {
         if (!this.mayHaveRun) {
             return createRefusal("noUpstream", "the deadline passed", "no", this.context.options.retryAfterMs);
@@ -299,7 +321,7 @@
         case "interrupted":
             return "failed";
         case "notRun":
-            return outcome.cause;
+            return outcome.cause === "replaced" ? undefined : outcome.cause;
         case "stopped":
             return undefined;
     }
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -42,6 +42,10 @@
     readonly name: string;
     /** Connections that one upstream takes from all callers together. */
     readonly maxConnections: number;
+    /** Requests a second that an upstream bears from all routers while it is cold; undefined where it bears any. */
+    readonly coldPerSecond?: number | undefined;
+    /** How long an upstream stays cold after a start, in milliseconds. */
+    readonly coldStartMs: number;
     /** Set for model engines. */
     readonly engine?: {
         /** Requests that it works on at once. */
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -1,6 +1,7 @@
 /** The commands of the replicated log. Each is applied once on every controller, in the log's order. */
 import * as z from "zod";
 import { prepaidReportCommand, putBundleCommand } from "./bundleCommands.js";
+import { setEvacuationCommand } from "./evacuationCommands.js";
 import { nameSchema, objectChangeRequest, topUpRequest } from "./objects.js";
 import { clearRequestsCommand, forgetUpstreamEndsCommand, recordUpstreamEndCommand } from "./upstreamEndCommands.js";
 
@@ -77,6 +78,7 @@
     recordUpstreamEndCommand,
     clearRequestsCommand,
     forgetUpstreamEndsCommand,
+    setEvacuationCommand,
     noopCommand,
 ]);
 export type Command = z.infer<typeof commandSchema>;
--- a/src/domain/declaredState.ts
+++ b/src/domain/declaredState.ts
@@ -3,11 +3,12 @@
 import type { PutBundleCommand } from "./bundleCommands.js";
 import { type BundleResult, BundleStore, type StoredBundle } from "./bundleStore.js";
 import type { LogEntry } from "./commands.js";
+import { EvacuationBook, type EvacuationResult, type EvacuationSnapshot } from "./evacuationBook.js";
 import { type ChangeResult, ObjectStore, type ObjectStoreSnapshot } from "./objectStore.js";
 import { PrepaidBook, type PrepaidResult, type PrepaidSnapshot } from "./prepaidBook.js";
 import { UpstreamEndBook, type UpstreamEndSnapshot } from "./upstreamEndBook.js";
 
-export type ApplyResult = ChangeResult | BudgetResult | BundleResult | PrepaidResult;
+export type ApplyResult = ChangeResult | BudgetResult | BundleResult | PrepaidResult | EvacuationResult;
 
 /** The answer to what has no result of its own. */
 const ACCEPTED: BudgetResult = { type: "accepted", tokens: 0 };
@@ -19,6 +20,7 @@
     readonly bundle?: StoredBundle | undefined;
     readonly prepaid?: PrepaidSnapshot;
     readonly upstreamEnds?: UpstreamEndSnapshot | undefined;
+    readonly evacuations?: EvacuationSnapshot | undefined;
 }
 
 /** Applies entries in order and answers each. */
@@ -28,6 +30,7 @@
     readonly bundle = new BundleStore();
     readonly prepaid = new PrepaidBook();
     readonly upstreamEnds = new UpstreamEndBook();
+    readonly evacuations = new EvacuationBook();
 
     apply(entry: LogEntry): ApplyResult {
         const command = entry.command;
@@ -56,6 +59,8 @@
             case "forgetUpstreamEnds":
                 this.upstreamEnds.applyForget(command, entry.index);
                 return ACCEPTED;
+            case "setEvacuation":
+                return this.evacuations.applySet(command, entry.index);
             case "setReplicas":
             case "noop":
                 return ACCEPTED;
@@ -69,6 +74,7 @@
             bundle: this.bundle.tryGet(),
             prepaid: this.prepaid.createSnapshot(),
             upstreamEnds: this.upstreamEnds.createSnapshot(),
+            evacuations: this.evacuations.createSnapshot(),
         };
     }
 
@@ -82,6 +88,9 @@
         if (snapshot.upstreamEnds !== undefined) {
             this.upstreamEnds.loadSnapshot(snapshot.upstreamEnds);
         }
+        if (snapshot.evacuations !== undefined) {
+            this.evacuations.loadSnapshot(snapshot.evacuations);
+        }
     }
 
     private applyPutBundle(command: PutBundleCommand): BundleResult {
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -22,6 +22,8 @@
     readonly state: "ready" | "leaving" | "gone";
     /** Rises with each report of one life. */
     readonly sequence: number;
+    /** How much longer it stays cold, in milliseconds: it bears few requests for some seconds after a start. */
+    readonly coldLeftMs?: number | undefined;
     /**
      * Of one that is gone: the end may have been an earlier life's, which came late, since it named no life; a newer report
      * of this life shows that it goes on.
@@ -44,6 +46,8 @@
 interface Entry {
     registration: UpstreamRegistration;
     heardAt: number;
+    /** Until when it is cold by its own word; undefined where it says nothing of it. */
+    coldUntil: number | undefined;
     /** When its life was first heard of. */
     readonly lifeHeardAt: number;
     /** The id has had an earlier life. */
@@ -75,7 +79,14 @@
         const known = this.entries.get(registration.id);
         if (known === undefined || isLaterLife(registration, known, heardAt)) {
             const hasEarlierLife = known !== undefined;
-            this.entries.set(registration.id, { registration, heardAt, lifeHeardAt: heardAt, hasEarlierLife });
+            const coldUntil = tryGetColdUntil(registration, heardAt);
+            this.entries.set(registration.id, {
+                registration,
+                heardAt,
+                coldUntil,
+                lifeHeardAt: heardAt,
+                hasEarlierLife,
+            });
             this.tryTakeAddress(registration, heardAt, 0);
             return "state";
         }
@@ -92,9 +103,11 @@
         const registration = { ...told, bornAt: told.bornAt ?? known.registration.bornAt };
         const changed = known.registration.state !== registration.state
             || known.registration.address !== registration.address
-            || known.registration.slots !== registration.slots;
+            || known.registration.slots !== registration.slots
+            || hasTurnedCold(registration, known, heardAt);
         known.registration = registration;
         known.heardAt = Math.max(known.heardAt, heardAt);
+        known.coldUntil = tryGetColdUntil(registration, heardAt);
         const hasTakenAddress = this.tryTakeAddress(registration, heardAt, HOLD_ADDRESS_MS);
         return changed || hasTakenAddress ? "state" : "beat";
     }
@@ -105,8 +118,9 @@
         if (holder === id || state === "gone") {
             return false;
         }
-        const holderHeardAt = holder === undefined ? undefined : this.entries.get(holder)?.heardAt;
-        if (holderHeardAt !== undefined && heardAt - holderHeardAt < silentMs) {
+        const held = holder === undefined ? undefined : this.entries.get(holder);
+        const isHeld = held !== undefined && held.registration.state !== "gone";
+        if (isHeld && heardAt - held.heardAt < silentMs) {
             return false;
         }
         this.holders.set(address, id);
@@ -168,6 +182,25 @@
         return ready;
     }
 
+    /**
+     * Marks a life of an upstream as over because another upstream was met at its address; only a report of it that is newer
+     * than all that were heard shows that it goes on. Answers the registration to tell others, undefined where it was known
+     * to be over.
+     */
+    recordReplaced(registration: UpstreamRegistration, heardAt: number): UpstreamRegistration | undefined {
+        const gone: UpstreamRegistration = { ...this.getNewest(registration), state: "gone", mayReturn: true };
+        return this.record(gone, heardAt) === "state" ? gone : undefined;
+    }
+
+    /**
+     * Until when an upstream is cold. Where it does not say, for `coldStartMs` from when its life was first heard of.
+     * Monotonic clock.
+     */
+    getColdUntil({ id }: UpstreamRegistration, coldStartMs: number): number {
+        const entry = this.entries.get(id);
+        return entry === undefined ? -Infinity : entry.coldUntil ?? entry.lifeHeardAt + coldStartMs;
+    }
+
     /** What is known now of the same life of an upstream; `registration` itself where that is forgotten, or another has begun. */
     getNewest(registration: UpstreamRegistration): UpstreamRegistration {
         const known = this.tryGet(registration.id);
@@ -180,6 +213,17 @@
     }
 }
 
+/** Until when an upstream is cold by its own word of `heardAt`; undefined where it says nothing of it. */
+function tryGetColdUntil({ coldLeftMs }: UpstreamRegistration, heardAt: number): number | undefined {
+    return coldLeftMs === undefined ? undefined : heardAt + coldLeftMs;
+}
+
+/** Whether a report says that an upstream has become cold that was not. */
+function hasTurnedCold(told: UpstreamRegistration, { coldUntil }: Entry, heardAt: number): boolean {
+    const wasCold = coldUntil !== undefined && coldUntil > heardAt;
+    return (told.coldLeftMs ?? 0) > 0 && !wasCold;
+}
+
 /** Whether a report is of a life after the one that is known. */
 function isLaterLife(told: UpstreamRegistration, known: Entry, heardAt: number): boolean {
     const { bornAt, state } = known.registration;
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -36,6 +36,8 @@
     readonly headers: readonly string[];
     /** The upstream says that it has not run the request and never will. */
     readonly isNotRun: boolean;
+    /** Another upstream answers at the address; the one that was to run the request is not there any more. */
+    readonly isFromAnother: boolean;
     /** It answers to the request it was sent; false for a stray answer to another one. */
     readonly isOwn: boolean;
     /** An engine vouches for the answer. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -1,6 +1,8 @@
 /** What routers and controllers say to each other where an operator declares bundles and upstreams register themselves. */
 import * as z from "zod";
 import { type PrepaidReportCommand, prepaidReportCommand } from "../domain/bundleCommands.js";
+import type { EvacuationList } from "../domain/evacuationBook.js";
+import { MAX_ZONE_LENGTH } from "../domain/evacuationCommands.js";
 import type { PrepaidResult } from "../domain/prepaidBook.js";
 import type { RouterContact } from "../domain/routerGroups.js";
 import {
@@ -29,6 +31,7 @@
     state: z.enum(["ready", "leaving", "gone"]),
     sequence: count,
     mayReturn: z.boolean().optional(),
+    coldLeftMs: count.optional(),
 }) satisfies z.ZodType<UpstreamRegistration>;
 
 const suspectListSchema = z.object({
@@ -62,6 +65,8 @@
     readonly hasMajority: boolean;
     /** Left out by controllers of versions before. */
     readonly suspects?: SuspectList | undefined;
+    /** Left out by controllers of versions before. */
+    readonly evacuations?: EvacuationList | undefined;
 }
 
 /**
@@ -94,6 +99,12 @@
 /** Tells a follower which requests upstreams end under, as soon as that changes. */
 export const suspectNoticeMethod = createPeerMethod<SuspectList, void>("fleet.suspectNotice", suspectListSchema);
 
+/** Tells a follower from which zones the upstreams are to get no new work, as soon as that changes. */
+export const evacuationNoticeMethod = createPeerMethod<EvacuationList, void>(
+    "fleet.evacuationNotice",
+    z.object({ index: count, zones: z.array(z.string().min(1).max(MAX_ZONE_LENGTH)).max(1_000) }),
+);
+
 const endReportSchema = z.object({
     /** Upstreams that ended, each with the requests of this router that broke off there. */
     ends: z.array(z.object({
--- /dev/null
+++ b/test/domain/evacuationBook.test.ts
@@ -0,0 +1,72 @@
+/** Orders to evacuate availability zones that come twice, late, or beside each other. */
+import t from "tap";
+import { DeclaredState } from "../../src/domain/declaredState.js";
+import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
+import { EvacuationBook } from "../../src/domain/evacuationBook.js";
+
+function createOrder(zone: string, isEvacuated: boolean, expectedChanges: number) {
+    return { type: "setEvacuation", zone, isEvacuated, expectedChanges } as const;
+}
+
+void t.test("an order, its copies and its withdrawal", t => {
+    const book = new EvacuationBook();
+    t.equal(book.applySet(createOrder("a", true, 0), 5).outcome, "done");
+    t.equal(book.applySet(createOrder("a", true, 0), 6).outcome, "done", "a copy");
+    t.same(book.createList(), { index: 5, zones: ["a"] });
+    t.equal(book.applySet(createOrder("a", false, 1), 7).outcome, "done");
+    t.equal(book.applySet(createOrder("a", false, 2), 8).outcome, "done", "a second withdrawal");
+    t.same(book.createList(), { index: 7, zones: [] });
+    t.end();
+});
+
+void t.test("a copy that comes after the withdrawal changes nothing", t => {
+    const book = new EvacuationBook();
+    book.applySet(createOrder("a", true, 0), 1);
+    book.applySet(createOrder("a", false, 1), 2);
+    t.equal(book.applySet(createOrder("a", true, 0), 3).outcome, "overtaken");
+    t.same(book.createList(), { index: 2, zones: [] });
+    t.end();
+});
+
+void t.test("of two orders that were given in the same state one is carried out", t => {
+    const book = new EvacuationBook();
+    book.applySet(createOrder("a", true, 0), 1);
+    t.equal(book.applySet(createOrder("a", false, 1), 2).outcome, "done");
+    t.equal(book.applySet(createOrder("a", true, 1), 3).outcome, "overtaken");
+    t.equal(book.applySet(createOrder("b", true, 0), 4).outcome, "done", "another zone is a matter of its own");
+    t.end();
+});
+
+void t.test("made-up zones do not fill the memory, and zones that are known can still be changed", t => {
+    const book = new EvacuationBook();
+    const outcomes = Array.from({ length: 300 }, (_, i) => book.applySet(createOrder(`z${i}`, true, 0), i + 1).outcome);
+    t.equal(outcomes.filter(outcome => outcome === "done").length, 256);
+    t.equal(outcomes.at(-1), "full");
+    t.equal(book.applySet(createOrder("z0", false, 1), 400).outcome, "done");
+    t.end();
+});
+
+void t.test("a snapshot holds it, and the next order goes on from there", t => {
+    const state = new DeclaredState();
+    state.apply({ index: 9, term: 1, at: 0, command: createOrder("a", true, 0) });
+    const loaded = new DeclaredState();
+    loaded.loadSnapshot(JSON.parse(JSON.stringify(state.createSnapshot())));
+    t.same(loaded.evacuations.createList(), { index: 9, zones: ["a"] });
+    t.equal(loaded.evacuations.get("a").changes, 1);
+    t.end();
+});
+
+void t.test("a router goes by the newest change, whoever tells it and in whatever order", t => {
+    const zones = new EvacuatedZones();
+    t.ok(zones.record({ index: 7, zones: ["a"] }, 100));
+    t.notOk(zones.record({ index: 5, zones: [] }, 200), "a controller that lags behind");
+    t.ok(zones.isEvacuated("a"));
+    t.equal(zones.getReturnedAt("a"), -Infinity);
+    t.ok(zones.record({ index: 8, zones: ["b"] }, 300));
+    t.notOk(zones.isEvacuated("a"));
+    t.equal(zones.getReturnedAt("a"), 300);
+    t.same(zones.list(), ["b"]);
+    t.ok(zones.record({ index: 9, zones: ["a"] }, 400));
+    t.equal(zones.getReturnedAt("a"), -Infinity);
+    t.end();
+});
--- /dev/null
+++ b/test/domain/upstreamCandidates.test.ts
@@ -0,0 +1,96 @@
+/** Which upstreams may be sent to: evacuated zones, cold upstreams, and what is told when there is none. */
+import t from "tap";
+import type { BundleService } from "../../src/domain/bundle.js";
+import { ColdSharing } from "../../src/domain/coldSharing.js";
+import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
+import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
+import { type UpstreamRegistration, UpstreamRegistry } from "../../src/domain/upstreamRegistry.js";
+
+const SERVICE: BundleService = { name: "s", maxConnections: 8, coldPerSecond: 10, coldStartMs: 3_000 };
+
+function createRegistration(part: Partial<UpstreamRegistration>): UpstreamRegistration {
+    const id = part.id ?? "u";
+    const base = { service: "s", zone: "a", slots: 4, state: "ready", sequence: 1, coldLeftMs: 0 } as const;
+    return { id, address: `${id}:1`, ...base, ...part };
+}
+
+function createWorld() {
+    const registry = new UpstreamRegistry();
+    const zones = new EvacuatedZones();
+    const sharing = new ColdSharing("r1", () => 0.5);
+    sharing.setOthers(["r2"], 2);
+    sharing.settle();
+    const candidates = new UpstreamCandidates(registry, zones, sharing);
+    const list = (now: number) => candidates.list(SERVICE, now, Infinity);
+    const listIds = (now: number) => list(now).upstreams.map(({ id }) => id);
+    return { registry, zones, sharing, candidates, list, listIds };
+}
+
+void t.test("an evacuated zone gets nothing, also where no other upstream is left", t => {
+    const { registry, zones, list, listIds } = createWorld();
+    registry.record(createRegistration({ id: "u", zone: "a" }), 0);
+    registry.record(createRegistration({ id: "v", zone: "b" }), 0);
+    zones.record({ index: 1, zones: ["a"] }, 10);
+    t.same(listIds(10), ["v"]);
+    zones.record({ index: 2, zones: ["a", "b"] }, 20);
+    t.same(list(20), { upstreams: [], waitMs: undefined });
+    t.end();
+});
+
+void t.test("upstreams of a zone that comes back count as cold, whatever they said before", t => {
+    const { registry, zones, listIds } = createWorld();
+    registry.record(createRegistration({ id: "u", zone: "a" }), 0);
+    registry.record(createRegistration({ id: "v", zone: "b" }), 0);
+    zones.record({ index: 1, zones: ["a"] }, 10);
+    zones.record({ index: 2, zones: [] }, 1_000);
+    t.same(listIds(1_000), ["v"]);
+    t.same(listIds(4_000), ["u", "v"], "after the time that a start takes");
+    t.end();
+});
+
+void t.test("a cold upstream is sent to at this router's part of the pace", t => {
+    const { registry, candidates, listIds } = createWorld();
+    const cold = createRegistration({ coldLeftMs: 2_000 });
+    registry.record(cold, 0);
+    t.same(listIds(0), [], "it begins at a moment of its own");
+    t.same(listIds(100), ["u"]);
+    candidates.recordSend(cold, SERVICE, 100);
+    t.same(listIds(299), []);
+    t.same(listIds(300), ["u"]);
+    candidates.recordSend(cold, SERVICE, 1_950);
+    t.same(listIds(2_000), ["u"], "it is not cold any more");
+    t.end();
+});
+
+void t.test("where all are cold, it is told when one may be sent to", t => {
+    const { registry, list } = createWorld();
+    registry.record(createRegistration({ coldLeftMs: 2_000 }), 0);
+    t.same(list(0), { upstreams: [], waitMs: 100 });
+    t.end();
+});
+
+void t.test("an upstream that says nothing counts as cold after its life was first heard of", t => {
+    const { registry, listIds } = createWorld();
+    registry.record(createRegistration({ coldLeftMs: undefined }), 0);
+    t.same(listIds(0), []);
+    t.same(listIds(3_000), ["u"]);
+    t.end();
+});
+
+void t.test("one that becomes cold again is told of at once", t => {
+    const registry = new UpstreamRegistry();
+    registry.record(createRegistration({ sequence: 1 }), 0);
+    t.equal(registry.record(createRegistration({ sequence: 2 }), 1_000), "beat");
+    t.equal(registry.record(createRegistration({ sequence: 3, coldLeftMs: 3_000 }), 2_000), "state");
+    t.equal(registry.record(createRegistration({ sequence: 4, coldLeftMs: 1_800 }), 3_200), "beat");
+    t.equal(registry.getColdUntil(createRegistration({}), 0), 5_000);
+    t.end();
+});
+
+void t.test("a service without a bound is not held back", t => {
+    const { registry, candidates } = createWorld();
+    registry.record(createRegistration({ coldLeftMs: 2_000 }), 0);
+    const plain = { name: "s", maxConnections: 8, coldStartMs: 0 };
+    t.equal(candidates.list(plain, 0, Infinity).upstreams.length, 1);
+    t.end();
+});
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -114,7 +114,7 @@
 
     /** Sends to a controller as upstreams and the operator do; answers status and body. */
     async call(
-        method: "GET" | "PUT" | "DELETE",
+        method: "GET" | "PUT" | "POST" | "DELETE",
         url: string,
         body?: unknown,
     ): Promise<{ status: number; text: string; }> {
--- a/test/tools/mortalEngine.ts
+++ b/test/tools/mortalEngine.ts
@@ -25,8 +25,15 @@
     private restart: NodeJS.Timeout | undefined;
     private reports: NodeJS.Timeout | undefined;
     private closed = false;
+    /** It answers the deadly body by a failure of its own and does not end. */
+    isFailing = false;
 
-    constructor(private readonly fleet: DirectFleet, private readonly id: string, private readonly box: string) {}
+    constructor(
+        private readonly fleet: DirectFleet,
+        private readonly id: string,
+        private readonly box: string,
+        private readonly service = "engines",
+    ) {}
 
     /** Listens and registers itself. */
     async start(): Promise<void> {
@@ -49,7 +56,7 @@
     private async report(): Promise<void> {
         this.sequence += 1;
         const body = {
-            backend: "engines",
+            backend: this.service,
             address: `${this.fleet.getIp(this.box)}:${ENGINE_PORT}`,
             zone: "z",
             slots: 8,
@@ -67,8 +74,12 @@
         response.on("error", () => undefined);
         const body = await readText(message);
         const head = { "Attempt-Id": message.headers["attempt-id"], "Instance-Signature": "sig" };
-        response.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
         const isDeadly = body === DEADLY_BODY;
+        if (isDeadly && this.isFailing) {
+            response.writeHead(500, { ...head, "Content-Length": 0 }).end();
+            return;
+        }
+        response.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
         this.deadlyRuns += isDeadly ? 1 : 0;
         for (let id = Number(message.headers["last-event-id"] ?? 0) + 1; id <= PIECES; id++) {
             response.write(`id: ${id}\ndata: piece ${id}\n\n`);
