Routers are told what has changed of upstreams and routers, no longer all of them each second

Cause, by reading and reckoning: with 300 routers and 3,004 upstreams an answer to the question that each router asks each second held 448 kB of upstreams, and 13 kB of routers from each of five controllers; besides, each report that changed nothing was pushed to every router. Ways weighed: a stream of pushes alone (a lost one is made good by nothing); relays by zone (one more hop for a leaving upstream); news since a numbered cursor, with the ids that are unheard, which is kept: lost pushes are made good each second, a controller that starts anew has another epoch and tells all, and no clock is compared. Routers of versions before are answered as before. An upstream that was met by another at its address is out whatever it reported until then, since routers know its count no more.

--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -6,6 +6,7 @@
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import type { Bundle } from "../../domain/bundle.js";
 import type { BundleResult, StoredBundle } from "../../domain/bundleStore.js";
+import { createRandomId } from "../../domain/identifiers.js";
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
 import type { Clock } from "../../ports/clock.js";
@@ -15,6 +16,7 @@
     bundleNoticeMethod,
     type FollowAnswer,
     followMethod,
+    type FollowParams,
     getBundleMethod,
     reportEndsMethod,
     reportPrepaidMethod,
@@ -40,7 +42,7 @@
     readonly evacuations: EvacuationService;
     private readonly prepaid: PrepaidService;
     private readonly upstreamEnds: UpstreamEndService;
-    private readonly followers = new Followers();
+    private readonly followers = new Followers(createRandomId());
     private readonly publisher = new BundlePublisher();
     private seeds: readonly string[];
     /** Names of the services of the newest bundle that was decoded here. */
@@ -80,7 +82,7 @@
     addHandlers(handlers: PeerHandlers): void {
         this.replica.addHandlers(handlers);
         this.keeper.addHandlers(handlers);
-        handlers.add(followMethod, (params, peer) => this.follow(params.address, params.wantsUpstreams, peer));
+        handlers.add(followMethod, (params, peer) => this.follow(params, peer));
         handlers.add(getBundleMethod, async ({ held }) => ({ bundle: await this.publisher.tryGetFor(held) }));
         handlers.add(upstreamNoticeMethod, notice => this.registrations.receive(notice.upstreams));
         handlers.add(reportEndsMethod, ({ report }) => this.upstreamEnds.takeReport(report));
@@ -144,15 +146,21 @@
         return [...this.replica.replicas.getVoters()];
     }
 
-    private follow(router: string, wantsUpstreams: boolean, peer: Peer): FollowAnswer {
-        if (this.followers.add(peer, router)) {
-            this.log.info("router_follows", { router });
+    private follow(
+        { address, wantsUpstreams, since, unheardMs, routersSince }: FollowParams,
+        peer: Peer,
+    ): FollowAnswer {
+        if (this.followers.add(peer, address)) {
+            this.log.info("router_follows", { router: address });
         }
+        const wantsNews = wantsUpstreams && unheardMs !== undefined;
         return {
             bundleRevision: this.replica.state.bundle.tryGet()?.revision,
-            upstreams: wantsUpstreams ? this.registrations.list() : [],
+            upstreams: wantsUpstreams && !wantsNews ? this.registrations.list() : [],
+            news: wantsNews ? this.registrations.createNews(since, unheardMs) : undefined,
             controllers: [this.options.address, ...this.replica.replicas.getOthers().map(other => other.address)],
-            routers: this.followers.list(),
+            routers: this.followers.isUnchangedSince(routersSince) ? undefined : this.followers.list(),
+            routersCursor: this.followers.getCursor(),
             hasMajority: this.replica.isConnectedToMajority(),
             suspects: this.upstreamEnds.createList(),
             evacuations: this.evacuations.createList(),
--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -1,8 +1,11 @@
 /**
  * Takes the reports of upstreams and spreads them to the routers that follow and to the other controllers. A change of
- * state goes out at once; that an upstream lives goes out in batches.
+ * state goes out at once; that an upstream lives goes out in batches, and to controllers only: routers ask once a second
+ * which are unheard.
  */
+import { createRandomId } from "../../domain/identifiers.js";
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
+import { type ChangeCursor, UpstreamChanges, type UpstreamNews } from "../../domain/upstreamChanges.js";
 import { type HeardRegistration, type UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -10,11 +13,12 @@
 import { upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { Followers } from "./followers.js";
 
-/** How often routers and other controllers hear that upstreams live, in milliseconds. */
+/** How often other controllers hear that upstreams live, in milliseconds. */
 const BATCH_PERIOD_MS = 400;
 
 export class RegistrationService {
     readonly registry = new UpstreamRegistry();
+    private readonly changes = new UpstreamChanges(this.registry, createRandomId());
     private readonly waiting = new Map<string, UpstreamRegistration>();
     private stopped = false;
 
@@ -34,7 +38,7 @@
             if (this.waiting.size > 0) {
                 const batch = [...this.waiting.values()];
                 this.waiting.clear();
-                this.spread(batch);
+                this.tellControllers(batch);
             }
         }
     }
@@ -55,7 +59,7 @@
         const change = this.registry.record(registration, this.clock.getMonotonicMs());
         if (change === "state") {
             this.logState(registration, "upstream");
-            this.spread([registration]);
+            this.spread(registration);
         }
         else if (change === "beat") {
             this.waiting.set(registration.id, registration);
@@ -67,7 +71,7 @@
         const gone = this.registry.recordGone(id, this.clock.getMonotonicMs(), bornAt);
         if (gone !== undefined) {
             this.logState(gone, "upstream");
-            this.spread([gone]);
+            this.spread(gone);
         }
     }
 
@@ -78,21 +82,35 @@
             if (this.registry.record(registration, now - ageMs) === "state") {
                 this.logState(registration, "controller");
                 // A router that cannot hear the other controller hears it from this one.
-                this.followers.notifyAll(upstreamNoticeMethod, { upstreams: [{ registration, ageMs }] });
+                this.tellRouters({ registration, ageMs });
             }
         }
     }
 
-    /** Everything known, for a router that begins to follow or repeats its question. */
+    /** What a router is told that has been told as far as `since`. */
+    createNews(since: ChangeCursor | undefined, unheardMs: number): UpstreamNews {
+        return this.changes.createNews(since, unheardMs, this.clock.getMonotonicMs());
+    }
+
+    /** Everything known, for a router that asks for no news. */
     list(): HeardRegistration[] {
         const now = this.clock.getMonotonicMs();
         this.registry.forgetOld(now);
         return this.registry.list(now);
     }
 
-    private spread(registrations: readonly UpstreamRegistration[]): void {
+    private spread(registration: UpstreamRegistration): void {
+        this.tellRouters({ registration, ageMs: 0 });
+        this.tellControllers([registration]);
+    }
+
+    private tellRouters(heard: HeardRegistration): void {
+        this.changes.note(heard.registration.id);
+        this.followers.notifyAll(upstreamNoticeMethod, { upstreams: [heard] });
+    }
+
+    private tellControllers(registrations: readonly UpstreamRegistration[]): void {
         const params = { upstreams: registrations.map(registration => ({ registration, ageMs: 0 })) };
-        this.followers.notifyAll(upstreamNoticeMethod, params);
         for (const address of this.getOtherControllers()) {
             this.network.connect(address).then(
                 peer => peer.notify(upstreamNoticeMethod, params),
--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -2,11 +2,14 @@
  * Follows one controller: a task that keeps a connection to it, hears of bundles and upstreams, and asks again
  * regularly, so that a notice that was lost is made good.
  */
+import type { RouterContact } from "../../domain/routerGroups.js";
+import type { ChangeCursor, UpstreamNews } from "../../domain/upstreamChanges.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { Peer, PeerNetwork } from "../../ports/peer.js";
 import { type FollowAnswer, followMethod } from "../../protocol/fleetMethods.js";
 import type { BundleFetcher } from "./bundleFetcher.js";
+import { FollowedUpstreams, type HeardUpstream } from "./followedUpstreams.js";
 
 /** Times in milliseconds. */
 export interface ControllerFeedOptions {
@@ -17,12 +20,16 @@
     readonly callTimeoutMs: number;
     /** Pause after a connection that was lost or not made. */
     readonly redialMs: number;
+    /** Silence from which controllers name an upstream as unheard: longer than the pause between its reports. */
+    readonly upstreamUnheardMs: number;
 }
 
 /** Told of what a controller answers. */
 export interface FeedListener {
-    /** Takes a controller's answer to the regular question. */
-    receiveFollowAnswer(answer: FollowAnswer): void;
+    /** Takes a controller's answer to the regular question. `routers`: those that follow it, as it last told. */
+    receiveFollowAnswer(answer: FollowAnswer, routers: readonly RouterContact[]): void;
+    /** Takes what a controller says of upstreams since its last word. `heard`: when it heard each that it knows. */
+    receiveUpstreamNews(news: UpstreamNews, heard: readonly HeardUpstream[]): void;
 }
 
 /** Decides whether a controller is asked for all upstreams with the next question. */
@@ -36,6 +43,10 @@
     hasMajority = false;
     /** When the controller was last asked for all upstreams. Monotonic clock, milliseconds. */
     upstreamsAskedAt = -Infinity;
+    private readonly upstreams: FollowedUpstreams;
+    /** The routers that follow the controller, and which of its lists that was. */
+    private routers: readonly RouterContact[] = [];
+    private routersCursor: ChangeCursor | undefined;
     private stopped = false;
 
     constructor(
@@ -47,7 +58,9 @@
         private readonly fetcher: BundleFetcher,
         private readonly isUpstreamTurn: UpstreamTurn,
         private readonly options: ControllerFeedOptions,
-    ) {}
+    ) {
+        this.upstreams = new FollowedUpstreams(options.upstreamUnheardMs);
+    }
 
     /** The controller's one task. */
     async run(): Promise<void> {
@@ -85,11 +98,19 @@
             if (wantsUpstreams) {
                 this.upstreamsAskedAt = this.clock.getMonotonicMs();
             }
-            const answer = await peer.call(followMethod, { address, wantsUpstreams }, callTimeoutMs);
+            const { unheardMs } = this.upstreams;
+            const since = this.upstreams.tryGetCursor();
+            const params = { address, wantsUpstreams, since, unheardMs, routersSince: this.routersCursor };
+            const answer = await peer.call(followMethod, params, callTimeoutMs);
             this.heardAt = this.clock.getMonotonicMs();
             this.hasMajority = answer.hasMajority;
             onAnswer();
-            this.listener.receiveFollowAnswer(answer);
+            this.routers = answer.routers ?? this.routers;
+            this.routersCursor = answer.routersCursor;
+            this.listener.receiveFollowAnswer(answer, this.routers);
+            if (answer.news !== undefined) {
+                this.listener.receiveUpstreamNews(answer.news, this.upstreams.take(answer.news));
+            }
             if (answer.bundleRevision !== undefined) {
                 void this.fetcher.fetch(this.address, answer.bundleRevision);
             }
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -6,8 +6,10 @@
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
+import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
+import type { UpstreamNews } from "../../domain/upstreamChanges.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import {
     getLifeKey,
@@ -32,6 +34,7 @@
 import type { BundleListener } from "./bundleFetcher.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
+import type { HeardUpstream } from "./followedUpstreams.js";
 import { OtherRouters } from "./otherRouters.js";
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
@@ -62,9 +65,6 @@
 /** How often what belongs to upstreams that are long gone is forgotten, in milliseconds. */
 const FORGET_PERIOD_MS = 10_000;
 
-/** Controllers that hear of an upstream that was replaced. */
-const CONTROLLERS_TOLD = 2;
-
 /** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
@@ -262,8 +262,7 @@
         }
         this.upstreams.forget(upstream.address);
         this.log.info("upstream_replaced", { upstream: upstream.id, address: upstream.address });
-        // One is enough for the routers in touch; the second is for a first that is being lost.
-        for (const controller of this.getControllers().slice(0, CONTROLLERS_TOLD)) {
+        for (const controller of this.getControllers()) {
             this.network.connect(controller).then(
                 peer => peer.notify(upstreamNoticeMethod, { upstreams: [{ registration: gone, ageMs: 0 }] }),
                 error => this.log.info("replacement_not_told", { controller, error: String(error) }),
@@ -351,7 +350,7 @@
         }
     }
 
-    receiveFollowAnswer(answer: FollowAnswer): void {
+    receiveFollowAnswer(answer: FollowAnswer, routers: readonly RouterContact[]): void {
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(answer.upstreams);
         if (answer.evacuations !== undefined) {
@@ -364,7 +363,7 @@
             this.heardSince = now;
         }
         this.heardAt = now;
-        if (this.others.record(answer.routers, this.heardSince, this.reporter.routers, now)) {
+        if (this.others.record(routers, this.heardSince, this.reporter.routers, now)) {
             this.retryBudgets.forEach(budget => budget.setMost(this.computeRetrySlack()));
         }
         if (answer.hasMajority) {
@@ -372,6 +371,12 @@
         }
     }
 
+    receiveUpstreamNews(news: UpstreamNews, heard: readonly HeardUpstream[]): void {
+        const now = this.clock.getMonotonicMs();
+        this.receiveUpstreams(news.changed);
+        heard.forEach(({ id, ageMs }) => this.registry.noteHeard(id, now - ageMs));
+    }
+
     /** What was connected to an earlier life of an upstream is of no use: what is sent over it may have run or not. */
     private dropEarlierConnections(
         before: UpstreamRegistration | undefined,
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -29,6 +29,8 @@
      * of this life shows that it goes on.
      */
     readonly mayReturn?: boolean | undefined;
+    /** Of one that is gone: another upstream was met at its address, whatever it has reported until then. */
+    readonly isReplaced?: boolean | undefined;
 }
 
 /** A registration and how long ago it was heard. */
@@ -63,6 +65,8 @@
  * or so, so one that is silent for longer has probably ended.
  */
 const HOLD_ADDRESS_MS = 3_000;
+/** By how much longer an upstream has to be cold than it said before for routers to be told: its reports come late. Milliseconds. */
+const LEAST_COLDER_MS = 500;
 /** How late a message of an upstream may come, in milliseconds: cuts hold messages back for up to 9 s. */
 const MOST_LATE_MS = 10_000;
 
@@ -100,7 +104,11 @@
         if (!isNews(told, known.registration)) {
             return undefined;
         }
-        const registration = { ...told, bornAt: told.bornAt ?? known.registration.bornAt };
+        const registration = {
+            ...told,
+            bornAt: told.bornAt ?? known.registration.bornAt,
+            sequence: Math.max(told.sequence, known.registration.sequence),
+        };
         const changed = known.registration.state !== registration.state
             || known.registration.address !== registration.address
             || known.registration.slots !== registration.slots
@@ -148,6 +156,18 @@
         return this.record(gone, heardAt) === undefined && known?.state !== "gone" ? undefined : gone;
     }
 
+    /**
+     * Notes that a controller heard an upstream at `heardAt`, whose report changed nothing. An upstream whose address was taken
+     * by one that is silent since has it again.
+     */
+    noteHeard(id: string, heardAt: number): void {
+        const entry = this.entries.get(id);
+        if (entry !== undefined && entry.registration.state !== "gone") {
+            entry.heardAt = Math.max(entry.heardAt, heardAt);
+            this.tryTakeAddress(entry.registration, entry.heardAt, HOLD_ADDRESS_MS);
+        }
+    }
+
     /** Forgets what has long been gone or silent. */
     forgetOld(now: number): void {
         for (const [id, { registration, heardAt }] of this.entries) {
@@ -188,7 +208,12 @@
      * to be over.
      */
     recordReplaced(registration: UpstreamRegistration, heardAt: number): UpstreamRegistration | undefined {
-        const gone: UpstreamRegistration = { ...this.getNewest(registration), state: "gone", mayReturn: true };
+        const gone: UpstreamRegistration = {
+            ...this.getNewest(registration),
+            state: "gone",
+            mayReturn: true,
+            isReplaced: true,
+        };
         return this.record(gone, heardAt) === "state" ? gone : undefined;
     }
 
@@ -218,10 +243,10 @@
     return coldLeftMs === undefined ? undefined : heardAt + coldLeftMs;
 }
 
-/** Whether a report says that an upstream has become cold that was not. */
-function hasTurnedCold(told: UpstreamRegistration, { coldUntil }: Entry, heardAt: number): boolean {
-    const wasCold = coldUntil !== undefined && coldUntil > heardAt;
-    return (told.coldLeftMs ?? 0) > 0 && !wasCold;
+/** Whether a report says that an upstream has become cold, or cold again. */
+function hasTurnedCold(told: UpstreamRegistration, { coldUntil = -Infinity }: Entry, heardAt: number): boolean {
+    const toldMs = told.coldLeftMs ?? 0;
+    return toldMs > 0 && heardAt + toldMs > coldUntil + LEAST_COLDER_MS;
 }
 
 /** Whether a report is of a life after the one that is known. */
@@ -244,7 +269,7 @@
         return known.mayReturn === true && told.state !== "gone" && told.sequence > known.sequence;
     }
     if (told.state === "gone") {
-        return told.mayReturn !== true || told.sequence >= known.sequence;
+        return told.mayReturn !== true || told.isReplaced === true || told.sequence >= known.sequence;
     }
     return told.sequence > known.sequence;
 }
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -5,6 +5,7 @@
 import { MAX_ZONE_LENGTH } from "../domain/evacuationCommands.js";
 import type { PrepaidResult } from "../domain/prepaidBook.js";
 import type { RouterContact } from "../domain/routerGroups.js";
+import type { ChangeCursor, UpstreamNews } from "../domain/upstreamChanges.js";
 import {
     brokenRequestSchema,
     fingerprintSchema,
@@ -31,6 +32,7 @@
     state: z.enum(["ready", "leaving", "gone"]),
     sequence: count,
     mayReturn: z.boolean().optional(),
+    isReplaced: z.boolean().optional(),
     coldLeftMs: count.optional(),
 }) satisfies z.ZodType<UpstreamRegistration>;
 
@@ -55,12 +57,16 @@
 export interface FollowAnswer {
     /** Revision of the bundle in force there, if there is one. */
     readonly bundleRevision?: number | undefined;
-    /** All that are known; empty where the router did not want them. */
+    /** All that are known, for routers of versions before, which ask for no news; empty otherwise. */
     readonly upstreams: readonly HeardRegistration[];
+    /** Left out where the router did not want any, and by controllers of versions before. */
+    readonly news?: UpstreamNews | undefined;
     /** Addresses of the controllers that the log names. */
     readonly controllers: readonly string[];
-    /** The routers that follow this controller. */
-    readonly routers: readonly RouterContact[];
+    /** The routers that follow this controller; left out where they are the same as when the router was last told. */
+    readonly routers?: readonly RouterContact[] | undefined;
+    /** Names that list; left out by controllers of versions before. */
+    readonly routersCursor?: ChangeCursor | undefined;
     /** Whether the controller is connected to a majority of the others. */
     readonly hasMajority: boolean;
     /** Left out by controllers of versions before. */
@@ -69,14 +75,24 @@
     readonly evacuations?: EvacuationList | undefined;
 }
 
-/**
- * Begins to follow a controller over this connection, and repeats what it knows; also asked as a heartbeat.
- * `wantsUpstreams`: whether the answer should name all upstreams.
- */
-export const followMethod = createPeerMethod<{ address: string; wantsUpstreams: boolean; }, FollowAnswer>(
-    "fleet.follow",
-    z.object({ address: name, wantsUpstreams: z.boolean() }),
-);
+const cursorSchema = z.object({ epoch: name, number: count }) satisfies z.ZodType<ChangeCursor>;
+
+const followSchema = z.object({
+    /** Where other routers reach the one that follows. */
+    address: name,
+    /** Whether the answer should tell of upstreams. */
+    wantsUpstreams: z.boolean(),
+    /** How far this controller has told; left out before its first word, and by routers of versions before. */
+    since: cursorSchema.optional(),
+    /** Which list of routers this controller has told; left out before its first word, and by routers of versions before. */
+    routersSince: cursorSchema.optional(),
+    /** Silence from which an upstream should be named as unheard, in milliseconds; left out by routers of versions before. */
+    unheardMs: count.optional(),
+});
+export type FollowParams = z.infer<typeof followSchema>;
+
+/** Begins to follow a controller over this connection, and repeats what it knows; also asked as a heartbeat. */
+export const followMethod = createPeerMethod<FollowParams, FollowAnswer>("fleet.follow", followSchema);
 
 /** Tells a follower that a bundle has come into force. The follower fetches it. */
 export const bundleNoticeMethod = createPeerMethod<{ controller: string; revision: number; }, void>(
--- a/test/daemons/bundleFetch.test.ts
+++ b/test/daemons/bundleFetch.test.ts
@@ -16,6 +16,7 @@
 const NO_LOG: Log = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const NO_BUNDLE: FeedListener & BundleListener = {
     receiveFollowAnswer: () => undefined,
+    receiveUpstreamNews: () => undefined,
     receiveBundle: () => undefined,
 };
 const options: ControllerFeedsOptions = {
@@ -23,6 +24,7 @@
     followPeriodMs: 50,
     callTimeoutMs: 1_000,
     redialMs: 50,
+    upstreamUnheardMs: 1_800,
     forgetControllerMs: 20_000,
     unconfirmedReadyMs: 3_000,
 };
--- a/test/daemons/upstreamTurns.test.ts
+++ b/test/daemons/upstreamTurns.test.ts
@@ -78,12 +78,17 @@
 function startFeeds() {
     const clock = new SteppedClock();
     const network = new CountingNetwork();
-    const listener = { receiveFollowAnswer: () => undefined, receiveBundle: () => undefined };
+    const listener = {
+        receiveFollowAnswer: () => undefined,
+        receiveUpstreamNews: () => undefined,
+        receiveBundle: () => undefined,
+    };
     const feeds = new ControllerFeeds(network, clock, NO_LOG, listener, {
         address: "r1",
         followPeriodMs: PERIOD_MS,
         callTimeoutMs: PERIOD_MS,
         redialMs: 200,
+        upstreamUnheardMs: 1_800,
         forgetControllerMs: 20_000,
         unconfirmedReadyMs: 3_000,
     });
