A loan that is answered too late for its request is kept, and goes back

Now the answer is waited for 3 s beside the request; what it brings goes back with the next returns. Connections are made within the 60 ms as before. Not measured apart.

--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -13,7 +13,10 @@
 export interface PrepaidBorrowerOptions {
     /** Other routers that are asked for one request, one after the other. */
     readonly maxAsked: number;
+    /** How long a request waits for a router's answer. */
     readonly callTimeoutMs: number;
+    /** How long an answer is waited for beside: what it lends is lost without it. */
+    readonly lateAnswerMs: number;
     /** How long a router that did not answer is not asked. */
     readonly avoidMs: number;
     /** How often what is left of loans goes back. */
@@ -85,7 +88,7 @@
         const holder = this.holders.tryFindNearest(account, address => this.isAsked(address));
         const missing = this.getShortfall(account, tokens, rank);
         if (holder !== undefined && missing > 0) {
-            this.purse.addBorrowed(account, await this.ask(holder, account, missing, rank, true));
+            await this.ask(holder, account, missing, rank, true);
         }
         return this.getShortfall(account, tokens, rank) === 0;
     }
@@ -100,7 +103,7 @@
                 return true;
             }
             const address = others[this.next++ % others.length]!;
-            this.purse.addBorrowed(account, await this.ask(address, account, missing, rank, false));
+            await this.ask(address, account, missing, rank, false);
         }
         return this.getShortfall(account, tokens, rank) === 0;
     }
@@ -118,25 +121,52 @@
         return true;
     }
 
+    /** Asks one router; resolves when it has answered, or the request cannot wait for it any longer. */
     private async ask(
         address: string,
         account: string,
         tokens: number,
         rank: number,
         isHeldForAsker: boolean,
-    ): Promise<number> {
+    ): Promise<void> {
+        const loan = this.takeLoan(address, account, tokens, rank, isHeldForAsker);
+        let timer: NodeJS.Timeout | undefined;
+        const late = new Promise<"late">(resolve => {
+            timer = setTimeout(() => resolve("late"), this.options.callTimeoutMs);
+        });
+        if (await Promise.race([loan, late]) === "late") {
+            this.avoid(address);
+            this.log.info("prepaid_loan_late", { router: address, account, tokens });
+        }
+        clearTimeout(timer);
+    }
+
+    /**
+     * Takes what a router lends, also where its answer comes too late for the request: to the book the other has spent it.
+     * It goes back with the next returns. Never rejects.
+     */
+    private async takeLoan(
+        address: string,
+        account: string,
+        tokens: number,
+        rank: number,
+        isHeldForAsker: boolean,
+    ): Promise<void> {
+        const { callTimeoutMs, lateAnswerMs } = this.options;
         try {
-            const { callTimeoutMs } = this.options;
             const params = { account, tokens, rank, isHeldForAsker };
-            const answer = await this.network.call(address, lendPrepaidMethod, params, callTimeoutMs);
+            const answer = await this.network.call(address, lendPrepaidMethod, params, lateAnswerMs, callTimeoutMs);
             this.avoidedUntil.delete(address);
-            return answer.tokens;
+            this.purse.addBorrowed(account, answer.tokens);
         }
         catch (error) {
             // What the other gave away is lost then: safe, and it asks for more in its next report.
             this.log.warn("prepaid_not_borrowed", { router: address, account, tokens, error: String(error) });
-            this.avoidedUntil.set(address, performance.now() + this.options.avoidMs);
-            return 0;
+            this.avoid(address);
         }
     }
+
+    private avoid(address: string): void {
+        this.avoidedUntil.set(address, performance.now() + this.options.avoidMs);
+    }
 }
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -41,9 +41,18 @@
     /** A connection to `address`. Rejects with peerGone and `ran` "no" when none can be opened. */
     abstract connect(address: string): Promise<Peer>;
 
-    /** Connects and calls. `ran` is "no" in a refusal only where nothing was sent. */
-    async call<P, R>(address: string, method: PeerMethod<P, R>, params: P, timeoutMs: number): Promise<R> {
-        const peer = await this.connectWithin(address, timeoutMs);
+    /**
+     * Connects and calls. `ran` is "no" in a refusal only where nothing was sent. `connectMs`: for the connection, where an
+     * answer may take longer. Milliseconds.
+     */
+    async call<P, R>(
+        address: string,
+        method: PeerMethod<P, R>,
+        params: P,
+        timeoutMs: number,
+        connectMs = timeoutMs,
+    ): Promise<R> {
+        const peer = await this.connectWithin(address, connectMs);
         return peer.call(method, params, timeoutMs);
     }
 
--- a/test/daemons/prepaidBorrower.test.ts
+++ b/test/daemons/prepaidBorrower.test.ts
@@ -46,6 +46,8 @@
 class LendingNetwork extends PeerNetwork {
     readonly asked: string[] = [];
     readonly silent = new Set<string>();
+    readonly late = new Set<string>();
+    readonly answerLate: (() => void)[] = [];
     readonly peers = new Map<string, ToldPeer>();
 
     override connect(address: string): Promise<Peer> {
@@ -59,18 +61,21 @@
     override call<P, R>(address: string, _method: PeerMethod<P, R>, params: P): Promise<R> {
         this.asked.push(address);
         const { tokens } = params as { tokens: number; };
+        if (this.late.has(address)) {
+            return new Promise(resolve => this.answerLate.push(() => resolve({ tokens } as R)));
+        }
         return this.silent.has(address) ? Promise.reject(new Error("silent")) : Promise.resolve({ tokens } as R);
     }
 }
 
-function createBorrower() {
+function createBorrower(callTimeoutMs = NEVER_MS) {
     const holders = createHolders(CONTACTS.find(self => !createHolders(self).isHolder(ACCOUNT))!);
     const network = new LendingNetwork();
     const purse = new PrepaidPurse("r", "i", testPurseOptions);
     purse.setLimits([{ account: ACCOUNT, tokens: 100_000 }]);
     purse.setHoldings(() => ({ isHolder: false, holders: 1 }));
     const links = new RouterLinks(network, NO_LOG);
-    const options = { maxAsked: 6, callTimeoutMs: NEVER_MS, avoidMs: NEVER_MS, returnPeriodMs: NEVER_MS };
+    const options = { maxAsked: 6, callTimeoutMs, lateAnswerMs: NEVER_MS, avoidMs: NEVER_MS, returnPeriodMs: NEVER_MS };
     const borrower = new PrepaidBorrower(purse, holders, network, links, NO_LOG, options);
     return { borrower, purse, network, links, holder: holders.tryFindNearest(ACCOUNT, () => true)! };
 }
@@ -93,6 +98,20 @@
     t.not(network.asked[2], holder);
 });
 
+void t.test("a loan that comes too late for its request is kept, and goes back", async t => {
+    const { borrower, purse, network, links, holder } = createBorrower(1);
+    network.late.add(holder);
+    t.equal(await borrower.borrowFromHolder(ACCOUNT, 3_000, RANK), false);
+    t.same(purse.listLeftOfLoans(), []);
+    network.answerLate.forEach(answer => answer());
+    await settlePromises();
+    t.same(purse.listLeftOfLoans(), [{ account: ACCOUNT, tokens: 3_000 }]);
+    links.keep([holder]);
+    await settlePromises();
+    borrower.returnLoans();
+    t.same(network.peers.get(holder)!.told, [{ accounts: [{ account: ACCOUNT, tokens: 3_000 }] }]);
+});
+
 void t.test("what is left of loans goes back to the holder once, and stays while the holder is not connected", async t => {
     const { borrower, purse, network, links, holder } = createBorrower();
     await borrower.borrowFromHolder(ACCOUNT, 3_000, RANK);
