--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -6,7 +6,7 @@
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
-import { lendPrepaidMethod, returnPrepaidMethod } from "../../protocol/fleetMethods.js";
+import { lendPrepaidMethod, type LoanRequest, returnPrepaidMethod } from "../../protocol/fleetMethods.js";
 import type { RouterLinks } from "./routerLinks.js";
 
 /** Times in milliseconds. */
@@ -88,7 +88,7 @@
         const holder = this.holders.tryFindNearest(account, address => this.isAsked(address));
         const missing = this.getShortfall(account, tokens, rank);
         if (holder !== undefined && missing > 0) {
-            await this.ask(holder, account, missing, rank, true);
+            await this.ask(holder, { account, tokens: missing, rank, isHeldForAsker: true });
         }
         return this.getShortfall(account, tokens, rank) === 0;
     }
@@ -103,7 +103,7 @@
                 return true;
             }
             const address = others[this.next++ % others.length]!;
-            await this.ask(address, account, missing, rank, false);
+            await this.ask(address, { account, tokens: missing, rank, isHeldForAsker: false });
         }
         return this.getShortfall(account, tokens, rank) === 0;
     }
@@ -122,21 +122,15 @@
     }
 
     /** Asks one router; resolves when it has answered, or the request cannot wait for it any longer. */
-    private async ask(
-        address: string,
-        account: string,
-        tokens: number,
-        rank: number,
-        isHeldForAsker: boolean,
-    ): Promise<void> {
-        const loan = this.takeLoan(address, account, tokens, rank, isHeldForAsker);
+    private async ask(address: string, wanted: LoanRequest): Promise<void> {
+        const loan = this.takeLoan(address, wanted);
         let timer: NodeJS.Timeout | undefined;
         const late = new Promise<"late">(resolve => {
             timer = setTimeout(() => resolve("late"), this.options.callTimeoutMs);
         });
         if (await Promise.race([loan, late]) === "late") {
             this.avoid(address);
-            this.log.info("prepaid_loan_late", { router: address, account, tokens });
+            this.log.info("prepaid_loan_late", { router: address, account: wanted.account, tokens: wanted.tokens });
         }
         clearTimeout(timer);
     }
@@ -145,17 +139,11 @@
      * Takes what a router lends, also where its answer comes too late for the request: to the book the other has spent it.
      * It goes back with the next returns. Never rejects.
      */
-    private async takeLoan(
-        address: string,
-        account: string,
-        tokens: number,
-        rank: number,
-        isHeldForAsker: boolean,
-    ): Promise<void> {
+    private async takeLoan(address: string, wanted: LoanRequest): Promise<void> {
         const { callTimeoutMs, lateAnswerMs } = this.options;
+        const { account, tokens } = wanted;
         try {
-            const params = { account, tokens, rank, isHeldForAsker };
-            const answer = await this.network.call(address, lendPrepaidMethod, params, lateAnswerMs, callTimeoutMs);
+            const answer = await this.network.call(address, lendPrepaidMethod, wanted, lateAnswerMs, callTimeoutMs);
             this.avoidedUntil.delete(address);
             this.purse.addBorrowed(account, answer.tokens);
         }
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -205,14 +205,15 @@
     z.object({ accounts: z.array(z.object({ account: z.string().min(1).max(256), tokens: count })).max(20_000) }),
 );
 
-/**
- * One router asks another for prepaid tokens. Answers how many it gives away for good. `isHeldForAsker`: the other holds
- * the account for the asker too, so that it leaves nothing for itself alone.
- */
-export const lendPrepaidMethod = createPeerMethod<
-    { account: string; tokens: number; rank: number; isHeldForAsker: boolean; },
-    { tokens: number; }
->(
-    "fleet.lendPrepaid",
-    z.object({ account: z.string().min(1).max(256), tokens: count, rank: count, isHeldForAsker: z.boolean() }),
-);
+const loanSchema = z.object({
+    account: z.string().min(1).max(256),
+    tokens: count,
+    rank: count,
+    /** The other holds the account for the asker too, so that it leaves nothing for itself alone. */
+    isHeldForAsker: z.boolean(),
+});
+/** What one router asks another to lend. */
+export type LoanRequest = z.infer<typeof loanSchema>;
+
+/** One router asks another for prepaid tokens. Answers how many it gives away for good. */
+export const lendPrepaidMethod = createPeerMethod<LoanRequest, { tokens: number; }>("fleet.lendPrepaid", loanSchema);
