A controller that forgets a silent upstream has its routers told everything anew

Found by reading over: ten minutes after an upstream had fallen silent the controller forgot it, and a router that goes by news would have taken it for heard, since it was no longer named as unheard. Red first: upstreamNews.test.ts.

--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -95,7 +95,7 @@
     /** Everything known, for a router that asks for no news. */
     list(): HeardRegistration[] {
         const now = this.clock.getMonotonicMs();
-        this.registry.forgetOld(now);
+        this.changes.forgetOld(now);
         return this.registry.list(now);
     }
 
--- a/src/domain/upstreamChanges.ts
+++ b/src/domain/upstreamChanges.ts
@@ -7,7 +7,7 @@
 
 /** How far a router has been told. */
 export interface ChangeCursor {
-    /** New at each start of the controller: numbers begin anew then. */
+    /** New at each start of the controller, and where it has forgotten an upstream that fell silent: all is told anew then. */
     readonly epoch: string;
     /** Of the newest change that was told. */
     readonly number: number;
@@ -30,10 +30,13 @@
 
 export class UpstreamChanges {
     private newest = 0;
+    /** How often upstreams were forgotten that had fallen silent. */
+    private forgotten = 0;
     /** The newest change of each upstream, by its id. */
     private readonly numbers = new Map<string, number>();
 
-    constructor(private readonly registry: UpstreamRegistry, private readonly epoch: string) {}
+    /** `start`: names this start of the controller. */
+    constructor(private readonly registry: UpstreamRegistry, private readonly start: string) {}
 
     /** Notes that routers have to hear of an upstream. */
     note(id: string): void {
@@ -45,18 +48,22 @@
     createNews(since: ChangeCursor | undefined, unheardMs: number, now: number): UpstreamNews {
         this.forgetOld(now);
         const all = this.registry.list(now);
-        const isWhole = since === undefined || since.epoch !== this.epoch || since.number > this.newest;
+        const epoch = `${this.start}.${this.forgotten}`;
+        const isWhole = since === undefined || since.epoch !== epoch || since.number > this.newest;
         const changed = isWhole
             ? all
             : all.filter(({ registration }) => (this.numbers.get(registration.id) ?? 0) > since.number);
         const unheard = all
             .filter(({ registration, ageMs }) => ageMs > unheardMs && registration.state !== "gone")
             .map(({ registration, ageMs }) => ({ id: registration.id, ageMs }));
-        return { cursor: { epoch: this.epoch, number: this.newest }, isWhole, changed, unheard };
+        return { cursor: { epoch, number: this.newest }, isWhole, changed, unheard };
     }
 
-    private forgetOld(now: number): void {
-        this.registry.forgetOld(now);
+    /** What has long been gone or silent. A router that goes by news would take one that is named no more for heard. */
+    forgetOld(now: number): void {
+        if (this.registry.forgetOld(now)) {
+            this.forgotten += 1;
+        }
         for (const id of this.numbers.keys()) {
             if (this.registry.tryGet(id) === undefined) {
                 this.numbers.delete(id);
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -168,17 +168,20 @@
         }
     }
 
-    /** Forgets what has long been gone or silent. */
-    forgetOld(now: number): void {
+    /** Forgets what has long been gone or silent. Answers whether any of it was not known to be gone. */
+    forgetOld(now: number): boolean {
+        let hasForgottenSilent = false;
         for (const [id, { registration, heardAt }] of this.entries) {
             const keepMs = registration.state === "gone" ? KEEP_GONE_MS : KEEP_SILENT_MS;
             if (now - heardAt > keepMs) {
                 this.entries.delete(id);
+                hasForgottenSilent ||= registration.state !== "gone";
                 if (this.holders.get(registration.address) === id) {
                     this.holders.delete(registration.address);
                 }
             }
         }
+        return hasForgottenSilent;
     }
 
     /** Everything known, with its age at `now`. */
--- a/test/daemons/upstreamNews.test.ts
+++ b/test/daemons/upstreamNews.test.ts
@@ -113,6 +113,20 @@
     t.end();
 });
 
+void t.test("one that is silent for so long that the controller forgets it does not come back", t => {
+    const { changes, report } = createWorld();
+    const router = new UpstreamRegistry();
+    const followed = new FollowedUpstreams(UNHEARD_MS);
+    report(createRegistration("1"), 0);
+    report(createRegistration("2"), 0);
+    for (let now = 0; now <= 620_000; now += 1_000) {
+        report(createRegistration("1", { sequence: 2 + now }), now);
+        take(router, followed, changes.createNews(followed.tryGetCursor(), UNHEARD_MS, now), now);
+    }
+    t.same(router.getReady("s", 620_000, SILENCE_MS).map(({ id }) => id), ["1"]);
+    t.end();
+});
+
 void t.test("a router that missed hundreds of changes catches up with one answer", t => {
     const { changes, report } = createWorld();
     const router = new UpstreamRegistry();
