--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -38,10 +38,10 @@
 }
 
 /** Plays all seeds. `holder`: the router that holds all accounts for the others, if one does. */
-function playWorlds(t: Test, holder: string | undefined): void {
+function playWorlds(t: Test, holder: string | undefined, hasLateLoans = false): void {
     for (let seed = 1; seed <= SEEDS; seed++) {
         const generator = xoroshiro128plus(seed);
-        const world = new PrepaidWorld(() => (generator.next() >>> 0) / 2 ** 32, holder);
+        const world = new PrepaidWorld(() => (generator.next() >>> 0) / 2 ** 32, holder, hasLateLoans);
         try {
             for (let step = 0; step < STEPS; step++) {
                 world.step();
@@ -58,6 +58,8 @@
 
 void t.test("none is overspent either where one router holds the accounts for all", t => playWorlds(t, "r2"));
 
+void t.test("... nor where loans come after their requests have been refused", t => playWorlds(t, "r2", true));
+
 void t.test("a router that runs anew gives back what its predecessor cannot have spent", t => {
     const book = createBook();
     book.applyReport(createReport({}, 0), 1);
--- a/test/tools/prepaidWorld.ts
+++ b/test/tools/prepaidWorld.ts
@@ -37,6 +37,10 @@
 /** Late reports wait at most so long, in milliseconds. */
 const MAX_DELAY_MS = 3_000;
 
+/** Part of the loans whose answer comes in time, and of those that it comes for at all where late ones do. */
+const LOANS_IN_TIME = 0.8;
+const LOANS_EVER = 0.9;
+
 /** How purses of tests size what they ask for. */
 export const testPurseOptions: PrepaidPurseOptions = {
     horizonMs: 10_000,
@@ -61,6 +65,13 @@
     readonly tokens: number;
 }
 
+interface LateLoan {
+    readonly borrower: RouterLife;
+    readonly account: string;
+    readonly tokens: number;
+    readonly dueAt: number;
+}
+
 interface RouterLife {
     readonly incarnation: string;
     readonly startedAt: number;
@@ -99,9 +110,17 @@
     private late: LateReport[] = [];
     private now = 10_000;
     private lifeCount = 0;
-
-    /** `random` answers a number in [0, 1). `holder`: the router that holds all accounts for the others, if one does. */
-    constructor(private readonly random: () => number, private readonly holder?: string) {
+    private lateLoans: LateLoan[] = [];
+
+    /**
+     * `random` answers a number in [0, 1). `holder`: the router that holds all accounts for the others, if one does.
+     * `hasLateLoans`: half of the loans whose answer does not come in time come later, and are lost otherwise.
+     */
+    constructor(
+        private readonly random: () => number,
+        private readonly holder?: string,
+        private readonly hasLateLoans = false,
+    ) {
         ACCOUNTS.forEach((account, i) => this.prepaid.set(account, FIRST_PREPAID * (i + 1)));
         this.applyLimits();
         ROUTERS.forEach(router => this.startRouter(router));
@@ -110,6 +129,7 @@
     step(): void {
         this.now += Math.floor(this.random() * 60);
         this.deliverLate();
+        this.takeLateLoans();
         const router = this.pick(ROUTERS);
         const life = this.lives.get(router)!;
         const draw = this.random();
@@ -399,9 +419,25 @@
                 this.holder === this.findRouter(lender),
                 this.now - lender.startedAt,
             );
-        if (this.random() < 0.8) {
+        const draw = this.random();
+        if (draw < LOANS_IN_TIME) {
             borrower.purse.addBorrowed(account, lent);
         }
+        else if (this.hasLateLoans && draw < LOANS_EVER) {
+            const delayMs = (draw - LOANS_IN_TIME) / (LOANS_EVER - LOANS_IN_TIME) * MAX_DELAY_MS;
+            this.lateLoans.push({ borrower, account, tokens: lent, dueAt: this.now + delayMs });
+        }
+    }
+
+    /** What comes for a router that has ended meanwhile is lost: its connections have gone with it. */
+    private takeLateLoans(): void {
+        const due = this.lateLoans.filter(({ dueAt }) => dueAt <= this.now);
+        this.lateLoans = this.lateLoans.filter(({ dueAt }) => dueAt > this.now);
+        for (const { borrower, account, tokens } of due) {
+            if ([...this.lives.values()].includes(borrower)) {
+                borrower.purse.addBorrowed(account, tokens);
+            }
+        }
     }
 
     private isHolder(router: string): boolean {
