--- a/test/tools/runTests.ts
+++ b/test/tools/runTests.ts
@@ -74,6 +74,8 @@
 const failed = results.filter(result => !result.passed);
 const unexpected = failed.filter(result => !isKnownRed(result.name));
 failed.filter(result => isKnownRed(result.name)).forEach(result => console.log(`known red: ${result.name}`));
+const hasResult = (line: string): boolean => results.some(result => line.startsWith(`${result.name},`));
+knownRed.filter(line => !hasResult(line)).forEach(line => console.log(`known red, played by hand only: ${line}`));
 unexpected.forEach(result => console.log(`failed: ${result.name}`));
 const passed = results.length - failed.length;
 const brokeOff = code !== 0 && failed.length === 0;
