The pace to a cold upstream holds while routers come and go

Found by reading over: each change of the routers began the pace anew, so that during a rolling restart a router sent 200 requests in 10 s where 50 are its part (coldSharing.test.ts, red first). What each upstream was sent last is kept.

--- a/src/domain/coldSharing.ts
+++ b/src/domain/coldSharing.ts
@@ -16,8 +16,10 @@
 interface ColdShare {
     /** Least time between two requests of this router; Infinity where other routers use the upstream. */
     readonly spacingMs: number;
-    /** When this router may send the next one. */
-    nextAt: number;
+    /** When this router may send the first one. */
+    readonly firstAt: number;
+    /** When it sent the newest one; kept where routers come and go, so that the pace holds. */
+    sentAt: number;
 }
 
 /**
@@ -33,8 +35,12 @@
 export class ColdSharing {
     /** By the key of a life. */
     private readonly shares = new Map<string, ColdShare>();
+    /** When an upstream was sent to last under the shares before, by the key of its life. */
+    private sentAt: ReadonlyMap<string, number> = new Map();
     private others: readonly string[] = [];
     private count = 1;
+    /** The shares were made for other routers. */
+    private isNewSharing = false;
     /** Whether the others have been told for long enough that few are missing. */
     private isSettled = false;
 
@@ -48,7 +54,7 @@
     setOthers(others: readonly string[], count: number): void {
         this.others = others;
         this.count = count;
-        this.shares.clear();
+        this.isNewSharing = true;
     }
 
     /** From here on this router uses cold upstreams. Right after a start it knows too few of the others to share with them. */
@@ -58,29 +64,43 @@
 
     /** When this router may next send to a cold upstream; Infinity where it may not. `perSecond`: what the upstream bears. */
     getOpenAt(upstream: UpstreamRegistration, perSecond: number, now: number): number {
-        return this.isSettled ? this.getShare(upstream, perSecond, now).nextAt : Infinity;
+        if (!this.isSettled) {
+            return Infinity;
+        }
+        const { firstAt, sentAt, spacingMs } = this.getShare(upstream, perSecond, now);
+        return Math.max(firstAt, sentAt + spacingMs);
     }
 
     /** Notes a request that is being sent to a cold upstream. */
     recordSend(upstream: UpstreamRegistration, perSecond: number, now: number): void {
-        const share = this.getShare(upstream, perSecond, now);
-        share.nextAt = now + share.spacingMs;
+        this.getShare(upstream, perSecond, now).sentAt = now;
     }
 
     private getShare(upstream: UpstreamRegistration, perSecond: number, now: number): ColdShare {
+        this.dropShares();
         const key = getLifeKey(upstream);
-        let share = this.shares.get(key);
-        if (share === undefined) {
-            const spacingMs = this.computeSpacingMs(key, perSecond);
-            // Routers learn of an upstream at the same moment: they begin at moments of their own.
-            const nextAt = spacingMs === Infinity ? Infinity : now + this.random() * spacingMs;
-            share = { spacingMs, nextAt };
-            this.shares.set(key, share);
-            this.forgetOldest();
+        const known = this.shares.get(key);
+        if (known !== undefined) {
+            return known;
         }
+        const spacingMs = this.computeSpacingMs(key, perSecond);
+        // Routers learn of an upstream at the same moment: they begin at moments of their own.
+        const firstAt = spacingMs === Infinity ? Infinity : now + this.random() * spacingMs;
+        const share = { spacingMs, firstAt, sentAt: this.sentAt.get(key) ?? -Infinity };
+        this.shares.set(key, share);
+        this.forgetOldest();
         return share;
     }
 
+    /** Makes shares anew for other routers, but for when each upstream was sent to. */
+    private dropShares(): void {
+        if (this.isNewSharing) {
+            this.isNewSharing = false;
+            this.sentAt = new Map([...this.shares].map(([key, { sentAt }]) => [key, sentAt]));
+            this.shares.clear();
+        }
+    }
+
     private computeSpacingMs(lifeKey: string, perSecond: number): number {
         const known = [this.self, ...this.others];
         const users = Math.max(1, Math.min(known.length, Math.floor(perSecond)));
--- a/test/domain/coldSharing.test.ts
+++ b/test/domain/coldSharing.test.ts
@@ -106,6 +106,24 @@
     t.end();
 });
 
+void t.test("the pace holds while routers come and go", t => {
+    const sharing = new ColdSharing("r1", () => 0);
+    sharing.settle();
+    const upstream = createUpstream("u");
+    let sent = 0;
+    for (let now = 0; now < 10_000; now += 10) {
+        if (now % 50 === 0) {
+            sharing.setOthers(Array.from({ length: 1 + now / 50 % 2 }, (_, i) => `r${i + 2}`), 3);
+        }
+        if (sharing.getOpenAt(upstream, COLD_PER_SECOND, now) <= now) {
+            sharing.recordSend(upstream, COLD_PER_SECOND, now);
+            sent += 1;
+        }
+    }
+    t.ok(sent <= 10 * COLD_PER_SECOND / 2, `${sent} in 10 s by one of two or three routers`);
+    t.end();
+});
+
 void t.test("a router that has just started leaves cold upstreams to the others", t => {
     const sharing = new ColdSharing("r1", () => 0);
     const upstream = createUpstream("u");
