--- a/src/daemons/bundleController/evacuationService.ts
+++ b/src/daemons/bundleController/evacuationService.ts
@@ -33,7 +33,7 @@
      * controller that has just started, or is cut off from the zone, cannot tell it from one that has no upstream yet.
      * Throws objectInvalid, noMajority where it was certainly not taken, changeUnknown where it may have been.
      */
-    async order(zone: string, isEvacuated: boolean): Promise<void> {
+    async setEvacuated(zone: string, isEvacuated: boolean): Promise<void> {
         if (zone === "" || zone.length > MAX_ZONE_LENGTH) {
             throw new RefusalError(createRefusal("objectInvalid", `a zone's name of ${zone.length} characters`));
         }
