Routers see what upstreams say of themselves: limit, leaving, rest

Decoded once in the adapter now, kept by life, logged on change and counted. No decision goes by it yet.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -1,5 +1,6 @@
 /** One sending of a request to one upstream: passes the answer on as it arrives and says what came of it. */
 import { EventSplitter } from "../../domain/eventSplitter.js";
+import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type {
     DirectUpstreams,
@@ -68,6 +69,8 @@
     readonly shouldRetryFailed: () => boolean;
     /** Silence after which it is given up, in milliseconds; undefined where it is waited for. */
     readonly silenceMs: number | undefined;
+    /** Called with what the upstream says of itself, where it certainly is the one that was sent to. */
+    readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the body of the answer begins. */
     readonly onFirstByte: () => void;
 }
@@ -133,6 +136,10 @@
         if (!head.isOwn) {
             return this.rejectAnswer("the answer belongs to another request");
         }
+        // What neither is signed nor turns the request away may come from anything between.
+        if (!head.isFromAnother && (head.isSigned || head.isNotRun)) {
+            this.options.onSignals(head.signals);
+        }
         if (head.isNotRun) {
             const cause = head.isFromAnother ? "replaced" : "full";
             return this.reject({ type: "notRun", cause, reason: `status ${head.status}` });
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -17,6 +17,7 @@
     type UpstreamRegistration,
     UpstreamRegistry,
 } from "../../domain/upstreamRegistry.js";
+import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
 import type { Clock } from "../../ports/clock.js";
@@ -44,6 +45,7 @@
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
+import { SignalReceiver } from "./signalReceiver.js";
 
 /** What a router goes by. Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
@@ -73,6 +75,7 @@
     private index: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
+    private readonly signals: SignalReceiver;
     private readonly others: OtherRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private running = 0;
@@ -105,6 +108,7 @@
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
         const coldSharing = new ColdSharing(options.address, Math.random);
+        this.signals = new SignalReceiver(this.registry, clock, log, metrics);
         this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, coldSharing);
         this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer, coldSharing);
     }
@@ -270,6 +274,10 @@
         }
     }
 
+    override recordSignals(upstream: UpstreamRegistration, signals: UpstreamSignals, sentAt: number): void {
+        this.signals.record(upstream, signals, sentAt);
+    }
+
     override getRetryBudget(service: string): RetryBudget {
         let budget = this.retryBudgets.get(service);
         if (budget === undefined) {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -6,6 +6,7 @@
 import type { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
@@ -73,6 +74,8 @@
     abstract getMaxUpstreamAgeMs(): number;
     /** Notes that another upstream was met at the address of one, and tells the controllers. */
     abstract recordReplaced(upstream: UpstreamRegistration): void;
+    /** Takes what an upstream says of itself beside the answer to a request that was sent to it at `sentAt`. */
+    abstract recordSignals(upstream: UpstreamRegistration, signals: UpstreamSignals, sentAt: number): void;
     /** Connections that this router may hold to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
     /** The budget of retries that the requests to a service share. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -143,6 +143,7 @@
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
+        const sentAt = performance.now();
         const mayMove = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
         return new Attempt(this.context.upstreams, {
             call: {
@@ -160,6 +161,7 @@
             isResumable: route.kind === "stream" && route.isResumable,
             shouldRetryFailed: () => this.isRepeatable() && this.mayTryAgain(),
             silenceMs: mayMove ? Math.max(options.leastSilenceMs, route.goalMs * options.silenceGoals) : undefined,
+            onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
             onFirstByte: () => this.context.load.recordFirstByte(placement, performance.now()),
         });
     }
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -9,7 +9,7 @@
 import { chooseByRendezvous } from "./identifiers.js";
 import { MovingRate } from "./movingAverage.js";
 import { type QueuedPrompt, ReadingQueue, ReadingSpeed, type ReadingSpeedOptions } from "./readingQueue.js";
-import { getLifeKey, type UpstreamRegistration } from "./upstreamRegistry.js";
+import { getLifeKey, type UpstreamLife, type UpstreamRegistration } from "./upstreamRegistry.js";
 
 /** A part of a prompt that other prompts may share. */
 export interface PromptPart {
@@ -65,9 +65,6 @@
     readonly failureCostMs: number;
 }
 
-/** One life of an upstream. */
-export type UpstreamLife = Pick<UpstreamRegistration, "id" | "bornAt">;
-
 interface Load {
     running: number;
     readonly speed: ReadingSpeed;
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -33,14 +33,26 @@
     readonly isReplaced?: boolean | undefined;
 }
 
+/** What an upstream last said of the requests that it takes from all routers together. */
+export interface HeardLimit {
+    /** Requests a second; undefined where it named no limit any more. */
+    readonly perSecond?: number | undefined;
+    readonly ageMs: number;
+}
+
 /** A registration and how long ago it was heard. */
 export interface HeardRegistration {
     readonly registration: UpstreamRegistration;
     readonly ageMs: number;
+    /** Left out where the upstream has never named a limit in this life. */
+    readonly limit?: HeardLimit | undefined;
 }
 
+/** One life of an upstream. */
+export type UpstreamLife = Pick<UpstreamRegistration, "id" | "bornAt">;
+
 /** Names one life of an upstream among all of all upstreams: what is believed of an upstream ends with its life. */
-export function getLifeKey({ id, bornAt }: Pick<UpstreamRegistration, "id" | "bornAt">): string {
+export function getLifeKey({ id, bornAt }: UpstreamLife): string {
     return bornAt === undefined ? id : `${id}@${bornAt}`;
 }
 
@@ -54,6 +66,10 @@
     readonly lifeHeardAt: number;
     /** The id has had an earlier life. */
     readonly hasEarlierLife: boolean;
+    /** Requests a second that it takes from all routers together; undefined where it names no limit. */
+    limitPerSecond: number | undefined;
+    /** When it last said whether it has a limit; -Infinity where it has never named one. */
+    limitSaidAt: number;
 }
 
 /** How long an upstream that is gone is remembered, so that a late report does not bring it back. Milliseconds. */
@@ -65,6 +81,8 @@
  * or so, so one that is silent for longer has probably ended.
  */
 const HOLD_ADDRESS_MS = 3_000;
+/** A limit counts as another one from this part of change on: one that falls and rises all the time is not told each time. */
+const LEAST_LIMIT_CHANGE = 0.1;
 /** By how much longer an upstream has to be cold than it said before for routers to be told: its reports come late. Milliseconds. */
 const LEAST_COLDER_MS = 500;
 /** How late a message of an upstream may come, in milliseconds: cuts hold messages back for up to 9 s. */
@@ -90,6 +108,8 @@
                 coldUntil,
                 lifeHeardAt: heardAt,
                 hasEarlierLife,
+                limitPerSecond: undefined,
+                limitSaidAt: -Infinity,
             });
             this.tryTakeAddress(registration, heardAt, 0);
             return "state";
@@ -186,10 +206,13 @@
 
     /** Everything known, with its age at `now`. */
     list(now: number): HeardRegistration[] {
-        return [...this.entries.values()].map(({ registration, heardAt }) => ({
-            registration,
-            ageMs: Math.max(0, Math.round(now - heardAt)),
-        }));
+        return [...this.entries.values()].map(entry => createHeard(entry, now));
+    }
+
+    /** What is known of an upstream, with its age at `now`; undefined where it is forgotten, or another life has begun. */
+    tryGetHeard(life: UpstreamLife, now: number): HeardRegistration | undefined {
+        const entry = this.tryGetEntry(life);
+        return entry === undefined ? undefined : createHeard(entry, now);
     }
 
     /** The upstreams of a service that hold their address, take new work and were heard within `maxAgeMs`. */
@@ -229,10 +252,42 @@
         return entry === undefined ? -Infinity : entry.coldUntil ?? entry.lifeHeardAt + coldStartMs;
     }
 
+    /**
+     * Takes what an upstream said at `saidAt` of its limit. Answers whether that is another limit than was known; what was
+     * said earlier than what is known is left alone.
+     */
+    recordLimit(life: UpstreamLife, perSecond: number | undefined, saidAt: number): boolean {
+        const entry = this.tryGetEntry(life);
+        if (entry === undefined || saidAt < entry.limitSaidAt) {
+            return false;
+        }
+        entry.limitSaidAt = saidAt;
+        if (!isOtherLimit(perSecond, entry.limitPerSecond)) {
+            return false;
+        }
+        entry.limitPerSecond = perSecond;
+        return true;
+    }
+
+    /** Requests a second that an upstream takes from all routers together; undefined where it names no limit. */
+    tryGetLimit(life: UpstreamLife): number | undefined {
+        return this.tryGetEntry(life)?.limitPerSecond;
+    }
+
+    /** When an upstream last said whether it has a limit; -Infinity where it has never named one. Monotonic clock. */
+    getLimitSaidAt(life: UpstreamLife): number {
+        return this.tryGetEntry(life)?.limitSaidAt ?? -Infinity;
+    }
+
     /** What is known now of the same life of an upstream; `registration` itself where that is forgotten, or another has begun. */
     getNewest(registration: UpstreamRegistration): UpstreamRegistration {
-        const known = this.tryGet(registration.id);
-        return known !== undefined && getLifeKey(known) === getLifeKey(registration) ? known : registration;
+        return this.tryGetEntry(registration)?.registration ?? registration;
+    }
+
+    /** Undefined where the life is forgotten, or another has begun. */
+    private tryGetEntry(life: UpstreamLife): Entry | undefined {
+        const entry = this.entries.get(life.id);
+        return entry !== undefined && getLifeKey(entry.registration) === getLifeKey(life) ? entry : undefined;
     }
 
     /** What an upstream last said of itself, also where it is gone. */
@@ -241,6 +296,20 @@
     }
 }
 
+function createHeard({ registration, heardAt, limitPerSecond, limitSaidAt }: Entry, now: number): HeardRegistration {
+    const countAge = (at: number) => Math.max(0, Math.round(now - at));
+    const heard = { registration, ageMs: countAge(heardAt) };
+    return limitSaidAt === -Infinity
+        ? heard
+        : { ...heard, limit: { perSecond: limitPerSecond, ageMs: countAge(limitSaidAt) } };
+}
+
+function isOtherLimit(told: number | undefined, known: number | undefined): boolean {
+    return told === undefined || known === undefined
+        ? told !== known
+        : Math.abs(told - known) > LEAST_LIMIT_CHANGE * Math.max(told, known);
+}
+
 /** Until when an upstream is cold by its own word of `heardAt`; undefined where it says nothing of it. */
 function tryGetColdUntil({ coldLeftMs }: UpstreamRegistration, heardAt: number): number | undefined {
     return coldLeftMs === undefined ? undefined : heardAt + coldLeftMs;
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -1,5 +1,6 @@
 /** How a router reaches upstreams itself: one request, passed on byte for byte, and what came of it. */
 import type { UpstreamRegistration } from "../domain/upstreamRegistry.js";
+import type { UpstreamSignals } from "../domain/upstreamSignals.js";
 
 /** A caller's request as it is passed on. */
 export interface PassedRequest {
@@ -44,6 +45,8 @@
     readonly isSigned: boolean;
     /** The answer itself says where it ends; otherwise it ends with its connection, also when it was cut short. */
     readonly isFramed: boolean;
+    /** What the upstream says of its own state. */
+    readonly signals: UpstreamSignals;
 }
 
 /** Why an answer did not come, or did not come whole. */
--- /dev/null
+++ b/test/platform/engineSignals.test.ts
@@ -0,0 +1,47 @@
+/** What engines say of themselves in headers, also where it makes no sense. */
+import t from "tap";
+import { decodeSignals } from "../../platform/engineSignals.js";
+
+const NOW = Date.parse("2026-03-10T11:00:00Z");
+
+function decode(status: number, headers: Record<string, string>) {
+    return decodeSignals(status, new Map(Object.entries(headers)), NOW);
+}
+
+void t.test("nothing is said", t => {
+    const nothing = { limitPerSecond: undefined, isLeaving: false, restMs: undefined, unreadable: [] };
+    t.same(decode(200, {}), nothing);
+    t.same(decode(200, { "retry-after": "3" }), nothing, "an answer that turns nobody away asks for no rest");
+    t.end();
+});
+
+void t.test("a limit is a decimal number", t => {
+    t.equal(decode(200, { "server-limit": "1" }).limitPerSecond, 1);
+    t.equal(decode(503, { "server-limit": " 0.25 " }).limitPerSecond, 0.25);
+    t.equal(decode(200, { "server-limit": "0" }).limitPerSecond, 0);
+    for (const value of ["", "-1", "many", "1e3", "1,2", "99999999999", "9999999", "NaN"]) {
+        const signals = decode(200, { "server-limit": value });
+        t.equal(signals.limitPerSecond, undefined, value);
+        t.same(signals.unreadable, [`server-limit=${value}`]);
+    }
+    t.end();
+});
+
+void t.test("leaving is 1", t => {
+    t.equal(decode(200, { "server-leaving": "1" }).isLeaving, true);
+    t.equal(decode(200, { "server-leaving": "0" }).isLeaving, false);
+    t.same(decode(200, { "server-leaving": "soon" }).unreadable, ["server-leaving=soon"]);
+    t.end();
+});
+
+void t.test("a rest is asked for in seconds or until a date", t => {
+    t.equal(decode(503, { "retry-after": "3" }).restMs, 3_000);
+    t.equal(decode(503, { "retry-after": "0.5" }).restMs, 500);
+    t.equal(decode(429, { "retry-after": "Tue, 10 Mar 2026 11:00:07 GMT" }).restMs, 7_000);
+    t.equal(decode(429, { "retry-after": "Tue, 10 Mar 2026 10:00:00 GMT" }).restMs, 0);
+    for (const value of ["-3", "later", "", "1/2"]) {
+        t.equal(decode(503, { "retry-after": value }).restMs, undefined, value);
+        t.same(decode(503, { "retry-after": value }).unreadable, [`retry-after=${value}`]);
+    }
+    t.end();
+});
