--- /dev/null
+++ b/test/tools/signallingEngine.ts
@@ -0,0 +1,71 @@
+/** An engine that says of itself what a test wants: a limit, that it leaves, a rest. It counts what reaches it, and from whom. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { DirectFleet } from "./directFleet.js";
+
+/** How long it works on a request, so that what comes meanwhile is spread over the engines. Milliseconds. */
+const WORK_MS = 20;
+
+/** Pause between two reports, in milliseconds. */
+const REPORT_MS = 400;
+
+/** A request that reached the engine. */
+export interface Arrival {
+    /** The router that sent it: callers begin the ids of their attempts with it. */
+    readonly router: string;
+    /** Monotonic clock, milliseconds. */
+    readonly at: number;
+}
+
+export class SignallingEngine {
+    readonly arrivals: Arrival[] = [];
+    /** Added to every answer. */
+    headers: Record<string, string> = {};
+    /** Headers with which it turns requests away; undefined where it runs them. */
+    turnsAwayWith: Record<string, string> | undefined;
+    private sequence = 0;
+    private reports: NodeJS.Timeout | undefined;
+
+    constructor(
+        private readonly fleet: DirectFleet,
+        readonly id: string,
+        private readonly box: string,
+        private readonly service = "plain",
+    ) {}
+
+    /** Listens and goes on reporting itself to a controller until `close`. */
+    async start(controller: string): Promise<void> {
+        const address = await this.fleet.startEngine(this.box, (message, response) => this.serve(message, response));
+        await this.report(controller, address);
+        this.reports = setInterval(() => void this.report(controller, address), REPORT_MS);
+    }
+
+    close(): void {
+        clearInterval(this.reports);
+    }
+
+    private async report(controller: string, address: string): Promise<void> {
+        this.sequence += 1;
+        const known = { backend: this.service, address, zone: "z", slots: 8, state: "ready", cold_left_ms: 0 };
+        const url = this.fleet.getOperatorUrl(controller, `/loomwinch/instances/${this.id}`);
+        // A report that is lost is made good by the next one.
+        await this.fleet.call("PUT", url, { ...known, seqno: this.sequence }).catch(() => undefined);
+    }
+
+    /** The most arrivals within `spanMs` from `from` on, of those in `routers`. */
+    countBusiest(from: number, spanMs: number): number {
+        const times = this.arrivals.map(({ at }) => at).filter(at => at >= from);
+        return Math.max(0, ...times.map(start => times.filter(at => at >= start && at < start + spanMs).length));
+    }
+
+    private serve(message: IncomingMessage, response: ServerResponse): void {
+        const attempt = String(message.headers["attempt-id"]);
+        this.arrivals.push({ router: attempt.split("-")[0]!, at: performance.now() });
+        const head = { ...this.headers, "Attempt-Id": attempt };
+        if (this.turnsAwayWith !== undefined) {
+            response.writeHead(503, { ...head, ...this.turnsAwayWith, "Not-Executed": "1", "Content-Length": 0 }).end();
+            return;
+        }
+        const type = { "Instance-Signature": "sig", "Content-Type": "text/event-stream" };
+        setTimeout(() => response.writeHead(200, { ...head, ...type }).end("id: 1\ndata: x\n\n"), WORK_MS);
+    }
+}
