Upstreams that name a limit are sent no more than it by all routers together

What callers' operators saw: engines in need named 1 request a second and got 36 in 4 s from routers that had been told (11 tolerated). Cause: of an answer's head nothing was read that an upstream says of itself. Ruled out: a bound that each router keeps alone, and requests that wait and leave late; the arrivals a second were the same before and after the word (4 to 13).

The word is kept by life beside the registration, the routers share the rate as they share a cold upstream's, and tell each other through the controllers what is new. Its end needs an answer without it to a request from after the newest word; a tenth of the limit is left for trials by routers that do not use the upstream, so that it is never left out for good. A caller who finds all upstreams limited is refused at once and told when some router may take it.

upstreamLimits.test: 332 in 4 s before, within 11 now; its end is used by all routers again.

--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -78,11 +78,16 @@
     /** Takes what another controller has heard; it has told the routers itself. */
     receive(upstreams: readonly HeardRegistration[]): void {
         const now = this.clock.getMonotonicMs();
-        for (const { registration, ageMs } of upstreams) {
-            if (this.registry.record(registration, now - ageMs) === "state") {
+        for (const heard of upstreams) {
+            const { registration, ageMs } = heard;
+            const hasNewState = this.registry.record(registration, now - ageMs) === "state";
+            if (hasNewState) {
                 this.logState(registration, "controller");
+            }
+            const hasNewLimit = this.recordLimit(heard, now);
+            if (hasNewState || hasNewLimit) {
                 // A router that cannot hear the other controller hears it from this one.
-                this.tellRouters({ registration, ageMs });
+                this.tellRouters(heard);
             }
         }
     }
@@ -99,6 +104,23 @@
         return this.registry.list(now);
     }
 
+    /** Takes what an upstream has told a router of its limit. Answers whether that is another one. */
+    private recordLimit({ registration, limit }: HeardRegistration, now: number): boolean {
+        if (limit === undefined) {
+            return false;
+        }
+        const isNew = this.registry.recordLimit(registration, limit.perSecond, now - limit.ageMs);
+        if (isNew) {
+            this.log.info("upstream_limit", {
+                upstream: registration.id,
+                per_second: limit.perSecond,
+                source: "router",
+                age_ms: limit.ageMs,
+            });
+        }
+        return isNew;
+    }
+
     private spread(registration: UpstreamRegistration): void {
         this.tellRouters({ registration, ageMs: 0 });
         this.tellControllers([registration]);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,9 +1,9 @@
 /** A router that reaches its upstreams itself: keeps what the controllers say in force and serves callers by it. */
 import { BundleIndex, type BundleService, pickTarget } from "../../domain/bundle.js";
-import { ColdSharing } from "../../domain/coldSharing.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationBook.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import { RateSharing } from "../../domain/rateSharing.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
@@ -46,6 +46,7 @@
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
 import { SignalReceiver } from "./signalReceiver.js";
+import { UpstreamTeller } from "./upstreamTeller.js";
 
 /** What a router goes by. Times in milliseconds. */
 export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
@@ -67,6 +68,11 @@
 /** How often what belongs to upstreams that are long gone is forgotten, in milliseconds. */
 const FORGET_PERIOD_MS = 10_000;
 
+/** How often gauges are set, in milliseconds. */
+const GAUGE_PERIOD_MS = 1_000;
+/** Part of a limit by which the routers that do not use an upstream find out whether it still names it. */
+const LIMIT_TRIAL_PART = 0.1;
+
 /** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
@@ -75,12 +81,14 @@
     private index: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
     private readonly feeds: ControllerFeeds;
+    private readonly teller: UpstreamTeller;
     private readonly signals: SignalReceiver;
     private readonly others: OtherRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
     private running = 0;
     private stopping = false;
     private forgetTimer: NodeJS.Timeout | undefined;
+    private gaugeTimer: NodeJS.Timeout | undefined;
     private refusing = false;
     private wasReady = false;
     /** When a controller last answered, and since when they have done so without a gap. */
@@ -100,17 +108,19 @@
         holders: TokenHolders,
         private readonly sharer: PlacementSharer,
         override readonly quarantine: RequestQuarantine,
-        private readonly network: PeerNetwork,
+        network: PeerNetwork,
         private readonly clock: Clock,
         readonly loop: LoopWatch,
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
-        const coldSharing = new ColdSharing(options.address, Math.random);
-        this.signals = new SignalReceiver(this.registry, clock, log, metrics);
-        this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, coldSharing);
-        this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer, coldSharing);
+        const cold = new RateSharing(options.address, Math.random, 0);
+        const limits = new RateSharing(options.address, Math.random, LIMIT_TRIAL_PART);
+        this.teller = new UpstreamTeller(network, log, () => this.getControllers());
+        this.signals = new SignalReceiver(this.registry, heard => this.teller.tell(heard), clock, log, metrics);
+        this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, cold, limits);
+        this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer, [cold, limits]);
     }
 
     /** Registers what controllers tell over the connections that this router opens. */
@@ -129,6 +139,7 @@
         this.quarantine.start();
         this.borrower.start();
         this.forgetTimer = setInterval(() => this.forgetUpstreams(), FORGET_PERIOD_MS);
+        this.gaugeTimer = setInterval(() => this.signals.setGauges(), GAUGE_PERIOD_MS);
         // Idle connections have probably been closed meanwhile; a request that may run only once would be lost on one.
         this.loop.onTimeMissed(() => this.upstreams.forgetExcept(new Set()));
     }
@@ -181,6 +192,7 @@
     /** Ends a planned stop: gives back what is left of the grants. */
     async finishStop(): Promise<void> {
         clearInterval(this.forgetTimer);
+        clearInterval(this.gaugeTimer);
         this.borrower.stop();
         this.borrower.returnLoans();
         this.feeds.stop();
@@ -266,18 +278,17 @@
         }
         this.upstreams.forget(upstream.address);
         this.log.info("upstream_replaced", { upstream: upstream.id, address: upstream.address });
-        for (const controller of this.getControllers()) {
-            this.network.connect(controller).then(
-                peer => peer.notify(upstreamNoticeMethod, { upstreams: [{ registration: gone, ageMs: 0 }] }),
-                error => this.log.info("replacement_not_told", { controller, error: String(error) }),
-            );
-        }
+        this.teller.tell({ registration: gone, ageMs: 0 });
     }
 
     override recordSignals(upstream: UpstreamRegistration, signals: UpstreamSignals, sentAt: number): void {
         this.signals.record(upstream, signals, sentAt);
     }
 
+    override recordLimitedSending(): void {
+        this.recorder.recordLimitedSending();
+    }
+
     override getRetryBudget(service: string): RetryBudget {
         let budget = this.retryBudgets.get(service);
         if (budget === undefined) {
@@ -412,7 +423,8 @@
 
     private receiveUpstreams(upstreams: readonly HeardRegistration[]): void {
         const now = this.clock.getMonotonicMs();
-        for (const { registration, ageMs } of upstreams) {
+        for (const heard of upstreams) {
+            const { registration, ageMs } = heard;
             const before = this.registry.tryGet(registration.id);
             if (this.registry.record(registration, now - ageMs) === "state") {
                 this.dropEarlierConnections(before, this.registry.tryGet(registration.id));
@@ -425,6 +437,7 @@
                     age_ms: ageMs,
                 });
             }
+            this.signals.receive(heard);
         }
     }
 }
--- a/src/daemons/directRouter/otherRouters.ts
+++ b/src/daemons/directRouter/otherRouters.ts
@@ -1,6 +1,6 @@
 /** The other routers: who and how many they are, and which parts of this router have to know when that changes. */
-import type { ColdSharing } from "../../domain/coldSharing.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
+import type { RateSharing } from "../../domain/rateSharing.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { KnownRouters } from "./knownRouters.js";
@@ -27,7 +27,7 @@
         private readonly purse: PrepaidPurse,
         private readonly holders: TokenHolders,
         private readonly sharer: PlacementSharer,
-        private readonly coldSharing: ColdSharing,
+        private readonly sharings: readonly RateSharing[],
     ) {
         this.known = new KnownRouters(address);
     }
@@ -46,7 +46,7 @@
         const others = this.known.list();
         const count = Math.max(1 + others.length, reporting);
         if (now - heardSince > SETTLE_MS) {
-            this.coldSharing.settle();
+            this.sharings.forEach(sharing => sharing.settle());
         }
         const hasNewCount = count !== this.count;
         this.count = count;
@@ -58,7 +58,8 @@
             this.sharer.setOthers(others);
         }
         if (hasNewOthers || hasNewCount) {
-            this.coldSharing.setOthers(others.map(({ address }) => address), count);
+            const known = others.map(({ address }) => address);
+            this.sharings.forEach(sharing => sharing.setOthers(known, count));
             this.updateHoldings();
         }
         this.sharer.keepLinks();
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -76,6 +76,8 @@
     abstract recordReplaced(upstream: UpstreamRegistration): void;
     /** Takes what an upstream says of itself beside the answer to a request that was sent to it at `sentAt`. */
     abstract recordSignals(upstream: UpstreamRegistration, signals: UpstreamSignals, sentAt: number): void;
+    /** Notes a sending to an upstream that names a limit. */
+    abstract recordLimitedSending(): void;
     /** Connections that this router may hold to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
     /** The budget of retries that the requests to a service share. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -4,6 +4,7 @@
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { isWorthSending } from "../../domain/sendingTime.js";
+import type { ClosedCause } from "../../domain/upstreamCandidates.js";
 import type { BrokenRequest } from "../../domain/upstreamEndCommands.js";
 import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
@@ -37,6 +38,8 @@
     private lastReason = "";
     /** How long until an upstream may take the request that none could just now, in milliseconds; undefined where nobody knows. */
     private candidateWaitMs: number | undefined;
+    /** Why the upstreams that take new work did not get it. */
+    private closedCauses: readonly ClosedCause[] = [];
 
     constructor(
         private readonly context: RelayContext,
@@ -104,8 +107,9 @@
         const { request, service } = this.resolved;
         const { load, candidates } = this.context;
         const now = performance.now();
-        const { upstreams, waitMs } = candidates.list(service, now, this.context.getMaxUpstreamAgeMs());
+        const { upstreams, waitMs, closed } = candidates.list(service, now, this.context.getMaxUpstreamAgeMs());
         this.candidateWaitMs = waitMs;
+        this.closedCauses = closed;
         const terms = {
             tried: this.tried,
             routers: this.context.getRouterCount(),
@@ -121,7 +125,10 @@
         const { request } = this.resolved;
         const now = performance.now();
         const started = load.recordStart(placement, request, now);
-        this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
+        const isLimited = this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
+        if (isLimited) {
+            this.context.recordLimitedSending();
+        }
         this.context.sharePlacement(placement, request);
         const attempt = this.createAttempt(started);
         this.attempt = attempt;
@@ -282,7 +289,10 @@
     /** The refusal where no upstream may take the request now; the caller is told when one may, where that is known. */
     private createUnplacedRefusal(): Refusal {
         const { retryAfterMs } = this.context.options;
-        return createRefusal("noUpstream", this.lastReason, "no", Math.max(retryAfterMs, this.candidateWaitMs ?? 0));
+        const reason = this.closedCauses.length > 0
+            ? `upstreams are ${formatCauses(this.closedCauses)}`
+            : this.lastReason;
+        return createRefusal("noUpstream", reason, "no", Math.max(retryAfterMs, this.candidateWaitMs ?? 0));
     }
 
     private createLateRefusal(): Refusal {
@@ -314,6 +324,13 @@
     }
 }
 
+/** Each cause once, with how many upstreams it closes. */
+function formatCauses(causes: readonly ClosedCause[]): string {
+    const counts = new Map<string, number>();
+    causes.forEach(cause => counts.set(cause, 1 + (counts.get(cause) ?? 0)));
+    return [...counts].map(([cause, count]) => `${cause} (${count})`).join(", ");
+}
+
 /** What an outcome says of its upstream; undefined where the router broke off and it says nothing. */
 function tryGetLoadOutcome(outcome: AttemptOutcome): LoadOutcome | undefined {
     switch (outcome.type) {
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -39,6 +39,11 @@
         });
     }
 
+    /** Notes a sending to an upstream that names a limit. */
+    recordLimitedSending(): void {
+        this.metrics.addCount("limited_sendings");
+    }
+
     /** Notes a refusal, or an answer that was broken off. */
     recordRefused(request: RelayRequest, refusal: Refusal, story: RefusalStory): void {
         this.metrics.addCount("requests_refused");
--- a/src/daemons/directRouter/signalReceiver.ts
+++ b/src/daemons/directRouter/signalReceiver.ts
@@ -1,5 +1,5 @@
 /** Takes what upstreams say of themselves beside their answers: notes it where the choice looks, and logs each change. */
-import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { HeardRegistration, UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -12,8 +12,10 @@
     /** When something unreadable was logged last. Monotonic clock, milliseconds. */
     private unreadableLoggedAt = -Infinity;
 
+    /** `tell`: tells the other routers. */
     constructor(
         private readonly registry: UpstreamRegistry,
+        private readonly tell: (heard: HeardRegistration) => void,
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly metrics: Metrics,
@@ -28,6 +30,29 @@
         }
     }
 
+    /** Takes what a controller tells that an upstream said to another router. */
+    receive({ registration, limit }: HeardRegistration): void {
+        if (limit === undefined) {
+            return;
+        }
+        const before = this.registry.tryGetLimit(registration);
+        const saidAt = this.clock.getMonotonicMs() - limit.ageMs;
+        if (this.registry.recordLimit(registration, limit.perSecond, saidAt)) {
+            this.log.info("upstream_limit", {
+                upstream: registration.id,
+                per_second: limit.perSecond,
+                before,
+                source: "controller",
+                age_ms: limit.ageMs,
+            });
+        }
+    }
+
+    /** Sets the gauges of upstreams by what they say. */
+    setGauges(): void {
+        this.metrics.setGauge("upstreams_limited", this.registry.countLimited());
+    }
+
     private recordLimit(
         upstream: UpstreamRegistration,
         { limitPerSecond, unreadable }: UpstreamSignals,
@@ -40,13 +65,15 @@
         if (isLate || saysNothing) {
             return;
         }
-        if (this.registry.recordLimit(upstream, limitPerSecond, this.clock.getMonotonicMs())) {
+        const now = this.clock.getMonotonicMs();
+        if (this.registry.recordLimit(upstream, limitPerSecond, now)) {
             this.log.info("upstream_limit", {
                 upstream: upstream.id,
                 per_second: limitPerSecond,
                 before,
                 source: "answer",
             });
+            this.tell(this.registry.tryGetHeard(upstream, now)!);
         }
     }
 
--- /dev/null
+++ b/src/daemons/directRouter/upstreamTeller.ts
@@ -0,0 +1,28 @@
+/** Tells the controllers what this router has found out about an upstream; they tell the other routers. */
+import type { HeardRegistration } from "../../domain/upstreamRegistry.js";
+import type { Log } from "../../ports/log.js";
+import type { PeerNetwork } from "../../ports/peer.js";
+import { upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
+
+export class UpstreamTeller {
+    constructor(
+        private readonly network: PeerNetwork,
+        private readonly log: Log,
+        private readonly getControllers: () => readonly string[],
+    ) {}
+
+    /** All controllers are told, since some may be cut off from others. */
+    tell(heard: HeardRegistration): void {
+        for (const controller of this.getControllers()) {
+            this.network.connect(controller).then(
+                peer => peer.notify(upstreamNoticeMethod, { upstreams: [heard] }),
+                error =>
+                    this.log.info("upstream_not_told", {
+                        upstream: heard.registration.id,
+                        controller,
+                        error: String(error),
+                    }),
+            );
+        }
+    }
+}
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -274,6 +274,13 @@
         return this.tryGetEntry(life)?.limitPerSecond;
     }
 
+    /** Upstreams that name a limit and are not gone. */
+    countLimited(): number {
+        const entries = [...this.entries.values()];
+        return entries.filter(entry => entry.limitPerSecond !== undefined && entry.registration.state !== "gone")
+            .length;
+    }
+
     /** When an upstream last said whether it has a limit; -Infinity where it has never named one. Monotonic clock. */
     getLimitSaidAt(life: UpstreamLife): number {
         return this.tryGetEntry(life)?.limitSaidAt ?? -Infinity;
@@ -287,7 +294,7 @@
     /** Undefined where the life is forgotten, or another has begun. */
     private tryGetEntry(life: UpstreamLife): Entry | undefined {
         const entry = this.entries.get(life.id);
-        return entry !== undefined && getLifeKey(entry.registration) === getLifeKey(life) ? entry : undefined;
+        return entry !== undefined && entry.registration.bornAt === life.bornAt ? entry : undefined;
     }
 
     /** What an upstream last said of itself, also where it is gone. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -51,7 +51,11 @@
 export type SuspectList = z.infer<typeof suspectListSchema>;
 export type ToldSuspect = SuspectList["suspects"][number];
 
-const heardSchema = z.object({ registration: registrationSchema, ageMs: count }) satisfies z.ZodType<HeardRegistration>;
+const heardSchema = z.object({
+    registration: registrationSchema,
+    ageMs: count,
+    limit: z.object({ perSecond: z.number().min(0).optional(), ageMs: count }).optional(),
+}) satisfies z.ZodType<HeardRegistration>;
 
 /** What a controller knows, for a router that follows it. */
 export interface FollowAnswer {
--- a/test/domain/coldSharing.test.ts
+++ b/test/domain/coldSharing.test.ts
@@ -8,7 +8,7 @@
  */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import t from "tap";
-import { ColdSharing } from "../../src/domain/coldSharing.js";
+import { RateSharing } from "../../src/domain/rateSharing.js";
 import type { UpstreamRegistration } from "../../src/domain/upstreamRegistry.js";
 
 const COLD_PER_SECOND = 10;
@@ -41,7 +41,7 @@
     const arrivals = new Map(upstreams.map(upstream => [upstream.id, [] as number[]]));
     const names = Array.from({ length: routers }, (_, i) => `10.0.${seed}.${i}:7340`);
     for (const name of names) {
-        const sharing = new ColdSharing(name, draw);
+        const sharing = new RateSharing(name, draw, 0);
         const others = names.filter(other => other !== name && draw() >= unknownPart);
         sharing.setOthers(others, routers);
         sharing.settle();
@@ -107,7 +107,7 @@
 });
 
 void t.test("the pace holds while routers come and go", t => {
-    const sharing = new ColdSharing("r1", () => 0);
+    const sharing = new RateSharing("r1", () => 0, 0);
     sharing.settle();
     const upstream = createUpstream("u");
     let sent = 0;
@@ -125,7 +125,7 @@
 });
 
 void t.test("a router that has just started leaves cold upstreams to the others", t => {
-    const sharing = new ColdSharing("r1", () => 0);
+    const sharing = new RateSharing("r1", () => 0, 0);
     const upstream = createUpstream("u");
     t.equal(sharing.getOpenAt(upstream, COLD_PER_SECOND, 0), Infinity);
     sharing.settle();
--- a/test/domain/upstreamCandidates.test.ts
+++ b/test/domain/upstreamCandidates.test.ts
@@ -1,8 +1,8 @@
 /** Which upstreams may be sent to: evacuated zones, cold upstreams, and what is told when there is none. */
 import t from "tap";
 import type { BundleService } from "../../src/domain/bundle.js";
-import { ColdSharing } from "../../src/domain/coldSharing.js";
 import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
+import { RateSharing } from "../../src/domain/rateSharing.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
 import { type UpstreamRegistration, UpstreamRegistry } from "../../src/domain/upstreamRegistry.js";
 
@@ -17,10 +17,13 @@
 function createWorld() {
     const registry = new UpstreamRegistry();
     const zones = new EvacuatedZones();
-    const sharing = new ColdSharing("r1", () => 0.5);
-    sharing.setOthers(["r2"], 2);
-    sharing.settle();
-    const candidates = new UpstreamCandidates(registry, zones, sharing);
+    const sharing = new RateSharing("r1", () => 0.5, 0);
+    const limits = new RateSharing("r1", () => 0.5, 0.1);
+    for (const each of [sharing, limits]) {
+        each.setOthers(["r2"], 2);
+        each.settle();
+    }
+    const candidates = new UpstreamCandidates(registry, zones, sharing, limits);
     const list = (now: number) => candidates.list(SERVICE, now, Infinity);
     const listIds = (now: number) => list(now).upstreams.map(({ id }) => id);
     return { registry, zones, sharing, candidates, list, listIds };
@@ -33,7 +36,7 @@
     zones.record({ index: 1, zones: ["a"] }, 10);
     t.same(listIds(10), ["v"]);
     zones.record({ index: 2, zones: ["a", "b"] }, 20);
-    t.same(list(20), { upstreams: [], waitMs: undefined });
+    t.same(list(20), { upstreams: [], waitMs: undefined, closed: [] });
     t.end();
 });
 
@@ -65,7 +68,7 @@
 void t.test("where all are cold, it is told when one may be sent to", t => {
     const { registry, list } = createWorld();
     registry.record(createRegistration({ coldLeftMs: 2_000 }), 0);
-    t.same(list(0), { upstreams: [], waitMs: 100 });
+    t.same(list(0), { upstreams: [], waitMs: 100, closed: ["cold"] });
     t.end();
 });
 
--- a/test/platform/upstreamLimits.test.ts
+++ b/test/platform/upstreamLimits.test.ts
@@ -3,6 +3,13 @@
  *
  * What users saw: model engines named a limit of 1 a second in their answers and got 28 to 36 requests in 4 s from routers that
  * had been told, 11 being tolerated.
+ *
+ * The order of events: an upstream begins to name a limit; each router gets answers that say so within a second; each goes on
+ * choosing the upstream by its load alone, which falls as the upstream gets slow work done.
+ *
+ * The cause: of an answer's head a router read whether and what had run, and nothing that the upstream says of itself. What
+ * showed it: the requests that reached the upstream each second were the same before and after it began to speak, so
+ * neither a bound of each router nor what was decided before can have been at work.
  */
 import t from "tap";
 import { DirectCallers } from "../tools/directCallers.js";
@@ -26,6 +33,15 @@
 const engines = ["e1", "e2", "e3"].map((id, i) => new SignallingEngine(fleet, id, `r${11 + i}`));
 const [limited] = engines as [SignallingEngine];
 
+/** What each router believes of an upstream's limit. */
+function getLimits(id: string): (number | undefined)[] {
+    return ROUTERS.map(router => {
+        const { registry } = fleet.routers.get(router)!.role.daemon;
+        const known = registry.tryGet(id);
+        return known === undefined ? NaN : registry.tryGetLimit(known);
+    });
+}
+
 void t.test("an upstream that names a limit", async t => {
     await fleet.open();
     t.teardown(async () => {
@@ -56,4 +72,36 @@
         t.ok(busiest <= MOST_IN_SPAN, `${busiest} in ${SPAN_MS} ms`);
         t.same(statuses.filter(status => status !== 200), [], "callers are served by the others");
     });
+
+    await t.test("gets its part from all of them as soon as it names no limit any more", async t => {
+        limited.headers = {};
+        const endedAt = performance.now();
+        await waitUntil("all routers use it again", () => {
+            const since = limited.arrivals.filter(({ at }) => at > endedAt);
+            return ROUTERS.every(name => since.filter(({ router }) => router === name).length > CALLERS);
+        });
+        t.same(statuses.filter(status => status !== 200), []);
+    });
+
+    await t.test("is not held to it when another upstream has its address", async t => {
+        limited.headers = { "Server-Limit": "0" };
+        await waitUntil("routers know", () => getLimits(limited.id).every(limit => limit === 0));
+        limited.id = "e4";
+        await waitUntil("the other one is known", () => getLimits("e4").every(limit => limit === undefined));
+        t.same(statuses.filter(status => status !== 200), []);
+    });
+
+    await t.test("is refused for at once where nobody else is there, with when to come back", async t => {
+        engines.forEach(engine => engine.headers = { "Server-Limit": "0.5" });
+        const named = engines.map(({ id }) => id);
+        await waitUntil("routers know", () => named.every(id => getLimits(id).every(limit => limit === 0.5)));
+        await callers.stop();
+        const answers = await Promise.all(ROUTERS.flatMap(router => [callers.call(router), callers.call(router)]));
+        const refused = answers.filter(({ status }) => status !== 200);
+        t.ok(refused.length > 0, "more came than all upstreams take");
+        for (const { status, retryAfter } of refused) {
+            t.equal(status, 503);
+            t.ok(Number(retryAfter) > 0 && Number(retryAfter) <= 2, `come back in ${retryAfter} s`);
+        }
+    });
 });
--- a/test/tools/signallingEngine.ts
+++ b/test/tools/signallingEngine.ts
@@ -27,7 +27,7 @@
 
     constructor(
         private readonly fleet: DirectFleet,
-        readonly id: string,
+        public id: string,
         private readonly box: string,
         private readonly service = "plain",
     ) {}
