--- /dev/null
+++ b/test/platform/upstreamRests.test.ts
@@ -0,0 +1,71 @@
+/**
+ * An upstream that turns a request away and asks the router for rest.
+ *
+ * What users saw: overloaded upstreams answered 503 and asked for 3 s of rest; the router that was told sent them a third and
+ * a fourth request within that time, and callers were turned away by an upstream that had said so before.
+ */
+import t from "tap";
+import { DirectCallers } from "../tools/directCallers.js";
+import { DirectFleet } from "../tools/directFleet.js";
+import { SignallingEngine } from "../tools/signallingEngine.js";
+import { wait, waitUntil } from "../tools/waiting.js";
+import { createWireBundle } from "../tools/wireBundle.js";
+
+const NETWORK = 96;
+const ROUTERS = ["r1", "r2"];
+const CALLERS = 4;
+const CALL_PAUSE_MS = 20;
+const REST_MS = 3_000;
+/** What was under way may still arrive for so long. Milliseconds. */
+const UNDER_WAY_MS = 500;
+/** Requests that may reach an upstream from one router during its rest. */
+const MOST_IN_REST = 2;
+const fleet = new DirectFleet(NETWORK);
+const callers = new DirectCallers(fleet);
+const engines = ["e1", "e2", "e3"].map((id, i) => new SignallingEngine(fleet, id, `r${11 + i}`));
+const [tired] = engines as [SignallingEngine];
+
+/** Requests of a router in the rest that it was asked for first. */
+function countInRest(name: string): number {
+    const own = tired.arrivals.filter(({ router }) => router === name);
+    const askedAt = own.find(({ isTurnedAway }) => isTurnedAway)!.at;
+    return own.filter(({ at }) => at > askedAt + UNDER_WAY_MS && at < askedAt + REST_MS).length;
+}
+
+void t.test("an upstream that asks for rest", async t => {
+    await fleet.open();
+    t.teardown(async () => {
+        await callers.stop();
+        engines.forEach(engine => engine.close());
+        await fleet.close();
+    });
+    await Promise.all(["c1", "c2", "c3"].map(box => fleet.startController(box, true)));
+    await fleet.putBundle("c1", createWireBundle(1));
+    await Promise.all(ROUTERS.map(box => fleet.startRouter(box)));
+    for (const engine of engines) {
+        await engine.start("c1");
+    }
+    const statuses: number[] = [];
+    for (const router of ROUTERS) {
+        await waitUntil("callers are answered", async () => (await callers.call(router)).status === 200);
+        for (let i = 0; i < CALLERS; i++) {
+            callers.start(router, CALL_PAUSE_MS, status => statuses.push(status));
+        }
+    }
+    await waitUntil("all routers use it", () => new Set(tired.arrivals.map(({ router }) => router)).size === 2);
+
+    await t.test("gets nothing more from the router that was told, also where it has answered others since", async t => {
+        tired.turnsAwayWith = { "Retry-After": String(REST_MS / 1_000) };
+        await waitUntil("both are told", () => {
+            const told = tired.arrivals.filter(({ isTurnedAway }) => isTurnedAway);
+            return new Set(told.map(({ router }) => router)).size === 2;
+        });
+        tired.turnsAwayWith = undefined;
+        await wait(REST_MS + UNDER_WAY_MS);
+        for (const router of ROUTERS) {
+            const count = countInRest(router);
+            t.ok(count <= MOST_IN_REST, `${count} from ${router}`);
+        }
+        t.same(statuses.filter(status => status !== 200), [], "callers are served by the others");
+    });
+});
--- a/test/tools/signallingEngine.ts
+++ b/test/tools/signallingEngine.ts
@@ -14,6 +14,7 @@
     readonly router: string;
     /** Monotonic clock, milliseconds. */
     readonly at: number;
+    readonly isTurnedAway: boolean;
 }
 
 export class SignallingEngine {
@@ -59,7 +60,8 @@
 
     private serve(message: IncomingMessage, response: ServerResponse): void {
         const attempt = String(message.headers["attempt-id"]);
-        this.arrivals.push({ router: attempt.split("-")[0]!, at: performance.now() });
+        const isTurnedAway = this.turnsAwayWith !== undefined;
+        this.arrivals.push({ router: attempt.split("-")[0]!, at: performance.now(), isTurnedAway });
         const head = { ...this.headers, "Attempt-Id": attempt };
         if (this.turnsAwayWith !== undefined) {
             response.writeHead(503, { ...head, ...this.turnsAwayWith, "Not-Executed": "1", "Content-Length": 0 }).end();
