An upstream that asks a router for rest gets nothing more from it until then

What callers saw: turned away by upstreams that had asked for 3 s of rest a moment before, while seven others stood ready. Cause: Retry-After was not read; the router's own pause of 100 ms after a request that was turned away ended with the next good answer to another one. Ruled out: requests that wait for a connection; those that broke the rule came 2.2 and 2.7 s later.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -17,6 +17,7 @@
     type UpstreamRegistration,
     UpstreamRegistry,
 } from "../../domain/upstreamRegistry.js";
+import { UpstreamRests } from "../../domain/upstreamRests.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
@@ -115,11 +116,12 @@
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.feeds = new ControllerFeeds(network, clock, log, this, options);
+        const rests = new UpstreamRests();
         const cold = new RateSharing(options.address, Math.random, 0);
         const limits = new RateSharing(options.address, Math.random, LIMIT_TRIAL_PART);
         this.teller = new UpstreamTeller(network, log, () => this.getControllers());
-        this.signals = new SignalReceiver(this.registry, heard => this.teller.tell(heard), clock, log, metrics);
-        this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, cold, limits);
+        this.signals = new SignalReceiver(this.registry, rests, heard => this.teller.tell(heard), clock, log, metrics);
+        this.candidates = new UpstreamCandidates(this.registry, this.evacuatedZones, rests, cold, limits);
         this.others = new OtherRouters(options.address, options.assumedRouters, purse, holders, sharer, [cold, limits]);
     }
 
--- a/src/daemons/directRouter/signalReceiver.ts
+++ b/src/daemons/directRouter/signalReceiver.ts
@@ -1,5 +1,6 @@
 /** Takes what upstreams say of themselves beside their answers: notes it where the choice looks, and logs each change. */
 import type { HeardRegistration, UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
+import type { UpstreamRests } from "../../domain/upstreamRests.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -15,6 +16,7 @@
     /** `tell`: tells the other routers. */
     constructor(
         private readonly registry: UpstreamRegistry,
+        private readonly rests: UpstreamRests,
         private readonly tell: (heard: HeardRegistration) => void,
         private readonly clock: Clock,
         private readonly log: Log,
@@ -51,6 +53,7 @@
     /** Sets the gauges of upstreams by what they say. */
     setGauges(): void {
         this.metrics.setGauge("upstreams_limited", this.registry.countLimited());
+        this.metrics.setGauge("upstreams_resting", this.rests.count(this.clock.getMonotonicMs()));
     }
 
     private recordLimit(
@@ -79,8 +82,7 @@
 
     private logOthers(upstream: UpstreamRegistration, { restMs, isLeaving }: UpstreamSignals): void {
         if (restMs !== undefined) {
-            this.metrics.addCount("upstream_rests");
-            this.log.info("upstream_rest", { upstream: upstream.id, rest_ms: restMs });
+            this.recordRest(upstream, restMs);
         }
         if (isLeaving) {
             this.log.info("upstream_leaving", {
@@ -90,6 +92,21 @@
         }
     }
 
+    private recordRest(upstream: UpstreamRegistration, restMs: number): void {
+        const now = this.clock.getMonotonicMs();
+        const restedUntil = this.rests.getUntil(upstream);
+        const until = this.rests.record(upstream, restMs, now);
+        this.metrics.addCount("upstream_rests");
+        // Requests that were under way together are turned away together: one line says it.
+        if (restedUntil <= now) {
+            this.log.info("upstream_rest", {
+                upstream: upstream.id,
+                rest_ms: restMs,
+                kept_ms: Math.round(until - now),
+            });
+        }
+    }
+
     private logUnreadable(upstream: UpstreamRegistration, unreadable: readonly string[]): void {
         this.metrics.addCount("upstream_signals_unreadable");
         const now = this.clock.getMonotonicMs();
--- a/src/domain/upstreamCandidates.ts
+++ b/src/domain/upstreamCandidates.ts
@@ -1,14 +1,16 @@
 /**
  * Which upstreams a request may be sent to just now: those that take new work, outside of evacuated availability zones, and
- * of the cold ones and those that name a limit the ones that this router may send to at this moment.
+ * have not asked this router for rest; of the cold ones and those that name a limit the ones that this router may send to at
+ * this moment.
  */
 import type { BundleService } from "./bundle.js";
 import type { EvacuatedZones } from "./evacuatedZones.js";
 import type { RateSharing } from "./rateSharing.js";
 import type { UpstreamRegistration, UpstreamRegistry } from "./upstreamRegistry.js";
+import type { UpstreamRests } from "./upstreamRests.js";
 
 /** Why an upstream that takes new work gets none from this router at the moment. */
-export type ClosedCause = "cold" | "limited";
+export type ClosedCause = "cold" | "limited" | "resting";
 
 /** The choice at one moment. */
 export interface CandidateList {
@@ -31,6 +33,7 @@
     constructor(
         private readonly registry: UpstreamRegistry,
         private readonly zones: EvacuatedZones,
+        private readonly rests: UpstreamRests,
         private readonly cold: RateSharing,
         private readonly limits: RateSharing,
     ) {}
@@ -74,7 +77,8 @@
 
     /** What keeps an upstream closed for longest; undefined where it is open. */
     private tryGetClosure(upstream: UpstreamRegistration, service: BundleService, now: number): Closure | undefined {
-        return selectLonger(this.tryGetCold(upstream, service, now), this.tryGetLimited(upstream, now));
+        const bounded = selectLonger(this.tryGetCold(upstream, service, now), this.tryGetLimited(upstream, now));
+        return selectLonger(bounded, this.tryGetResting(upstream, now));
     }
 
     private tryGetCold(upstream: UpstreamRegistration, service: BundleService, now: number): Closure | undefined {
@@ -86,6 +90,11 @@
         return openAt <= now ? undefined : { cause: "cold", servedAt: openAt };
     }
 
+    private tryGetResting(upstream: UpstreamRegistration, now: number): Closure | undefined {
+        const servedAt = this.rests.getUntil(upstream);
+        return servedAt <= now ? undefined : { cause: "resting", servedAt };
+    }
+
     private tryGetLimited(upstream: UpstreamRegistration, now: number): Closure | undefined {
         const limit = this.registry.tryGetLimit(upstream);
         if (limit === undefined) {
--- a/test/domain/upstreamCandidates.test.ts
+++ b/test/domain/upstreamCandidates.test.ts
@@ -5,6 +5,7 @@
 import { RateSharing } from "../../src/domain/rateSharing.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
 import { type UpstreamRegistration, UpstreamRegistry } from "../../src/domain/upstreamRegistry.js";
+import { MOST_REST_MS, UpstreamRests } from "../../src/domain/upstreamRests.js";
 
 const SERVICE: BundleService = { name: "s", maxConnections: 8, coldPerSecond: 10, coldStartMs: 3_000 };
 
@@ -18,15 +19,16 @@
     const registry = new UpstreamRegistry();
     const zones = new EvacuatedZones();
     const sharing = new RateSharing("r1", () => 0.5, 0);
+    const rests = new UpstreamRests();
     const limits = new RateSharing("r1", () => 0.5, 0.1);
     for (const each of [sharing, limits]) {
         each.setOthers(["r2"], 2);
         each.settle();
     }
-    const candidates = new UpstreamCandidates(registry, zones, sharing, limits);
+    const candidates = new UpstreamCandidates(registry, zones, rests, sharing, limits);
     const list = (now: number) => candidates.list(SERVICE, now, Infinity);
     const listIds = (now: number) => list(now).upstreams.map(({ id }) => id);
-    return { registry, zones, sharing, candidates, list, listIds };
+    return { registry, zones, sharing, rests, candidates, list, listIds };
 }
 
 void t.test("an evacuated zone gets nothing, also where no other upstream is left", t => {
@@ -97,3 +99,38 @@
     t.equal(candidates.list(plain, 0, Infinity).upstreams.length, 1);
     t.end();
 });
+
+void t.test("the longest of several rests holds, and ends with the life that asked for it", t => {
+    const { registry, rests, list, listIds } = createWorld();
+    const first = createRegistration({ bornAt: 1 });
+    registry.record(first, 0);
+    rests.record(first, 3_000, 0);
+    rests.record(first, 500, 100);
+    t.same(list(1_000), { upstreams: [], waitMs: 2_000, closed: ["resting"] });
+    registry.record(createRegistration({ bornAt: 2 }), 1_000);
+    t.same(listIds(1_000), ["u"], "the next life has asked for nothing");
+    t.equal(rests.count(2_999), 1);
+    t.equal(rests.count(3_000), 0);
+    t.end();
+});
+
+void t.test("a rest without measure is kept to for a bounded time", t => {
+    const { registry, rests, listIds } = createWorld();
+    const upstream = createRegistration({});
+    registry.record(upstream, 0);
+    rests.record(upstream, 1e12, 0);
+    t.same(listIds(MOST_REST_MS - 1), []);
+    t.same(listIds(MOST_REST_MS), ["u"]);
+    t.end();
+});
+
+void t.test("an upstream that rests and names a limit is open when both allow it", t => {
+    const { registry, rests, list } = createWorld();
+    const upstream = createRegistration({});
+    registry.record(upstream, 0);
+    registry.recordLimit(upstream, 100, 0);
+    rests.record(upstream, 3_000, 0);
+    t.same(list(100), { upstreams: [], waitMs: 2_900, closed: ["resting"] });
+    t.equal(list(3_100).upstreams.length, 1);
+    t.end();
+});
--- a/test/platform/upstreamRests.test.ts
+++ b/test/platform/upstreamRests.test.ts
@@ -3,6 +3,13 @@
  *
  * What users saw: overloaded upstreams answered 503 and asked for 3 s of rest; the router that was told sent them a third and
  * a fourth request within that time, and callers were turned away by an upstream that had said so before.
+ *
+ * The order of events: an upstream turns a request away with a time of rest; the router sends nothing there for 100 ms; another
+ * request that the upstream runs meanwhile ends that pause; the router's next requests go there again.
+ *
+ * The cause: the time of rest was not read. The pause after a request that was turned away is a rule of the router's own, meant
+ * for upstreams that say nothing, and a good answer ends it. What showed it: requests of the same router reached the upstream
+ * 2.2 and 2.7 s after the rest was asked for, long after anything decided before could have been under way.
  */
 import t from "tap";
 import { DirectCallers } from "../tools/directCallers.js";
@@ -68,4 +75,26 @@
         }
         t.same(statuses.filter(status => status !== 200), [], "callers are served by the others");
     });
+
+    await t.test("is used again when the rest is over", async () => {
+        const since = performance.now();
+        await waitUntil("both use it", () => {
+            const arrivals = tired.arrivals.filter(({ at }) => at > since);
+            return new Set(arrivals.map(({ router }) => router)).size === 2;
+        });
+    });
+
+    await t.test("is refused for at once where all rest, with when the first rest ends", async t => {
+        await callers.stop();
+        engines.forEach((engine, i) => engine.turnsAwayWith = { "Retry-After": String(2 + i) });
+        await waitUntil("all have been asked", async () => {
+            await callers.call("r1");
+            return engines.every(({ arrivals }) => arrivals.at(-1)?.router === "r1" && arrivals.at(-1)!.isTurnedAway);
+        });
+        const before = engines.map(({ arrivals }) => arrivals.length);
+        const { status, retryAfter } = await callers.call("r1");
+        t.equal(status, 503);
+        t.ok(Number(retryAfter) > 0 && Number(retryAfter) <= 2, `come back in ${retryAfter} s`);
+        t.same(engines.map(({ arrivals }) => arrivals.length), before, "nobody was asked for it");
+    });
 });
--- a/test/tools/limitWorld.ts
+++ b/test/tools/limitWorld.ts
@@ -9,6 +9,7 @@
 import { RateSharing } from "../../src/domain/rateSharing.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
 import { type UpstreamRegistration, UpstreamRegistry } from "../../src/domain/upstreamRegistry.js";
+import { UpstreamRests } from "../../src/domain/upstreamRests.js";
 import { NO_SIGNALS } from "../../src/domain/upstreamSignals.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
@@ -126,9 +127,10 @@
         sharing.setOthers(others, names.length);
         sharing.settle();
         const cold = new RateSharing(name, () => this.draw(), 0);
-        const candidates = new UpstreamCandidates(registry, new EvacuatedZones(), cold, sharing);
+        const rests = new UpstreamRests();
+        const candidates = new UpstreamCandidates(registry, new EvacuatedZones(), rests, cold, sharing);
         const tell = (heard: Parameters<SignalReceiver["receive"]>[0]) => this.tellOthers(name, heard);
-        const receiver = new SignalReceiver(registry, tell, this.clock, new NoLog(), new NoMetrics());
+        const receiver = new SignalReceiver(registry, rests, tell, this.clock, new NoLog(), new NoMetrics());
         return { name, registry, sharing, candidates, receiver, toldAt: Infinity };
     }
 
