--- /dev/null
+++ b/test/platform/waitingRequests.test.ts
@@ -0,0 +1,66 @@
+/**
+ * Requests that wait for a connection to an upstream while it asks for rest.
+ *
+ * What users would see: a router holds few connections to an upstream, so that requests wait for one; the upstream turns the
+ * first away and asks for rest, and those that waited reach it one after the other, within the rest.
+ */
+import t from "tap";
+import { DirectCallers } from "../tools/directCallers.js";
+import { DirectFleet } from "../tools/directFleet.js";
+import { SignallingEngine } from "../tools/signallingEngine.js";
+import { wait, waitUntil } from "../tools/waiting.js";
+import { createWireBundle } from "../tools/wireBundle.js";
+
+const NETWORK = 97;
+/** Of all routers to one upstream. */
+const CONNECTIONS = 4;
+const REQUESTS = 24;
+/** How long the upstream takes until it turns a request away. Milliseconds. */
+const HOLD_MS = 200;
+/** What was under way may still arrive for so long. Milliseconds. */
+const UNDER_WAY_MS = 500;
+const REST_MS = 3_000;
+/** Requests that may reach an upstream from one router during its rest. */
+const MOST_IN_REST = 2;
+const fleet = new DirectFleet(NETWORK);
+const callers = new DirectCallers(fleet);
+const slow = new SignallingEngine(fleet, "e1", "r11");
+const spare = new SignallingEngine(fleet, "e2", "r12");
+
+void t.test("requests that wait for a connection to an upstream that asks for rest", async t => {
+    await fleet.open();
+    t.teardown(async () => {
+        [slow, spare].forEach(engine => engine.close());
+        await fleet.close();
+    });
+    await Promise.all(["c1", "c2", "c3"].map(box => fleet.startController(box, true)));
+    const bundle = createWireBundle(1);
+    bundle.backends.forEach(backend => backend.max_conns = CONNECTIONS);
+    await fleet.putBundle("c1", bundle);
+    await fleet.startRouter("r1");
+    await slow.start("c1");
+    await waitUntil("callers are answered", async () => (await callers.call("r1")).status === 200);
+    slow.workMs = HOLD_MS;
+    slow.turnsAwayWith = { "Retry-After": String(REST_MS / 1_000) };
+    const startedAt = performance.now();
+    const waiting = Array.from({ length: REQUESTS }, () => callers.call("r1"));
+    await waitUntil("all have come", () => fleet.routers.get("r1")!.role.daemon.getRunningCount() === REQUESTS);
+    await spare.start("c1");
+    const { registry } = fleet.routers.get("r1")!.role.daemon;
+    await waitUntil("the other one is known", () => registry.tryGet("e2") !== undefined);
+    const answers = await Promise.all(waiting);
+    await wait(Math.max(0, startedAt + HOLD_MS + REST_MS - performance.now()));
+
+    void t.test("leave for another one", t => {
+        const askedAt = startedAt + HOLD_MS;
+        const late = slow.arrivals.filter(({ at }) => at > askedAt + UNDER_WAY_MS && at < askedAt + REST_MS);
+        t.ok(late.length <= MOST_IN_REST, `${late.length} within the rest`);
+        t.end();
+    });
+
+    void t.test("are answered there", t => {
+        t.same(answers.filter(({ status }) => status !== 200), []);
+        t.end();
+    });
+    t.end();
+});
--- a/test/tools/signallingEngine.ts
+++ b/test/tools/signallingEngine.ts
@@ -2,9 +2,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { DirectFleet } from "./directFleet.js";
 
-/** How long it works on a request, so that what comes meanwhile is spread over the engines. Milliseconds. */
-const WORK_MS = 20;
-
 /** Pause between two reports, in milliseconds. */
 const REPORT_MS = 400;
 
@@ -21,6 +18,8 @@
     readonly arrivals: Arrival[] = [];
     /** Added to every answer. */
     headers: Record<string, string> = {};
+    /** How long it takes over a request, so that what comes meanwhile is spread over the engines. Milliseconds. */
+    workMs = 20;
     /** Headers with which it turns requests away; undefined where it runs them. */
     turnsAwayWith: Record<string, string> | undefined;
     private sequence = 0;
@@ -63,11 +62,15 @@
         const isTurnedAway = this.turnsAwayWith !== undefined;
         this.arrivals.push({ router: attempt.split("-")[0]!, at: performance.now(), isTurnedAway });
         const head = { ...this.headers, "Attempt-Id": attempt };
-        if (this.turnsAwayWith !== undefined) {
-            response.writeHead(503, { ...head, ...this.turnsAwayWith, "Not-Executed": "1", "Content-Length": 0 }).end();
-            return;
-        }
-        const type = { "Instance-Signature": "sig", "Content-Type": "text/event-stream" };
-        setTimeout(() => response.writeHead(200, { ...head, ...type }).end("id: 1\ndata: x\n\n"), WORK_MS);
+        const awayHead = { ...head, ...this.turnsAwayWith, "Not-Executed": "1", "Content-Length": 0 };
+        const runHead = { ...head, "Instance-Signature": "sig", "Content-Type": "text/event-stream" };
+        setTimeout(() => {
+            if (isTurnedAway) {
+                response.writeHead(503, awayHead).end();
+            }
+            else {
+                response.writeHead(200, runHead).end("id: 1\ndata: x\n\n");
+            }
+        }, this.workMs);
     }
 }
