What waited for a connection is not sent to an upstream that rests, leaves or names a limit since

What callers would see: 502 after a wait, from an upstream that had asked for rest before their request left, with another one free. Cause: whether an upstream may be sent to was asked at the choice only. Asked again when there is a connection: what is withheld is placed anew, at the cost of no attempt of its route and no mark against the upstream; its connection stays open.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -15,8 +15,15 @@
 export type AttemptOutcome =
     /** The caller has the whole answer. `status`: the upstream's. `isFramed`: the answer itself said where it ends. */
     | { readonly type: "answered"; readonly status: number; readonly isFramed: boolean; }
-    /** The upstream certainly has not run it. `replaced`: another upstream has taken its address. */
-    | { readonly type: "notRun"; readonly cause: "unreachable" | "full" | "replaced"; readonly reason: string; }
+    /**
+     * The upstream certainly has not run it. `replaced`: another upstream has taken its address. `withheld`: it was closed to
+     * this router while the request waited for a connection.
+     */
+    | {
+        readonly type: "notRun";
+        readonly cause: "unreachable" | "full" | "replaced" | "withheld";
+        readonly reason: string;
+    }
     /**
      * It may have run, and the caller does not have the whole answer. `cause`: its connection was lost, what came was no
      * answer to it, or nothing came for too long.
@@ -193,7 +200,8 @@
             this.settle({ type: "interrupted", cause: "connection", reason: failure.reason });
             return;
         }
-        this.settle({ type: "notRun", cause: "unreachable", reason: failure.reason });
+        const cause = failure.isWithheld ? "withheld" : "unreachable";
+        this.settle({ type: "notRun", cause, reason: failure.reason });
     }
 
     private passHead(head: UpstreamHead): void {
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -30,8 +30,8 @@
     private placement: Placement | undefined;
     private reservedAt = 0;
     private sendings = 0;
-    /** Sendings to upstreams that were not there any more: they count for no attempt of the route. */
-    private misdirected = 0;
+    /** Sendings that count for no attempt of the route: the upstream was not there any more, or nothing was sent after all. */
+    private uncounted = 0;
     /** Something under this request may have run. */
     private mayHaveRun = false;
     private endedEarly: "gone" | "late" | undefined;
@@ -130,7 +130,7 @@
             this.context.recordLimitedSending();
         }
         this.context.sharePlacement(placement, request);
-        const attempt = this.createAttempt(started);
+        const attempt = this.createAttempt(started, isLimited);
         this.attempt = attempt;
         this.sendings += 1;
         const outcome = this.endedEarly === undefined
@@ -146,7 +146,8 @@
         return outcome;
     }
 
-    private createAttempt(placement: StartedPlacement): Attempt {
+    /** `isLimited`: it counts towards a limit that the upstream names. */
+    private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
@@ -161,6 +162,7 @@
                 priority: Math.min(LOWEST_PRIORITY, accountRank * ROUTE_RANKS + route.rank),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
+                mayStart: () => this.context.candidates.mayStart(placement.upstream, isLimited, performance.now()),
             },
             sink: this.sink,
             progress: this.progress,
@@ -179,9 +181,12 @@
             this.context.load.recordOutcome(upstream, loadOutcome, performance.now());
         }
         if (outcome.type === "notRun" && outcome.cause === "replaced") {
-            this.misdirected += 1;
+            this.uncounted += 1;
             this.context.recordReplaced(upstream);
         }
+        if (outcome.type === "notRun" && outcome.cause === "withheld") {
+            this.uncounted += 1;
+        }
         if (outcome.type === "answered") {
             return;
         }
@@ -227,7 +232,9 @@
                 // The retry was paid for when the failed answer was held back.
                 return true;
             case "notRun":
-                return outcome.cause === "unreachable" ? this.hasTimeLeft() : this.mayTryAgain();
+                return outcome.cause === "unreachable" || outcome.cause === "withheld"
+                    ? this.hasTimeLeft()
+                    : this.mayTryAgain();
             case "interrupted":
                 return this.isRepeatable() && this.mayContinueAnswer() && this.mayTryAgain();
         }
@@ -244,7 +251,7 @@
     }
 
     private countAttempts(): number {
-        return this.sendings - this.misdirected;
+        return this.sendings - this.uncounted;
     }
 
     private hasTimeLeft(): boolean {
@@ -340,7 +347,7 @@
         case "interrupted":
             return "failed";
         case "notRun":
-            return outcome.cause === "replaced" ? undefined : outcome.cause;
+            return outcome.cause === "replaced" || outcome.cause === "withheld" ? undefined : outcome.cause;
         case "stopped":
             return undefined;
     }
--- a/src/domain/upstreamCandidates.ts
+++ b/src/domain/upstreamCandidates.ts
@@ -75,6 +75,26 @@
         return limit !== undefined;
     }
 
+    /**
+     * Whether a request that waited for a connection may still be sent. The upstream may have asked for rest meanwhile, may be
+     * leaving, or may name a limit since; `isCounted`: the request counts towards that already.
+     */
+    mayStart(upstream: UpstreamRegistration, isCounted: boolean, now: number): boolean {
+        const isLeaving = this.registry.getNewest(upstream).state !== "ready";
+        if (isLeaving || this.tryGetResting(upstream, now) !== undefined) {
+            return false;
+        }
+        const limit = this.registry.tryGetLimit(upstream);
+        if (limit === undefined || isCounted) {
+            return true;
+        }
+        if (this.limits.getOpenAt(upstream, limit, now) > now) {
+            return false;
+        }
+        this.limits.recordSend(upstream, limit, now);
+        return true;
+    }
+
     /** What keeps an upstream closed for longest; undefined where it is open. */
     private tryGetClosure(upstream: UpstreamRegistration, service: BundleService, now: number): Closure | undefined {
         const bounded = selectLonger(this.tryGetCold(upstream, service, now), this.tryGetLimited(upstream, now));
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -28,6 +28,8 @@
     readonly resumeAfter: string | undefined;
     /** Connections that this process may hold to the upstream. */
     readonly maxConnections: number;
+    /** Asked when there is a connection for the request, which may have waited for one: false where it is not to be sent now. */
+    readonly mayStart: () => boolean;
 }
 
 /** The head of an upstream's answer. */
@@ -53,6 +55,8 @@
 export interface UpstreamFailure {
     /** False where nothing of the request was sent, so that it certainly has not run. */
     readonly wasSent: boolean;
+    /** It was not sent because `mayStart` said so; the upstream is not at fault. */
+    readonly isWithheld: boolean;
     readonly reason: string;
 }
 
--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -41,6 +41,7 @@
         priority: 2,
         resumeAfter: undefined,
         maxConnections: 1,
+        mayStart: () => true,
         ...part,
     };
 }
--- a/test/platform/waitingRequests.test.ts
+++ b/test/platform/waitingRequests.test.ts
@@ -3,6 +3,10 @@
  *
  * What users would see: a router holds few connections to an upstream, so that requests wait for one; the upstream turns the
  * first away and asks for rest, and those that waited reach it one after the other, within the rest.
+ *
+ * The cause: whether an upstream may be sent to was asked when it was chosen, and not again when there was a connection; the
+ * time between has no bound but the caller's patience. What showed it: arrivals at the pace at which the upstream turned the
+ * ones before away, each of a request that had come before the rest was asked for.
  */
 import t from "tap";
 import { DirectCallers } from "../tools/directCallers.js";
