An upstream that says in its answers that it leaves gets nothing new

What callers would see: requests cut off by an upstream that ends though each of its answers had said so. Cause: only registrations were read for it, and these come late, or call it ready for longer. Kept by life now, told to the controllers like an upstream that was replaced, and taken back by nothing but its next life.

leavingUpstreams.test: new requests after 2 s as before the word; none now, also from routers that reach no controller.

--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -57,12 +57,14 @@
             throw new RefusalError(createRefusal("serviceUnknown", registration.service));
         }
         const change = this.registry.record(registration, this.clock.getMonotonicMs());
+        // What routers have found out stands beside what the upstream reports.
+        const known = this.registry.getNewest(registration);
         if (change === "state") {
-            this.logState(registration, "upstream");
-            this.spread(registration);
+            this.logState(known, "upstream");
+            this.spread(known);
         }
         else if (change === "beat") {
-            this.waiting.set(registration.id, registration);
+            this.waiting.set(known.id, known);
         }
     }
 
--- a/src/daemons/directRouter/signalReceiver.ts
+++ b/src/daemons/directRouter/signalReceiver.ts
@@ -26,7 +26,12 @@
     /** `sentAt`: when the request was sent that was answered so. Monotonic clock. */
     record(upstream: UpstreamRegistration, signals: UpstreamSignals, sentAt: number): void {
         this.recordLimit(upstream, signals, sentAt);
-        this.logOthers(upstream, signals);
+        if (signals.isLeaving) {
+            this.recordLeaving(upstream);
+        }
+        if (signals.restMs !== undefined) {
+            this.recordRest(upstream, signals.restMs);
+        }
         if (signals.unreadable.length > 0) {
             this.logUnreadable(upstream, signals.unreadable);
         }
@@ -53,6 +58,7 @@
     /** Sets the gauges of upstreams by what they say. */
     setGauges(): void {
         this.metrics.setGauge("upstreams_limited", this.registry.countLimited());
+        this.metrics.setGauge("upstreams_leaving", this.registry.countLeaving());
         this.metrics.setGauge("upstreams_resting", this.rests.count(this.clock.getMonotonicMs()));
     }
 
@@ -80,15 +86,12 @@
         }
     }
 
-    private logOthers(upstream: UpstreamRegistration, { restMs, isLeaving }: UpstreamSignals): void {
-        if (restMs !== undefined) {
-            this.recordRest(upstream, restMs);
-        }
-        if (isLeaving) {
-            this.log.info("upstream_leaving", {
-                upstream: upstream.id,
-                state: this.registry.getNewest(upstream).state,
-            });
+    private recordLeaving(upstream: UpstreamRegistration): void {
+        const now = this.clock.getMonotonicMs();
+        const before = this.registry.getNewest(upstream).state;
+        if (this.registry.recordLeaving(upstream, now)) {
+            this.log.info("upstream_leaving", { upstream: upstream.id, before });
+            this.tell(this.registry.tryGetHeard(upstream, now)!);
         }
     }
 
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -29,6 +29,8 @@
      * of this life shows that it goes on.
      */
     readonly mayReturn?: boolean | undefined;
+    /** It said in an answer that it leaves; its reports, which come late or not at all, may call it ready long after that. */
+    readonly isLeavingSaid?: boolean | undefined;
     /** Of one that is gone: another upstream was met at its address, whatever it has reported until then. */
     readonly isReplaced?: boolean | undefined;
 }
@@ -124,11 +126,7 @@
         if (!isNews(told, known.registration)) {
             return undefined;
         }
-        const registration = {
-            ...told,
-            bornAt: told.bornAt ?? known.registration.bornAt,
-            sequence: Math.max(told.sequence, known.registration.sequence),
-        };
+        const registration = mergeReports(told, known.registration);
         const changed = known.registration.state !== registration.state
             || known.registration.address !== registration.address
             || known.registration.slots !== registration.slots
@@ -281,11 +279,23 @@
             .length;
     }
 
+    /** Upstreams that leave, by their reports or by an answer. */
+    countLeaving(): number {
+        return [...this.entries.values()].filter(({ registration }) => registration.state === "leaving").length;
+    }
+
     /** When an upstream last said whether it has a limit; -Infinity where it has never named one. Monotonic clock. */
     getLimitSaidAt(life: UpstreamLife): number {
         return this.tryGetEntry(life)?.limitSaidAt ?? -Infinity;
     }
 
+    /** Notes that an upstream said in an answer that it leaves. Answers whether that is news. */
+    recordLeaving(life: UpstreamLife, heardAt: number): boolean {
+        const known = this.tryGetEntry(life)?.registration;
+        return known !== undefined && known.state !== "gone"
+            && this.record({ ...known, isLeavingSaid: true }, heardAt) === "state";
+    }
+
     /** What is known now of the same life of an upstream; `registration` itself where that is forgotten, or another has begun. */
     getNewest(registration: UpstreamRegistration): UpstreamRegistration {
         return this.tryGetEntry(registration)?.registration ?? registration;
@@ -342,6 +352,19 @@
     return told.bornAt !== undefined && known.bornAt !== undefined && told.bornAt < known.bornAt;
 }
 
+/** What is known of a life after one more report of it. */
+function mergeReports(told: UpstreamRegistration, known: UpstreamRegistration): UpstreamRegistration {
+    const isLeavingSaid = told.isLeavingSaid === true || known.isLeavingSaid === true;
+    // What a router tells of an answer may come with a report that is older than the known one.
+    const newest = told.state !== "gone" && told.sequence < known.sequence ? known : told;
+    return {
+        ...newest,
+        bornAt: told.bornAt ?? known.bornAt,
+        sequence: Math.max(told.sequence, known.sequence),
+        ...(isLeavingSaid ? { isLeavingSaid, state: newest.state === "gone" ? "gone" : "leaving" } : {}),
+    };
+}
+
 /** Whether a report says something new of the life that is known. The end of a life needs no newer number. */
 function isNews(told: UpstreamRegistration, known: UpstreamRegistration): boolean {
     if (known.state === "gone") {
@@ -350,7 +373,8 @@
     if (told.state === "gone") {
         return told.mayReturn !== true || told.isReplaced === true || told.sequence >= known.sequence;
     }
-    return told.sequence > known.sequence;
+    const hasSaidLeaving = told.isLeavingSaid === true && known.isLeavingSaid !== true;
+    return hasSaidLeaving || told.sequence > known.sequence;
 }
 
 /** Whether an end that names no life may be that of a life before the known one. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -33,6 +33,7 @@
     sequence: count,
     mayReturn: z.boolean().optional(),
     isReplaced: z.boolean().optional(),
+    isLeavingSaid: z.boolean().optional(),
     coldLeftMs: count.optional(),
 }) satisfies z.ZodType<UpstreamRegistration>;
 
--- a/test/domain/upstreamRegistry.test.ts
+++ b/test/domain/upstreamRegistry.test.ts
@@ -73,3 +73,47 @@
     t.same(listReady(registry, 6_000), ["new"]);
     t.end();
 });
+
+void t.test("one that said in an answer that it leaves stays so, whatever its later reports say, until its next life", t => {
+    const registry = new UpstreamRegistry();
+    const first = createRegistration({ bornAt: 1, sequence: 5 });
+    registry.record(first, 0);
+    t.equal(registry.recordLeaving(first, 10), true);
+    t.equal(registry.recordLeaving(first, 20), false, "that is known");
+    t.equal(registry.record({ ...first, sequence: 6 }, 30), "beat");
+    t.same(listReady(registry, 30), []);
+    t.equal(registry.record({ ...first, bornAt: 2, sequence: 1 }, 40), "state");
+    t.same(listReady(registry, 40), ["u"]);
+    t.equal(registry.recordLeaving(first, 50), false, "an answer of the life before");
+    t.same(listReady(registry, 50), ["u"]);
+    t.end();
+});
+
+void t.test("another router's word that one leaves counts also beside an older report", t => {
+    const registry = new UpstreamRegistry();
+    registry.record(createRegistration({ sequence: 9, slots: 8 }), 0);
+    t.equal(registry.record(createRegistration({ sequence: 4, isLeavingSaid: true }), 10), "state");
+    t.match(registry.tryGet("u"), { state: "leaving", sequence: 9, slots: 8 });
+    t.equal(registry.countLeaving(), 1);
+    t.end();
+});
+
+void t.test("of what was said of a limit the newest counts, for the life that said it", t => {
+    const registry = new UpstreamRegistry();
+    const first = createRegistration({ bornAt: 1 });
+    t.equal(registry.recordLimit(first, 5, 0), false, "it is not known");
+    registry.record(first, 0);
+    t.equal(registry.recordLimit(first, 5, 100), true);
+    t.equal(registry.recordLimit(first, 4.8, 200), false, "hardly another limit");
+    t.equal(registry.recordLimit(first, undefined, 150), false, "older than what is known");
+    t.equal(registry.tryGetLimit(first), 5);
+    t.same(registry.tryGetHeard(first, 300)?.limit, { perSecond: 5, ageMs: 100 });
+    t.equal(registry.recordLimit(first, undefined, 250), true);
+    t.same(registry.tryGetHeard(first, 300)?.limit, { perSecond: undefined, ageMs: 50 }, "its end is told, too");
+    registry.recordLimit(first, 5, 400);
+    t.equal(registry.countLimited(), 1);
+    registry.record({ ...first, bornAt: 2 }, 500);
+    t.equal(registry.tryGetLimit({ ...first, bornAt: 2 }), undefined);
+    t.equal(registry.recordLimit(first, 5, 600), false, "an answer of the life before");
+    t.end();
+});
--- a/test/platform/leavingUpstreams.test.ts
+++ b/test/platform/leavingUpstreams.test.ts
@@ -3,6 +3,9 @@
  * lost in a cut.
  *
  * What users would see: requests cut off by an upstream that ends, though it had said so for seconds in each answer.
+ *
+ * The cause: only registrations were read for it. What showed it: the upstream got new requests for as long as it registered as
+ * ready, also from routers that it had told in each answer.
  */
 import t from "tap";
 import { DirectCallers } from "../tools/directCallers.js";
