A sidecar keeps to the rest that its upstream asks for, and gives back what waits

What callers would see: 502 after a wait, from an upstream that had asked for rest, and 500 ms as the time to come back. Cause: as at routers that reach upstreams themselves, Retry-After was not read. Read by the standard in one place for both, in seconds or as a date. sidecarRests.test: the next run reached the upstream before; refused at once now, with when the rest ends, and the router goes elsewhere.

--- a/src/adapters/upstream/httpUpstream.ts
+++ b/src/adapters/upstream/httpUpstream.ts
@@ -3,6 +3,7 @@
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import { type ChatRequest, type PlainRequest, UpstreamClient, type UpstreamEvent } from "../../ports/upstream.js";
 import type { AnswerPiece, EngineOrder } from "../../protocol/runMethods.js";
+import { isTurnedAway, tryParseRetryAfterMs } from "../http/retryAfter.js";
 import { readServerSentEvents } from "./sseReader.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -62,7 +63,7 @@
             signal,
         });
         if (response.statusCode !== 200) {
-            throw await createStatusError(response);
+            throw await createStatusError(response, this.receiveRest(response));
         }
         let finished = false;
         try {
@@ -94,6 +95,7 @@
             body: request.body === "" ? null : Buffer.from(request.body, "base64"),
             signal,
         });
+        this.receiveRest(response);
         yield { pieces: [{ status: response.statusCode, headers: getPlainHeaders(response.headers) }] };
         try {
             for await (const bytes of response.body as AsyncIterable<Buffer>) {
@@ -119,6 +121,17 @@
         await response.body.dump();
     }
 
+    /** Tells who listens where the upstream asks for rest; answers for how long, in milliseconds. */
+    private receiveRest({ statusCode, headers }: Dispatcher.ResponseData): number | undefined {
+        const said = headers["retry-after"];
+        if (typeof said !== "string" || !isTurnedAway(statusCode)) {
+            return undefined;
+        }
+        const restMs = tryParseRetryAfterMs(said, Date.now());
+        this.noteRest({ restMs, said });
+        return restMs;
+    }
+
     private async send(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
         try {
             return await this.pool.request(options);
@@ -143,11 +156,12 @@
     return new RefusalError(createRefusal("upstreamFailed", (error as Error).message, ran, RETRY_AFTER_MS));
 }
 
-async function createStatusError(response: Dispatcher.ResponseData): Promise<RefusalError> {
+/** `restMs`: what the upstream asked for; undefined where it asked for nothing. */
+async function createStatusError(response: Dispatcher.ResponseData, restMs?: number): Promise<RefusalError> {
     const text = (await response.body.text()).slice(0, MAX_ERROR_LENGTH);
     const detail = `${response.statusCode} ${text}`;
     if (response.statusCode >= 500 || response.statusCode === 429) {
-        return new RefusalError(createRefusal("upstreamFailed", detail, "unknown", RETRY_AFTER_MS));
+        return new RefusalError(createRefusal("upstreamFailed", detail, "unknown", restMs ?? RETRY_AFTER_MS));
     }
     return new RefusalError(createRefusal("upstreamRefused", detail, "no"));
 }
--- a/src/daemons/sidecar/sidecarDaemon.ts
+++ b/src/daemons/sidecar/sidecarDaemon.ts
@@ -278,7 +278,7 @@
             return known.runner;
         }
         const client = this.options.createClient(upstream);
-        const runner = new UpstreamRunner(upstream, client, this.clock, this.metrics, record => {
+        const runner = new UpstreamRunner(upstream, client, this.clock, this.log, this.metrics, record => {
             this.outbox.add(record);
             this.tasks[0]!.hurry();
         });
--- a/src/daemons/sidecar/upstreamRunner.ts
+++ b/src/daemons/sidecar/upstreamRunner.ts
@@ -3,9 +3,11 @@
 import type { RankRule, Upstream } from "../../domain/configView.js";
 import { type QueueEntry, RankQueue } from "../../domain/rankQueue.js";
 import { createRefusal, getRefusal, type Refusal, RefusalError } from "../../domain/resultCodes.js";
+import { UpstreamRests } from "../../domain/upstreamRests.js";
 import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
-import type { UpstreamClient } from "../../ports/upstream.js";
+import type { AskedRest, UpstreamClient } from "../../ports/upstream.js";
 import type { SidecarLoad, StartRunParams } from "../../protocol/runMethods.js";
 import type { Run } from "./run.js";
 
@@ -26,15 +28,18 @@
 export class UpstreamRunner {
     private readonly queue: RankQueue<WaitingRun>;
     private closedBy: Refusal | undefined;
+    private readonly rests = new UpstreamRests();
 
     constructor(
         private upstream: Upstream,
         readonly client: UpstreamClient,
         private readonly clock: Clock,
+        private readonly log: Log,
         private readonly metrics: Metrics,
         private readonly recordUsage: (record: UsageRecord) => void,
     ) {
         this.queue = new RankQueue(upstream.slots);
+        client.onRest(rest => this.receiveRest(rest));
     }
 
     /** Takes a changed declaration over. */
@@ -71,6 +76,10 @@
         if (this.closedBy !== undefined) {
             throw new RefusalError(this.closedBy);
         }
+        const restMs = this.getRestMs();
+        if (restMs > 0) {
+            throw new RefusalError(createRestRefusal(restMs));
+        }
         const waitMs = this.getLoad(params).waitMs;
         const { rank, ageingMs, deadlineMs } = params;
         if (!this.queue.couldEndWithin(deadlineMs, rank, ageingMs, this.clock.getMonotonicMs())) {
@@ -86,6 +95,28 @@
         }
     }
 
+    /** Gives what only waits back: another upstream of the service may take it before the rest is over. */
+    private receiveRest({ restMs, said }: AskedRest): void {
+        const { name } = this.upstream;
+        if (restMs === undefined) {
+            this.log.warn("upstream_signal_unreadable", { upstream: name, said });
+            return;
+        }
+        this.metrics.addCount("sidecar.upstream_rests");
+        this.log.info("upstream_rest", { upstream: name, rest_ms: restMs });
+        this.rests.record({ id: name }, restMs, this.clock.getMonotonicMs());
+        const keptMs = this.getRestMs();
+        if (keptMs > 0) {
+            const refusal = createRestRefusal(keptMs);
+            this.queue.removeAll().forEach(entry => entry.refuse(refusal));
+        }
+    }
+
+    /** How much longer the upstream wants nothing, in milliseconds; 0 where it has not asked for that. */
+    private getRestMs(): number {
+        return Math.max(0, this.rests.getUntil({ id: this.upstream.name }) - this.clock.getMonotonicMs());
+    }
+
     /** Runs one run from the queue to its usage record. Never rejects: however it ends, the run says so. */
     async execute(run: Run): Promise<void> {
         let refusal: Refusal | undefined;
@@ -179,6 +210,10 @@
     }
 }
 
+function createRestRefusal(restMs: number): Refusal {
+    return createRefusal("queueFull", "the upstream asked for rest", "no", restMs);
+}
+
 /**
  * What a run consumed, in tokens, never more than was reserved for it. Where the engine may have begun without saying
  * anything, its whole prompt counts.
--- a/src/ports/upstream.ts
+++ b/src/ports/upstream.ts
@@ -13,6 +13,14 @@
     readonly outputTokens?: number | undefined;
 }
 
+/** A wish of an upstream that has turned a request away. */
+export interface AskedRest {
+    /** How long it wants nothing more, in milliseconds; undefined where what it said cannot be read. */
+    readonly restMs: number | undefined;
+    /** What it said. */
+    readonly said: string;
+}
+
 /** How loaded an engine says it is; late. */
 export interface EngineLoad {
     readonly running: number;
@@ -21,6 +29,18 @@
 
 /** Runs requests at one upstream. Failures are RefusalErrors whose `ran` says whether the upstream may have run it. */
 export abstract class UpstreamClient {
+    private restListener: (rest: AskedRest) => void = () => undefined;
+
+    /** Has `listener` told whenever the upstream turns a request away and asks for rest. */
+    onRest(listener: (rest: AskedRest) => void): void {
+        this.restListener = listener;
+    }
+
+    /** Tells who listens of a rest. */
+    protected noteRest(rest: AskedRest): void {
+        this.restListener(rest);
+    }
+
     /** Streams a chat answer. Ends when the answer is whole; throws otherwise. `priority`: lower goes first. */
     abstract runChat(
         request: ChatRequest,
--- a/test/daemons/sidecarRests.test.ts
+++ b/test/daemons/sidecarRests.test.ts
@@ -13,6 +13,7 @@
 import { UpstreamRunner } from "../../src/daemons/sidecar/upstreamRunner.js";
 import { getRefusal, type Refusal } from "../../src/domain/resultCodes.js";
 import { SystemClock } from "../../src/ports/clock.js";
+import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { runEndMethod, type StartRunParams } from "../../src/protocol/runMethods.js";
 import { FakeClock } from "../tools/fakes.js";
@@ -67,7 +68,7 @@
     };
     const client = new HttpUpstream(upstream.url, SLOTS);
     t.teardown(() => client.close());
-    return new UpstreamRunner(upstream, client, clock, new NoMetrics(), () => undefined);
+    return new UpstreamRunner(upstream, client, clock, new NoLog(), new NoMetrics(), () => undefined);
 }
 
 /** Why a new run is refused; undefined where it is taken. */
