A request of which nothing was sent is refused as not run

What callers saw: 504 for requests that waited for a connection to an upstream until their time was up; who may send a request only once could not send it again. Cause: an attempt that was given up counted as one that may have run from the moment it was placed, and its wait for a connection as silence of the upstream. It counts from when it is sent now; one that has waited for as long as an upstream may be silent goes elsewhere, at the cost of no attempt.

The tests of upstreams that speak share their fleet; a time to come back is told in whole milliseconds.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -16,8 +16,8 @@
     /** The caller has the whole answer. `status`: the upstream's. `isFramed`: the answer itself said where it ends. */
     | { readonly type: "answered"; readonly status: number; readonly isFramed: boolean; }
     /**
-     * The upstream certainly has not run it. `replaced`: another upstream has taken its address. `withheld`: it was closed to
-     * this router while the request waited for a connection.
+     * The upstream certainly has not run it. `replaced`: another upstream has taken its address. `withheld`: nothing was sent,
+     * because the request waited for a connection until it was given up or the upstream was closed to this router.
      */
     | {
         readonly type: "notRun";
@@ -101,6 +101,7 @@
     private exchange: UpstreamExchange | undefined;
     private finish: (outcome: AttemptOutcome) => void = () => undefined;
     private done = false;
+    private isStarted = false;
     private status = 0;
     private isFramed = false;
     private silenceTimer: NodeJS.Timeout | undefined;
@@ -125,7 +126,7 @@
 
     /** Gives the attempt up: the upstream's connection is closed. */
     stop(): void {
-        this.endEarly({ type: "stopped" });
+        this.endEarly(this.isStarted ? { type: "stopped" } : createWithheld("given up before there was a connection"));
     }
 
     /** Notes that the upstream has read the prompt. Only the first call counts. */
@@ -136,6 +137,12 @@
         }
     }
 
+    onStart(): void {
+        this.isStarted = true;
+        // The wait for a connection is no silence of the upstream.
+        this.heardAt = performance.now();
+    }
+
     onHead(head: UpstreamHead): boolean {
         this.heardAt = performance.now();
         this.status = head.status;
@@ -200,8 +207,11 @@
             this.settle({ type: "interrupted", cause: "connection", reason: failure.reason });
             return;
         }
-        const cause = failure.isWithheld ? "withheld" : "unreachable";
-        this.settle({ type: "notRun", cause, reason: failure.reason });
+        this.settle(
+            failure.isWithheld
+                ? createWithheld(failure.reason)
+                : { type: "notRun", cause: "unreachable", reason: failure.reason },
+        );
     }
 
     private passHead(head: UpstreamHead): void {
@@ -247,9 +257,18 @@
         }
         const left = this.heardAt + silenceMs - performance.now();
         if (left <= 0) {
-            this.endEarly({ type: "interrupted", cause: "silence", reason: `silent for ${silenceMs} ms` });
+            this.endEarly(
+                this.isStarted
+                    ? { type: "interrupted", cause: "silence", reason: `silent for ${silenceMs} ms` }
+                    : createWithheld(`no connection for ${silenceMs} ms`),
+            );
             return;
         }
         this.silenceTimer = setTimeout(() => this.watchSilence(), left);
     }
 }
+
+/** Nothing was sent, through no fault of the upstream. */
+function createWithheld(reason: string): AttemptOutcome {
+    return { type: "notRun", cause: "withheld", reason };
+}
--- a/src/domain/upstreamCandidates.ts
+++ b/src/domain/upstreamCandidates.ts
@@ -59,7 +59,7 @@
             return { upstreams, waitMs: undefined, closed: [] };
         }
         const earliest = Math.min(...closures.map(({ servedAt }) => servedAt));
-        const waitMs = earliest === Infinity ? undefined : earliest - now;
+        const waitMs = earliest === Infinity ? undefined : Math.ceil(earliest - now);
         return { upstreams, waitMs, closed: closures.map(({ cause }) => cause) };
     }
 
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -62,6 +62,8 @@
 
 /** Told of an answer as it arrives. After `onEnd` or `onFailure` nothing more comes. */
 export interface UpstreamListener {
+    /** There is a connection, and the request is being sent. Until then it certainly has not run. */
+    onStart(): void;
     /** Answers false to have the answer dropped; nothing more is told of it then. */
     onHead(head: UpstreamHead): boolean;
     /** Answers false to have the upstream held up until `resume`. */
--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -51,6 +51,7 @@
         const heads: UpstreamHead[] = [];
         let body = "";
         const listener: UpstreamListener = {
+            onStart: () => undefined,
             onHead: head => {
                 heads.push(head);
                 return true;
--- a/test/platform/upstreamLimits.test.ts
+++ b/test/platform/upstreamLimits.test.ts
@@ -12,57 +12,35 @@
  * neither a bound of each router nor what was decided before can have been at work.
  */
 import t from "tap";
-import { DirectCallers } from "../tools/directCallers.js";
-import { DirectFleet } from "../tools/directFleet.js";
-import { SignallingEngine } from "../tools/signallingEngine.js";
+import { SignallingFleet } from "../tools/signallingFleet.js";
 import { wait, waitUntil } from "../tools/waiting.js";
-import { createWireBundle } from "../tools/wireBundle.js";
 
-const NETWORK = 95;
 const ROUTERS = ["r1", "r2", "r3"];
-const CALLERS = 4;
-const CALL_PAUSE_MS = 30;
 /** How long routers have until all keep to a limit, and the span in which requests are counted. Milliseconds. */
 const COMPLY_MS = 3_000;
 const SPAN_MS = 4_000;
 const LIMIT = 1;
 /** Half as much again as the limit allows, and five. */
 const MOST_IN_SPAN = 1.5 * LIMIT * SPAN_MS / 1_000 + 5;
-const fleet = new DirectFleet(NETWORK);
-const callers = new DirectCallers(fleet);
-const engines = ["e1", "e2", "e3"].map((id, i) => new SignallingEngine(fleet, id, `r${11 + i}`));
-const [limited] = engines as [SignallingEngine];
+/** Requests of one router that only a router that keeps to no limit sends soon. */
+const FREELY = 4;
+const world = new SignallingFleet({ network: 95, routers: ROUTERS, engines: ["e1", "e2", "e3"] });
+const { callers, engines } = world;
+const limited = engines[0]!;
 
 /** What each router believes of an upstream's limit. */
 function getLimits(id: string): (number | undefined)[] {
     return ROUTERS.map(router => {
-        const { registry } = fleet.routers.get(router)!.role.daemon;
+        const { registry } = world.getDaemon(router);
         const known = registry.tryGet(id);
         return known === undefined ? NaN : registry.tryGetLimit(known);
     });
 }
 
 void t.test("an upstream that names a limit", async t => {
-    await fleet.open();
-    t.teardown(async () => {
-        await callers.stop();
-        engines.forEach(engine => engine.close());
-        await fleet.close();
-    });
-    await Promise.all(["c1", "c2", "c3"].map(box => fleet.startController(box, true)));
-    await fleet.putBundle("c1", createWireBundle(1));
-    await Promise.all(ROUTERS.map(box => fleet.startRouter(box)));
-    for (const engine of engines) {
-        await engine.start("c1");
-    }
-    const statuses: number[] = [];
-    for (const router of ROUTERS) {
-        await waitUntil("callers are answered", async () => (await callers.call(router)).status === 200);
-        for (let i = 0; i < CALLERS; i++) {
-            callers.start(router, CALL_PAUSE_MS, status => statuses.push(status));
-        }
-    }
-    await waitUntil("all routers use it", () => new Set(limited.arrivals.map(({ router }) => router)).size === 3);
+    t.teardown(() => world.close());
+    await world.open();
+    await world.startCallers();
 
     await t.test("gets no more than that from all routers together", async t => {
         limited.headers = { "Server-Limit": String(LIMIT) };
@@ -70,7 +48,7 @@
         await wait(COMPLY_MS + SPAN_MS);
         const busiest = limited.countBusiest(namedAt + COMPLY_MS, SPAN_MS);
         t.ok(busiest <= MOST_IN_SPAN, `${busiest} in ${SPAN_MS} ms`);
-        t.same(statuses.filter(status => status !== 200), [], "callers are served by the others");
+        t.same(world.listRefused(), [], "callers are served by the others");
     });
 
     await t.test("gets its part from all of them as soon as it names no limit any more", async t => {
@@ -78,9 +56,9 @@
         const endedAt = performance.now();
         await waitUntil("all routers use it again", () => {
             const since = limited.arrivals.filter(({ at }) => at > endedAt);
-            return ROUTERS.every(name => since.filter(({ router }) => router === name).length > CALLERS);
+            return ROUTERS.every(name => since.filter(({ router }) => router === name).length > FREELY);
         });
-        t.same(statuses.filter(status => status !== 200), []);
+        t.same(world.listRefused(), []);
     });
 
     await t.test("is not held to it when another upstream has its address", async t => {
@@ -88,7 +66,7 @@
         await waitUntil("routers know", () => getLimits(limited.id).every(limit => limit === 0));
         limited.id = "e4";
         await waitUntil("the other one is known", () => getLimits("e4").every(limit => limit === undefined));
-        t.same(statuses.filter(status => status !== 200), []);
+        t.same(world.listRefused(), []);
     });
 
     await t.test("is refused for at once where nobody else is there, with when to come back", async t => {
--- a/test/platform/upstreamRests.test.ts
+++ b/test/platform/upstreamRests.test.ts
@@ -12,25 +12,18 @@
  * 2.2 and 2.7 s after the rest was asked for, long after anything decided before could have been under way.
  */
 import t from "tap";
-import { DirectCallers } from "../tools/directCallers.js";
-import { DirectFleet } from "../tools/directFleet.js";
-import { SignallingEngine } from "../tools/signallingEngine.js";
+import { SignallingFleet } from "../tools/signallingFleet.js";
 import { wait, waitUntil } from "../tools/waiting.js";
-import { createWireBundle } from "../tools/wireBundle.js";
 
-const NETWORK = 96;
 const ROUTERS = ["r1", "r2"];
-const CALLERS = 4;
-const CALL_PAUSE_MS = 20;
 const REST_MS = 3_000;
 /** What was under way may still arrive for so long. Milliseconds. */
 const UNDER_WAY_MS = 500;
 /** Requests that may reach an upstream from one router during its rest. */
 const MOST_IN_REST = 2;
-const fleet = new DirectFleet(NETWORK);
-const callers = new DirectCallers(fleet);
-const engines = ["e1", "e2", "e3"].map((id, i) => new SignallingEngine(fleet, id, `r${11 + i}`));
-const [tired] = engines as [SignallingEngine];
+const world = new SignallingFleet({ network: 96, routers: ROUTERS, engines: ["e1", "e2", "e3"] });
+const { callers, engines } = world;
+const tired = engines[0]!;
 
 /** Requests of a router in the rest that it was asked for first. */
 function countInRest(name: string): number {
@@ -40,26 +33,9 @@
 }
 
 void t.test("an upstream that asks for rest", async t => {
-    await fleet.open();
-    t.teardown(async () => {
-        await callers.stop();
-        engines.forEach(engine => engine.close());
-        await fleet.close();
-    });
-    await Promise.all(["c1", "c2", "c3"].map(box => fleet.startController(box, true)));
-    await fleet.putBundle("c1", createWireBundle(1));
-    await Promise.all(ROUTERS.map(box => fleet.startRouter(box)));
-    for (const engine of engines) {
-        await engine.start("c1");
-    }
-    const statuses: number[] = [];
-    for (const router of ROUTERS) {
-        await waitUntil("callers are answered", async () => (await callers.call(router)).status === 200);
-        for (let i = 0; i < CALLERS; i++) {
-            callers.start(router, CALL_PAUSE_MS, status => statuses.push(status));
-        }
-    }
-    await waitUntil("all routers use it", () => new Set(tired.arrivals.map(({ router }) => router)).size === 2);
+    t.teardown(() => world.close());
+    await world.open();
+    await world.startCallers();
 
     await t.test("gets nothing more from the router that was told, also where it has answered others since", async t => {
         tired.turnsAwayWith = { "Retry-After": String(REST_MS / 1_000) };
@@ -73,15 +49,12 @@
             const count = countInRest(router);
             t.ok(count <= MOST_IN_REST, `${count} from ${router}`);
         }
-        t.same(statuses.filter(status => status !== 200), [], "callers are served by the others");
+        t.same(world.listRefused(), [], "callers are served by the others");
     });
 
     await t.test("is used again when the rest is over", async () => {
         const since = performance.now();
-        await waitUntil("both use it", () => {
-            const arrivals = tired.arrivals.filter(({ at }) => at > since);
-            return new Set(arrivals.map(({ router }) => router)).size === 2;
-        });
+        await waitUntil("both use it", () => world.hasAllSince(tired, since));
     });
 
     await t.test("is refused for at once where all rest, with when the first rest ends", async t => {
--- a/test/platform/waitingRequests.test.ts
+++ b/test/platform/waitingRequests.test.ts
@@ -9,15 +9,9 @@
  * ones before away, each of a request that had come before the rest was asked for.
  */
 import t from "tap";
-import { DirectCallers } from "../tools/directCallers.js";
-import { DirectFleet } from "../tools/directFleet.js";
-import { SignallingEngine } from "../tools/signallingEngine.js";
+import { SignallingFleet } from "../tools/signallingFleet.js";
 import { wait, waitUntil } from "../tools/waiting.js";
-import { createWireBundle } from "../tools/wireBundle.js";
 
-const NETWORK = 97;
-/** Of all routers to one upstream. */
-const CONNECTIONS = 4;
 const REQUESTS = 24;
 /** How long the upstream takes until it turns a request away. Milliseconds. */
 const HOLD_MS = 200;
@@ -26,31 +20,21 @@
 const REST_MS = 3_000;
 /** Requests that may reach an upstream from one router during its rest. */
 const MOST_IN_REST = 2;
-const fleet = new DirectFleet(NETWORK);
-const callers = new DirectCallers(fleet);
-const slow = new SignallingEngine(fleet, "e1", "r11");
-const spare = new SignallingEngine(fleet, "e2", "r12");
+const world = new SignallingFleet({ network: 97, routers: ["r1"], engines: ["e1", "e2"], maxConnections: 4 });
+const { callers } = world;
+const [slow, spare] = [world.engines[0]!, world.engines[1]!];
 
 void t.test("requests that wait for a connection to an upstream that asks for rest", async t => {
-    await fleet.open();
-    t.teardown(async () => {
-        [slow, spare].forEach(engine => engine.close());
-        await fleet.close();
-    });
-    await Promise.all(["c1", "c2", "c3"].map(box => fleet.startController(box, true)));
-    const bundle = createWireBundle(1);
-    bundle.backends.forEach(backend => backend.max_conns = CONNECTIONS);
-    await fleet.putBundle("c1", bundle);
-    await fleet.startRouter("r1");
-    await slow.start("c1");
-    await waitUntil("callers are answered", async () => (await callers.call("r1")).status === 200);
+    t.teardown(() => world.close());
+    await world.open();
+    await world.startEngine(slow);
     slow.workMs = HOLD_MS;
     slow.turnsAwayWith = { "Retry-After": String(REST_MS / 1_000) };
     const startedAt = performance.now();
     const waiting = Array.from({ length: REQUESTS }, () => callers.call("r1"));
-    await waitUntil("all have come", () => fleet.routers.get("r1")!.role.daemon.getRunningCount() === REQUESTS);
+    await waitUntil("all have come", () => world.getDaemon("r1").getRunningCount() === REQUESTS);
     await spare.start("c1");
-    const { registry } = fleet.routers.get("r1")!.role.daemon;
+    const { registry } = world.getDaemon("r1");
     await waitUntil("the other one is known", () => registry.tryGet("e2") !== undefined);
     const answers = await Promise.all(waiting);
     await wait(Math.max(0, startedAt + HOLD_MS + REST_MS - performance.now()));
