--- a/src/daemons/directRouter/signalReceiver.ts
+++ b/src/daemons/directRouter/signalReceiver.ts
@@ -6,7 +6,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 
-/** Least time between two lines about what one upstream says and nobody can read, in milliseconds. */
+/** Least time between two lines about what cannot be read, in milliseconds. */
 const UNREADABLE_LOG_MS = 10_000;
 
 export class SignalReceiver {
@@ -68,11 +68,13 @@
         sentAt: number,
     ): void {
         const before = this.registry.tryGetLimit(upstream);
-        // An answer to a request from before the newest word may have been under way for long.
-        const isLate = limitPerSecond === undefined && sentAt <= this.registry.getLimitSaidAt(upstream);
-        const saysNothing = limitPerSecond === undefined && (before === undefined || unreadable.length > 0);
-        if (isLate || saysNothing) {
-            return;
+        if (limitPerSecond === undefined) {
+            // An answer to a request from before the newest word may have been under way for long.
+            const isLate = sentAt <= this.registry.getLimitSaidAt(upstream);
+            // What cannot be read may have been a limit, and does not end one.
+            if (before === undefined || isLate || unreadable.length > 0) {
+                return;
+            }
         }
         const now = this.clock.getMonotonicMs();
         if (this.registry.recordLimit(upstream, limitPerSecond, now)) {
