--- a/test/tools/fleet.ts
+++ b/test/tools/fleet.ts
@@ -241,11 +241,19 @@
         };
     }
 
+    /** Puts an object until it is taken: what has no clear answer is asked again with its operation id, as an operator does. */
+    private async declare(kind: string, name: string, spec: unknown): Promise<void> {
+        await waitUntil(`${kind} ${name} is declared`, async () => {
+            await this.put(kind, name, spec, { operationId: `declare-${kind}-${name}` });
+            return true;
+        });
+    }
+
     /** Declares an account with one budget and tops it up; answers the account's key. */
     async createAccount(name: string, tokens: number, budgetSpec: object = {}): Promise<string> {
         const key = createAccountKey(name);
-        await this.put("clientAccount", name, { keyHashes: [createKeyHash(key)] });
-        await this.put("budget", `${name}-budget`, { account: name, ...budgetSpec });
+        await this.declare("clientAccount", name, { keyHashes: [createKeyHash(key)] });
+        await this.declare("budget", `${name}-budget`, { account: name, ...budgetSpec });
         await waitUntil("the first top-up", async () => {
             await this.topUp(`${name}-budget`, tokens, { operationId: `first-${name}` });
             return true;
@@ -416,10 +424,10 @@
 
     private async declareServices(): Promise<void> {
         for (const service of this.options.services) {
-            await this.put("service", service.name, { type: service.type, ...service.spec });
+            await this.declare("service", service.name, { type: service.type, ...service.spec });
         }
         for (const upstream of this.upstreams) {
-            await this.put("upstream", upstream.name, this.getUpstreamSpec(upstream.name));
+            await this.declare("upstream", upstream.name, this.getUpstreamSpec(upstream.name));
         }
     }
 
