--- a/test/tools/signallingEngine.ts
+++ b/test/tools/signallingEngine.ts
@@ -51,7 +51,7 @@
         await this.fleet.call("PUT", url, { ...known, seqno: this.sequence }).catch(() => undefined);
     }
 
-    /** The most arrivals within `spanMs` from `from` on, of those in `routers`. */
+    /** The most arrivals within any `spanMs` from `from` on. */
     countBusiest(from: number, spanMs: number): number {
         const times = this.arrivals.map(({ at }) => at).filter(at => at >= from);
         return Math.max(0, ...times.map(start => times.filter(at => at >= start && at < start + spanMs).length));
