--- a/test/tools/limitWorld.ts
+++ b/test/tools/limitWorld.ts
@@ -8,7 +8,11 @@
 import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
 import { RateSharing } from "../../src/domain/rateSharing.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
-import { type UpstreamRegistration, UpstreamRegistry } from "../../src/domain/upstreamRegistry.js";
+import {
+    type HeardRegistration,
+    type UpstreamRegistration,
+    UpstreamRegistry,
+} from "../../src/domain/upstreamRegistry.js";
 import { UpstreamRests } from "../../src/domain/upstreamRests.js";
 import { NO_SIGNALS } from "../../src/domain/upstreamSignals.js";
 import { NoLog } from "../../src/ports/log.js";
@@ -129,7 +133,7 @@
         const cold = new RateSharing(name, () => this.draw(), 0);
         const rests = new UpstreamRests();
         const candidates = new UpstreamCandidates(registry, new EvacuatedZones(), rests, cold, sharing);
-        const tell = (heard: Parameters<SignalReceiver["receive"]>[0]) => this.tellOthers(name, heard);
+        const tell = (heard: HeardRegistration) => this.tellOthers(name, heard);
         const receiver = new SignalReceiver(registry, rests, tell, this.clock, new NoLog(), new NoMetrics());
         return { name, registry, sharing, candidates, receiver, toldAt: Infinity };
     }
@@ -158,7 +162,7 @@
         });
     }
 
-    private tellOthers(name: string, heard: Parameters<SignalReceiver["receive"]>[0]): void {
+    private tellOthers(name: string, heard: HeardRegistration): void {
         this.notices += 1;
         for (const router of this.routers) {
             if (router.name !== name && this.draw() >= this.options.lostPart) {
