The part of a limit that is left for trials is written once

The model of limits held a copy of its own, so that it would have gone on proving another figure than the one in use. The value is the same.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -3,7 +3,7 @@
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationBook.js";
 import type { PrepaidPurse } from "../../domain/prepaidPurse.js";
-import { RateSharing } from "../../domain/rateSharing.js";
+import { LIMIT_TRIAL_PART, RateSharing } from "../../domain/rateSharing.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
@@ -71,8 +71,6 @@
 
 /** How often gauges are set, in milliseconds. */
 const GAUGE_PERIOD_MS = 1_000;
-/** Part of a limit by which the routers that do not use an upstream find out whether it still names it. */
-const LIMIT_TRIAL_PART = 0.1;
 
 /** One router's process, without its interface to callers. */
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
--- a/src/domain/rateSharing.ts
+++ b/src/domain/rateSharing.ts
@@ -12,6 +12,9 @@
 import { chooseByRendezvous } from "./identifiers.js";
 import { getLifeKey, type UpstreamRegistration } from "./upstreamRegistry.js";
 
+/** Part of a limit by which the routers that do not use an upstream find out whether it still names it. */
+export const LIMIT_TRIAL_PART = 0.1;
+
 /** What one router may send to one upstream. Monotonic clock, milliseconds. */
 interface RateShare {
     /** What the upstream bears from all routers, in requests a second. */
--- a/test/tools/limitWorld.ts
+++ b/test/tools/limitWorld.ts
@@ -6,7 +6,7 @@
 import { SignalReceiver } from "../../src/daemons/directRouter/signalReceiver.js";
 import type { BundleService } from "../../src/domain/bundle.js";
 import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
-import { RateSharing } from "../../src/domain/rateSharing.js";
+import { LIMIT_TRIAL_PART, RateSharing } from "../../src/domain/rateSharing.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
 import {
     type HeardRegistration,
@@ -29,7 +29,6 @@
     state: "ready",
     sequence: 1,
 };
-const LIMIT_TRIAL_PART = 0.1;
 /** From a router's sending until the answer begins, and from one router's notice until another has it. Milliseconds. */
 const LEAST_ANSWER_MS = 4;
 const MOST_ANSWER_MS = 300;
