Retry-After is no longer a millisecond too long

What callers saw: upstreamLimits.test, once: Retry-After 2.001 s where all upstreams name a limit of one request in 2 s.

Cause: the wait was ceil(availableAt - now) on a floating-point clock; (now + 2000) - now exceeds 2000 for many values of now.

Evidence: the new test in upstreamCandidates.test steps a fractional clock over the limit and the backoff. The same line serves cold upstreams.

Why it holds: one microsecond, more than the error of the difference, is taken off before rounding up.

--- a/src/domain/upstreamCandidates.ts
+++ b/src/domain/upstreamCandidates.ts
@@ -30,6 +30,9 @@
     readonly availableAt: number;
 }
 
+/** Differences below this are rounding errors of the clock's floating-point values and must not add a millisecond. */
+const CLOCK_RESOLUTION_MS = 0.001;
+
 export class UpstreamCandidates {
     /** `cold`, `limits`: rate sharing for cold upstreams and for upstreams that name a limit. */
     constructor(
@@ -61,7 +64,7 @@
             return { upstreams, waitMs: undefined, unavailableReasons: [] };
         }
         const earliest = Math.min(...unavailabilities.map(({ availableAt }) => availableAt));
-        const waitMs = earliest === Infinity ? undefined : Math.ceil(earliest - now);
+        const waitMs = earliest === Infinity ? undefined : Math.ceil(earliest - now - CLOCK_RESOLUTION_MS);
         return { upstreams, waitMs, unavailableReasons: unavailabilities.map(({ reason }) => reason) };
     }
 
--- a/test/domain/upstreamCandidates.test.ts
+++ b/test/domain/upstreamCandidates.test.ts
@@ -134,3 +134,18 @@
     t.equal(list(3_100).upstreams.length, 1);
     t.end();
 });
+
+// Guards against a Retry-After of 2.001 s where 2 s are right: differences of fractional clock values are inexact.
+void t.test("fractions of the clock do not lengthen the wait", t => {
+    const { registry, rests, candidates, list } = createFixture();
+    const limited = createRegistration({});
+    registry.record(limited, 0);
+    registry.recordLimit(limited, 0.5, 0);
+    for (let now = 1_234.567_891; now < 100_000; now += 3_987.654_321) {
+        candidates.recordSend(limited, SERVICE, now);
+        t.equal(list(now).waitMs, 2_000, `limit of 0.5 a second at ${now}`);
+        rests.record(limited, 3_000, now);
+        t.equal(list(now).waitMs, 3_000, `backoff of 3 s at ${now}`);
+    }
+    t.end();
+});
