A request that waited for a connection is not sent as its deadline passes

Cause: the deadline of the request that holds the connection frees it for the next in the queue, whose own deadline is due in the same milliseconds. Whether there is time to send was asked when the upstream was chosen, and not again with a connection at hand.

Why it holds: mayStart asks hasTimeToSend, as the choice of the upstream does; what is withheld for it is refused as not run.

--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -164,7 +164,10 @@
                 priority: Math.min(LOWEST_PRIORITY, accountRank * ROUTE_RANK_COUNT + route.rank),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
-                mayStart: () => this.context.candidates.canSend(placement.upstream, isLimited, performance.now()),
+                // The request may have waited for a connection until little of its time is left.
+                mayStart: () =>
+                    this.hasTimeToSend()
+                    && this.context.candidates.canSend(placement.upstream, isLimited, performance.now()),
             },
             sink: this.sink,
             progress: this.progress,
@@ -278,7 +281,9 @@
             this.context.recordAnswered(this.resolved, this.createResponseDetails(outcome.status));
             return;
         }
-        if (this.abortCause === "late" || this.mayHaveRun) {
+        // A withheld request is not retried only if too little time is left.
+        const isOutOfTime = this.abortCause === "late" || (outcome.type === "notRun" && outcome.cause === "withheld");
+        if (isOutOfTime || this.mayHaveRun) {
             this.finishWithRefusal(this.createIncompleteRefusal());
             return;
         }
