Tests keep the output and the logs of files that fail

Entries of the known failures were written without what had failed. The runner gives each file a folder for the logs of its processes, keeps them and the whole output where a file fails, listed or not, and prints where. The fleets in one process log everything there in place of errors alone. LOOMWINCH_TEST_LOGS names another folder than one below the temporary folder.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -2,6 +2,7 @@
 import { mkdir } from "node:fs/promises";
 import { join } from "node:path";
 import { openJournalFile } from "./adapters/disk/journalFile.js";
+import type { LogOutput } from "./adapters/keyValueLog.js";
 import { LogStorage } from "./consensus/logStorage.js";
 import { ReplicaSetReconciler } from "./consensus/replicaSetReconciler.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
@@ -34,6 +35,8 @@
     readonly seeds: readonly string[];
     readonly decoder: BundleDecoder;
     readonly metrics?: Metrics;
+    /** Where log lines are written; standard output by default. */
+    readonly logOutput?: LogOutput | undefined;
 }
 
 /** Settings of a controller that stores bundles. */
--- a/src/roleBase.ts
+++ b/src/roleBase.ts
@@ -1,6 +1,6 @@
 /** Components common to all roles: identity, log, metrics and network. */
 import { readFile } from "node:fs/promises";
-import { KeyValueLog } from "./adapters/keyValueLog.js";
+import { KeyValueLog, type LogOutput } from "./adapters/keyValueLog.js";
 import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
 import { EventLoopMonitor } from "./daemons/eventLoopMonitor.js";
 import { createRandomId } from "./domain/identifiers.js";
@@ -29,13 +29,15 @@
     & Partial<CommonSettings>
     & {
         readonly metrics?: Metrics;
+        /** Where log lines are written; standard output by default. */
+        readonly logOutput?: LogOutput | undefined;
     };
 
 /** Starts listening and creates the common components. Throws settingsInvalid if no fleet secret is configured. */
 export async function createRoleBase(settings: RoleBaseSettings): Promise<RoleBase> {
     const { name, zone, role } = settings;
     const identity: PeerIdentity = { name, role, zone, incarnation: createRandomId() };
-    const log = new KeyValueLog({ role, name, zone }, settings.logLevel);
+    const log = new KeyValueLog({ role, name, zone }, settings.logLevel, settings.logOutput);
     const metrics = await createMetrics(settings);
     const clock = new SystemClock();
     const loop = new EventLoopMonitor(clock, log, metrics);
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -16,6 +16,7 @@
 import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
 import type { DirectRouterDaemon } from "../../src/daemons/directRouter/directRouterDaemon.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
+import { tryOpenLogOutput } from "./testLogs.js";
 
 const PEER_PORT = 7340;
 const ADMIN_PORT = 8229;
@@ -41,6 +42,11 @@
     readonly routers = new Map<string, RunningBox<DirectRouterDaemon>>();
     readonly engineRequests: EngineRequest[] = [];
     private readonly engines: Server[] = [];
+    private readonly logOutput = tryOpenLogOutput("fleet");
+    /** Everything is logged if logs are kept, and errors alone to standard output otherwise. */
+    private readonly logSettings = this.logOutput === undefined
+        ? { logLevel: "error" as const }
+        : { logLevel: "info" as const, logOutput: this.logOutput };
     private folder = "";
 
     /** `network`: second octet of the fleet's addresses; unique to a test file, since files run in parallel. */
@@ -60,6 +66,7 @@
             engine.close();
         });
         await rm(this.folder, { recursive: true });
+        this.logOutput?.close();
     }
 
     getIp(box: string): string {
@@ -77,7 +84,7 @@
     /** Starts a controller. `disk`: name of its data folder; a restarted box may be given another one. */
     async startController(box: string, isFirstStart: boolean, disk = box): Promise<void> {
         const settings = this.createSettings(box, isFirstStart, disk);
-        const role = await startBundleController({ ...createControllerSettings(settings), logLevel: "error" });
+        const role = await startBundleController({ ...createControllerSettings(settings), ...this.logSettings });
         const server = await startControlServer(role.daemon, settings.operatorListen!, role.log, new NoMetrics());
         this.controllers.set(box, { role, server });
     }
@@ -90,7 +97,7 @@
         const settings = this.createSettings(box, false, box);
         const role = await startDirectRouter({
             ...createRouterSettings(settings, new EngineClient()),
-            logLevel: "error",
+            ...this.logSettings,
         });
         const server = await startCallerServer(role.daemon, settings.callerListen!, role.log);
         this.routers.set(box, { role, server });
--- a/test/tools/fleet.ts
+++ b/test/tools/fleet.ts
@@ -3,7 +3,7 @@
  * kill, freeze, restart and cut them. Zones reach each other through relays that can be cut.
  */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdir, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -12,6 +12,7 @@
 import type { FleetStatus } from "../../src/daemons/controller/statusService.js";
 import { createAccountKey, createKeyHash } from "../../src/domain/keys.js";
 import { CutRelay } from "./cutRelay.js";
+import { tryOpenLogFolder } from "./testLogs.js";
 import { waitUntil } from "./waiting.js";
 
 const cliPath = join(dirname(fileURLToPath(import.meta.url)), "..", "..", "src", "cli", "main.js");
@@ -187,11 +188,10 @@
         await rm(this.folder, { recursive: true, force: true });
     }
 
-    /** Writes what the processes have logged to the folder named by LOOMWINCH_TEST_LOGS, if there is one. */
+    /** Writes what the processes have logged to the folder of the test file's logs, if logs are kept. */
     private async saveLogs(): Promise<void> {
-        const folder = process.env["LOOMWINCH_TEST_LOGS"];
+        const folder = tryOpenLogFolder();
         if (folder !== undefined) {
-            await mkdir(folder, { recursive: true });
             await Promise.all(
                 this.processes.map(one => writeFile(join(folder, `${one.name}.log`), one.logLines.join("\n"))),
             );
--- a/test/tools/runTests.ts
+++ b/test/tools/runTests.ts
@@ -1,11 +1,14 @@
 /**
  * Runs every test file through tap and closes with the line `N passed, N failed`, counted from what the run printed.
- * A failure listed in KNOWN-RED.txt is printed and passed over; everything else that fails, fails the run.
+ * A failure listed in KNOWN-RED.txt is printed and passed over; everything else that fails, fails the run. The output and the
+ * logs of files that failed are kept, whether listed or not.
  */
 import { spawn } from "node:child_process";
-import { readdirSync, readFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { dirname, join, relative } from "node:path";
 import { fileURLToPath } from "node:url";
+import { getLogFolderOfFile, TEST_LOGS_VARIABLE } from "./testLogs.js";
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..", "..");
 const testFolder = join(root, "dist", "test");
@@ -26,7 +29,7 @@
     }).sort();
 }
 
-function runTap(files: readonly string[]): Promise<{ output: string; code: number; }> {
+function runTap(files: readonly string[], logFolder: string): Promise<{ output: string; code: number; }> {
     const tap = join(root, "node_modules", "tap", "dist", "esm", "run.mjs");
     const args = [
         tap,
@@ -38,7 +41,10 @@
         `--timeout=${FILE_TIMEOUT_S}`,
     ];
     return new Promise(resolve => {
-        const child = spawn(process.execPath, [...args, ...files.map(file => relative(root, file))], { cwd: root });
+        const child = spawn(process.execPath, [...args, ...files.map(file => relative(root, file))], {
+            cwd: root,
+            env: { ...process.env, [TEST_LOGS_VARIABLE]: logFolder },
+        });
         let output = "";
         child.stdout.on("data", (bytes: Buffer) => {
             output += bytes.toString();
@@ -61,13 +67,28 @@
     return results;
 }
 
+/** Keeps the output and the logs of the files that failed, and removes everything if none did. */
+function keepLogsOfFailures(output: string, logFolder: string): void {
+    const passedFiles = output.split("\n").flatMap(line => /^ok \d+ - (\S+\.test\.js)/.exec(line)?.[1] ?? []);
+    passedFiles.forEach(file => rmSync(getLogFolderOfFile(logFolder, file), { recursive: true, force: true }));
+    if (/^not ok /m.test(output)) {
+        writeFileSync(join(logFolder, "output.tap"), output);
+        console.log(`output and logs of the files that failed: ${logFolder}`);
+    }
+    else {
+        rmSync(logFolder, { recursive: true, force: true });
+    }
+}
+
 function readKnownRed(): string[] {
     const lines = readFileSync(join(root, "KNOWN-RED.txt"), "utf8").split("\n");
     return lines.filter(line => line.trim() !== "" && !line.startsWith("#"));
 }
 
 const files = process.argv.length > 2 ? process.argv.slice(2) : findTestFiles(testFolder);
-const { output, code } = await runTap(files);
+const logFolder = process.env[TEST_LOGS_VARIABLE] ?? mkdtempSync(join(tmpdir(), "loomwinch-test-logs-"));
+const { output, code } = await runTap(files, logFolder);
+keepLogsOfFailures(output, logFolder);
 const results = getResults(output);
 const knownRed = readKnownRed();
 const isKnownRed = (name: string): boolean => knownRed.some(line => line.startsWith(`${name},`));
