A controller reports itself connected only once it counts for a majority

What was seen: lostDisk.test, no majority for 30 s after the next controller was taken down.

Cause: `connected` said that a leader had been heard, also of a replica that lost its disk and may not vote yet. Who takes down the next controller then leaves no majority, for as long as that one is away.

Why it holds: the status asks whether the replica may vote, which is saved when it has caught up with a leader confirmed without it. statusService.test fails on the code before (no isElectable there).

--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -292,7 +292,11 @@
         }
     }
 
-    private isElectable(): boolean {
+    /**
+     * Returns whether this replica counts towards a majority. After losing its disk, a replica applies the log some time
+     * before it does; until then, the failure of another replica stops the log.
+     */
+    isElectable(): boolean {
         return this.storage.isMember && this.replicas.isVoter(this.options.name);
     }
 
--- a/src/daemons/controller/statusService.ts
+++ b/src/daemons/controller/statusService.ts
@@ -34,6 +34,7 @@
 export interface FleetStatus {
     readonly askedAt: string;
     readonly revision: number;
+    /** Whether the answering controller counts towards a majority and is connected to one. */
     readonly connected: boolean;
     readonly leader: string | undefined;
     readonly term: number;
@@ -68,7 +69,7 @@
         return {
             askedAt: name,
             revision: log.state.objects.getRevision(),
-            connected: log.isConnectedToMajority(),
+            connected: this.isConnected(),
             leader: log.getLeaderName(),
             term: log.getTerm(),
             controllers,
@@ -94,12 +95,17 @@
             leader: log.getLeaderName(),
             revision: log.state.objects.getRevision(),
             appliedIndex: log.getAppliedIndex(),
-            connected: log.isConnectedToMajority(),
+            connected: this.isConnected(),
             daemons: this.publisher.getDaemons(),
             ledger: this.getLedgerStatus(),
         };
     }
 
+    private isConnected(): boolean {
+        const { log } = this.context;
+        return log.isElectable() && log.isConnectedToMajority();
+    }
+
     private getLedgerStatus(): LedgerStatus {
         const { ledger } = this.context;
         return {
--- a/src/protocol/configMethods.ts
+++ b/src/protocol/configMethods.ts
@@ -76,6 +76,7 @@
     readonly leader: string | undefined;
     readonly revision: number;
     readonly appliedIndex: number;
+    /** Whether the controller counts towards a majority and is connected to one. */
     readonly connected: boolean;
     readonly daemons: readonly DaemonStatus[];
     readonly ledger: LedgerStatus | undefined;
--- a/test/consensus/replicatedLog.test.ts
+++ b/test/consensus/replicatedLog.test.ts
@@ -213,3 +213,34 @@
     );
     await simulation.stopAll();
 });
+
+// Guards against an operator who takes down the next replica while a readmitted one cannot vote yet.
+void t.test("a replica that lost its disk counts towards a majority only once another may fail", async t => {
+    const simulation = new ReplicatedLogSimulation(11);
+    NAMES.forEach(name => simulation.start(name));
+    const getLeaderName = () => [...simulation.replicas.values()].map(one => one.getLeaderName()).find(Boolean);
+    await waitUntil("a leader", () => getLeaderName() !== undefined);
+    const leaderName = getLeaderName()!;
+    const [erasedName, absentName] = NAMES.filter(name => name !== leaderName) as [string, string];
+    await waitUntil(
+        "all to have joined",
+        () => [...simulation.replicas.values()].every(one => one.isElectable()),
+    );
+
+    simulation.faults.partitioned.add(absentName);
+    await simulation.crash(erasedName);
+    simulation.eraseDisk(erasedName);
+    simulation.start(erasedName);
+    const erased = simulation.replicas.get(erasedName)!;
+    await waitUntil("contact with the leader", () => erased.isConnectedToMajority());
+    t.notOk(erased.isElectable(), "the leader's majority does not exist without it");
+
+    simulation.faults.partitioned.delete(absentName);
+    await waitUntil("it to have joined", () => erased.isElectable());
+    await simulation.crash(leaderName);
+    await waitUntil("a majority without the former leader", async () => {
+        const answer = await erased.propose({ type: "noop" });
+        return answer.index > 0;
+    });
+    await simulation.stopAll();
+});
--- /dev/null
+++ b/test/daemons/statusService.test.ts
@@ -0,0 +1,29 @@
+/** Tests the status of a controller. */
+import t from "tap";
+import type { ConfigPublisher } from "../../src/daemons/controller/configPublisher.js";
+import type { ControllerContext } from "../../src/daemons/controller/controllerContext.js";
+import { StatusService } from "../../src/daemons/controller/statusService.js";
+
+function createStatusService(isElectable: boolean): StatusService {
+    const log = {
+        isElectable: () => isElectable,
+        isConnectedToMajority: () => true,
+        getLeaderName: () => "b",
+        getTerm: () => 1,
+        getAppliedIndex: () => 1,
+        state: { objects: { getRevision: () => 1 }, budgets: { forEachBudget: () => undefined } },
+    };
+    const ledger = { id: "a#1", overspent: 0, getBudgets: () => [], getPendingTopUps: () => 0 };
+    const context = { log, ledger, name: "a", zone: "z", controllers: [] } as unknown as ControllerContext;
+    return new StatusService(context, { getDaemons: () => [] } as unknown as ConfigPublisher);
+}
+
+// Guards against an operator who takes down the next controller while a repaired one cannot vote yet.
+void t.test("a controller that lost its disk reports that it is connected only once it counts towards a majority", async t => {
+    const [joining, joined] = [
+        await createStatusService(false).getStatus(),
+        await createStatusService(true).getStatus(),
+    ];
+    t.same([joining.connected, joining.controllers[0]!.connected], [false, false]);
+    t.same([joined.connected, joined.controllers[0]!.connected], [true, true]);
+});
