A ledger says exhausted only after its replica has caught up with the leader

Cause: a top-up is answered once the leader has committed it; a follower applies it with the next message. Until then the follower's ledger sees nothing unallocated, asks the others, who have nothing yet either, and answers exhausted, which the router takes as final.

Why it holds: before it says exhausted, the refill confirms a read index with the leader and looks again; where that cannot be confirmed the answer is budgetUnreachable, not exhausted. Two tests in ledgerRefill.test, red before: a top-up that the replica has not applied, and a leader that cannot be reached.

--- a/src/daemons/controller/budgetRefiller.ts
+++ b/src/daemons/controller/budgetRefiller.ts
@@ -23,7 +23,7 @@
 /** Result of a refill at its end. Concurrent draws may already have taken the tokens. */
 export type RefillOutcome =
     | "filled"
-    /** No tokens are unallocated or available from another ledger. */
+    /** No tokens are unallocated or available from another ledger, as confirmed by the leader. */
     | "exhausted"
     /** Other ledgers returned tokens, or some are unallocated, but this ledger did not obtain enough of them. */
     | "moved"
@@ -95,7 +95,12 @@
         if (returned === undefined) {
             return "unreachable";
         }
-        return returned > 0 || this.getUnallocatedTokens(budget) > 0 ? "moved" : "exhausted";
+        if (returned > 0 || this.getUnallocatedTokens(budget) > 0) {
+            return "moved";
+        }
+        // A top-up may be committed that this replica has not applied yet.
+        await log.confirmReadIndex();
+        return this.getUnallocatedTokens(budget) > 0 ? "moved" : "exhausted";
     }
 
     private getFreeTokens(budget: string): number {
--- a/test/daemons/ledgerRefill.test.ts
+++ b/test/daemons/ledgerRefill.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against refusing draws as `budgetExhausted` while other ledgers have free tokens: when draws share a refill,
- * when returned tokens are allotted to another ledger, and when an allotment is ignored as a duplicate.
+ * when returned tokens are allotted to another ledger, and when an allotment is ignored as a duplicate; and while a top-up
+ * is committed that the ledger's replica has not applied yet.
  */
 import t from "tap";
 import type { ControllerContext } from "../../src/daemons/controller/controllerContext.js";
@@ -8,7 +9,7 @@
 import { type BudgetResult, BudgetStore } from "../../src/domain/budgetStore.js";
 import type { Command } from "../../src/domain/commands.js";
 import { Ledger, ShareSource } from "../../src/domain/ledger.js";
-import { getRefusal } from "../../src/domain/resultCodes.js";
+import { createRefusal, getRefusal, RefusalError } from "../../src/domain/resultCodes.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { Peer, PeerHandlers, type PeerIdentity, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
@@ -58,6 +59,8 @@
     readonly budgets = new BudgetStore();
     /** Called before a command is applied. */
     onPropose: (command: Command) => void = () => undefined;
+    /** Called before a ledger's replica has caught up with the leader. */
+    onConfirm: () => void = () => undefined;
     private readonly handlers = new Map<string, PeerHandlers>();
     private index = 0;
 
@@ -92,6 +95,7 @@
             state: { budgets, objects: { tryGet: () => undefined } },
             isConnectedToMajority: () => true,
             waitApplied: () => Promise.resolve(),
+            confirmReadIndex: () => this.confirmReadIndex(),
             propose: (command: Command) => this.propose(command),
         };
         return {
@@ -120,8 +124,14 @@
         return { index: this.index, result };
     }
 
-    /** Credits a top-up to one ledger's share. */
-    topUp(tokens: number, name: string): void {
+    private async confirmReadIndex(): Promise<number> {
+        await new Promise(setImmediate);
+        this.onConfirm();
+        return this.index;
+    }
+
+    /** Credits a top-up to one ledger's share, or leaves it unallocated. */
+    topUp(tokens: number, name?: string): void {
         this.budgets.applyCreditTopUp(
             {
                 type: "creditTopUp",
@@ -130,7 +140,7 @@
                 budget: BUDGET,
                 tokens,
                 home: "z",
-                ledger: `${name}#1`,
+                ...(name === undefined ? {} : { ledger: `${name}#1` }),
             } as Parameters<BudgetStore["applyCreditTopUp"]>[0],
         );
     }
@@ -193,3 +203,17 @@
     ledgers.topUp(NEED * ROUTERS - 1, "rich");
     t.same(await ledgers.drawConcurrently("fresh", ROUTERS, NEED), ["budgetExhausted"]);
 });
+
+void t.test("a draw right after a top-up succeeds at a ledger whose replica has not applied it yet", async t => {
+    const ledgers = new LedgerFixture(["behind", "other"]);
+    ledgers.onConfirm = () => ledgers.topUp(100_000);
+    t.same(await ledgers.drawConcurrently("behind", ROUTERS, NEED), []);
+});
+
+void t.test("a draw from a ledger that cannot confirm its state is refused as unreachable", async t => {
+    const ledgers = new LedgerFixture(["behind", "other"]);
+    ledgers.onConfirm = () => {
+        throw new RefusalError(createRefusal("noMajority"));
+    };
+    t.same(await ledgers.drawConcurrently("behind", 1, NEED), ["budgetUnreachable"]);
+});
