Upstreams that report in time no longer count as lost between polls

Cause: the age of an upstream's last report grew with the time since the router's own last poll. With reports every 400 ms an upstream that reports is counted as heard 600 ms before a poll's answer and as lost after 1,600 ms; polls come every 1,000 ms, so each one that is late by a little loses all upstreams at once.

Why it holds: the age is measured at the last update, so that only a controller's word that an upstream is silent makes it lost. One that stops reporting is lost with the poll after its timeout, at most a poll later than before.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -34,6 +34,7 @@
 } from "../../protocol/fleetMethods.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
 import type { BundleListener } from "./bundleFetcher.js";
+import { ControllerContact } from "./controllerContact.js";
 import type { FeedListener } from "./controllerFeed.js";
 import { ControllerFeeds, type ControllerFeedsOptions } from "./controllerFeeds.js";
 import { OtherRouters } from "./otherRouters.js";
@@ -67,6 +68,8 @@
     readonly assumedRouterCount: number;
 }
 
+/** Poll intervals without a controller's response after which contact counts as lost. */
+const MISSED_POLLS_UNTIL_LOST = 2;
 const CLEANUP_PERIOD_MS = 10_000;
 const GAUGE_PERIOD_MS = 1_000;
 
@@ -88,9 +91,7 @@
     private gaugeTimer: NodeJS.Timeout | undefined;
     private isRefusingRequests = false;
     private wasReady = false;
-    /** When a controller last responded, and when the current period of contact began. Monotonic clock, milliseconds. */
-    private lastControllerResponseAt = -Infinity;
-    private controllersReachableSince = -Infinity;
+    private readonly controllerContact: ControllerContact;
 
     constructor(
         override readonly options: DirectRouterOptions,
@@ -111,6 +112,10 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
+        this.controllerContact = new ControllerContact({
+            contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
+            upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
+        });
         this.controllerFeeds = new ControllerFeeds(network, clock, log, this, options);
         const backoffs = new UpstreamBackoffs();
         const coldRateSharing = new DistributedRateLimiter(options.address, Math.random, 0);
@@ -277,18 +282,7 @@
     }
 
     override getMaxUpstreamAgeMs(): number {
-        const now = this.clock.getMonotonicMs();
-        const { upstreamReportTimeoutMs } = this.options;
-        // Upstream reports arrive through the controllers, so without contact upstreams keep their last known state.
-        const isInContact = now - this.lastControllerResponseAt < this.getContactGapMs();
-        return isInContact && now - this.controllersReachableSince > upstreamReportTimeoutMs
-            ? upstreamReportTimeoutMs
-            : Infinity;
-    }
-
-    /** Time without a controller's response after which contact counts as lost. */
-    private getContactGapMs(): number {
-        return this.options.pollIntervalMs * 2;
+        return this.controllerContact.getMaxUpstreamAgeMs(this.clock.getMonotonicMs());
     }
 
     override getMaxConnections(service: BundleService): number {
@@ -407,14 +401,14 @@
         if (answer.suspects !== undefined) {
             this.quarantine.receiveSuspects(answer.suspects);
         }
-        if (now - this.lastControllerResponseAt > this.getContactGapMs()) {
-            this.controllersReachableSince = now;
+        this.controllerContact.recordResponse(now);
+        if (answer.upstreams.length > 0) {
+            this.controllerContact.recordUpstreamUpdate(now);
         }
-        this.lastControllerResponseAt = now;
         if (
             this.otherRouters.recordListed(
                 routers,
-                this.controllersReachableSince,
+                this.controllerContact.getReachableSince(),
                 this.prepaidReporter.routerCount,
                 now,
             )
@@ -430,6 +424,7 @@
         const now = this.clock.getMonotonicMs();
         this.receiveUpstreams(news.changed);
         heard.forEach(({ id, ageMs }) => this.registry.recordHeard(id, now - ageMs));
+        this.controllerContact.recordUpstreamUpdate(now);
     }
 
     /** Discards connections to an earlier process of an upstream: a request sent on one may or may not run. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -313,7 +313,7 @@
         const { retryAfterMs } = this.context.options;
         const reason = this.closedCauses.length > 0
             ? `upstreams are ${formatCauses(this.closedCauses)}`
-            : this.lastFailureReason;
+            : this.lastFailureReason || "no upstream has reported in time";
         return createRefusal("noUpstream", reason, "no", Math.max(retryAfterMs, this.candidateWaitMs ?? 0));
     }
 
