A process that stalled reads what has arrived before it gives up calls and connections

What callers saw: chats refused LW1203 budgetUnreachable with every ledger up, after their router had not run for 3 s and more; of this kind is badInput.test's chat that was not answered (load 27 to 38).

Cause: when an event loop goes on after a stall, timers that are due run before sockets are read. Calls ended as peerTimeout with their answers unread, and connections were closed as idle for the time in which this process itself did not run.

Why it holds: a call that is due is ended after the next poll for data; the idle time leaves out what the check was late by; a connection that was made during a stall is used.

--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -4,6 +4,7 @@
 import { createRefusal, formatRefusal, getRefusal, RefusalError } from "../../domain/resultCodes.js";
 import { type Log } from "../../ports/log.js";
 import { Peer, PeerHandlers, type PeerIdentity, PeerNetwork } from "../../ports/peer.js";
+import { waitForNextPoll } from "../nextPoll.js";
 import { startListening } from "../startListening.js";
 import { areProofsEqual, computeProof, type HandshakeNonces, helloMethod, proveMethod } from "./handshake.js";
 import { TcpPeer } from "./tcpPeer.js";
@@ -207,7 +208,13 @@
             socket.destroy();
             reject(new RefusalError(createRefusal("peerGone", `cannot connect to ${address}`)));
         };
-        const timer = setTimeout(fail, CONNECT_TIMEOUT_MS);
+        const failIfConnecting = (): void => {
+            if (socket.connecting) {
+                fail();
+            }
+        };
+        // After a stall of this process, the connection may have been established without its knowledge.
+        const timer = setTimeout(() => void waitForNextPoll().then(failIfConnecting), CONNECT_TIMEOUT_MS);
         socket.once("error", () => {
             clearTimeout(timer);
             fail();
--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -3,7 +3,6 @@
     createJSONRPCErrorResponse,
     createJSONRPCSuccessResponse,
     JSONRPCClient,
-    JSONRPCErrorException,
     type JSONRPCRequest,
     type JSONRPCResponse,
     JSONRPCServer,
@@ -11,6 +10,7 @@
 import type { Socket } from "node:net";
 import { createRefusal, getRefusal, type Refusal, RefusalError, ResultCodes } from "../../domain/resultCodes.js";
 import { Peer, type PeerHandlers, type PeerIdentity, type PeerMethod } from "../../ports/peer.js";
+import { waitForNextPoll } from "../nextPoll.js";
 import { readLines } from "./lineReader.js";
 
 /** Limit on the bytes buffered for sending; a peer that exceeds it is disconnected. */
@@ -38,7 +38,9 @@
     private pendingCalls = 0;
     private closeListener: () => void = () => undefined;
     private lastReceivedAtMs = performance.now();
+    private lastCheckedAtMs = performance.now();
     private lastBytesRead = 0;
+    private lastCallId = 0;
     /**
      * Whether a call has timed out and nothing has been received since. Without it, calls that time out between two
      * liveness checks would never cause a dead connection to be detected.
@@ -81,26 +83,37 @@
             throw new RefusalError(createRefusal("peerGone", method.name));
         }
         this.pendingCalls += 1;
+        this.lastCallId += 1;
+        const id = this.lastCallId;
+        const timer = setTimeout(() => void this.timeOutCall(id, method.name), timeoutMs);
         try {
-            const timeoutRefusal = createRefusal("peerTimeout", method.name, "unknown");
-            const result: unknown = await this.client
-                .timeout(
-                    timeoutMs,
-                    id => ({ jsonrpc: "2.0", id, error: { code: 0, message: "", data: timeoutRefusal } }),
-                )
-                .request(method.name, params as never);
+            const request = { jsonrpc: "2.0" as const, id, method: method.name, params: params as never };
+            const { result, error } = await this.client.requestAdvanced(request);
+            if (error !== undefined) {
+                throw new RefusalError(error.data as Refusal);
+            }
             return result as R;
         }
         catch (error) {
-            const refusal = getPeerRefusal(error, method.name);
+            const refusal = error instanceof RefusalError
+                ? error.refusal
+                : createRefusal("peerGone", method.name, "unknown");
             this.hasTimedOutCall ||= refusal.code === "peerTimeout";
             throw new RefusalError(refusal);
         }
         finally {
+            clearTimeout(timer);
             this.pendingCalls -= 1;
         }
     }
 
+    /** Ends a call without a response. After a stall of this process, a response may have arrived that it has not read. */
+    private async timeOutCall(id: number, method: string): Promise<void> {
+        await waitForNextPoll();
+        const data = createRefusal("peerTimeout", method, "unknown");
+        this.client.receive({ jsonrpc: "2.0", id, error: { code: ResultCodes.peerTimeout.number, message: "", data } });
+    }
+
     override notify<P>(method: PeerMethod<P, void>, params: P): void {
         if (this.open) {
             this.sendMessage({ jsonrpc: "2.0", method: method.name, params: params as never });
@@ -143,9 +156,13 @@
 
     /**
      * Detects connections that are lost without a TCP close. A connection in use that is idle is pinged, and closed after
-     * IDLE_TIMEOUT_MS, so that pending calls fail over.
+     * IDLE_TIMEOUT_MS, so that pending calls fail over. Time during which this process was stalled does not count: what
+     * the peer sent meanwhile has not been read.
      */
     private checkLiveness(): void {
+        const now = performance.now();
+        this.lastReceivedAtMs += Math.max(0, now - this.lastCheckedAtMs - LIVENESS_CHECK_PERIOD_MS);
+        this.lastCheckedAtMs = now;
         // Bytes of an incomplete line count as well: a long line takes seconds on a slow link.
         if (this.socket.bytesRead > this.lastBytesRead) {
             this.lastBytesRead = this.socket.bytesRead;
@@ -235,10 +252,3 @@
         }
     }
 }
-
-function getPeerRefusal(error: unknown, method: string): Refusal {
-    if (error instanceof JSONRPCErrorException && error.data !== undefined) {
-        return error.data as Refusal;
-    }
-    return createRefusal("peerGone", method, "unknown");
-}
