Intents and claims of attempts that are not dispatched are given back

What callers saw: requests.test, a call that may not be repeated was never run; each resend was told that it may have run.

Cause: after 1.5 s the router gave up on a home ledger that was slow to sync the intent. The home stored it all the same, for an attempt that nobody would make, and refused every later one; the claim of the attempt stayed as well, so a resend waited for it until its deadline.

Only the owner's own intent is withdrawn, so a call still runs at most once.

--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -77,13 +77,9 @@
         catch (error) {
             const refusal = getRefusal(error);
             sink.fail(refusal);
-            this.deps.log.info("request_refused", {
-                ...fields,
-                code: refusal.code,
-                ran: refusal.ran,
-                detail: refusal.detail,
-            });
-            this.deps.metrics.addCount(`router.refused.${refusal.code}`);
+            const { code, ran, detail } = refusal;
+            this.deps.log.info("request_refused", { ...fields, code, ran, detail });
+            this.deps.metrics.addCount(`router.refused.${code}`);
         }
     }
 
@@ -136,18 +132,20 @@
     ): Promise<{ promptTokens: number; outputTokens: number; }> {
         const progress = createProgress(uncertain ? "unknown" : "no");
         let intentController: ControllerAddress | undefined;
+        let mayBeDispatched = false;
         try {
             // Reserve first, so that a request without budget leaves no intent behind.
             const reservation = await this.reserve(job, progress);
             if (!job.repeatable) {
                 intentController = await this.storeIntent(job, reservation);
             }
+            mayBeDispatched = true;
             return await this.runAttempts(job, sink, progress, reservation, uncertain);
         }
         catch (error) {
             const refusal = getRefusal(error);
             const ran = progress.ran === "no" ? refusal.ran : progress.ran;
-            if (ran === "no") {
+            if (ran === "no" || !mayBeDispatched) {
                 await this.releaseIntentAndClaim(job, intentController);
             }
             throw new RefusalError({ ...refusal, ran });
@@ -156,7 +154,7 @@
 
     private async storeIntent(job: Job, reservation: Reservation): Promise<ControllerAddress> {
         try {
-            return await this.deps.intents.storeIntent(job, job.hasIdempotencyKey);
+            return await this.deps.intents.storeIntent(job, job.hasIdempotencyKey, job.deadline);
         }
         catch (error) {
             reservation.settle(0);
@@ -164,7 +162,7 @@
         }
     }
 
-    /** Withdraws the intent and releases the claim of a request that did not run, so that a retry may run. */
+    /** Withdraws the intent and releases the claim of an attempt that was not dispatched, so that a retry may run. */
     private async releaseIntentAndClaim(job: Job, intentController: ControllerAddress | undefined): Promise<void> {
         if (intentController !== undefined) {
             await this.deps.intents.withdrawIntent(job, intentController);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -153,7 +153,7 @@
         ledgers,
         runs,
         claims: new ClaimClient(view, network, clock),
-        intents: new IntentClient(network, controllers),
+        intents: new IntentClient(network, clock, log, controllers),
         relayedUsageReporter: new RelayedUsageReporter(outbox, clock),
     });
     const requests = new JobFactory(view, clock, identity);
--- a/test/fleet/requests.test.ts
+++ b/test/fleet/requests.test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { request } from "undici";
 import { askChat, callPlain, getExpectedAnswer, getExpectedBill, getRunCounts } from "../tools/caller.js";
-import { Fleet } from "../tools/fleet.js";
+import { Fleet, type FleetProcess } from "../tools/fleet.js";
 import { waitUntil } from "../tools/waiting.js";
 
 const fleet = new Fleet({
@@ -143,3 +143,27 @@
     t.equal((await getRunCounts(fleet.getStandIns("topups"))).get("member/credit-2"), 1);
     await third!.start();
 });
+
+/** Longer than one attempt to store an intent, and longer than all of them. */
+const STALLS_MS = [1_700, 6_000];
+const CALLS_IN_STALL = 3;
+
+// Guards against a request that is never run and whose callers never learn so: an intent that its router gave up on.
+for (const stallMs of STALLS_MS) {
+    void t.test(`calls that may not be repeated run once although controllers are frozen for ${stallMs} ms`, async t => {
+        const [first, second] = fleet.getRouters();
+        const keys = Array.from({ length: CALLS_IN_STALL }, (_, i) => `stalled-${stallMs}-${i}`);
+        const call = (router: FleetProcess, name: string) =>
+            callPlain(router, key, "/services/topups/credit", { "idempotency-key": name });
+        const controllers = fleet.getControllers();
+        controllers.forEach(controller => controller.freeze());
+        setTimeout(() => controllers.forEach(controller => controller.thaw()), stallMs);
+        await Promise.all(keys.map(name => call(first!, name)));
+        await waitUntil("a connected controller", async () => (await fleet.getStatus()).connected);
+        for (const name of keys) {
+            await waitUntil(`the answer to ${name}`, async () => (await call(second!, name)).status === 200);
+        }
+        const runs = await getRunCounts(fleet.getStandIns("topups"));
+        t.same(keys.map(name => runs.get(`member/${name}`)), keys.map(() => 1));
+    });
+}
