A run that its sidecar cancelled is retried, not told as cancelled by its caller

What callers saw: 499 LW1503 runCancelled, "cancelled by its caller", while they waited; streams ended by it without a time to come back.

Cause: a sidecar cancels a repeatable run when its router's connection is lost. The router reattached, and passed that word on as final.

Why it holds: a cancellation that neither the caller's disconnection nor the deadline explains counts as a failed run and is retried from the caller's position; past the deadline it is deadlinePassed, also after reattaching.

--- a/src/daemons/router/progress.ts
+++ b/src/daemons/router/progress.ts
@@ -2,7 +2,7 @@
 import type { Upstream } from "../../domain/configView.js";
 import type { Reservation } from "../../domain/grantStore.js";
 import { createRandomId } from "../../domain/identifiers.js";
-import type { Ran, Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, type Ran, type Refusal } from "../../domain/resultCodes.js";
 import type { AnswerPiece, RunEnd, StartRunParams } from "../../protocol/runMethods.js";
 import type { Job } from "./job.js";
 
@@ -70,6 +70,26 @@
     };
 }
 
+/**
+ * Replaces the refusal of a run that was cancelled although its caller is still connected: at its deadline, or by its
+ * sidecar, which does not continue a repeatable run after its connection to the router was lost.
+ */
+export function replaceCancellation(end: RunEnd, isPastDeadline: boolean, retryAfterMs: number): RunEnd {
+    if (end.refusal?.code !== "runCancelled") {
+        return end;
+    }
+    const { ran } = end.refusal;
+    const refusal = isPastDeadline
+        ? createRefusal("deadlinePassed", undefined, ran, retryAfterMs)
+        : createRefusal(
+            "upstreamFailed",
+            "the sidecar cancelled the run as its connection was lost",
+            ran,
+            retryAfterMs,
+        );
+    return { ...end, refusal };
+}
+
 export function getResumePosition(params: Omit<StartRunParams, "listener">): number {
     return params.request.type === "chat" ? params.request.resumeFrom : 0;
 }
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -24,6 +24,7 @@
     createRunParams,
     getResumePosition,
     recordPieces,
+    replaceCancellation,
     type RequestProgress,
     type RunOutcome,
 } from "./progress.js";
@@ -357,7 +358,7 @@
     ): Promise<RunOutcome> {
         try {
             const end = await this.readStream(job, sink, progress, stream, reservation);
-            const outcome = createRunOutcome(this.convertLateCancellation(job, end));
+            const outcome = createRunOutcome(this.replaceCancellation(job, sink, end));
             this.settleReservation(outcome, progress, reservation, params);
             return outcome;
         }
@@ -377,13 +378,9 @@
         }
     }
 
-    /** Replaces the refusal of a run that was cancelled at its deadline by deadlinePassed. */
-    private convertLateCancellation(job: Job, end: RunEnd): RunEnd {
+    private replaceCancellation(job: Job, sink: AnswerSink, end: RunEnd): RunEnd {
         const isPastDeadline = this.deps.clock.getMonotonicMs() >= job.deadline;
-        if (end.refusal?.code !== "runCancelled" || !isPastDeadline) {
-            return end;
-        }
-        return { ...end, refusal: createRefusal("deadlinePassed", undefined, end.refusal.ran, RETRY_AFTER_MS) };
+        return sink.isDisconnected() ? end : replaceCancellation(end, isPastDeadline, RETRY_AFTER_MS);
     }
 
     private settleReservation(
@@ -420,7 +417,8 @@
         for (let attempt = 0; attempt < MAX_REATTACH_ATTEMPTS;) {
             try {
                 const stream = await this.deps.runs.attach(sidecar, job.requestId, job.digest, progress.position);
-                return createRunOutcome(await this.readStream(job, sink, progress, stream, undefined));
+                const end = await this.readStream(job, sink, progress, stream, undefined);
+                return createRunOutcome(this.replaceCancellation(job, sink, end));
             }
             catch (error) {
                 const refusal = getRefusal(error);
