Every refusal that may be different later says when to come back

What callers saw: overload.test, refusals under an overload without a time to come back, none told early.

Cause: refusals with the words of a connection to a sidecar (peerGone, peerTimeout), of an expired grant and of a cancelled run carry no time, and nothing adds one.

The new test in overload.test failed before (both halves).

Why it holds: the one place where the router refuses a caller adds its usual time to any refusal of status 429 or 5xx that has none, but for a request that an upstream itself refused.

--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -4,7 +4,13 @@
  */
 import type { ConfigView, Upstream } from "../../domain/configView.js";
 import type { Reservation } from "../../domain/grantStore.js";
-import { createRefusal, getRefusal, type Refusal, RefusalError } from "../../domain/resultCodes.js";
+import {
+    addMissingRetryAfter,
+    createRefusal,
+    getRefusal,
+    type Refusal,
+    RefusalError,
+} from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { UpstreamChooser } from "../../domain/upstreamChooser.js";
 import type { Clock } from "../../ports/clock.js";
@@ -76,7 +82,7 @@
             this.deps.metrics.addCount("router.requests_answered");
         }
         catch (error) {
-            const refusal = getRefusal(error);
+            const refusal = addMissingRetryAfter(getRefusal(error), RETRY_AFTER_MS);
             sink.fail(refusal);
             const { code, ran, detail } = refusal;
             this.deps.log.info("request_refused", { ...fields, code, ran, detail });
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -157,6 +157,23 @@
     };
 }
 
+const TOO_MANY_REQUESTS_STATUS = 429;
+const MIN_SERVER_ERROR_STATUS = 500;
+
+/**
+ * Adds `retryAfterMs` to a refusal that states no delay, such as that of a peer that was lost, if the request may succeed
+ * later without a change.
+ */
+export function addMissingRetryAfter(refusal: Refusal, retryAfterMs: number): Refusal {
+    return refusal.retryAfterMs === undefined && isTemporary(refusal) ? { ...refusal, retryAfterMs } : refusal;
+}
+
+function isTemporary({ code }: Refusal): boolean {
+    const { status } = ResultCodes[code];
+    // An upstream that refused a request would refuse it again.
+    return code !== "upstreamRefused" && (status === TOO_MANY_REQUESTS_STATUS || status >= MIN_SERVER_ERROR_STATUS);
+}
+
 /** Wraps a refusal to be thrown. */
 export class RefusalError extends Error {
     constructor(readonly refusal: Refusal) {
--- a/test/fleet/overload.test.ts
+++ b/test/fleet/overload.test.ts
@@ -4,6 +4,8 @@
 import { Fleet } from "../tools/fleet.js";
 
 const SLOTS = 4;
+/** Longer than a router waits for a sidecar to start a run. */
+const FROZEN_MS = 2_500;
 const fleet = new Fleet({
     zones: ["wien"],
     services: [{
@@ -78,6 +80,27 @@
     );
 });
 
+// Guards against refusals that do not say when to come back because a sidecar was lost or did not answer.
+void t.test("callers are told when to come back while the only sidecar is frozen, and while it is gone", async t => {
+    const sidecar = fleet.getSidecars()[0]!;
+    const askAll = (): Promise<Timed[]> => Promise.all(Array.from({ length: 12 }, (_, i) => ask(i % 2 === 0, 1_500)));
+    const inProgress = askAll();
+    sidecar.freeze();
+    const whileFrozen = askAll();
+    setTimeout(() => sidecar.thaw(), FROZEN_MS);
+    const frozen = [...await inProgress, ...await whileFrozen];
+    await sidecar.kill();
+    const gone = await askAll();
+    await sidecar.start();
+    await fleet.waitInForce();
+    const describe = ({ result: { status, error } }: Timed): string => `${status} ${error?.type} ran ${error?.ran}`;
+    for (const [when, answers] of [["frozen", frozen], ["gone", gone]] as const) {
+        const refused = answers.filter(({ result }) => !result.isComplete);
+        t.ok(refused.length > 0, `some are refused while it is ${when}`);
+        t.same(refused.filter(({ result }) => !isToldWhen(result)).map(describe), [], when);
+    }
+});
+
 void t.test("goodput does not fall with the load offered", async t => {
     const measure = async (callers: number): Promise<number> => {
         const until = performance.now() + 3_000;
