A change is proposed again when its leader is lost

What was seen: configuration.test, one of 500 changes answered LW2006 changeUnknown, "ask again with its operation id"; the operator had given none.

Cause: the controller proposed a change once and passed on whatever became of that leader, with another one elected within 0.7 s.

Why it holds: an operation id that is proposed again gets its first answer, from any leader; what stays unknown is told as unknown.

--- a/src/daemons/controller/operatorService.ts
+++ b/src/daemons/controller/operatorService.ts
@@ -1,5 +1,6 @@
 /** Implements the operator API: declared objects, top-ups, the audit trail, bills and status. */
 import * as z from "zod";
+import type { ProposeAnswer } from "../../consensus/messages.js";
 import type { BillRecord } from "../../domain/billStore.js";
 import { createRandomId } from "../../domain/identifiers.js";
 import {
@@ -197,7 +198,7 @@
         const { log } = this.context;
         const object = `${change.kind}/${change.name}`;
         try {
-            const answer = await log.propose(change);
+            const answer = await this.proposeUntilKnown(change);
             await log.waitApplied(answer.index, APPLY_TIMEOUT_MS).catch(() => undefined);
             if (answer.result.type === "refused") {
                 throw new RefusalError(answer.result.refusal);
@@ -221,6 +222,35 @@
         }
     }
 
+    /**
+     * Proposes a change, and proposes it again if the leader was lost: while its outcome is unknown, or while it was not
+     * accepted and another leader can be expected. The operation id makes that safe; an operator who gave none could not
+     * ask again.
+     */
+    private async proposeUntilKnown(change: ObjectChangeRequest): Promise<ProposeAnswer> {
+        const { log, clock } = this.context;
+        const deadline = clock.getMonotonicMs() + OUTCOME_TIMEOUT_MS;
+        let unknownOutcome: unknown;
+        for (;;) {
+            try {
+                return await log.propose(change);
+            }
+            catch (error) {
+                const { code } = getRefusal(error);
+                unknownOutcome = code === "changeUnknown" ? error : unknownOutcome;
+                const isLeaderLost = code === "changeUnknown" || code === "noMajority";
+                const mayBeKnown = unknownOutcome !== undefined || log.isConnectedToMajority();
+                if (!isLeaderLost) {
+                    throw error;
+                }
+                if (!mayBeKnown || clock.getMonotonicMs() >= deadline) {
+                    throw unknownOutcome ?? error;
+                }
+                await clock.wait(PROPOSE_RETRY_INTERVAL_MS);
+            }
+        }
+    }
+
     private rejectChange(operator: string, operationId: string, action: string, object: string, detail: string): never {
         const refusal = createRefusal("objectInvalid", detail);
         this.audit.recordRefusal(
@@ -232,6 +262,9 @@
 }
 
 const WATCH_WAIT_MS = 1_000;
+/** How long the outcome of a change is sought after its leader was lost: several elections. */
+const OUTCOME_TIMEOUT_MS = 5_000;
+const PROPOSE_RETRY_INTERVAL_MS = 100;
 
 function parseKind(kind: string): Kind {
     if (!isKind(kind)) {
