Upstreams of two tests report until they are replaced

callerServer.test and replacedUpstreams.test report each upstream once. A router rightly takes an upstream for lost after 4.8 s without a report, so a slow run fails them.

Evidence: with a pause of 5.5 s after the set-up, a trial, both are red: "no upstream has reported in time" for each request. The checks are untouched; the upstreams report every 0.4 s, as the protocol asks, until they are replaced or the fleet is closed.

--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -100,10 +100,9 @@
         zone: "z",
         slots: 4,
         state: "ready",
-        seqno: 1,
         config_rev: "v1",
     };
-    await fleet.sendRequest("PUT", fleet.getOperatorUrl("c1", "/loomwinch/instances/e1"), registration);
+    await fleet.startReporting("c1", "e1", registration);
     const { daemon } = fleet.routers.get("r1")!.role;
     await waitUntil("engine known", () => daemon.registry.tryGet("e1") !== undefined);
     await waitUntil("bundle in force", () => daemon.getBundleRevision() === 1);
--- a/test/platform/replacedUpstreams.test.ts
+++ b/test/platform/replacedUpstreams.test.ts
@@ -13,6 +13,8 @@
 /** Equal to the retry budget of a router. */
 const REPLACED = 2;
 const ENGINES = 5;
+/** Sequence number above those of all earlier reports. */
+const NEWER = 1_000_000;
 const fleet = new DirectFleet(NETWORK);
 /** The current engine id at each box. */
 const idsByBox = new Map<string, string>();
@@ -44,9 +46,8 @@
         const head = { ...echo, "Instance-Signature": "sig", "Content-Type": "text/event-stream" };
         response.writeHead(200, head).end("id: 1\ndata: x\n\n");
     });
-    const body = { backend: "engines", address, zone: "z", slots: 4, state: "ready", seqno: 1, cold_left_ms: 0 };
-    const url = fleet.getOperatorUrl("c1", `/loomwinch/instances/${id}`);
-    t.equal((await fleet.sendRequest("PUT", url, body)).status, 200);
+    const body = { backend: "engines", address, zone: "z", slots: 4, state: "ready", cold_left_ms: 0 };
+    t.equal(await fleet.startReporting("c1", id, body), 200);
 }
 
 void t.test("engines that were replaced at their addresses", async t => {
@@ -71,6 +72,7 @@
 
     await t.test("cause no failed request and at most two 421 responses each from all routers together", async t => {
         for (let i = 0; i < REPLACED; i++) {
+            await fleet.stopReporting(`e${i}`);
             idsByBox.set(`r${11 + i}`, `new${i}`);
         }
         const statuses: number[] = [];
@@ -87,7 +89,15 @@
         idsByBox.set("r11", "e0");
         const { registry } = fleet.routers.get("r2")!.role.daemon;
         const address = registry.tryGet("e0")!.address;
-        const body = { backend: "engines", address, zone: "z", slots: 4, state: "ready", seqno: 2, cold_left_ms: 0 };
+        const body = {
+            backend: "engines",
+            address,
+            zone: "z",
+            slots: 4,
+            state: "ready",
+            seqno: NEWER,
+            cold_left_ms: 0,
+        };
         await fleet.sendRequest("PUT", fleet.getOperatorUrl("c2", "/loomwinch/instances/e0"), body);
         await waitUntil(
             "engine ready again",
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -37,11 +37,16 @@
 
 export type EngineHandler = (message: IncomingMessage, response: ServerResponse) => void;
 
+/** Interval at which upstreams report; routers take one that falls silent for lost. Milliseconds. */
+const UPSTREAM_REPORT_MS = 400;
+
 export class DirectFleet {
     readonly controllers = new Map<string, RunningBox<BundleControllerDaemon>>();
     readonly routers = new Map<string, RunningBox<DirectRouterDaemon>>();
     readonly engineRequests: EngineRequest[] = [];
     private readonly engines: Server[] = [];
+    /** Functions that end the reports of each upstream, by its id. */
+    private readonly reportStops = new Map<string, () => Promise<void>>();
     private readonly logOutput = tryOpenLogOutput("fleet");
     /** Everything is logged if logs are kept, and errors alone to standard output otherwise. */
     private readonly logSettings = this.logOutput === undefined
@@ -59,6 +64,7 @@
     }
 
     async close(): Promise<void> {
+        await Promise.all([...this.reportStops.keys()].map(id => this.stopReporting(id)));
         await Promise.all([...this.routers.keys()].map(box => this.stopRouter(box)));
         await Promise.all([...this.controllers.keys()].map(box => this.stopController(box)));
         this.engines.forEach(engine => {
@@ -119,6 +125,30 @@
         return `${this.getIp(box)}:${ENGINE_PORT}`;
     }
 
+    /** Reports an upstream to a controller until `stopReporting` or `close`. Resolves to the status of the first report. */
+    async startReporting(controller: string, id: string, registration: object): Promise<number> {
+        const url = this.getOperatorUrl(controller, `/loomwinch/instances/${id}`);
+        let seqno = 1;
+        const { status } = await this.sendRequest("PUT", url, { ...registration, seqno });
+        let lastReport: Promise<unknown> = Promise.resolve();
+        const timer = setInterval(() => {
+            seqno += 1;
+            // The next report makes up for a lost one.
+            lastReport = this.sendRequest("PUT", url, { ...registration, seqno }).catch(() => undefined);
+        }, UPSTREAM_REPORT_MS);
+        this.reportStops.set(id, async () => {
+            clearInterval(timer);
+            await lastReport;
+        });
+        return status;
+    }
+
+    /** Ends the reports of an upstream; resolves when the last one has arrived. */
+    async stopReporting(id: string): Promise<void> {
+        await this.reportStops.get(id)?.();
+        this.reportStops.delete(id);
+    }
+
     /** Sends an HTTP request, such as a registration or an operator command, and returns status and body. */
     async sendRequest(
         method: "GET" | "PUT" | "POST" | "DELETE",
