Withdrawals of intents are bounded; a call that ends without a refusal is told as lost

At most 1,000 are retried now, and only where the home may have stored the intent. A response without a result or a refusal was turned into peerGone by an exception on the way; it is now said.

--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -89,15 +89,11 @@
         try {
             const request = { jsonrpc: "2.0" as const, id, method: method.name, params: params as never };
             const { result, error } = await this.client.requestAdvanced(request);
-            if (error !== undefined) {
-                throw new RefusalError(error.data as Refusal);
+            if (result !== undefined && error === undefined) {
+                return result as R;
             }
-            return result as R;
-        }
-        catch (error) {
-            const refusal = error instanceof RefusalError
-                ? error.refusal
-                : createRefusal("peerGone", method.name, "unknown");
+            // The client ends the pending calls of a lost connection with errors that carry no refusal.
+            const refusal = error?.data as Refusal | undefined ?? createRefusal("peerGone", method.name, "unknown");
             this.hasTimedOutCall ||= refusal.code === "peerTimeout";
             throw new RefusalError(refusal);
         }
--- a/src/daemons/router/intentClient.ts
+++ b/src/daemons/router/intentClient.ts
@@ -15,8 +15,11 @@
 const WITHDRAW_INTERVAL_MS = 500;
 /** Attempts to withdraw an intent; covers the restart of a controller and most network partitions. */
 const MAX_WITHDRAW_ATTEMPTS = 60;
+const MAX_PENDING_WITHDRAWALS = 1_000;
 
 export class IntentClient {
+    private pendingWithdrawals = 0;
+
     constructor(
         private readonly network: PeerNetwork,
         private readonly clock: Clock,
@@ -36,6 +39,7 @@
             ? Array<ControllerAddress>(MAX_HOME_ATTEMPTS).fill(home)
             : this.controllers;
         let unreachableController = "";
+        let mayBeStored = false;
         for (const controller of candidates) {
             try {
                 const timeoutMs = Math.min(CALL_TIMEOUT_MS, deadline - this.clock.getMonotonicMs());
@@ -56,13 +60,14 @@
                     throw error;
                 }
                 unreachableController = controller.name;
-                const isSentHome = hasIdempotencyKey && refusal.ran !== "no";
-                if ((hasIdempotencyKey && !isSentHome) || this.clock.getMonotonicMs() >= deadline) {
+                mayBeStored ||= refusal.ran !== "no";
+                const isHomeDown = hasIdempotencyKey && refusal.ran === "no";
+                if (isHomeDown || this.clock.getMonotonicMs() >= deadline) {
                     break;
                 }
             }
         }
-        if (hasIdempotencyKey) {
+        if (hasIdempotencyKey && mayBeStored) {
             void this.abandonIntent(key);
         }
         throw new RefusalError(
@@ -86,16 +91,20 @@
      */
     private async abandonIntent(key: ClaimKey): Promise<void> {
         const { address, name } = this.getHomeController(key.requestId);
-        for (let attempt = 0; attempt < MAX_WITHDRAW_ATTEMPTS; attempt++) {
-            try {
-                await this.network.call(address, withdrawIntentMethod, key, CALL_TIMEOUT_MS);
-                return;
-            }
-            catch {
-                await this.clock.wait(WITHDRAW_INTERVAL_MS);
-            }
+        this.pendingWithdrawals += 1;
+        const maxAttempts = this.pendingWithdrawals > MAX_PENDING_WITHDRAWALS ? 1 : MAX_WITHDRAW_ATTEMPTS;
+        let isWithdrawn = false;
+        for (let attempt = 0; attempt < maxAttempts && !isWithdrawn; attempt++) {
+            await this.clock.wait(attempt === 0 ? 0 : WITHDRAW_INTERVAL_MS);
+            isWithdrawn = await this.network.call(address, withdrawIntentMethod, key, CALL_TIMEOUT_MS).then(
+                () => true,
+                () => false,
+            );
+        }
+        this.pendingWithdrawals -= 1;
+        if (!isWithdrawn) {
+            this.log.warn("intent_not_withdrawn", { request: key.requestId, controller: name });
         }
-        this.log.warn("intent_not_withdrawn", { request: key.requestId, controller: name });
     }
 
     private getHomeController(requestId: string): ControllerAddress {
