A draw ahead of demand that failed is not answered to requests

Cause: a failed draw is remembered for 150 ms for every need that is no smaller; a draw ahead needs 0.

Why it holds: what a draw of need 0 was told is kept for draws of need 0 only.

--- a/src/daemons/router/ledgerClient.ts
+++ b/src/daemons/router/ledgerClient.ts
@@ -154,7 +154,11 @@
 
     private isRefusalCached(budget: string, need: number): boolean {
         const cached = this.cachedRefusals.get(budget);
-        return cached !== undefined && need >= cached.need && this.clock.getMonotonicMs() < cached.expiresAt;
+        if (cached === undefined || this.clock.getMonotonicMs() >= cached.expiresAt) {
+            return false;
+        }
+        // A failed draw ahead, which needs no tokens, says nothing about a request's own draw.
+        return cached.need === 0 ? need === 0 : need >= cached.need;
     }
 
     /**
