--- a/src/roleBase.ts
+++ b/src/roleBase.ts
@@ -3,6 +3,7 @@
 import { KeyValueLog, type LogOutput } from "./adapters/keyValueLog.js";
 import { parseAddress, TcpNetwork } from "./adapters/rpc/tcpNetwork.js";
 import { EventLoopMonitor } from "./daemons/eventLoopMonitor.js";
+import { LoopUtilization } from "./daemons/loopUtilization.js";
 import { createRandomId } from "./domain/identifiers.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
 import { SystemClock } from "./ports/clock.js";
@@ -19,6 +20,7 @@
     readonly metrics: Metrics;
     readonly handlers: PeerHandlers;
     readonly loop: EventLoopMonitor;
+    readonly utilization: LoopUtilization;
     readonly network: TcpNetwork;
     /** HOST:PORT on which other processes connect; the port is the one actually bound. */
     readonly peerAddress: string;
@@ -48,12 +50,15 @@
     const port = await network.listen(host, requestedPort);
     const peerAddress = `${settings.listen.slice(0, settings.listen.lastIndexOf(":"))}:${port}`;
     loop.start();
-    return { identity, clock, log, metrics, handlers, loop, network, peerAddress };
+    const utilization = new LoopUtilization();
+    utilization.start();
+    return { identity, clock, log, metrics, handlers, loop, utilization, network, peerAddress };
 }
 
 /** Stops everything that `createRoleBase` started. */
 export function closeRoleBase(base: RoleBase): void {
     base.loop.stop();
+    base.utilization.stop();
     base.network.close();
     base.metrics.close();
 }
