--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -4,6 +4,7 @@
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
+import { RepeatBudget } from "../../domain/repeatBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
@@ -60,6 +61,10 @@
     readonly retryRatio: number;
     /** Retries to a service that all routers together may accumulate. */
     readonly maxSavedRetries: number;
+    /** Repeats after status 421 for each request to a service; see `RepeatBudget`. */
+    readonly repeatRatio: number;
+    /** Repeats after status 421 to a service that need no requests, of all routers together in 10 s. */
+    readonly repeatSlack: number;
     /** Fraction of a connection limit that is used; the rest is headroom for routers that start or stop. */
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
@@ -85,6 +90,7 @@
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly otherRouters: OtherRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
+    private readonly repeatBudgets = new Map<string, RepeatBudget>();
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
@@ -238,6 +244,7 @@
             return;
         }
         this.getRetryBudget(resolved.service.name).recordRequest();
+        this.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
             await new RelayRun(this, resolved, sink).run();
@@ -322,6 +329,27 @@
         return Math.max(1, this.options.maxSavedRetries / this.getSharingRouterCount());
     }
 
+    override tryClaimRepeat(service: string): boolean {
+        // Beyond the bound on repeats, retries are used as long as one is left for a request that an upstream rejects.
+        const isClaimed = this.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
+            || this.getRetryBudget(service).trySpendSurplus();
+        this.recorder.recordRepeat(isClaimed);
+        return isClaimed;
+    }
+
+    private getRepeatBudget(service: string): RepeatBudget {
+        let budget = this.repeatBudgets.get(service);
+        if (budget === undefined) {
+            budget = new RepeatBudget(this.options.repeatRatio, this.computeRepeatSlack());
+            this.repeatBudgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    private computeRepeatSlack(): number {
+        return this.options.repeatSlack / this.getSharingRouterCount();
+    }
+
     /** Number of routers among which fleet-wide limits are divided. */
     private getSharingRouterCount(): number {
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
@@ -414,6 +442,7 @@
             )
         ) {
             this.retryBudgets.forEach(budget => budget.setMaxTokens(this.computeRetrySlack()));
+            this.repeatBudgets.forEach(budget => budget.setSlack(this.computeRepeatSlack()));
         }
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -84,6 +84,8 @@
     abstract getMaxConnections(service: BundleService): number;
     /** Returns the retry budget shared by all requests to a service. */
     abstract getRetryBudget(service: string): RetryBudget;
+    /** Claims that a request is sent again because its upstream had been replaced; false if that is not allowed now. */
+    abstract tryClaimRepeat(service: string): boolean;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -17,6 +17,11 @@
 const LOWEST_PRIORITY = 9;
 /** Number of route ranks within each account rank; the account rank takes precedence. */
 const ROUTE_RANK_COUNT = 3;
+/**
+ * Replaced upstreams at which one request may find another one before it is refused. Where a third of the upstreams has been
+ * replaced unnoticed, one request in 80 finds a fourth.
+ */
+const MAX_REPLACED_SENDS = 3;
 
 /** Processes one request. Attempts are made sequentially. */
 export class RelayRun {
@@ -31,6 +36,8 @@
     private sendCount = 0;
     /** Attempts that do not count towards `maxAttempts`: the upstream had been replaced, or nothing was sent. */
     private uncountedSends = 0;
+    /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
+    private replacedSends = 0;
     private mayHaveRun = false;
     private abortCause: "gone" | "late" | undefined;
     private lastFailureReason = "";
@@ -189,6 +196,7 @@
         }
         if (outcome.type === "notRun" && outcome.cause === "replaced") {
             this.uncountedSends += 1;
+            this.replacedSends += 1;
             this.context.recordReplaced(upstream);
         }
         if (outcome.type === "notRun" && outcome.cause === "withheld") {
@@ -243,14 +251,25 @@
                 // `shouldRetryServerError` has already spent the retry.
                 return true;
             case "notRun":
-                return outcome.cause === "unreachable" || outcome.cause === "withheld"
-                    ? this.hasTimeToSend()
-                    : this.tryClaimRetry();
+                return this.shouldRetryNotRun(outcome.cause);
             case "interrupted":
                 return this.isRepeatable() && this.canResumeResponse() && this.tryClaimRetry();
         }
     }
 
+    private shouldRetryNotRun(cause: "unreachable" | "full" | "replaced" | "withheld"): boolean {
+        switch (cause) {
+            case "unreachable":
+            case "withheld":
+                return this.hasTimeToSend();
+            case "full":
+                return this.tryClaimRetry();
+            case "replaced":
+                return this.replacedSends <= MAX_REPLACED_SENDS && this.hasTimeToSend()
+                    && this.context.tryClaimRepeat(this.resolved.service.name);
+        }
+    }
+
     private canResumeResponse(): boolean {
         return !this.progress.isHeadSent || (this.progress.canResume && this.progress.lastEventId !== undefined);
     }
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -43,6 +43,11 @@
         this.metrics.addCount("limited_sendings");
     }
 
+    /** Counts a request that found another upstream in place of its own. `isSentAgain`: to another upstream. */
+    recordRepeat(isSentAgain: boolean): void {
+        this.metrics.addCount(isSentAgain ? "requests_repeated" : "repeats_refused");
+    }
+
     /** Records a refusal or an incomplete response. */
     recordRefused(request: RelayRequest, refusal: Refusal, details: RefusalLogDetails): void {
         this.metrics.addCount("requests_refused");
--- a/src/domain/retryBudget.ts
+++ b/src/domain/retryBudget.ts
@@ -17,6 +17,11 @@
         this.tokens = Math.min(this.maxTokens, this.tokens + this.tokensPerRequest);
     }
 
+    /** Takes a token only if another one is left for a retry; false otherwise. */
+    trySpendSurplus(): boolean {
+        return this.tokens >= 2 && this.trySpend();
+    }
+
     /** Takes a token for a retry; false if none is left. */
     trySpend(): boolean {
         if (this.tokens < 1) {
