--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -15,6 +15,7 @@
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
 import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
+import { checkBodyMemoryOptions } from "./domain/bodyMemory.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
 import { TokenHolders } from "./domain/tokenHolders.js";
@@ -154,6 +155,9 @@
 export async function startDirectRouter(
     settings: DirectRouterSettings,
 ): Promise<RunningBundleRole<DirectRouterDaemon>> {
+    if (settings.router.bodyMemory !== undefined) {
+        checkBodyMemoryOptions(settings.router.bodyMemory);
+    }
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
     const self = { address: settings.router.address, zone: settings.zone };
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -102,6 +102,8 @@
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => undefined;
     private isSettled = false;
     private isStarted = false;
+    /** Whether the answer is not read because the caller reads too slowly. */
+    private isPaused = false;
     private status = 0;
     private isFramed = false;
     private inactivityTimer: NodeJS.Timeout | undefined;
@@ -117,7 +119,7 @@
             this.checkInactivity();
             const exchange = this.upstreams.send(this.options.call, this);
             this.exchange = exchange;
-            this.options.sink.onDrain(() => exchange.resume());
+            this.options.sink.onDrain(() => this.resume(exchange));
             if (this.isSettled) {
                 exchange.cancel();
             }
@@ -131,6 +133,12 @@
         );
     }
 
+    private resume(exchange: UpstreamExchange): void {
+        this.isPaused = false;
+        this.lastActivityAt = performance.now();
+        exchange.resume();
+    }
+
     private recordFirstByte(): void {
         if (!this.hasFirstByte) {
             this.hasFirstByte = true;
@@ -184,10 +192,10 @@
             progress.eventCount += newEventCount;
             progress.lastEventId = this.splitter.lastEventId ?? progress.lastEventId;
         }
-        if (!isResumable) {
-            return sink.write(bytes);
-        }
-        return completeEvents === undefined ? true : sink.write(completeEvents);
+        const forwarded = isResumable ? completeEvents : bytes;
+        const canContinue = forwarded === undefined || sink.write(forwarded);
+        this.isPaused = !canContinue;
+        return canContinue;
     }
 
     onEnd(): void {
@@ -256,7 +264,9 @@
         if (inactivityTimeoutMs === undefined) {
             return;
         }
-        const remainingMs = this.lastActivityAt + inactivityTimeoutMs - performance.now();
+        // An upstream whose answer is not read cannot show that it is alive.
+        const lastActivityAt = this.isPaused ? performance.now() : this.lastActivityAt;
+        const remainingMs = lastActivityAt + inactivityTimeoutMs - performance.now();
         if (remainingMs <= 0) {
             this.abort(
                 this.isStarted
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,4 +1,5 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
+import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
 import { BundleIndex, type BundleService, selectTarget } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
@@ -69,6 +70,8 @@
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
     readonly controllerGrantMs: number;
+    /** Bounds the memory of request bodies; without it, it is not bounded. */
+    readonly bodyMemory?: BodyMemoryOptions | undefined;
     /** Number of routers to assume until the controllers report it; also the lower bound when limits are divided. */
     readonly assumedRouterCount: number;
 }
@@ -82,6 +85,7 @@
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
     override readonly candidates: UpstreamCandidates;
+    override readonly bodyMemory: BodyMemory | undefined;
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
@@ -118,6 +122,9 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
+        this.bodyMemory = options.bodyMemory === undefined
+            ? undefined
+            : new BodyMemory(options.bodyMemory, Math.random);
         this.controllerContact = new ControllerContact({
             contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
             upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
@@ -174,7 +181,7 @@
         this.quarantine.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
-        this.gaugeTimer = setInterval(() => this.signalReceiver.setGauges(), GAUGE_PERIOD_MS);
+        this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
         // Upstreams have probably closed idle connections; a non-repeatable request sent on one could not be retried.
         this.loopMonitor.onSuspension(() => this.upstreams.drainExcept(new Set()));
     }
@@ -239,8 +246,7 @@
     async handle(request: RelayRequest, sink: PassThroughSink): Promise<void> {
         const resolved = this.resolve(request);
         if ("code" in resolved) {
-            this.logRefusal(request, "", resolved, { abortCause: undefined, overdueMs: undefined });
-            sink.sendRefusal(resolved);
+            this.refuse(request, resolved, sink);
             return;
         }
         this.getRetryBudget(resolved.service.name).recordRequest();
@@ -254,6 +260,12 @@
         }
     }
 
+    /** Refuses a request that no route was found for, or whose body was not read. */
+    refuse(request: RelayRequest, refusal: Refusal, sink: PassThroughSink): void {
+        this.logRefusal(request, "", refusal, { abortCause: undefined, overdueMs: undefined });
+        sink.sendRefusal(refusal);
+    }
+
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
         const { bundleIndex } = this;
         if (this.isRefusingRequests) {
@@ -466,6 +478,13 @@
         }
     }
 
+    private setGauges(): void {
+        this.signalReceiver.setGauges();
+        if (this.bodyMemory !== undefined) {
+            this.recorder.setBodyBytes(this.bodyMemory.getHeldBytes());
+        }
+    }
+
     private removeStaleUpstreams(): void {
         const now = this.clock.getMonotonicMs();
         this.registry.evictExpired(now);
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -1,4 +1,5 @@
 /** State and operations of a router that its requests share. */
+import type { BodyMemory } from "../../domain/bodyMemory.js";
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import type { Refusal } from "../../domain/resultCodes.js";
@@ -65,6 +66,8 @@
     abstract readonly tokenBudget: LocalTokenBudget;
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
+    /** Undefined if the memory of request bodies is not bounded. */
+    abstract readonly bodyMemory: BodyMemory | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -45,6 +45,8 @@
     private candidateWaitMs: number | undefined;
     /** Why no ready upstream could be used. */
     private closedCauses: readonly UnavailableReason[] = [];
+    /** Whether upstreams were passed over because they do not read the bodies of requests. */
+    private hasSlowReaders = false;
 
     constructor(
         private readonly context: RelayContext,
@@ -124,7 +126,18 @@
             routerCount: this.context.getRouterCount(),
             maxWaitMs: this.context.getLongestWaitMs(service.name),
         };
-        return load.tryChoose(upstreams, request, terms, now);
+        return load.tryChoose(this.filterReading(upstreams), request, terms, now);
+    }
+
+    /** Excludes upstreams whose requests hold as much memory as the requests of one upstream may. */
+    private filterReading(upstreams: readonly UpstreamRegistration[]): readonly UpstreamRegistration[] {
+        const { bodyMemory } = this.context;
+        if (bodyMemory === undefined || this.resolved.request.forwarded.body.length === 0) {
+            return upstreams;
+        }
+        const reading = upstreams.filter(({ id }) => bodyMemory.allowsUpstream(id));
+        this.hasSlowReaders = reading.length < upstreams.length;
+        return reading;
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -139,12 +152,17 @@
             this.context.recordRateLimitedSend();
         }
         this.context.sharePlacement(placement, request);
-        const attempt = this.createAttempt(started, isLimited);
+        const endWaiting = this.context.bodyMemory?.recordWaiting(
+            placement.upstream.id,
+            request.forwarded.body.length,
+        );
+        const attempt = this.createAttempt(started, isLimited, endWaiting);
         this.attempt = attempt;
         this.sendCount += 1;
         const outcome = this.abortCause === undefined
             ? await attempt.run()
             : { type: "notRun", cause: "full", reason: "aborted before it was sent" } as const;
+        endWaiting?.();
         if (!attempt.hasFirstByte) {
             load.recordUnanswered(started);
         }
@@ -155,8 +173,15 @@
         return outcome;
     }
 
-    /** `isLimited`: whether the request was counted towards a rate limit of the upstream. */
-    private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
+    /**
+     * `isLimited`: whether the request was counted towards a rate limit of the upstream. `onAnswering`: called when the
+     * answer begins.
+     */
+    private createAttempt(
+        placement: StartedPlacement,
+        isLimited: boolean,
+        onAnswering: (() => void) | undefined,
+    ): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
@@ -185,7 +210,10 @@
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
-            onFirstByte: () => this.context.load.recordFirstByte(placement, performance.now()),
+            onFirstByte: () => {
+                onAnswering?.();
+                this.context.load.recordFirstByte(placement, performance.now());
+            },
         });
     }
 
@@ -329,7 +357,10 @@
 
     /** Creates the refusal for when no upstream can be used; Retry-After covers the time until one may be. */
     private createNoUpstreamRefusal(): Refusal {
-        const { retryAfterMs } = this.context.options;
+        const { options: { retryAfterMs }, bodyMemory } = this.context;
+        if (this.hasSlowReaders && bodyMemory !== undefined) {
+            return bodyMemory.createRefusal("upstreams read their requests too slowly");
+        }
         const reason = this.closedCauses.length > 0
             ? `upstreams are ${formatCauses(this.closedCauses)}`
             : this.lastFailureReason || "no upstream has reported in time";
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -43,6 +43,10 @@
         this.metrics.addCount("limited_sendings");
     }
 
+    setBodyBytes(bytes: number): void {
+        this.metrics.setGauge("body_bytes", bytes);
+    }
+
     /** Counts a request that found another upstream in place of its own. `isSentAgain`: to another upstream. */
     recordRepeat(isSentAgain: boolean): void {
         this.metrics.addCount(isSentAgain ? "requests_repeated" : "repeats_refused");
