--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,9 +1,11 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
+import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
 import { BundleIndex, type BundleService, selectTarget } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
+import { RepeatBudget } from "../../domain/repeatBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
@@ -60,10 +62,16 @@
     readonly retryRatio: number;
     /** Retries to a service that all routers together may accumulate. */
     readonly maxSavedRetries: number;
+    /** Repeats after status 421 for each request to a service; see `RepeatBudget`. */
+    readonly repeatRatio: number;
+    /** Repeats after status 421 to a service that need no requests, of all routers together in 10 s. */
+    readonly repeatSlack: number;
     /** Fraction of a connection limit that is used; the rest is headroom for routers that start or stop. */
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
     readonly controllerGrantMs: number;
+    /** Bounds the memory of request bodies; without it, it is not bounded. */
+    readonly bodyMemory?: BodyMemoryOptions | undefined;
     /** Number of routers to assume until the controllers report it; also the lower bound when limits are divided. */
     readonly assumedRouterCount: number;
 }
@@ -77,6 +85,7 @@
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
     override readonly candidates: UpstreamCandidates;
+    override readonly bodyMemory: BodyMemory | undefined;
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
@@ -85,6 +94,7 @@
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly otherRouters: OtherRouters;
     private readonly retryBudgets = new Map<string, RetryBudget>();
+    private readonly repeatBudgets = new Map<string, RepeatBudget>();
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
@@ -112,6 +122,9 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
+        this.bodyMemory = options.bodyMemory === undefined
+            ? undefined
+            : new BodyMemory(options.bodyMemory, Math.random);
         this.controllerContact = new ControllerContact({
             contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
             upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
@@ -168,7 +181,7 @@
         this.quarantine.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
-        this.gaugeTimer = setInterval(() => this.signalReceiver.setGauges(), GAUGE_PERIOD_MS);
+        this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
         // Upstreams have probably closed idle connections; a non-repeatable request sent on one could not be retried.
         this.loopMonitor.onSuspension(() => this.upstreams.drainExcept(new Set()));
     }
@@ -233,11 +246,11 @@
     async handle(request: RelayRequest, sink: PassThroughSink): Promise<void> {
         const resolved = this.resolve(request);
         if ("code" in resolved) {
-            this.logRefusal(request, "", resolved, { abortCause: undefined, overdueMs: undefined });
-            sink.sendRefusal(resolved);
+            this.refuse(request, resolved, sink);
             return;
         }
         this.getRetryBudget(resolved.service.name).recordRequest();
+        this.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
             await new RelayRun(this, resolved, sink).run();
@@ -247,6 +260,12 @@
         }
     }
 
+    /** Refuses a request that no route was found for, or whose body was not read. */
+    refuse(request: RelayRequest, refusal: Refusal, sink: PassThroughSink): void {
+        this.logRefusal(request, "", refusal, { abortCause: undefined, overdueMs: undefined });
+        sink.sendRefusal(refusal);
+    }
+
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
         const { bundleIndex } = this;
         if (this.isRefusingRequests) {
@@ -322,6 +341,27 @@
         return Math.max(1, this.options.maxSavedRetries / this.getSharingRouterCount());
     }
 
+    override tryClaimRepeat(service: string): boolean {
+        // Beyond the bound on repeats, retries are used as long as one is left for a request that an upstream rejects.
+        const isClaimed = this.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
+            || this.getRetryBudget(service).trySpendSurplus();
+        this.recorder.recordRepeat(isClaimed);
+        return isClaimed;
+    }
+
+    private getRepeatBudget(service: string): RepeatBudget {
+        let budget = this.repeatBudgets.get(service);
+        if (budget === undefined) {
+            budget = new RepeatBudget(this.options.repeatRatio, this.computeRepeatSlack());
+            this.repeatBudgets.set(service, budget);
+        }
+        return budget;
+    }
+
+    private computeRepeatSlack(): number {
+        return this.options.repeatSlack / this.getSharingRouterCount();
+    }
+
     /** Number of routers among which fleet-wide limits are divided. */
     private getSharingRouterCount(): number {
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
@@ -414,6 +454,7 @@
             )
         ) {
             this.retryBudgets.forEach(budget => budget.setMaxTokens(this.computeRetrySlack()));
+            this.repeatBudgets.forEach(budget => budget.setSlack(this.computeRepeatSlack()));
         }
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
@@ -437,6 +478,13 @@
         }
     }
 
+    private setGauges(): void {
+        this.signalReceiver.setGauges();
+        if (this.bodyMemory !== undefined) {
+            this.recorder.setBodyBytes(this.bodyMemory.getHeldBytes());
+        }
+    }
+
     private removeStaleUpstreams(): void {
         const now = this.clock.getMonotonicMs();
         this.registry.evictExpired(now);
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -1,4 +1,5 @@
 /** State and operations of a router that its requests share. */
+import type { BodyMemory } from "../../domain/bodyMemory.js";
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import type { Refusal } from "../../domain/resultCodes.js";
@@ -65,6 +66,8 @@
     abstract readonly tokenBudget: LocalTokenBudget;
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
+    /** Undefined if the memory of request bodies is not bounded. */
+    abstract readonly bodyMemory: BodyMemory | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
@@ -84,6 +87,8 @@
     abstract getMaxConnections(service: BundleService): number;
     /** Returns the retry budget shared by all requests to a service. */
     abstract getRetryBudget(service: string): RetryBudget;
+    /** Claims that a request is sent again because its upstream had been replaced; false if that is not allowed now. */
+    abstract tryClaimRepeat(service: string): boolean;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -17,6 +17,11 @@
 const LOWEST_PRIORITY = 9;
 /** Number of route ranks within each account rank; the account rank takes precedence. */
 const ROUTE_RANK_COUNT = 3;
+/**
+ * Replaced upstreams at which one request may find another one before it is refused. Where a third of the upstreams has been
+ * replaced unnoticed, one request in 80 finds a fourth.
+ */
+const MAX_REPLACED_SENDS = 3;
 
 /** Processes one request. Attempts are made sequentially. */
 export class RelayRun {
@@ -31,6 +36,8 @@
     private sendCount = 0;
     /** Attempts that do not count towards `maxAttempts`: the upstream had been replaced, or nothing was sent. */
     private uncountedSends = 0;
+    /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
+    private replacedSends = 0;
     private mayHaveRun = false;
     private abortCause: "gone" | "late" | undefined;
     private lastFailureReason = "";
@@ -38,6 +45,8 @@
     private candidateWaitMs: number | undefined;
     /** Why no ready upstream could be used. */
     private closedCauses: readonly UnavailableReason[] = [];
+    /** Whether upstreams were passed over because they do not read the bodies of requests. */
+    private hasSlowReaders = false;
 
     constructor(
         private readonly context: RelayContext,
@@ -117,7 +126,18 @@
             routerCount: this.context.getRouterCount(),
             maxWaitMs: this.context.getLongestWaitMs(service.name),
         };
-        return load.tryChoose(upstreams, request, terms, now);
+        return load.tryChoose(this.filterReading(upstreams), request, terms, now);
+    }
+
+    /** Excludes upstreams whose requests hold as much memory as the requests of one upstream may. */
+    private filterReading(upstreams: readonly UpstreamRegistration[]): readonly UpstreamRegistration[] {
+        const { bodyMemory } = this.context;
+        if (bodyMemory === undefined || this.resolved.request.forwarded.body.length === 0) {
+            return upstreams;
+        }
+        const reading = upstreams.filter(({ id }) => bodyMemory.allowsUpstream(id));
+        this.hasSlowReaders = reading.length < upstreams.length;
+        return reading;
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -132,12 +152,17 @@
             this.context.recordRateLimitedSend();
         }
         this.context.sharePlacement(placement, request);
-        const attempt = this.createAttempt(started, isLimited);
+        const endWaiting = this.context.bodyMemory?.recordWaiting(
+            placement.upstream.id,
+            request.forwarded.body.length,
+        );
+        const attempt = this.createAttempt(started, isLimited, endWaiting);
         this.attempt = attempt;
         this.sendCount += 1;
         const outcome = this.abortCause === undefined
             ? await attempt.run()
             : { type: "notRun", cause: "full", reason: "aborted before it was sent" } as const;
+        endWaiting?.();
         if (!attempt.hasFirstByte) {
             load.recordUnanswered(started);
         }
@@ -148,8 +173,15 @@
         return outcome;
     }
 
-    /** `isLimited`: whether the request was counted towards a rate limit of the upstream. */
-    private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
+    /**
+     * `isLimited`: whether the request was counted towards a rate limit of the upstream. `onAnswering`: called when the
+     * answer begins.
+     */
+    private createAttempt(
+        placement: StartedPlacement,
+        isLimited: boolean,
+        onAnswering: (() => void) | undefined,
+    ): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const accountRank = account?.rank ?? 0;
@@ -178,7 +210,10 @@
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
-            onFirstByte: () => this.context.load.recordFirstByte(placement, performance.now()),
+            onFirstByte: () => {
+                onAnswering?.();
+                this.context.load.recordFirstByte(placement, performance.now());
+            },
         });
     }
 
@@ -189,6 +224,7 @@
         }
         if (outcome.type === "notRun" && outcome.cause === "replaced") {
             this.uncountedSends += 1;
+            this.replacedSends += 1;
             this.context.recordReplaced(upstream);
         }
         if (outcome.type === "notRun" && outcome.cause === "withheld") {
@@ -243,14 +279,25 @@
                 // `shouldRetryServerError` has already spent the retry.
                 return true;
             case "notRun":
-                return outcome.cause === "unreachable" || outcome.cause === "withheld"
-                    ? this.hasTimeToSend()
-                    : this.tryClaimRetry();
+                return this.shouldRetryNotRun(outcome.cause);
             case "interrupted":
                 return this.isRepeatable() && this.canResumeResponse() && this.tryClaimRetry();
         }
     }
 
+    private shouldRetryNotRun(cause: "unreachable" | "full" | "replaced" | "withheld"): boolean {
+        switch (cause) {
+            case "unreachable":
+            case "withheld":
+                return this.hasTimeToSend();
+            case "full":
+                return this.tryClaimRetry();
+            case "replaced":
+                return this.replacedSends <= MAX_REPLACED_SENDS && this.hasTimeToSend()
+                    && this.context.tryClaimRepeat(this.resolved.service.name);
+        }
+    }
+
     private canResumeResponse(): boolean {
         return !this.progress.isHeadSent || (this.progress.canResume && this.progress.lastEventId !== undefined);
     }
@@ -310,7 +357,10 @@
 
     /** Creates the refusal for when no upstream can be used; Retry-After covers the time until one may be. */
     private createNoUpstreamRefusal(): Refusal {
-        const { retryAfterMs } = this.context.options;
+        const { options: { retryAfterMs }, bodyMemory } = this.context;
+        if (this.hasSlowReaders && bodyMemory !== undefined) {
+            return bodyMemory.createRefusal("upstreams read their requests too slowly");
+        }
         const reason = this.closedCauses.length > 0
             ? `upstreams are ${formatCauses(this.closedCauses)}`
             : this.lastFailureReason || "no upstream has reported in time";
