--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -183,7 +183,7 @@
         metrics,
         settings.decoder,
         reporter,
-        new PrepaidBorrower(tokenBudget, holders, network, routerLinks, log, settings.borrower),
+        new PrepaidBorrower(tokenBudget, holders, network, routerLinks, log, metrics, settings.borrower),
         holders,
         new PlacementSharer(self, load, routerLinks, clock, log, settings.sharer),
         new RequestQuarantine(endWatch, endReporter, clock),
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -222,7 +222,6 @@
         clearInterval(this.cleanupTimer);
         clearInterval(this.gaugeTimer);
         this.prepaidBorrower.stop();
-        this.prepaidBorrower.returnLoans();
         this.controllerFeeds.stop();
         this.quarantine.stop();
         await this.prepaidReporter.stop();
@@ -327,6 +326,10 @@
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
     }
 
+    override recordTokenDemand(account: string, tokens: number, rank: number): void {
+        this.prepaidBorrower.recordRequest(account, tokens, rank);
+    }
+
     override async waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         const timeout = this.clock.wait(timeoutMs);
         if (await Promise.race([this.prepaidBorrower.borrowFromHolder(account, tokens, rank), timeout]) === true) {
--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -1,12 +1,21 @@
 /**
  * Borrows prepaid tokens from other routers: from the account's holder in this router's group or, if the controllers
- * are unreachable or have no tokens left, from its holders in other groups. Returns unused tokens.
+ * are unreachable or have no tokens left, from its holders in other groups. Borrows either for one request that waits,
+ * or in advance for an account that has requests. Returns the tokens that are neither used nor kept in advance.
  */
+import { type AdvanceLoan, AdvanceLoans, advanceLoanSettings } from "../../domain/advanceLoans.js";
 import type { LocalTokenBudget, UnusedLoan } from "../../domain/localTokenBudget.js";
+import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
-import { lendPrepaidMethod, type LoanRequest, returnPrepaidMethod } from "../../protocol/fleetMethods.js";
+import {
+    lendPrepaidMethod,
+    type LoanAnswer,
+    type LoanRequest,
+    returnPrepaidMethod,
+} from "../../protocol/fleetMethods.js";
 import type { RouterLinks } from "./routerLinks.js";
 
 /** Times in milliseconds. */
@@ -21,6 +30,8 @@
     readonly backoffMs: number;
     /** Interval between returns of unused tokens. */
     readonly returnPeriodMs: number;
+    /** Duration of the router's own demand that it borrows in advance; absent or 0: nothing is borrowed in advance. */
+    readonly aheadMs?: number;
 }
 
 export class PrepaidBorrower {
@@ -29,33 +40,46 @@
     /** By address: the time until which an unresponsive router is not asked. Monotonic clock, milliseconds. */
     private readonly backoffUntil = new Map<string, number>();
     private returnTimer: NodeJS.Timeout | undefined;
+    private readonly advanceLoans: AdvanceLoans;
+    private isStopped = false;
 
+    /** Throws settingsInvalid. */
     constructor(
         private readonly tokenBudget: LocalTokenBudget,
         private readonly holders: TokenHolders,
         private readonly network: PeerNetwork,
         private readonly routerLinks: RouterLinks,
         private readonly log: Log,
+        private readonly metrics: Metrics,
         private readonly options: PrepaidBorrowerOptions,
-    ) {}
+    ) {
+        this.advanceLoans = new AdvanceLoans(readAheadMs(options));
+    }
 
     /** Starts the periodic return of unused tokens. */
     start(): void {
         this.returnTimer = setInterval(() => this.returnLoans(), this.options.returnPeriodMs);
     }
 
+    /** Ends loans in advance and returns all unused tokens, as well as those of loans that are answered later. */
     stop(): void {
         clearInterval(this.returnTimer);
+        this.isStopped = true;
+        this.advanceLoans.stop();
+        this.returnLoans();
     }
 
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(lendPrepaidMethod, ({ account, tokens, rank, isHeldForAsker }) => {
-            const lent = this.tokenBudget.lend(account, tokens, rank, isHeldForAsker, performance.now());
+        handlers.add(lendPrepaidMethod, ({ account, tokens, rank, isHeldForAsker, isInAdvance }) => {
+            const now = performance.now();
+            const lent = this.tokenBudget.lend(account, tokens, rank, isHeldForAsker, now, isInAdvance);
             // If the loan falls short and the request is refused, the borrower logs it.
             if (lent > 0 && !isHeldForAsker) {
                 this.log.info("prepaid_lent", { account, asked: tokens, lent });
             }
-            return { tokens: lent };
+            return this.advanceLoans.isEnabled()
+                ? { tokens: lent, left: this.tokenBudget.computeLendableTokens(account, isHeldForAsker, now) }
+                : { tokens: lent };
         });
         handlers.add(returnPrepaidMethod, ({ accounts }) => {
             const now = performance.now();
@@ -64,12 +88,54 @@
     }
 
     /**
-     * Returns unused tokens to the holders. Requests reserve their maximum consumption, so unused tokens would otherwise
-     * accumulate at the borrowers while other routers refuse requests.
+     * Records that a request wants to reserve tokens, and borrows in advance if few are left for the next ones. Loans in
+     * advance are for routers that do not hold the account: a holder's grant covers its demand for longer.
+     */
+    recordRequest(account: string, tokens: number, rank: number): void {
+        if (!this.advanceLoans.isEnabled() || this.holders.isHolder(account)) {
+            return;
+        }
+        const now = performance.now();
+        const state = this.tokenBudget.tryGetState(account, now);
+        if (state === undefined) {
+            return;
+        }
+        this.advanceLoans.recordRequest(account, tokens, rank, now);
+        const loan = this.advanceLoans.tryStartLoan(account, state.room, () => this.listLenders(account), now);
+        if (loan !== undefined) {
+            void this.borrowInAdvance(account, loan);
+        }
+    }
+
+    /** Lists the routers to ask in advance: the holder of this router's group, then those of other groups in turn. */
+    private listLenders(account: string): string[] {
+        const isEligible = (address: string): boolean => this.isEligible(address);
+        const holder = this.holders.tryGetReachableHolder(account, isEligible);
+        const others = this.holders.listHoldersOfOtherGroups(account, isEligible);
+        const first = others.length === 0 ? 0 : this.lendersAsked % others.length;
+        const rotated = [...others.slice(first), ...others.slice(0, first)].slice(0, this.options.maxLenders);
+        return holder === undefined ? rotated : [holder, ...rotated];
+    }
+
+    /** Never rejects. */
+    private async borrowInAdvance(account: string, { lender, tokens, rank }: AdvanceLoan): Promise<void> {
+        const holder = this.holders.tryGetReachableHolder(account, address => this.isEligible(address));
+        if (lender !== holder) {
+            this.lendersAsked += 1;
+        }
+        this.metrics.addCount("prepaid_loans_in_advance");
+        const request = { account, tokens, rank, isHeldForAsker: lender === holder, isInAdvance: true };
+        await this.requestLoan(lender, request, this.advanceLoans.getAnswerTimeoutMs());
+        this.advanceLoans.finishLoan(account);
+    }
+
+    /**
+     * Returns unused tokens to the holders, except those kept in advance. Requests reserve their maximum consumption, so
+     * unused tokens would otherwise accumulate at the borrowers while other routers refuse requests.
      */
     returnLoans(): void {
         const byHolder = new Map<string, UnusedLoan[]>();
-        for (const unused of this.tokenBudget.listUnusedLoans()) {
+        for (const unused of this.listExcessLoans()) {
             const holder = this.holders.tryGetReachableHolder(unused.account, address => this.isEligible(address));
             if (holder !== undefined) {
                 byHolder.set(holder, [...byHolder.get(holder) ?? [], unused]);
@@ -82,6 +148,16 @@
         }
     }
 
+    /** Lists the unused borrowed tokens beyond those kept in advance. */
+    private listExcessLoans(): UnusedLoan[] {
+        const now = performance.now();
+        this.advanceLoans.evictIdle(now);
+        return this.tokenBudget.listUnusedLoans().flatMap(({ account, tokens }) => {
+            const excess = tokens - this.advanceLoans.computeKeptTokens(account, now);
+            return excess > 0 ? [{ account, tokens: excess }] : [];
+        });
+    }
+
     /** Borrows the shortfall of a reservation from the nearest holder. Returns whether the reservation is covered. */
     async borrowFromHolder(account: string, tokens: number, rank: number): Promise<boolean> {
         const holder = this.holders.tryGetReachableHolder(account, address => this.isEligible(address));
@@ -120,12 +196,16 @@
         return true;
     }
 
-    /** Asks one router for a loan. Resolves when it has responded or `callTimeoutMs` has elapsed. */
-    private async requestLoan(address: string, request: LoanRequest): Promise<void> {
-        const loan = this.receiveLoan(address, request);
+    /** Asks one router for a loan. Resolves when it has responded or `timeoutMs` has elapsed. */
+    private async requestLoan(
+        address: string,
+        request: LoanRequest,
+        timeoutMs = this.options.callTimeoutMs,
+    ): Promise<void> {
+        const loan = this.receiveLoan(address, request, timeoutMs);
         let timer: NodeJS.Timeout | undefined;
         const timeout = new Promise<"late">(resolve => {
-            timer = setTimeout(() => resolve("late"), this.options.callTimeoutMs);
+            timer = setTimeout(() => resolve("late"), timeoutMs);
         });
         if (await Promise.race([loan, timeout]) === "late") {
             this.startBackoff(address);
@@ -138,8 +218,8 @@
      * Adds the tokens lent to the local token budget, even if the response is too late for the request: the lender has already
      * deducted them. Late tokens are returned with other unused tokens. Never rejects.
      */
-    private async receiveLoan(address: string, request: LoanRequest): Promise<void> {
-        const { callTimeoutMs, lateResponseTimeoutMs } = this.options;
+    private async receiveLoan(address: string, request: LoanRequest, timeoutMs: number): Promise<void> {
+        const { lateResponseTimeoutMs } = this.options;
         const { account, tokens } = request;
         try {
             const answer = await this.network.call(
@@ -147,10 +227,11 @@
                 lendPrepaidMethod,
                 request,
                 lateResponseTimeoutMs,
-                callTimeoutMs,
+                timeoutMs,
             );
             this.backoffUntil.delete(address);
             this.tokenBudget.addBorrowed(account, answer.tokens);
+            this.recordAnswer(address, request, answer);
         }
         catch (error) {
             // Tokens already deducted by the lender are lost. This is safe: the lender will report more demand.
@@ -159,7 +240,33 @@
         }
     }
 
+    private recordAnswer(address: string, { account, tokens, isInAdvance }: LoanRequest, answer: LoanAnswer): void {
+        this.advanceLoans.recordLender(account, address, answer.left, performance.now());
+        if (isInAdvance === true && answer.tokens < tokens) {
+            this.log.info("prepaid_advance_short", {
+                router: address,
+                account,
+                asked: tokens,
+                lent: answer.tokens,
+                left: answer.left,
+            });
+        }
+        if (this.isStopped) {
+            this.returnLoans();
+        }
+    }
+
     private startBackoff(address: string): void {
         this.backoffUntil.set(address, performance.now() + this.options.backoffMs);
     }
 }
+
+/** Returns the checked duration of demand to borrow in advance, in milliseconds. */
+function readAheadMs({ aheadMs }: PrepaidBorrowerOptions): number {
+    const parsed = advanceLoanSettings.safeParse({ aheadMs });
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0]!;
+        throw new RefusalError(createRefusal("settingsInvalid", `borrower.${issue.path.join(".")}: ${issue.message}`));
+    }
+    return parsed.data.aheadMs;
+}
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -84,6 +84,8 @@
     abstract getMaxConnections(service: BundleService): number;
     /** Returns the retry budget shared by all requests to a service. */
     abstract getRetryBudget(service: string): RetryBudget;
+    /** Records that a request wants to reserve tokens of an account, so that they are borrowed in advance. */
+    abstract recordTokenDemand(account: string, tokens: number, rank: number): void;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -35,8 +35,11 @@
         }
         const { tokenBudget, options } = this.context;
         const waitDeadline = Math.min(this.deadline, performance.now() + options.grantWaitMs);
-        for (;;) {
+        for (let isFirst = true;; isFirst = false) {
             const outcome = tokenBudget.tryReserve(account.name, tokens, route.rank, performance.now());
+            if (isFirst) {
+                this.context.recordTokenDemand(account.name, tokens, route.rank);
+            }
             if (outcome === "reserved") {
                 return undefined;
             }
--- a/src/domain/localAccountBudget.ts
+++ b/src/domain/localAccountBudget.ts
@@ -54,6 +54,8 @@
 const MAX_RANK = 9;
 /** Weight of one request in the moving average `usedFraction`. */
 const USED_FRACTION_WEIGHT = 0.05;
+/** Maximum part of the available tokens that one loan in advance takes. */
+const MAX_ADVANCE_FRACTION = 1 / 2;
 
 /** Counts are tokens. All `now` parameters are milliseconds on the monotonic clock of the router process. */
 export class LocalAccountBudget {
@@ -156,20 +158,35 @@
     /**
      * Transfers up to `tokens` to another router, except tokens that this router will need soon. `isHeldForAsker`: this
      * router also holds the account for the borrower, whose demand then counts as its own. Returns the number of tokens
-     * transferred.
+     * transferred. `isInAdvance`: no request waits for the loan. It takes at most a part of what is available, so that
+     * requests that borrow at the same time are served, and only the tokens transferred count as demand, because the
+     * rest is requested again.
      */
-    lend(tokens: number, rank: number, isHeldForAsker: boolean, now: number): number {
-        const reserveMs = isHeldForAsker ? 0 : this.options.lendReserveMs;
-        const ownReserve = this.computeDemand(now) * reserveMs / MS_PER_SECOND;
+    lend(tokens: number, rank: number, isHeldForAsker: boolean, now: number, isInAdvance = false): number {
+        const available = this.computeAvailableForRank(rank, now) - this.computeLendReserve(isHeldForAsker, now);
+        const lendable = Math.floor(isInAdvance ? available * MAX_ADVANCE_FRACTION : available);
+        const lent = Math.max(0, Math.min(tokens, lendable));
         if (isHeldForAsker) {
-            this.lentDemand.add(tokens, now);
-            this.addRankDemand(tokens, rank, now);
+            const demand = isInAdvance ? lent : tokens;
+            this.lentDemand.add(demand, now);
+            this.addRankDemand(demand, rank, now);
         }
-        const lent = Math.max(0, Math.min(tokens, Math.floor(this.computeAvailableForRank(rank, now) - ownReserve)));
         this.consumed += lent;
         return lent;
     }
 
+    /** Returns the tokens of the grant that are left for loans to the least urgent rank, now or later. */
+    computeLendableTokens(isHeldForAsker: boolean, now: number): number {
+        const left = this.granted - this.getCharged();
+        const reserve = this.computeRankReserve(MAX_RANK, now) + this.computeLendReserve(isHeldForAsker, now);
+        return Math.max(0, Math.floor(left - reserve));
+    }
+
+    /** Returns the tokens that this router does not lend because its own requests will need them. */
+    private computeLendReserve(isHeldForAsker: boolean, now: number): number {
+        return isHeldForAsker ? 0 : this.computeDemand(now) * this.options.lendReserveMs / MS_PER_SECOND;
+    }
+
     private addRankDemand(tokens: number, rank: number, now: number): void {
         this.rankDemand[Math.min(rank, MAX_RANK)]!.add(tokens, now);
     }
@@ -328,7 +345,9 @@
 
     /** Limits the tokens held in advance, because all tokens held by a killed router may count as spent. */
     private computeMaxHeld(freeShare: number): number {
-        return (freeShare + Math.max(0, this.granted - this.getCharged())) * this.options.mostHeldPart;
+        // Borrowed tokens are not part of the grant.
+        const held = Math.max(0, this.granted - Math.max(0, this.getCharged()));
+        return (freeShare + held) * this.options.mostHeldPart;
     }
 
     private createAllowance(committed: number, demand: number, wanted: number): Allowance {
--- a/src/domain/localTokenBudget.ts
+++ b/src/domain/localTokenBudget.ts
@@ -91,10 +91,23 @@
 
     /**
      * Transfers up to `tokens` to another router, except tokens that this router will need soon. `isHeldForAsker`: this
-     * router also holds the account for the borrower. Returns the number of tokens transferred.
+     * router also holds the account for the borrower. `isInAdvance`: no request waits for the loan. Returns the number of
+     * tokens transferred.
      */
-    lend(account: string, tokens: number, rank: number, isHeldForAsker: boolean, now: number): number {
-        return this.accounts.get(account)?.lend(tokens, rank, isHeldForAsker, now) ?? 0;
+    lend(
+        account: string,
+        tokens: number,
+        rank: number,
+        isHeldForAsker: boolean,
+        now: number,
+        isInAdvance = false,
+    ): number {
+        return this.accounts.get(account)?.lend(tokens, rank, isHeldForAsker, now, isInAdvance) ?? 0;
+    }
+
+    /** Returns the tokens of the grant that are left for loans, now or later. */
+    computeLendableTokens(account: string, isHeldForAsker: boolean, now: number): number {
+        return this.accounts.get(account)?.computeLendableTokens(isHeldForAsker, now) ?? 0;
     }
 
     /** Adds tokens received from another router. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -218,9 +218,19 @@
     rank: nonNegativeInt,
     /** Whether the lender also holds the account for the asker, so that it reserves nothing for itself. */
     isHeldForAsker: z.boolean(),
+    /** Whether no request waits for the loan; absent: a request waits. */
+    isInAdvance: z.boolean().optional(),
 });
 /** A router's request to another for a loan. */
 export type LoanRequest = z.infer<typeof loanSchema>;
 
-/** Asks another router for prepaid tokens. Returns the number of tokens transferred, which is final. */
-export const lendPrepaidMethod = createPeerMethod<LoanRequest, { tokens: number; }>("fleet.lendPrepaid", loanSchema);
+/** A lender's answer. */
+export interface LoanAnswer {
+    /** Number of tokens transferred, which is final. */
+    readonly tokens: number;
+    /** Tokens of the lender's grant that are left for further loans; undefined if it does not lend in advance. */
+    readonly left?: number | undefined;
+}
+
+/** Asks another router for prepaid tokens. */
+export const lendPrepaidMethod = createPeerMethod<LoanRequest, LoanAnswer>("fleet.lendPrepaid", loanSchema);
--- a/test/daemons/prepaidBorrower.test.ts
+++ b/test/daemons/prepaidBorrower.test.ts
@@ -5,6 +5,7 @@
 import { LocalTokenBudget } from "../../src/domain/localTokenBudget.js";
 import { TokenHolders } from "../../src/domain/tokenHolders.js";
 import type { Log } from "../../src/ports/log.js";
+import { NoMetrics } from "../../src/ports/metrics.js";
 import { Peer, type PeerIdentity, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
 import { settlePromises } from "../tools/fakes.js";
 import { testTokenBudgetOptions } from "../tools/prepaidSimulation.js";
@@ -84,7 +85,7 @@
         backoffMs: BEYOND_TEST_MS,
         returnPeriodMs: BEYOND_TEST_MS,
     };
-    const borrower = new PrepaidBorrower(tokenBudget, holders, network, links, NO_LOG, options);
+    const borrower = new PrepaidBorrower(tokenBudget, holders, network, links, NO_LOG, new NoMetrics(), options);
     return {
         borrower,
         tokenBudget,
