--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -38,10 +38,17 @@
 }
 
 /** Runs the simulation with every seed. `holder`: the router that holds all accounts for the others, if any. */
-function runSimulations(t: Test, holder: string | undefined, hasLateLoans = false): void {
+function runSimulations(
+    t: Test,
+    holder: string | undefined,
+    hasLateLoans = false,
+    hasAdvanceLoans = false,
+): void {
+    let borrowedInAdvance = 0;
     for (let seed = 1; seed <= SEED_COUNT; seed++) {
         const generator = xoroshiro128plus(seed);
-        const simulation = new PrepaidSimulation(() => (generator.next() >>> 0) / 2 ** 32, holder, hasLateLoans);
+        const random = (): number => (generator.next() >>> 0) / 2 ** 32;
+        const simulation = new PrepaidSimulation(random, holder, hasLateLoans, hasAdvanceLoans);
         try {
             for (let step = 0; step < STEP_COUNT; step++) {
                 simulation.step();
@@ -50,7 +57,9 @@
         catch (error) {
             t.fail(`seed ${seed}: ${String(error)}`);
         }
+        borrowedInAdvance += simulation.borrowedInAdvance;
     }
+    t.equal(borrowedInAdvance > 0, hasAdvanceLoans, `${borrowedInAdvance} tokens borrowed in advance`);
     t.end();
 }
 
@@ -61,6 +70,9 @@
 void t.test("no account is overspent if loans arrive after their requests were refused", t =>
     runSimulations(t, "r2", true));
 
+// Guards against tokens that loans in advance create when a request for one is doubled, or its answer is late or lost.
+void t.test("no account is overspent if routers borrow in advance", t => runSimulations(t, "r2", true, true));
+
 void t.test("a restarted router returns tokens that its previous process cannot have spent", t => {
     const ledger = createLedger();
     ledger.applyReport(createReport({}, 0), 1);
--- a/test/tools/prepaidSimulation.ts
+++ b/test/tools/prepaidSimulation.ts
@@ -2,6 +2,7 @@
  * Simulates the prepaid ledger and the token budgets of several routers under partitions, crashes, restarts, clock steps, and
  * reports that are lost, delayed or applied without an answer.
  */
+import { AdvanceLoans } from "../../src/domain/advanceLoans.js";
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
 import { LocalTokenBudget } from "../../src/domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "../../src/domain/localTokenBudgetOptions.js";
@@ -40,6 +41,10 @@
 /** Fraction of loans that arrive on time, and fraction that arrive at all if late loans are simulated. */
 const ON_TIME_LOAN_FRACTION = 0.8;
 const DELIVERED_LOAN_FRACTION = 0.9;
+/** Duration of demand that is borrowed in advance; long enough that a killed router often has unused loans. */
+const AHEAD_MS = 2_000;
+/** Probability that the request for a loan in advance is delivered twice, where only one answer arrives. */
+const DOUBLED_LOAN_PROBABILITY = 0.05;
 
 export const testTokenBudgetOptions: LocalTokenBudgetOptions = {
     horizonMs: 10_000,
@@ -69,6 +74,7 @@
     readonly account: string;
     readonly tokens: number;
     readonly dueAt: number;
+    readonly isInAdvance: boolean;
 }
 
 interface RouterProcess {
@@ -76,6 +82,7 @@
     readonly startedAt: number;
     readonly tokenBudget: LocalTokenBudget;
     readonly reservations: Reservation[];
+    readonly advanceLoans: AdvanceLoans;
     isPartitioned: boolean;
 }
 
@@ -88,6 +95,8 @@
     /** Actual consumption by account. */
     readonly consumed = new Map<string, number>();
     readonly prepaid = new Map<string, number>();
+    /** Tokens that arrived with loans in advance. */
+    borrowedInAdvance = 0;
     private readonly ledger = new PrepaidLedger();
     private readonly appendedAt: number[] = [0];
     /** Index of the first entry appended by the current leader. */
@@ -114,11 +123,13 @@
     /**
      * `random` returns a number in [0, 1). `holder`: the router that holds all accounts for the others, if any.
      * `hasLateLoans`: half of the loans that do not arrive on time arrive later, and the rest are lost.
+     * `hasAdvanceLoans`: the other routers borrow in advance from the holder and return only what exceeds that.
      */
     constructor(
         private readonly random: () => number,
         private readonly holder?: string,
         private readonly hasLateLoans = false,
+        private readonly hasAdvanceLoans = false,
     ) {
         ACCOUNTS.forEach((account, i) => this.prepaid.set(account, INITIAL_PREPAID * (i + 1)));
         this.applyLimits();
@@ -214,6 +225,7 @@
             startedAt: this.now,
             tokenBudget,
             reservations: [],
+            advanceLoans: new AdvanceLoans(this.hasAdvanceLoans ? AHEAD_MS : 0),
             isPartitioned: false,
         });
         this.applyLimits();
@@ -223,6 +235,7 @@
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
         const rank = this.pick(REQUEST_RANKS);
+        this.borrowInAdvance(routerProcess, account, tokens, rank);
         const tryReserve = (): boolean => {
             const outcome = routerProcess.tokenBudget.tryReserve(
                 account,
@@ -243,6 +256,25 @@
         }
     }
 
+    private borrowInAdvance(routerProcess: RouterProcess, account: string, tokens: number, rank: number): void {
+        const { holder } = this;
+        if (!this.hasAdvanceLoans || holder === undefined || this.isHolder(this.findRouter(routerProcess))) {
+            return;
+        }
+        const { advanceLoans, tokenBudget, startedAt } = routerProcess;
+        const now = this.now - startedAt;
+        advanceLoans.recordRequest(account, tokens, rank, now);
+        const available = tokenBudget.tryGetState(account, now)!.room;
+        const loan = advanceLoans.tryStartLoan(account, available, () => [holder], now);
+        if (loan !== undefined) {
+            const lender = this.routerProcesses.get(holder)!;
+            if (this.random() < DOUBLED_LOAN_PROBABILITY) {
+                lender.tokenBudget.lend(account, loan.tokens, loan.rank, true, this.now - lender.startedAt, true);
+            }
+            this.deliverLoan(lender, routerProcess, account, loan.tokens, loan.rank, true);
+        }
+    }
+
     private settleSome(routerProcess: RouterProcess): void {
         for (const reservation of routerProcess.reservations.splice(0, SETTLED_PER_STEP)) {
             const used = Math.floor(this.random() * (reservation.tokens + 1));
@@ -256,7 +288,13 @@
 
     /** Returns unused loans to the holder; some returns are lost. */
     private returnLoans(routerProcess: RouterProcess, holder: RouterProcess): void {
-        for (const { account, tokens } of routerProcess.tokenBudget.listUnusedLoans()) {
+        for (const unused of routerProcess.tokenBudget.listUnusedLoans()) {
+            const { account } = unused;
+            const now = this.now - routerProcess.startedAt;
+            const tokens = unused.tokens - routerProcess.advanceLoans.computeKeptTokens(account, now);
+            if (tokens <= 0) {
+                continue;
+            }
             routerProcess.tokenBudget.deductReturnedLoan(account, tokens);
             if (tokens % LOST_RETURN_DIVISOR !== 0) {
                 holder.tokenBudget.addReturnedLoan(account, tokens, this.now - holder.startedAt);
@@ -441,33 +479,54 @@
     private lend(lender: RouterProcess, borrower: RouterProcess): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
+        this.deliverLoan(lender, borrower, account, tokens, lender === borrower ? 0 : this.pick(REQUEST_RANKS), false);
+    }
+
+    /** Lends tokens; the answer arrives on time, late or never. */
+    private deliverLoan(
+        lender: RouterProcess,
+        borrower: RouterProcess,
+        account: string,
+        tokens: number,
+        rank: number,
+        isInAdvance: boolean,
+    ): void {
+        const now = this.now - lender.startedAt;
+        const isHeldForAsker = this.holder === this.findRouter(lender);
         const lent = lender === borrower
             ? 0
-            : lender.tokenBudget.lend(
-                account,
-                tokens,
-                this.pick(REQUEST_RANKS),
-                this.holder === this.findRouter(lender),
-                this.now - lender.startedAt,
-            );
+            : lender.tokenBudget.lend(account, tokens, rank, isHeldForAsker, now, isInAdvance);
         const draw = this.random();
         if (draw < ON_TIME_LOAN_FRACTION) {
-            borrower.tokenBudget.addBorrowed(account, lent);
+            this.receiveLoan({ borrower, account, tokens: lent, dueAt: this.now, isInAdvance });
+            if (isHeldForAsker) {
+                const left = lender.tokenBudget.computeLendableTokens(account, isHeldForAsker, now);
+                borrower.advanceLoans.recordLender(account, this.holder!, left, this.now - borrower.startedAt);
+            }
         }
         else if (this.hasLateLoans && draw < DELIVERED_LOAN_FRACTION) {
             const delayMs = (draw - ON_TIME_LOAN_FRACTION) / (DELIVERED_LOAN_FRACTION - ON_TIME_LOAN_FRACTION)
                 * MAX_DELAY_MS;
-            this.lateLoans.push({ borrower, account, tokens: lent, dueAt: this.now + delayMs });
+            this.lateLoans.push({ borrower, account, tokens: lent, dueAt: this.now + delayMs, isInAdvance });
+        }
+        if (isInAdvance) {
+            // The borrower does not wait for a late answer.
+            borrower.advanceLoans.finishLoan(account);
         }
     }
 
+    private receiveLoan({ borrower, account, tokens, isInAdvance }: LateLoan): void {
+        borrower.tokenBudget.addBorrowed(account, tokens);
+        this.borrowedInAdvance += isInAdvance ? tokens : 0;
+    }
+
     /** Loans for a router process that has ended are lost with its connections. */
     private deliverLateLoans(): void {
         const due = this.lateLoans.filter(({ dueAt }) => dueAt <= this.now);
         this.lateLoans = this.lateLoans.filter(({ dueAt }) => dueAt > this.now);
-        for (const { borrower, account, tokens } of due) {
-            if ([...this.routerProcesses.values()].includes(borrower)) {
-                borrower.tokenBudget.addBorrowed(account, tokens);
+        for (const loan of due) {
+            if ([...this.routerProcesses.values()].includes(loan.borrower)) {
+                this.receiveLoan(loan);
             }
         }
     }
