--- a/test/domain/prepaid.test.ts
+++ b/test/domain/prepaid.test.ts
@@ -57,7 +57,7 @@
         catch (error) {
             t.fail(`seed ${seed}: ${String(error)}`);
         }
-        borrowedInAdvance += simulation.borrowedInAdvance;
+        borrowedInAdvance += simulation.loans.borrowedInAdvance;
     }
     t.equal(borrowedInAdvance > 0, hasAdvanceLoans, `${borrowedInAdvance} tokens borrowed in advance`);
     t.end();
--- a/test/tools/prepaidSimulation.ts
+++ b/test/tools/prepaidSimulation.ts
@@ -9,6 +9,7 @@
 import { type EntryAge, PredecessorLifetimes } from "../../src/domain/predecessorLifetimes.js";
 import { PrepaidLedger, type PrepaidResult } from "../../src/domain/prepaidLedger.js";
 import { WallClockMonitor } from "../../src/domain/wallClockMonitor.js";
+import { type RouterProcess, SimulatedLoans } from "./simulatedLoans.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
@@ -38,13 +39,8 @@
 /** Maximum delay of late reports and loans. */
 const MAX_DELAY_MS = 3_000;
 
-/** Fraction of loans that arrive on time, and fraction that arrive at all if late loans are simulated. */
-const ON_TIME_LOAN_FRACTION = 0.8;
-const DELIVERED_LOAN_FRACTION = 0.9;
 /** Duration of demand that is borrowed in advance; long enough that a killed router often has unused loans. */
 const AHEAD_MS = 2_000;
-/** Probability that the request for a loan in advance is delivered twice, where only one answer arrives. */
-const DOUBLED_LOAN_PROBABILITY = 0.05;
 
 export const testTokenBudgetOptions: LocalTokenBudgetOptions = {
     horizonMs: 10_000,
@@ -64,28 +60,6 @@
     wantedChangePart: 0.25,
 };
 
-interface Reservation {
-    readonly account: string;
-    readonly tokens: number;
-}
-
-interface LateLoan {
-    readonly borrower: RouterProcess;
-    readonly account: string;
-    readonly tokens: number;
-    readonly dueAt: number;
-    readonly isInAdvance: boolean;
-}
-
-interface RouterProcess {
-    readonly incarnation: string;
-    readonly startedAt: number;
-    readonly tokenBudget: LocalTokenBudget;
-    readonly reservations: Reservation[];
-    readonly advanceLoans: AdvanceLoans;
-    isPartitioned: boolean;
-}
-
 interface LateReport {
     readonly dueAt: number;
     readonly report: PrepaidReportCommand;
@@ -95,8 +69,7 @@
     /** Actual consumption by account. */
     readonly consumed = new Map<string, number>();
     readonly prepaid = new Map<string, number>();
-    /** Tokens that arrived with loans in advance. */
-    borrowedInAdvance = 0;
+    readonly loans: SimulatedLoans;
     private readonly ledger = new PrepaidLedger();
     private readonly appendedAt: number[] = [0];
     /** Index of the first entry appended by the current leader. */
@@ -118,7 +91,6 @@
     private lateReports: LateReport[] = [];
     private now = 10_000;
     private processCount = 0;
-    private lateLoans: LateLoan[] = [];
 
     /**
      * `random` returns a number in [0, 1). `holder`: the router that holds all accounts for the others, if any.
@@ -128,9 +100,10 @@
     constructor(
         private readonly random: () => number,
         private readonly holder?: string,
-        private readonly hasLateLoans = false,
+        hasLateLoans = false,
         private readonly hasAdvanceLoans = false,
     ) {
+        this.loans = new SimulatedLoans(random, hasLateLoans, MAX_DELAY_MS);
         ACCOUNTS.forEach((account, i) => this.prepaid.set(account, INITIAL_PREPAID * (i + 1)));
         this.applyLimits();
         ROUTERS.forEach(router => this.startRouter(router));
@@ -139,7 +112,7 @@
     step(): void {
         this.now += Math.floor(this.random() * 60);
         this.deliverLateReports();
-        this.deliverLateLoans();
+        this.loans.deliverLate(borrower => [...this.routerProcesses.values()].includes(borrower), this.now);
         const router = this.pick(ROUTERS);
         const routerProcess = this.routerProcesses.get(router)!;
         const draw = this.random();
@@ -235,7 +208,11 @@
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
         const rank = this.pick(REQUEST_RANKS);
-        this.borrowInAdvance(routerProcess, account, tokens, rank);
+        if (this.hasAdvanceLoans && this.holder !== undefined && this.holder !== this.findRouter(routerProcess)) {
+            const holder = this.routerProcesses.get(this.holder)!;
+            const request = { account, tokens, rank, isHeldForAsker: true, isInAdvance: true };
+            this.loans.borrowInAdvance(holder, routerProcess, request, this.now);
+        }
         const tryReserve = (): boolean => {
             const outcome = routerProcess.tokenBudget.tryReserve(
                 account,
@@ -256,25 +233,6 @@
         }
     }
 
-    private borrowInAdvance(routerProcess: RouterProcess, account: string, tokens: number, rank: number): void {
-        const { holder } = this;
-        if (!this.hasAdvanceLoans || holder === undefined || this.isHolder(this.findRouter(routerProcess))) {
-            return;
-        }
-        const { advanceLoans, tokenBudget, startedAt } = routerProcess;
-        const now = this.now - startedAt;
-        advanceLoans.recordRequest(account, tokens, rank, now);
-        const available = tokenBudget.tryGetState(account, now)!.room;
-        const loan = advanceLoans.tryStartLoan(account, available, () => [holder], now);
-        if (loan !== undefined) {
-            const lender = this.routerProcesses.get(holder)!;
-            if (this.random() < DOUBLED_LOAN_PROBABILITY) {
-                lender.tokenBudget.lend(account, loan.tokens, loan.rank, true, this.now - lender.startedAt, true);
-            }
-            this.deliverLoan(lender, routerProcess, account, loan.tokens, loan.rank, true);
-        }
-    }
-
     private settleSome(routerProcess: RouterProcess): void {
         for (const reservation of routerProcess.reservations.splice(0, SETTLED_PER_STEP)) {
             const used = Math.floor(this.random() * (reservation.tokens + 1));
@@ -479,56 +437,9 @@
     private lend(lender: RouterProcess, borrower: RouterProcess): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
-        this.deliverLoan(lender, borrower, account, tokens, lender === borrower ? 0 : this.pick(REQUEST_RANKS), false);
-    }
-
-    /** Lends tokens; the answer arrives on time, late or never. */
-    private deliverLoan(
-        lender: RouterProcess,
-        borrower: RouterProcess,
-        account: string,
-        tokens: number,
-        rank: number,
-        isInAdvance: boolean,
-    ): void {
-        const now = this.now - lender.startedAt;
+        const rank = lender === borrower ? MOST_URGENT : this.pick(REQUEST_RANKS);
         const isHeldForAsker = this.holder === this.findRouter(lender);
-        const lent = lender === borrower
-            ? 0
-            : lender.tokenBudget.lend(account, tokens, rank, isHeldForAsker, now, isInAdvance);
-        const draw = this.random();
-        if (draw < ON_TIME_LOAN_FRACTION) {
-            this.receiveLoan({ borrower, account, tokens: lent, dueAt: this.now, isInAdvance });
-            if (isHeldForAsker) {
-                const left = lender.tokenBudget.computeLendableTokens(account, isHeldForAsker, now);
-                borrower.advanceLoans.recordLender(account, this.holder!, left, this.now - borrower.startedAt);
-            }
-        }
-        else if (this.hasLateLoans && draw < DELIVERED_LOAN_FRACTION) {
-            const delayMs = (draw - ON_TIME_LOAN_FRACTION) / (DELIVERED_LOAN_FRACTION - ON_TIME_LOAN_FRACTION)
-                * MAX_DELAY_MS;
-            this.lateLoans.push({ borrower, account, tokens: lent, dueAt: this.now + delayMs, isInAdvance });
-        }
-        if (isInAdvance) {
-            // The borrower does not wait for a late answer.
-            borrower.advanceLoans.finishLoan(account);
-        }
-    }
-
-    private receiveLoan({ borrower, account, tokens, isInAdvance }: LateLoan): void {
-        borrower.tokenBudget.addBorrowed(account, tokens);
-        this.borrowedInAdvance += isInAdvance ? tokens : 0;
-    }
-
-    /** Loans for a router process that has ended are lost with its connections. */
-    private deliverLateLoans(): void {
-        const due = this.lateLoans.filter(({ dueAt }) => dueAt <= this.now);
-        this.lateLoans = this.lateLoans.filter(({ dueAt }) => dueAt > this.now);
-        for (const loan of due) {
-            if ([...this.routerProcesses.values()].includes(loan.borrower)) {
-                this.receiveLoan(loan);
-            }
-        }
+        this.loans.lend(lender, borrower, { account, tokens, rank, isHeldForAsker, isInAdvance: false }, this.now);
     }
 
     private isHolder(router: string): boolean {
