--- a/test/domain/localTokenBudget.test.ts
+++ b/test/domain/localTokenBudget.test.ts
@@ -176,6 +176,42 @@
     t.end();
 });
 
+// Guards against controllers that count borrowed tokens twice: the lender has already reported them as spent.
+void t.test("tokens that are held in advance do not change what a router reports of its own grant", t => {
+    for (const isHolder of [false, true]) {
+        const [without, borrower] = [1, 2].map(() => createTokenBudget({ granted: 1_000, free: 0 }));
+        borrower!.addBorrowed("a", 30_000);
+        const entries = [without!, borrower!].map(tokenBudget => {
+            tokenBudget.setHoldings(() => ({ isHolder, holders: 1 }));
+            tokenBudget.lend("a", 900, MOST_URGENT, true, 1);
+            tokenBudget.addBorrowed("a", 900);
+            return tokenBudget.createReport(200, 200, false).accounts[0];
+        });
+        t.same(entries[1], entries[0], isHolder ? "after it became the holder" : "as a borrower");
+        t.equal(entries[1]!.committed, 0);
+        t.equal(borrower!.createReport(300, 300, true).accounts[0]!.ceiling, 0, "nothing is given back in its name");
+    }
+    t.end();
+});
+
+void t.test("a loan in advance takes half of what is available, and only what is lent counts as demand", t => {
+    const lender = createTokenBudget({ granted: 3_000, free: 0 });
+    t.equal(lender.computeLendableTokens("a", true, 1), 3_000);
+    t.equal(lender.lend("a", 2_000, MOST_URGENT, true, 1, true), 1_500);
+    t.equal(lender.computeLendableTokens("a", true, 1), 1_500);
+    t.equal(lender.lend("a", 2_000, MOST_URGENT, true, 1), 1_500, "a request that waits gets the rest");
+    t.equal(lender.lend("a", 2_000, MOST_URGENT, true, 1, true), 0);
+    const demands = [true, false].map(isInAdvance => {
+        const empty = createTokenBudget({ granted: 0, free: PREPAID });
+        empty.setHoldings(() => ({ isHolder: false, holders: 1 }));
+        empty.lend("a", 2_000, MOST_URGENT, true, 1, isInAdvance);
+        return empty.createReport(200, 200, true).accounts[0]!.burst;
+    });
+    t.equal(demands[0], 0);
+    t.ok(demands[1]! > 0);
+    t.end();
+});
+
 void t.test("unused loans are returned, except by holders and while requests wait", t => {
     const tokenBudget = createTokenBudget({ granted: 0, free: PREPAID });
     tokenBudget.addBorrowed("a", 5_000);
