--- a/src/daemons/directRouter/controllerContact.ts
+++ b/src/daemons/directRouter/controllerContact.ts
@@ -33,6 +33,11 @@
         this.lastUpdateAt = now;
     }
 
+    /** Whether a controller has responded recently. */
+    isInContact(now: number): boolean {
+        return now - this.lastResponseAt < this.options.contactGapMs;
+    }
+
     getReachableSince(): number {
         return this.reachableSince;
     }
@@ -42,10 +47,9 @@
      * update does not count: the router would otherwise lose upstreams that report, whenever a poll is late.
      */
     getMaxUpstreamAgeMs(now: number): number {
-        const { contactGapMs, upstreamReportTimeoutMs } = this.options;
+        const { upstreamReportTimeoutMs } = this.options;
         // Upstream reports arrive through the controllers, so without contact upstreams keep their last known state.
-        const isInContact = now - this.lastResponseAt < contactGapMs;
-        return isInContact && now - this.reachableSince > upstreamReportTimeoutMs
+        return this.isInContact(now) && now - this.reachableSince > upstreamReportTimeoutMs
             ? upstreamReportTimeoutMs + (now - this.lastUpdateAt)
             : Infinity;
     }
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -326,6 +326,10 @@
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
     }
 
+    override isInControllerContact(): boolean {
+        return this.controllerContact.isInContact(this.clock.getMonotonicMs());
+    }
+
     override recordTokenDemand(account: string, tokens: number, rank: number): void {
         this.prepaidBorrower.recordRequest(account, tokens, rank);
     }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -86,6 +86,8 @@
     abstract getRetryBudget(service: string): RetryBudget;
     /** Records that a request wants to reserve tokens of an account, so that they are borrowed in advance. */
     abstract recordTokenDemand(account: string, tokens: number, rank: number): void;
+    /** Whether a controller has responded recently. */
+    abstract isInControllerContact(): boolean;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -1,4 +1,5 @@
 /** Reserves the prepaid tokens of one request before each attempt and settles them by the outcome. */
+import { computeGrantWaitMs } from "../../domain/grantWait.js";
 import type { ReserveOutcome } from "../../domain/localAccountBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { Attempt, AttemptOutcome } from "./attempt.js";
@@ -34,7 +35,8 @@
             return undefined;
         }
         const { tokenBudget, options } = this.context;
-        const waitDeadline = Math.min(this.deadline, performance.now() + options.grantWaitMs);
+        const startedAt = performance.now();
+        const isFirstGrant = !tokenBudget.hasAnswer(account.name);
         for (let isFirst = true;; isFirst = false) {
             const outcome = tokenBudget.tryReserve(account.name, tokens, route.rank, performance.now());
             if (isFirst) {
@@ -43,7 +45,14 @@
             if (outcome === "reserved") {
                 return undefined;
             }
-            const remainingMs = waitDeadline - performance.now();
+            const waitMs = computeGrantWaitMs({
+                grantWaitMs: options.grantWaitMs,
+                goalMs: route.goalMs,
+                isFirstGrant,
+                isInContact: this.context.isInControllerContact(),
+                outcome,
+            });
+            const remainingMs = Math.min(this.deadline, startedAt + waitMs) - performance.now();
             if (remainingMs <= 0 || this.isAborted()) {
                 this.logNotReserved(account.name, outcome);
                 return outcome === "exhausted"
@@ -51,7 +60,9 @@
                     : createRefusal("budgetUnreachable", account.name, "no", options.grantRetryAfterMs);
             }
             tokenBudget.addWaiting(account.name, tokens);
-            await this.context.waitForGrant(account.name, tokens, route.rank, remainingMs);
+            // Waits in portions, so that a loss of contact with the controllers ends the longer wait.
+            const portionMs = Math.min(remainingMs, options.grantWaitMs);
+            await this.context.waitForGrant(account.name, tokens, route.rank, portionMs);
             tokenBudget.addWaiting(account.name, -tokens);
         }
     }
--- a/src/domain/localAccountBudget.ts
+++ b/src/domain/localAccountBudget.ts
@@ -115,6 +115,11 @@
         this.holding = holding;
     }
 
+    /** Whether the controllers have answered a report about the account. */
+    hasAnswer(): boolean {
+        return this.allowance !== NO_ALLOWANCE;
+    }
+
     /** Returns what determines reservations now. */
     getState(now: number): LocalAccountBudgetState {
         return {
@@ -274,7 +279,7 @@
     private computeCommitLimit(now: number): number {
         const { committed, burst, perSecond } = this.allowance;
         const sinceAnswerMs = now - this.lastAnswer.answeredAt;
-        return this.allowance !== NO_ALLOWANCE && sinceAnswerMs >= this.options.wholeAfterMs
+        return this.hasAnswer() && sinceAnswerMs >= this.options.wholeAfterMs
             ? this.granted
             : committed + burst + Math.floor(perSecond * sinceAnswerMs / MS_PER_SECOND);
     }
--- a/src/domain/localTokenBudget.ts
+++ b/src/domain/localTokenBudget.ts
@@ -79,6 +79,11 @@
         return this.accounts.get(account)?.hasEnough(tokens, rank, now) ?? true;
     }
 
+    /** Whether the controllers have answered a report about the account; true for accounts without a limit. */
+    hasAnswer(account: string): boolean {
+        return this.accounts.get(account)?.hasAnswer() ?? true;
+    }
+
     /** Returns what determines reservations of an account, or undefined if the account has no limit. */
     tryGetState(account: string, now: number): LocalAccountBudgetState | undefined {
         return this.accounts.get(account)?.getState(now);
