--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -235,7 +235,6 @@
         clearInterval(this.cleanupTimer);
         clearInterval(this.gaugeTimer);
         this.prepaidBorrower.stop();
-        this.prepaidBorrower.returnLoans();
         this.controllerFeeds.stop();
         this.quarantine.stop();
         await this.prepaidReporter.stop();
@@ -367,6 +366,14 @@
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
     }
 
+    override isInControllerContact(): boolean {
+        return this.controllerContact.isInContact(this.clock.getMonotonicMs());
+    }
+
+    override recordTokenDemand(account: string, tokens: number, rank: number): void {
+        this.prepaidBorrower.recordRequest(account, tokens, rank);
+    }
+
     override async waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         const timeout = this.clock.wait(timeoutMs);
         if (await Promise.race([this.prepaidBorrower.borrowFromHolder(account, tokens, rank), timeout]) === true) {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -89,6 +89,10 @@
     abstract getRetryBudget(service: string): RetryBudget;
     /** Claims that a request is sent again because its upstream had been replaced; false if that is not allowed now. */
     abstract tryClaimRepeat(service: string): boolean;
+    /** Records that a request wants to reserve tokens of an account, so that they are borrowed in advance. */
+    abstract recordTokenDemand(account: string, tokens: number, rank: number): void;
+    /** Whether a controller has responded recently. */
+    abstract isInControllerContact(): boolean;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
