--- /dev/null
+++ b/src/adapters/http/connectionRelay.ts
@@ -0,0 +1,339 @@
+/**
+ * Relays callers' connections to another router as byte streams, without parsing them. The router that relays is short of CPU
+ * time, so that each chunk is passed on by plain event handlers, and timeouts share one timer.
+ */
+import { connect, type Socket } from "node:net";
+import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
+import { DeadlineQueue } from "../deadlineQueue.js";
+import { waitForNextPoll } from "../nextPoll.js";
+import type { ReadPacer } from "../readPacer.js";
+import { parseAddress } from "../rpc/tcpNetwork.js";
+
+/** Size of the buffer into which all connections to other routers are read. */
+const READ_BUFFER_BYTES = 65_536;
+/**
+ * A relayed connection that carried bytes within this time counts as running a request. Longer than the gap between two
+ * events of a stream, which is at most 400 ms.
+ */
+const ACTIVITY_WINDOW_MS = 2_000;
+/** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
+const UNPACED_READS = 2;
+
+/** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
+const HALF_CLOSED_TIMEOUT_MS = 5_000;
+
+/** A router that connections are relayed to. */
+export interface RelayTarget {
+    /** Peer address, which identifies it. */
+    readonly address: string;
+    /** HOST:PORT at which it accepts relayed connections. */
+    readonly relayAddress: string;
+}
+
+export interface ConnectionRelayOptions {
+    /** Whether the process of a router is known to run, by its peer address. */
+    readonly isReachable: (address: string) => boolean;
+    /** Time after which a connection attempt to another router is given up, in milliseconds. */
+    readonly connectTimeoutMs: number;
+    /** Maximum number of concurrent relayed connections. */
+    readonly maxConnections: number;
+}
+
+/** Why a relayed connection was reset. */
+export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
+
+export class ConnectionRelay {
+    private readonly connections = new Set<RelayedConnection>();
+    private readonly connecting: DeadlineQueue<RelayedConnection>;
+    private readonly halfClosed = new DeadlineQueue<RelayedConnection>(
+        HALF_CLOSED_TIMEOUT_MS,
+        connection => connection.isOpen(),
+        connection => connection.close(),
+    );
+    /** Shared by all connections: each read is copied before the next one. */
+    private readonly readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
+
+    constructor(
+        readonly pacer: ReadPacer,
+        private readonly log: Log,
+        private readonly metrics: Metrics,
+        private readonly options: ConnectionRelayOptions,
+    ) {
+        this.connecting = new DeadlineQueue(
+            options.connectTimeoutMs,
+            connection => connection.isConnecting(),
+            connection => connection.failConnecting("no connection in time"),
+        );
+    }
+
+    /**
+     * Relays a connection that was accepted with `pauseOnConnect`. If the other router cannot be reached, `serveLocally` is
+     * called with the socket untouched. Returns false, and does nothing, if there are too many relayed connections.
+     */
+    tryRelay(caller: Socket, target: RelayTarget, serveLocally: (error: string) => void): boolean {
+        if (this.connections.size >= this.options.maxConnections) {
+            return false;
+        }
+        const connection = new RelayedConnection(this, caller, target, this.readBuffer, error => {
+            this.logFailure(target, error);
+            serveLocally(error);
+        });
+        this.connections.add(connection);
+        this.connecting.add(connection);
+        return true;
+    }
+
+    /** Resets the connections to routers that are not reachable any more: their callers would wait in vain. */
+    resetUnreachable(): void {
+        for (const connection of this.connections) {
+            if (!this.isReachable(connection.target.address)) {
+                connection.reset("neighbourUnreachable");
+            }
+        }
+    }
+
+    /** Returns the number of relayed connections that probably carry a request. */
+    countActive(): number {
+        const since = performance.now() - ACTIVITY_WINDOW_MS;
+        let count = 0;
+        for (const connection of this.connections) {
+            if (connection.lastBytesAt >= since) {
+                count += 1;
+            }
+        }
+        return count;
+    }
+
+    isReachable(address: string): boolean {
+        return this.options.isReachable(address);
+    }
+
+    countOpen(): number {
+        return this.connections.size;
+    }
+
+    /** Closes all connections: idle ones regularly, the others by a reset. */
+    close(): void {
+        const since = performance.now() - ACTIVITY_WINDOW_MS;
+        for (const connection of this.connections) {
+            if (connection.lastBytesAt < since) {
+                connection.close();
+            }
+            else {
+                connection.reset("stopping");
+            }
+        }
+    }
+
+    /** Called by a connection once it is established. */
+    recordConnected(): void {
+        this.metrics.addCount("connections_relayed");
+    }
+
+    /** Called by a connection whose neighbour has sent everything. */
+    addHalfClosed(connection: RelayedConnection): void {
+        this.halfClosed.add(connection);
+    }
+
+    /** Called by a connection that has ended or failed. */
+    remove(connection: RelayedConnection): void {
+        this.connections.delete(connection);
+    }
+
+    /** Called by a connection that is reset. */
+    logFailure(target: RelayTarget, reason: string): void {
+        this.metrics.addCount("connections_relay_failed");
+        this.log.info("relay_failed", { router: target.address, reason });
+    }
+}
+
+/** A caller's connection and its continuation to another router. Either buffers at most its high-water mark. */
+class RelayedConnection {
+    /** When bytes were last passed on in either direction. Monotonic clock, milliseconds. */
+    lastBytesAt = performance.now();
+    private readonly neighbour: Socket;
+    private state: "connecting" | "open" | "closed" = "connecting";
+    /** Reads from the neighbour since the caller last sent something. */
+    private answerReads = 0;
+    /** Whether the caller's buffer is full. */
+    private isBlocked = false;
+    /** Whether reading from the neighbour is paused until the next tick of the pacer. */
+    private isPaced = false;
+
+    constructor(
+        private readonly relay: ConnectionRelay,
+        private readonly caller: Socket,
+        readonly target: RelayTarget,
+        readBuffer: Buffer,
+        private readonly serveLocally: (error: string) => void,
+    ) {
+        this.neighbour = connect({
+            ...parseAddress(target.relayAddress),
+            allowHalfOpen: true,
+            noDelay: true,
+            onread: { buffer: readBuffer, callback: (length, buffer) => this.handleAnswer(length, buffer) },
+        });
+        this.neighbour.on("connect", this.handleConnect);
+        this.neighbour.on("error", this.handleNeighbourError);
+    }
+
+    isConnecting(): boolean {
+        return this.state === "connecting";
+    }
+
+    isOpen(): boolean {
+        return this.state === "open";
+    }
+
+    /** Gives up the attempt to connect, and returns the caller's connection, of which nothing was read. */
+    failConnecting(error: string): void {
+        if (this.state === "connecting") {
+            this.finish();
+            this.neighbour.destroy();
+            this.serveLocally(error);
+        }
+    }
+
+    /** Resets both connections, so that nobody takes what was passed on so far as complete. */
+    reset(cause: RelayResetCause): void {
+        if (this.state === "connecting") {
+            this.failConnecting(cause);
+        }
+        else if (this.state === "open") {
+            this.finish();
+            this.relay.logFailure(this.target, cause);
+            this.neighbour.resetAndDestroy();
+            this.caller.resetAndDestroy();
+        }
+    }
+
+    /** Closes both connections regularly. */
+    close(): void {
+        if (this.state === "connecting") {
+            this.failConnecting("closing");
+        }
+        else if (this.state === "open") {
+            this.finish();
+            this.neighbour.destroy();
+            this.caller.destroy();
+        }
+    }
+
+    private readonly handleConnect = (): void => {
+        if (this.state !== "connecting") {
+            return;
+        }
+        const { caller, neighbour } = this;
+        this.state = "open";
+        this.relay.recordConnected();
+        caller.on("data", this.handleRequest);
+        caller.on("end", () => neighbour.end());
+        caller.on("drain", this.handleCallerDrain);
+        caller.on("error", () => this.handleCallerClose());
+        caller.on("close", () => this.handleCallerClose());
+        neighbour.on("end", () => void this.handleNeighbourEnd());
+        neighbour.on("drain", () => caller.resume());
+        neighbour.on("close", () => this.handleNeighbourClose());
+        caller.resume();
+    };
+
+    private readonly handleRequest = (chunk: Buffer): void => {
+        this.lastBytesAt = performance.now();
+        this.answerReads = 0;
+        if (this.isPaced) {
+            this.resumePaced();
+        }
+        if (!this.neighbour.write(chunk)) {
+            this.caller.pause();
+        }
+    };
+
+    /** Returns whether to continue reading. */
+    private handleAnswer(length: number, buffer: Uint8Array): boolean {
+        if (this.state !== "open") {
+            return false;
+        }
+        this.lastBytesAt = performance.now();
+        this.answerReads += 1;
+        this.isBlocked = !this.caller.write(Buffer.from(buffer.subarray(0, length)));
+        const { pacer } = this.relay;
+        if (this.answerReads > UNPACED_READS && pacer.isActive()) {
+            this.isPaced = true;
+            pacer.scheduleResume(this.resumePaced);
+        }
+        return !this.isBlocked && !this.isPaced;
+    }
+
+    private readonly resumePaced = (): void => {
+        this.isPaced = false;
+        this.resumeReading();
+    };
+
+    private readonly handleCallerDrain = (): void => {
+        this.isBlocked = false;
+        this.resumeReading();
+    };
+
+    private resumeReading(): void {
+        if (this.state === "open" && !this.isBlocked && !this.isPaced) {
+            this.neighbour.resume();
+        }
+    }
+
+    private readonly handleNeighbourError = (error: Error): void => {
+        if (this.state === "connecting") {
+            this.failConnecting((error as NodeJS.ErrnoException).code ?? error.message);
+        }
+        else {
+            this.reset("neighbourLost");
+        }
+    };
+
+    /**
+     * When a process is killed, its system closes its connections as regularly as after a complete answer. Its peer link is
+     * closed together with them, so that the link is read first.
+     */
+    private async handleNeighbourEnd(): Promise<void> {
+        await waitForNextPoll();
+        if (!this.relay.isReachable(this.target.address)) {
+            this.reset("neighbourLost");
+        }
+        else if (this.state === "open") {
+            this.caller.end();
+            this.relay.addHalfClosed(this);
+        }
+    }
+
+    private handleNeighbourClose(): void {
+        if (this.neighbour.readableEnded && this.neighbour.writableFinished) {
+            this.finishIfClosed();
+        }
+        else {
+            this.reset("neighbourLost");
+        }
+    }
+
+    /** A caller that leaves early closes or resets the connection; the neighbour is told at once, so that upstreams stop. */
+    private handleCallerClose(): void {
+        if (this.caller.readableEnded && this.caller.writableFinished) {
+            this.finishIfClosed();
+        }
+        else if (this.state === "open") {
+            this.finish();
+            this.neighbour.resetAndDestroy();
+            this.caller.destroy();
+        }
+    }
+
+    private finishIfClosed(): void {
+        if (this.caller.destroyed && this.neighbour.destroyed) {
+            this.finish();
+        }
+    }
+
+    private finish(): void {
+        this.state = "closed";
+        this.relay.remove(this);
+    }
+}
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -11,6 +11,7 @@
 import { PlacementSharer, type PlacementSharerOptions } from "./daemons/directRouter/placementSharer.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
+import { RelayCoordinator } from "./daemons/directRouter/relayCoordinator.js";
 import { RequestQuarantine } from "./daemons/directRouter/requestQuarantine.js";
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
@@ -24,6 +25,7 @@
 import type { Log } from "./ports/log.js";
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
+import { type ConnectionRelaySettingsInput, parseConnectionRelaySettings } from "./settings/connectionRelaySettings.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -67,6 +69,8 @@
     readonly reporter: PrepaidReporterOptions;
     readonly borrower: PrepaidBorrowerOptions;
     readonly sharer: PlacementSharerOptions;
+    /** Disabled if undefined. */
+    readonly connectionRelay?: ConnectionRelaySettingsInput | undefined;
     readonly upstreams: DirectUpstreams;
 }
 
@@ -74,6 +78,7 @@
 export interface RunningBundleRole<T> {
     readonly daemon: T;
     readonly log: Log;
+    readonly metrics: Metrics;
     /** Shuts down gracefully; resolves when all resources are released. */
     stop(): Promise<void>;
 }
@@ -84,7 +89,7 @@
 ): Promise<RunningBundleRole<BundleControllerDaemon>> {
     await mkdir(settings.dataFolder, { recursive: true });
     const base = await createRoleBase({ ...settings, role: "controller", listen: settings.peerAddress });
-    const { clock, log, network, handlers, loop, peerAddress } = base;
+    const { clock, log, metrics, network, handlers, loop, peerAddress } = base;
     const journal = await openJournalFile(join(settings.dataFolder, "log.journal"), {
         retryWriteMs: settings.retryWriteMs,
         onWriteError: error => log.warn("disk_refused_write", { error: String(error) }),
@@ -107,6 +112,7 @@
     return {
         daemon,
         log,
+        metrics,
         stop: async () => {
             await daemon.stop();
             closeRoleBase(base);
@@ -154,6 +160,7 @@
 export async function startDirectRouter(
     settings: DirectRouterSettings,
 ): Promise<RunningBundleRole<DirectRouterDaemon>> {
+    const relaySettings = settings.connectionRelay && parseConnectionRelaySettings(settings.connectionRelay);
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
     const self = { address: settings.router.address, zone: settings.zone };
@@ -192,11 +199,18 @@
         loop,
     );
     daemon.addHandlers(handlers);
+    if (relaySettings !== undefined) {
+        daemon.enableConnectionRelay(
+            new RelayCoordinator(self, relaySettings, daemon, routerLinks, base.utilization, clock, log, metrics),
+            handlers,
+        );
+    }
     daemon.start();
     log.info("router_started", { incarnation: identity.incarnation });
     return {
         daemon,
         log,
+        metrics,
         stop: async () => {
             await daemon.finishStop();
             closeRoleBase(base);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -42,6 +42,7 @@
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { type RefusalDetails, RelayContext, type RelayOptions, type ResponseDetails } from "./relayContext.js";
+import type { RelayCoordinator } from "./relayCoordinator.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
@@ -91,6 +92,7 @@
     private gaugeTimer: NodeJS.Timeout | undefined;
     private isRefusingRequests = false;
     private wasReady = false;
+    private coordinator: RelayCoordinator | undefined;
     private readonly controllerContact: ControllerContact;
 
     constructor(
@@ -149,6 +151,18 @@
         );
     }
 
+    /** Enables the relay of callers' connections. Called before `start`. */
+    enableConnectionRelay(coordinator: RelayCoordinator, handlers: PeerHandlers): void {
+        this.coordinator = coordinator;
+        coordinator.addHandlers(handlers);
+        this.otherRouters.onMembershipChange(others => coordinator.setOthers(others));
+    }
+
+    /** Returns the decisions about relayed connections; undefined if the relay is disabled. */
+    tryGetRelayCoordinator(): RelayCoordinator | undefined {
+        return this.coordinator;
+    }
+
     /** Registers handlers for notifications on the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(
@@ -166,6 +180,7 @@
         this.controllerFeeds.setSeeds(this.options.seeds);
         void this.prepaidReporter.run();
         this.quarantine.start();
+        this.coordinator?.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
         this.gaugeTimer = setInterval(() => this.signalReceiver.setGauges(), GAUGE_PERIOD_MS);
@@ -206,6 +221,7 @@
     startDrain(): void {
         this.isDraining = true;
         this.log.info("router_stopping", { running: this.activeRequestCount });
+        this.coordinator?.notifyStateChange();
     }
 
     /** Refuses all further requests, because they could not complete before the process exits. */
@@ -379,6 +395,7 @@
             return;
         }
         this.bundleIndex = new BundleIndex(bundle);
+        this.coordinator?.notifyStateChange();
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
         const limits = bundle.accounts.filter(account => account.prepaidTokens !== undefined);
--- a/src/daemons/directRouter/otherRouters.ts
+++ b/src/daemons/directRouter/otherRouters.ts
@@ -13,6 +13,7 @@
     private readonly knownRouters: KnownRouters;
     /** The sorted addresses from which token holders and groups were last computed. */
     private appliedAddresses = "";
+    private membershipHandler: (others: readonly RouterContact[]) => void = () => undefined;
 
     /** `address`: this router's address. `count`: initial number of routers, including this one, until one is known. */
     constructor(
@@ -26,6 +27,11 @@
         this.knownRouters = new KnownRouters(address);
     }
 
+    /** Sets the handler that is called with the other routers when they have changed. */
+    onMembershipChange(handler: (others: readonly RouterContact[]) => void): void {
+        this.membershipHandler = handler;
+    }
+
     /** Returns the number of routers, including this one. */
     getCount(): number {
         return this.count;
@@ -55,6 +61,7 @@
             this.appliedAddresses = sortedAddresses;
             this.holders.setOthers(others);
             this.sharer.setOthers(others);
+            this.membershipHandler(others);
         }
         if (hasMembershipChanged || hasCountChanged) {
             const otherAddresses = others.map(({ address }) => address);
--- /dev/null
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -0,0 +1,158 @@
+/** Connects the connection relay's decisions with the measurements, notices and logs of a router. */
+import { ConnectionRelayPolicy, type RouterLoad } from "../../domain/connectionRelayPolicy.js";
+import type { RouterContact } from "../../domain/routerGroups.js";
+import type { Clock } from "../../ports/clock.js";
+import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
+import type { PeerHandlers } from "../../ports/peer.js";
+import { routerLoadNoticeMethod } from "../../protocol/fleetMethods.js";
+import type { ConnectionRelaySettings } from "../../settings/connectionRelaySettings.js";
+import type { LoopUtilization } from "../loopUtilization.js";
+import type { RouterLinks } from "./routerLinks.js";
+import { RouterLoadNotifier } from "./routerLoadNotifier.js";
+
+/** Minimum time between log lines of the relay's state, and a change of the fraction that is logged. */
+const LOG_PERIOD_MS = 1_000;
+const MIN_LOGGED_CHANGE = 0.05;
+
+/** What the coordinator reads from the router. */
+export interface RelayRouterState {
+    getBundleRevision(): number | undefined;
+    isStopping(): boolean;
+}
+
+export class RelayCoordinator {
+    private readonly policy: ConnectionRelayPolicy;
+    private readonly notifier: RouterLoadNotifier;
+    /** Number of routers with spare capacity at the last sample. */
+    private spareCount = 0;
+    private readonly relayedIn = new WeakSet<object>();
+    private loggedAt = -Infinity;
+    private loggedFraction = 0;
+    private loggedSpareCount = 0;
+
+    constructor(
+        self: RouterContact,
+        readonly settings: ConnectionRelaySettings,
+        private readonly router: RelayRouterState,
+        private readonly routerLinks: RouterLinks,
+        private readonly utilization: Pick<LoopUtilization, "get" | "onSample">,
+        private readonly clock: Clock,
+        private readonly log: Log,
+        private readonly metrics: Metrics,
+        private readonly random: () => number = Math.random,
+    ) {
+        this.policy = new ConnectionRelayPolicy(settings, address => this.isReachable(address));
+        this.notifier = new RouterLoadNotifier(
+            self,
+            settings.targetUtilization,
+            routerLinks,
+            () => this.getLoad(self.address),
+            (address, now) => this.policy.tryGetLoad(address, now)?.utilization,
+        );
+    }
+
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(
+            routerLoadNoticeMethod,
+            load => this.policy.recordLoad(load, this.clock.getMonotonicMs()),
+        );
+    }
+
+    start(): void {
+        this.utilization.onSample(utilization => this.recordSample(utilization));
+    }
+
+    /** Sets the other routers of the fleet. */
+    setOthers(others: readonly RouterContact[]): void {
+        this.notifier.setOthers(others);
+    }
+
+    /** Sends a notice without waiting for the next sample, after a new configuration or the beginning of a stop. */
+    notifyStateChange(): void {
+        this.notifier.sendDue(this.clock.getMonotonicMs());
+    }
+
+    /** Chooses the router to relay a new connection to; undefined if it is to be served locally. */
+    tryChooseRouter(): RouterLoad | undefined {
+        return this.policy.tryChooseRouter(
+            this.router.getBundleRevision(),
+            this.policy.getFraction(),
+            this.clock.getMonotonicMs(),
+            this.random,
+        );
+    }
+
+    /** Whether callers should come back with new connections, because some of these are relayed. */
+    isRelaying(): boolean {
+        return this.spareCount > 0 && this.policy.getFraction() > 0;
+    }
+
+    /** Records a connection that another router has relayed to this one. */
+    recordRelayedIn(connection: object): void {
+        this.relayedIn.add(connection);
+    }
+
+    /**
+     * Whether a connection is closed after the answer. This applies to all while connections are relayed, so that callers open
+     * new ones. A connection that was relayed to this router carries only one request: when the next one arrives, the
+     * configuration may differ between the two routers, or the other router may have spare capacity again.
+     */
+    shouldCloseAfterAnswer(connection: object): boolean {
+        return this.relayedIn.has(connection) || this.isRelaying();
+    }
+
+    recordConnectFailure(address: string): void {
+        this.policy.recordFailure(address, this.clock.getMonotonicMs());
+    }
+
+    /** Whether a router is connected, or no connection to it has been lost. */
+    isReachable(address: string): boolean {
+        return this.routerLinks.isReachable(address);
+    }
+
+    /** Registers a handler that is called when a router becomes unreachable, or reachable again. */
+    onReachabilityChange(handler: () => void): void {
+        this.routerLinks.onReachabilityChange(handler);
+    }
+
+    private recordSample(utilization: number): void {
+        const now = this.clock.getMonotonicMs();
+        this.policy.recordUtilization(utilization, now);
+        this.spareCount = this.policy.listSpare(this.router.getBundleRevision(), now).length;
+        this.notifier.sendDue(now);
+        this.metrics.setGauge("loop_utilization", utilization);
+        this.metrics.setGauge("relay_fraction", this.isRelaying() ? this.policy.getFraction() : 0);
+        this.logState(utilization, now);
+    }
+
+    private logState(utilization: number, now: number): void {
+        const fraction = this.policy.getFraction();
+        const hasChanged = Math.abs(fraction - this.loggedFraction) >= MIN_LOGGED_CHANGE
+            || (fraction === 0) !== (this.loggedFraction === 0)
+            || (fraction > 0 && (this.spareCount === 0) !== (this.loggedSpareCount === 0));
+        if (!hasChanged || now - this.loggedAt < LOG_PERIOD_MS) {
+            return;
+        }
+        this.loggedAt = now;
+        this.loggedFraction = fraction;
+        this.loggedSpareCount = this.spareCount;
+        this.log.info("relay_state", {
+            fraction: Number(fraction.toFixed(2)),
+            utilization: Number(utilization.toFixed(2)),
+            spare_routers: this.spareCount,
+        });
+    }
+
+    private getLoad(address: string): RouterLoad | undefined {
+        const revision = this.router.getBundleRevision();
+        return revision === undefined ? undefined : {
+            address,
+            relayAddress: this.settings.relayAddress,
+            revision,
+            utilization: Math.min(1, Math.max(0, this.utilization.get())),
+            cores: this.settings.cores,
+            isAccepting: !this.router.isStopping(),
+        };
+    }
+}
--- a/src/daemons/directRouter/routerLinks.ts
+++ b/src/daemons/directRouter/routerLinks.ts
@@ -14,13 +14,13 @@
     /** Addresses whose connection was lost, or whose last connection attempt failed. */
     private readonly unreachable = new Set<string>();
     private targets: readonly string[] = [];
-    private reachabilityHandler: () => void = () => undefined;
+    private readonly reachabilityHandlers: (() => void)[] = [];
 
     constructor(private readonly network: PeerNetwork, private readonly log: Log) {}
 
-    /** Sets the handler that is called when a router becomes unreachable, or reachable again. */
+    /** Registers a handler that is called when a router becomes unreachable, or reachable again. */
     onReachabilityChange(handler: () => void): void {
-        this.reachabilityHandler = handler;
+        this.reachabilityHandlers.push(handler);
     }
 
     /** Connects to these addresses, retries all unreachable ones, and releases all other connections. */
@@ -92,7 +92,7 @@
 
     private recordReachable(address: string): void {
         if (this.unreachable.delete(address)) {
-            this.reachabilityHandler();
+            this.reachabilityHandlers.forEach(handler => handler());
         }
     }
 
@@ -108,7 +108,7 @@
         if (!this.unreachable.has(address)) {
             this.unreachable.add(address);
             this.log.info("router_not_told", { router: address, error });
-            this.reachabilityHandler();
+            this.reachabilityHandlers.forEach(handler => handler());
         }
     }
 }
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -1,6 +1,7 @@
 /** RPC methods between routers and controllers in fleets with declared bundles and self-registering upstreams. */
 import * as z from "zod";
 import { type PrepaidReportCommand, prepaidReportCommand } from "../domain/bundleCommands.js";
+import type { RouterLoad } from "../domain/connectionRelayPolicy.js";
 import { MAX_ZONE_LENGTH } from "../domain/evacuationCommands.js";
 import type { EvacuationList } from "../domain/evacuationStore.js";
 import type { PrepaidResult } from "../domain/prepaidLedger.js";
@@ -224,3 +225,15 @@
 
 /** Asks another router for prepaid tokens. Returns the number of tokens transferred, which is final. */
 export const lendPrepaidMethod = createPeerMethod<LoanRequest, { tokens: number; }>("fleet.lendPrepaid", loanSchema);
+
+const routerLoadSchema = z.object({
+    address: shortName,
+    relayAddress: z.string().max(128).regex(/^[^\s:]+:\d{1,5}$/, "HOST:PORT"),
+    revision: nonNegativeInt,
+    utilization: z.number().min(0).max(1),
+    cores: z.number().positive().max(1_024),
+    isAccepting: z.boolean(),
+}) satisfies z.ZodType<RouterLoad>;
+
+/** Notifies another router of the same zone of the sender's load. */
+export const routerLoadNoticeMethod = createPeerMethod<RouterLoad, void>("fleet.routerLoadNotice", routerLoadSchema);
--- /dev/null
+++ b/src/settings/connectionRelaySettings.ts
@@ -0,0 +1,36 @@
+/** Settings of the relay of callers' connections to other routers. */
+import * as z from "zod";
+import { createRefusal, RefusalError } from "../domain/resultCodes.js";
+
+/** Times in milliseconds. */
+const connectionRelaySettings = z.strictObject({
+    /** HOST:PORT at which this router accepts connections relayed by others. */
+    relayAddress: z.string().regex(/^[^\s:]+:\d{1,5}$/, "must be HOST:PORT"),
+    /** CPU time available to this router, in cores. */
+    cores: z.number().positive().max(1_024),
+    /** Above 0.6 a turn of the event loop waits longer than it works, and latency grows fast. */
+    targetUtilization: z.number().min(0.3).max(0.9).default(0.6),
+    /** Maximum fraction of new connections to relay. The rest shows whether the router is still overloaded. */
+    maxFraction: z.number().min(0).max(0.97).default(0.97),
+    /** Age at which the reported load of a router is not used any more. More than one notice period. */
+    loadExpiryMs: z.int().min(1_100).max(10_000).default(2_000),
+    /** Time to connect to another router. Well above a round trip in a zone, and short for callers. */
+    connectTimeoutMs: z.int().min(10).max(1_000).default(100),
+    /** Time for which a router is not used after a connection to it has failed. */
+    backoffMs: z.int().min(100).max(60_000).default(1_000),
+    /** Maximum number of concurrent relayed connections. */
+    maxConnections: z.int().min(1).max(20_000).default(2_000),
+});
+export type ConnectionRelaySettings = z.infer<typeof connectionRelaySettings>;
+export type ConnectionRelaySettingsInput = z.input<typeof connectionRelaySettings>;
+
+/** Applies defaults. Throws settingsInvalid, which names the setting and its bound. */
+export function parseConnectionRelaySettings(input: ConnectionRelaySettingsInput): ConnectionRelaySettings {
+    const parsed = connectionRelaySettings.safeParse(input);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0]!;
+        const path = ["connectionRelay", ...issue.path].join(".");
+        throw new RefusalError(createRefusal("settingsInvalid", `${path}: ${issue.message}`));
+    }
+    return parsed.data;
+}
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -25,7 +25,7 @@
 
 interface RunningBox<T> {
     readonly role: RunningBundleRole<T>;
-    readonly server: Server;
+    readonly server: { close(): void; closeAllConnections(): void; };
 }
 
 /** A request received by an engine of the fleet. */
@@ -105,7 +105,7 @@
             ...createRouterSettings(settings, new EngineClient()),
             ...this.logSettings,
         });
-        const server = await startCallerServer(role.daemon, settings.callerListen!, role.log);
+        const server = await startCallerServer(role, settings.callerListen!);
         this.routers.set(box, { role, server });
     }
 
