--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -77,7 +77,6 @@
     tryChooseRouter(): RouterLoad | undefined {
         return this.policy.tryChooseRouter(
             this.router.getBundleRevision(),
-            this.policy.getFraction(),
             this.clock.getMonotonicMs(),
             this.random,
         );
@@ -119,7 +118,7 @@
     private recordSample(utilization: number): void {
         const now = this.clock.getMonotonicMs();
         this.policy.recordUtilization(utilization, now);
-        this.spareCount = this.policy.listSpare(this.router.getBundleRevision(), now).length;
+        this.spareCount = this.policy.countSpare(this.router.getBundleRevision(), now);
         this.notifier.sendDue(now);
         this.metrics.setGauge("loop_utilization", utilization);
         this.metrics.setGauge("relay_fraction", this.isRelaying() ? this.policy.getFraction() : 0);
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -1,7 +1,12 @@
 /**
  * Decides which new connections a router that is short of CPU time relays, and to which router of its zone. A fraction of the
  * connections is relayed, which follows the utilization of the event loop; the router to relay to is chosen at random by
- * spare capacity. The random choice and the slow changes of the fraction prevent routers from shifting load back and forth.
+ * spare capacity.
+ *
+ * The utilization that a router reports includes the connections that this one has relayed to it. If only its remaining spare
+ * capacity counted, a router would get all connections until it reports that it has none left, then none until the last ones
+ * have ended, and load would move back and forth. Each router's allowance is therefore the rate at which connections are
+ * relayed to it already, raised or lowered by its spare capacity.
  */
 
 /** Nominal interval between calls of `recordUtilization`, in milliseconds. */
@@ -18,6 +23,16 @@
 const SATURATED_GAIN_PER_SAMPLE = 0.35;
 /** Fractions below this are not worth closing the callers' connections. */
 const MIN_FRACTION = 0.02;
+/** CPU time that a router spends on one request, in core milliseconds. A measured average; an error changes the gain. */
+const REQUEST_CPU_MS = 3;
+/**
+ * Part of a router's spare capacity by which its allowance is raised or lowered at once. Several routers may relay to it, and
+ * its utilization follows after about 0.5 s.
+ */
+const ALLOWANCE_GAIN = 0.5;
+/** Time constant of the measured rates of connections. */
+const RATE_SMOOTHING_MS = 500;
+const MS_PER_SECOND = 1_000;
 /** Number of routers whose load is stored. A zone has 6 to 10 routers, of which at most 16 send notices. */
 export const MAX_KNOWN_LOADS = 32;
 
@@ -50,8 +65,37 @@
 }
 
 interface KnownLoad {
-    readonly load: RouterLoad;
-    readonly receivedAt: number;
+    load: RouterLoad;
+    receivedAt: number;
+    /** Connections relayed to the router. */
+    readonly relayed: RateMeter;
+}
+
+/** Measures events per second, smoothed. */
+class RateMeter {
+    private count = 0;
+    private perSecond = 0;
+
+    record(): void {
+        this.count += 1;
+    }
+
+    /** Includes the events since the last update. */
+    update(elapsedMs: number): void {
+        const current = this.count / elapsedMs * MS_PER_SECOND;
+        this.perSecond += (current - this.perSecond) * (1 - Math.exp(-elapsedMs / RATE_SMOOTHING_MS));
+        this.count = 0;
+    }
+
+    get(): number {
+        return this.perSecond;
+    }
+}
+
+interface Allowance {
+    readonly known: KnownLoad;
+    /** Connections per second that may be relayed to the router. */
+    readonly perSecond: number;
 }
 
 /** All times are monotonic, in milliseconds. */
@@ -60,6 +104,7 @@
     private localFraction = 1;
     private utilization = 0;
     private lastSampleAt: number | undefined;
+    private readonly arrivals = new RateMeter();
     private readonly loads = new Map<string, KnownLoad>();
     /** Until when routers are not used, by address. */
     private readonly backoffs = new Map<string, number>();
@@ -77,6 +122,10 @@
         const steps = Math.min(MAX_STEPS_PER_SAMPLE, Math.max(0, elapsedMs / POLICY_PERIOD_MS));
         this.lastSampleAt = now;
         this.utilization = utilization;
+        if (elapsedMs > 0) {
+            this.arrivals.update(elapsedMs);
+            this.loads.forEach(({ relayed }) => relayed.update(elapsedMs));
+        }
         const gain = utilization >= SATURATED_UTILIZATION ? SATURATED_GAIN_PER_SAMPLE : GAIN_PER_SAMPLE;
         const relativeError = (utilization - targetUtilization) / targetUtilization;
         const next = this.localFraction * Math.exp(-gain * relativeError * steps);
@@ -86,8 +135,13 @@
 
     /** Records the reported load of another router. Ignored while `MAX_KNOWN_LOADS` others are known. */
     recordLoad(load: RouterLoad, now: number): void {
-        if (this.loads.size < MAX_KNOWN_LOADS || this.loads.has(load.address)) {
-            this.loads.set(load.address, { load, receivedAt: now });
+        const known = this.loads.get(load.address);
+        if (known !== undefined) {
+            known.load = load;
+            known.receivedAt = now;
+        }
+        else if (this.loads.size < MAX_KNOWN_LOADS) {
+            this.loads.set(load.address, { load, receivedAt: now, relayed: new RateMeter() });
         }
     }
 
@@ -120,44 +174,58 @@
         return known === undefined || this.isExpired(known, now) ? undefined : known.load;
     }
 
-    /** Returns the routers with spare capacity that serve the same revision of the configuration. */
-    listSpare(revision: number | undefined, now: number): RouterLoad[] {
-        return [...this.loads.values()]
-            .filter(known => !this.isExpired(known, now))
-            .map(({ load }) => load)
-            .filter(load =>
-                load.isAccepting && load.revision === revision && this.computeSpareCores(load) > 0
-                && (this.backoffs.get(load.address) ?? -Infinity) <= now && this.isReachable(load.address)
-            );
+    /** Returns the number of routers to which connections may be relayed. */
+    countSpare(revision: number | undefined, now: number): number {
+        return this.listAllowances(revision, now).length;
+    }
+
+    /** Whether fewer connections can be relayed than the utilization of this router requires. */
+    isShortOfSpare(revision: number | undefined, now: number): boolean {
+        return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
     }
 
     /**
-     * Chooses the router to relay a new connection to, or undefined if the connection is to be served locally. `fraction`: of
-     * the new connections to relay. `random`: returns numbers in [0, 1).
+     * Records a new connection, and chooses the router to relay it to; undefined if it is to be served locally. `random`:
+     * returns numbers in [0, 1).
      */
-    tryChooseRouter(
-        revision: number | undefined,
-        fraction: number,
-        now: number,
-        random: () => number,
-    ): RouterLoad | undefined {
-        if (fraction <= 0 || random() >= fraction) {
+    tryChooseRouter(revision: number | undefined, now: number, random: () => number): RouterLoad | undefined {
+        this.arrivals.record();
+        const fraction = this.getFraction();
+        if (fraction === 0) {
             return undefined;
         }
-        const candidates = this.listSpare(revision, now);
-        const total = candidates.reduce((sum, load) => sum + this.computeSpareCores(load), 0);
-        let remaining = random() * total;
-        for (const load of candidates) {
-            remaining -= this.computeSpareCores(load);
+        const allowances = this.listAllowances(revision, now);
+        const total = sumAllowances(allowances);
+        // The sum is above the rate of arrivals unless the other routers cannot take all that this one should relay.
+        let remaining = random() * Math.max(total, fraction * this.arrivals.get()) / fraction;
+        for (const { known, perSecond } of allowances) {
+            remaining -= perSecond;
             if (remaining < 0) {
-                return load;
+                known.relayed.record();
+                return known.load;
             }
         }
-        return candidates.at(-1);
+        return undefined;
     }
 
-    private computeSpareCores({ utilization, cores }: RouterLoad): number {
-        return Math.max(0, this.options.targetUtilization - utilization) * cores;
+    /** Lists the routers with an allowance that serve the same revision of the configuration. */
+    private listAllowances(revision: number | undefined, now: number): Allowance[] {
+        const allowances: Allowance[] = [];
+        for (const known of this.loads.values()) {
+            const { load } = known;
+            const isUsable = load.isAccepting && load.revision === revision && !this.isExpired(known, now)
+                && (this.backoffs.get(load.address) ?? -Infinity) <= now && this.isReachable(load.address);
+            const perSecond = isUsable ? this.computeAllowance(known) : 0;
+            if (perSecond > 0) {
+                allowances.push({ known, perSecond });
+            }
+        }
+        return allowances;
+    }
+
+    private computeAllowance({ load: { utilization, cores }, relayed }: KnownLoad): number {
+        const spareCores = (this.options.targetUtilization - utilization) * cores;
+        return relayed.get() + ALLOWANCE_GAIN * spareCores * MS_PER_SECOND / REQUEST_CPU_MS;
     }
 
     private isExpired({ receivedAt }: KnownLoad, now: number): boolean {
@@ -177,3 +245,7 @@
         }
     }
 }
+
+function sumAllowances(allowances: readonly Allowance[]): number {
+    return allowances.reduce((sum, { perSecond }) => sum + perSecond, 0);
+}
--- /dev/null
+++ b/test/tools/relaySimulation.ts
@@ -0,0 +1,129 @@
+/** A model of the CPU time of routers that relay connections to each other. */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { ConnectionRelayPolicy, POLICY_PERIOD_MS } from "../../src/domain/connectionRelayPolicy.js";
+
+/** CPU time of one request, and of relaying one, spread over the duration of the request. */
+const REQUEST_CPU_MS = 3;
+const RELAY_CPU_MS = 1;
+const REQUEST_DURATION_MS = 400;
+/** As in `LoopUtilization` and `RouterLoadNotifier`. */
+const SMOOTHING_FACTOR = 0.4;
+const MIN_CHANGE = 0.1;
+const MIN_INTERVAL_MS = 200;
+const NOTICE_PERIOD_MS = 1_000;
+const STEP_MS = 10;
+
+const POLICY_OPTIONS = { targetUtilization: 0.6, maxFraction: 0.97, loadExpiryMs: 2_000, backoffMs: 1_000 };
+
+export interface SimulatedRouter {
+    readonly cores: number;
+    /** Connections per second from callers, one request each. */
+    connectionsPerSecond: number;
+}
+
+interface RouterState {
+    readonly address: string;
+    readonly router: SimulatedRouter;
+    readonly policy: ConnectionRelayPolicy;
+    /** CPU time per step that running requests need: until when, and how much. */
+    work: { readonly until: number; readonly cpuMsPerStep: number; }[];
+    backlogMs: number;
+    busyMs: number;
+    utilization: number;
+    sentUtilization: number;
+    sentAt: number;
+    arrivals: number;
+}
+
+export class RelaySimulation {
+    now = 0;
+    private readonly states: RouterState[];
+    private readonly random: () => number;
+
+    /** `isRelaying`: false to take the decision out. */
+    constructor(routers: readonly SimulatedRouter[], seed: number, private readonly isRelaying = true) {
+        const generator = xoroshiro128plus(seed);
+        this.random = () => (generator.next() >>> 0) / 2 ** 32;
+        this.states = routers.map((router, i) => ({
+            address: `r${i}`,
+            router,
+            policy: new ConnectionRelayPolicy(POLICY_OPTIONS, () => true),
+            work: [],
+            backlogMs: 0,
+            busyMs: 0,
+            utilization: 0,
+            sentUtilization: 0,
+            sentAt: -Infinity,
+            arrivals: 0,
+        }));
+    }
+
+    run(ms: number, onSample: (utilizations: number[], fractions: number[], backlogsMs: number[]) => void): void {
+        const end = this.now + ms;
+        while (this.now < end) {
+            this.now += STEP_MS;
+            this.states.forEach(state => this.accept(state));
+            this.states.forEach(state => this.work(state));
+            if (this.now % POLICY_PERIOD_MS === 0) {
+                this.states.forEach(state => this.sample(state));
+                onSample(
+                    this.states.map(state => state.utilization),
+                    this.states.map(state => state.policy.getFraction()),
+                    this.states.map(state => state.backlogMs),
+                );
+            }
+        }
+    }
+
+    private accept(state: RouterState): void {
+        state.arrivals += state.router.connectionsPerSecond * STEP_MS / 1_000 * 2 * this.random();
+        for (; state.arrivals >= 1; state.arrivals--) {
+            const target = this.isRelaying
+                ? state.policy.tryChooseRouter(1, this.now, this.random)
+                : undefined;
+            if (target === undefined) {
+                this.addWork(state, REQUEST_CPU_MS);
+            }
+            else {
+                this.addWork(state, RELAY_CPU_MS);
+                this.addWork(this.states.find(({ address }) => address === target.address)!, REQUEST_CPU_MS);
+            }
+        }
+    }
+
+    private addWork(state: RouterState, cpuMs: number): void {
+        state.work.push({
+            until: this.now + REQUEST_DURATION_MS,
+            cpuMsPerStep: cpuMs * STEP_MS / REQUEST_DURATION_MS,
+        });
+    }
+
+    private work(state: RouterState): void {
+        state.work = state.work.filter(({ until }) => until >= this.now);
+        state.backlogMs += state.work.reduce((sum, { cpuMsPerStep }) => sum + cpuMsPerStep, 0);
+        const doneMs = Math.min(state.backlogMs, state.router.cores * STEP_MS);
+        state.backlogMs -= doneMs;
+        state.busyMs += doneMs / state.router.cores;
+    }
+
+    private sample(state: RouterState): void {
+        state.utilization += (state.busyMs / POLICY_PERIOD_MS - state.utilization) * SMOOTHING_FACTOR;
+        state.busyMs = 0;
+        state.policy.recordUtilization(Math.min(1, state.utilization), this.now);
+        const sinceMs = this.now - state.sentAt;
+        const change = Math.abs(state.utilization - state.sentUtilization);
+        if (sinceMs >= NOTICE_PERIOD_MS || (change >= MIN_CHANGE && sinceMs >= MIN_INTERVAL_MS)) {
+            state.sentAt = this.now;
+            state.sentUtilization = state.utilization;
+            const load = {
+                address: state.address,
+                relayAddress: `${state.address}:1`,
+                revision: 1,
+                utilization: state.utilization,
+                cores: state.router.cores,
+                isAccepting: true,
+            };
+            this.states.filter(other => other !== state).forEach(other => other.policy.recordLoad(load, this.now));
+        }
+    }
+}
