--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -201,7 +201,17 @@
     daemon.addHandlers(handlers);
     if (relaySettings !== undefined) {
         daemon.enableConnectionRelay(
-            new RelayCoordinator(self, relaySettings, daemon, routerLinks, base.utilization, clock, log, metrics),
+            new RelayCoordinator(
+                self,
+                relaySettings,
+                daemon,
+                routerLinks,
+                base.utilization,
+                () => daemon.getEventLoopLagMs(),
+                clock,
+                log,
+                metrics,
+            ),
             handlers,
         );
     }
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -43,7 +43,7 @@
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { type RefusalDetails, RelayContext, type RelayOptions, type ResponseDetails } from "./relayContext.js";
 import type { RelayCoordinator } from "./relayCoordinator.js";
-import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import { computePriority, type RelayRequest, type ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -253,6 +253,12 @@
             sink.sendRefusal(resolved);
             return;
         }
+        const overloadRefusal = this.coordinator?.tryRefuse(computePriority(resolved));
+        if (overloadRefusal !== undefined) {
+            this.recordRefused(resolved, overloadRefusal, { abortCause: undefined, overdueMs: undefined });
+            sink.sendRefusal(overloadRefusal);
+            return;
+        }
         this.getRetryBudget(resolved.service.name).recordRequest();
         this.activeRequestCount += 1;
         try {
@@ -395,7 +401,7 @@
             return;
         }
         this.bundleIndex = new BundleIndex(bundle);
-        this.coordinator?.notifyStateChange();
+        this.coordinator?.receiveBundle(bundle);
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
         const limits = bundle.accounts.filter(account => account.prepaidTokens !== undefined);
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -1,5 +1,8 @@
 /** Connects the connection relay's decisions with the measurements, notices and logs of a router. */
+import type { Bundle } from "../../domain/bundle.js";
 import { ConnectionRelayPolicy, type RouterLoad } from "../../domain/connectionRelayPolicy.js";
+import { LoadShedding } from "../../domain/loadShedding.js";
+import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -14,6 +17,8 @@
 /** Minimum time between log lines of the relay's state, and a change of the fraction that is logged. */
 const LOG_PERIOD_MS = 1_000;
 const MIN_LOGGED_CHANGE = 0.05;
+/** Refusals should be sent within a quarter of the latency goal. */
+const MAX_LAG_GOAL_FRACTION = 0.25;
 
 /** What the coordinator reads from the router. */
 export interface RelayRouterState {
@@ -24,12 +29,16 @@
 export class RelayCoordinator {
     private readonly policy: ConnectionRelayPolicy;
     private readonly notifier: RouterLoadNotifier;
+    private readonly shedding = new LoadShedding();
+    /** Event loop lag above which requests are refused, in milliseconds; undefined if no route has a latency goal. */
+    private maxLagMs: number | undefined;
     /** Number of routers with spare capacity at the last sample. */
     private spareCount = 0;
     private readonly relayedIn = new WeakSet<object>();
     private loggedAt = -Infinity;
     private loggedFraction = 0;
     private loggedSpareCount = 0;
+    private loggedAdmitted = 1;
 
     constructor(
         self: RouterContact,
@@ -37,6 +46,7 @@
         private readonly router: RelayRouterState,
         private readonly routerLinks: RouterLinks,
         private readonly utilization: Pick<LoopUtilization, "get" | "onSample">,
+        private readonly getLagMs: () => number,
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly metrics: Metrics,
@@ -68,6 +78,13 @@
         this.notifier.setOthers(others);
     }
 
+    /** Applies a new configuration, and notifies the other routers of its revision. */
+    receiveBundle({ routes }: Pick<Bundle, "routes">): void {
+        const goalsMs = routes.map(({ goalMs }) => goalMs).filter(goalMs => goalMs > 0);
+        this.maxLagMs = goalsMs.length === 0 ? undefined : Math.min(...goalsMs) * MAX_LAG_GOAL_FRACTION;
+        this.notifyStateChange();
+    }
+
     /** Sends a notice without waiting for the next sample, after a new configuration or the beginning of a stop. */
     notifyStateChange(): void {
         this.notifier.sendDue(this.clock.getMonotonicMs());
@@ -79,9 +96,18 @@
             this.router.getBundleRevision(),
             this.clock.getMonotonicMs(),
             this.random,
+            this.shedding.getAdmittedFraction(),
         );
     }
 
+    /** Returns a refusal if the router cannot serve a request of this priority. */
+    tryRefuse(priority: number): Refusal | undefined {
+        const retryAfterMs = this.shedding.tryRefuse(priority, this.random);
+        return retryAfterMs === undefined
+            ? undefined
+            : createRefusal("routerOverloaded", undefined, "no", retryAfterMs);
+    }
+
     /** Whether callers should come back with new connections, because some of these are relayed. */
     isRelaying(): boolean {
         return this.spareCount > 0 && this.policy.getFraction() > 0;
@@ -118,7 +144,17 @@
     private recordSample(utilization: number): void {
         const now = this.clock.getMonotonicMs();
         this.policy.recordUtilization(utilization, now);
-        this.spareCount = this.policy.countSpare(this.router.getBundleRevision(), now);
+        const revision = this.router.getBundleRevision();
+        this.spareCount = this.policy.countSpare(revision, now);
+        const isShortOfSpare = this.policy.isShortOfSpare(revision, now);
+        this.shedding.recordSample({
+            utilization,
+            lagMs: this.getLagMs(),
+            maxLagMs: this.maxLagMs,
+            isRelayExhausted: isShortOfSpare || this.policy.isAtMaxFraction(),
+            isShortOfSpare,
+            relayedFraction: this.policy.getRelayedFraction(),
+        }, now);
         this.notifier.sendDue(now);
         this.metrics.setGauge("loop_utilization", utilization);
         this.metrics.setGauge("relay_fraction", this.isRelaying() ? this.policy.getFraction() : 0);
@@ -127,7 +163,9 @@
 
     private logState(utilization: number, now: number): void {
         const fraction = this.policy.getFraction();
+        const admitted = this.shedding.getAdmittedFraction();
         const hasChanged = Math.abs(fraction - this.loggedFraction) >= MIN_LOGGED_CHANGE
+            || Math.abs(admitted - this.loggedAdmitted) >= MIN_LOGGED_CHANGE
             || (fraction === 0) !== (this.loggedFraction === 0)
             || (fraction > 0 && (this.spareCount === 0) !== (this.loggedSpareCount === 0));
         if (!hasChanged || now - this.loggedAt < LOG_PERIOD_MS) {
@@ -136,10 +174,12 @@
         this.loggedAt = now;
         this.loggedFraction = fraction;
         this.loggedSpareCount = this.spareCount;
+        this.loggedAdmitted = admitted;
         this.log.info("relay_state", {
             fraction: Number(fraction.toFixed(2)),
             utilization: Number(utilization.toFixed(2)),
             spare_routers: this.spareCount,
+            admitted: Number(admitted.toFixed(2)),
         });
     }
 
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -36,6 +36,15 @@
     readonly account: BundleAccount | undefined;
 }
 
+const LOWEST_PRIORITY = 9;
+/** Number of route ranks within each account rank; the account rank takes precedence. */
+const ROUTE_RANK_COUNT = 3;
+
+/** Computes the urgency of a request among all: 0 is the most urgent, 9 the least. */
+export function computePriority({ route, account }: ResolvedRequest): number {
+    return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
+}
+
 /** Computes a hash of the account and the content of a request that does not depend on the request id. */
 export function computeRequestFingerprint({ request, account }: ResolvedRequest): string {
     const { method, target, body } = request.forwarded;
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -11,13 +11,9 @@
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
 import type { RelayContext, ResponseDetails } from "./relayContext.js";
-import { computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
+import { computePriority, computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
-const LOWEST_PRIORITY = 9;
-/** Number of route ranks within each account rank; the account rank takes precedence. */
-const ROUTE_RANK_COUNT = 3;
-
 /** Processes one request. Attempts are made sequentially. */
 export class RelayRun {
     private readonly progress = new ResponseProgress();
@@ -152,7 +148,6 @@
     private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
-        const accountRank = account?.rank ?? 0;
         const sentAt = performance.now();
         const canRetryElsewhere = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
         return new Attempt(this.context.upstreams, {
@@ -161,7 +156,7 @@
                 request: request.forwarded,
                 account: account?.name,
                 remainingMs: Math.max(1, Math.floor(this.deadline - performance.now())),
-                priority: Math.min(LOWEST_PRIORITY, accountRank * ROUTE_RANK_COUNT + route.rank),
+                priority: computePriority(this.resolved),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
                 // The request may have waited for a connection until little of its time is left.
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -20,7 +20,7 @@
 const GAIN_PER_SAMPLE = 0.15;
 /** Utilization cannot show by how much a saturated router is overloaded, so that the fraction rises faster. */
 const SATURATED_UTILIZATION = 0.9;
-const SATURATED_GAIN_PER_SAMPLE = 0.35;
+const SATURATED_GAIN_PER_SAMPLE = 0.6;
 /** Fractions below this are not worth closing the callers' connections. */
 const MIN_FRACTION = 0.02;
 /** CPU time that a router spends on one request, in core milliseconds. A measured average; an error changes the gain. */
@@ -179,6 +179,13 @@
         return this.listAllowances(revision, now).length;
     }
 
+    /** Returns the part of the new connections that was relayed recently, from 0 to 1. */
+    getRelayedFraction(): number {
+        const relayedPerSecond = [...this.loads.values()].reduce((sum, { relayed }) => sum + relayed.get(), 0);
+        const arrivedPerSecond = this.arrivals.get();
+        return arrivedPerSecond > 0 ? Math.min(1, relayedPerSecond / arrivedPerSecond) : 0;
+    }
+
     /** Whether fewer connections can be relayed than the utilization of this router requires. */
     isShortOfSpare(revision: number | undefined, now: number): boolean {
         return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
@@ -186,11 +193,17 @@
 
     /**
      * Records a new connection, and chooses the router to relay it to; undefined if it is to be served locally. `random`:
-     * returns numbers in [0, 1).
+     * returns numbers in [0, 1). `admittedFraction`: part of the requests that are not refused. The others have to be read
+     * here, because they are refused by rank.
      */
-    tryChooseRouter(revision: number | undefined, now: number, random: () => number): RouterLoad | undefined {
+    tryChooseRouter(
+        revision: number | undefined,
+        now: number,
+        random: () => number,
+        admittedFraction = 1,
+    ): RouterLoad | undefined {
         this.arrivals.record();
-        const fraction = this.getFraction();
+        const fraction = this.getFraction() * admittedFraction;
         if (fraction === 0) {
             return undefined;
         }
--- a/test/tools/relaySimulation.ts
+++ b/test/tools/relaySimulation.ts
@@ -1,10 +1,14 @@
-/** A model of the CPU time of routers that relay connections to each other. */
+/** A model of the CPU time of routers that relay connections to each other and refuse what they cannot serve. */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { ConnectionRelayPolicy, POLICY_PERIOD_MS } from "../../src/domain/connectionRelayPolicy.js";
+import { LoadShedding } from "../../src/domain/loadShedding.js";
 
 /** CPU time of one request, and of relaying one, spread over the duration of the request. */
 const REQUEST_CPU_MS = 3;
 const RELAY_CPU_MS = 1;
+const REFUSAL_CPU_MS = 0.5;
+/** A quarter of the shortest latency goal. */
+const MAX_LAG_MS = 37.5;
 const REQUEST_DURATION_MS = 400;
 /** As in `LoopUtilization` and `RouterLoadNotifier`. */
 const SMOOTHING_FACTOR = 0.4;
@@ -12,6 +16,8 @@
 const MIN_INTERVAL_MS = 200;
 const NOTICE_PERIOD_MS = 1_000;
 const STEP_MS = 10;
+/** Ranks of the callers' requests, with equal shares. */
+const RANKS = 3;
 
 const POLICY_OPTIONS = { targetUtilization: 0.6, maxFraction: 0.97, loadExpiryMs: 2_000, backoffMs: 1_000 };
 
@@ -33,10 +39,22 @@
     sentUtilization: number;
     sentAt: number;
     arrivals: number;
+    readonly shedding: LoadShedding;
+}
+
+/** A request of a caller of the first router. */
+export interface SimulatedRequest {
+    readonly at: number;
+    readonly rank: number;
+    /** Undefined if it was served. */
+    readonly retryAfterMs: number | undefined;
+    /** How long it waited for CPU time before it was served or refused. */
+    readonly waitMs: number;
 }
 
 export class RelaySimulation {
     now = 0;
+    readonly requests: SimulatedRequest[] = [];
     private readonly states: RouterState[];
     private readonly random: () => number;
 
@@ -55,10 +73,11 @@
             sentUtilization: 0,
             sentAt: -Infinity,
             arrivals: 0,
+            shedding: new LoadShedding(),
         }));
     }
 
-    run(ms: number, onSample: (utilizations: number[], fractions: number[], backlogsMs: number[]) => void): void {
+    run(ms: number, onSample: (utilizations: number[], fractions: number[], lagsMs: number[]) => void): void {
         const end = this.now + ms;
         while (this.now < end) {
             this.now += STEP_MS;
@@ -69,7 +88,7 @@
                 onSample(
                     this.states.map(state => state.utilization),
                     this.states.map(state => state.policy.getFraction()),
-                    this.states.map(state => state.backlogMs),
+                    this.states.map(getLagMs),
                 );
             }
         }
@@ -78,16 +97,20 @@
     private accept(state: RouterState): void {
         state.arrivals += state.router.connectionsPerSecond * STEP_MS / 1_000 * 2 * this.random();
         for (; state.arrivals >= 1; state.arrivals--) {
+            const rank = Math.floor(this.random() * RANKS);
             const target = this.isRelaying
-                ? state.policy.tryChooseRouter(1, this.now, this.random)
+                ? state.policy.tryChooseRouter(1, this.now, this.random, state.shedding.getAdmittedFraction())
                 : undefined;
-            if (target === undefined) {
-                this.addWork(state, REQUEST_CPU_MS);
-            }
-            else {
+            const server = this.states.find(({ address }) => address === target?.address) ?? state;
+            if (server !== state) {
                 this.addWork(state, RELAY_CPU_MS);
-                this.addWork(this.states.find(({ address }) => address === target.address)!, REQUEST_CPU_MS);
             }
+            const retryAfterMs = this.isRelaying ? server.shedding.tryRefuse(rank, this.random) : undefined;
+            if (state === this.states[0]) {
+                const waitMs = getLagMs(state) + (server === state ? 0 : getLagMs(server));
+                this.requests.push({ at: this.now, rank, retryAfterMs, waitMs });
+            }
+            this.addWork(server, retryAfterMs === undefined ? REQUEST_CPU_MS : REFUSAL_CPU_MS);
         }
     }
 
@@ -109,7 +132,17 @@
     private sample(state: RouterState): void {
         state.utilization += (state.busyMs / POLICY_PERIOD_MS - state.utilization) * SMOOTHING_FACTOR;
         state.busyMs = 0;
-        state.policy.recordUtilization(Math.min(1, state.utilization), this.now);
+        const utilization = Math.min(1, state.utilization);
+        state.policy.recordUtilization(utilization, this.now);
+        const isShortOfSpare = state.policy.isShortOfSpare(1, this.now);
+        state.shedding.recordSample({
+            utilization,
+            lagMs: getLagMs(state),
+            maxLagMs: MAX_LAG_MS,
+            isRelayExhausted: isShortOfSpare || state.policy.isAtMaxFraction(),
+            isShortOfSpare,
+            relayedFraction: state.policy.getRelayedFraction(),
+        }, this.now);
         const sinceMs = this.now - state.sentAt;
         const change = Math.abs(state.utilization - state.sentUtilization);
         if (sinceMs >= NOTICE_PERIOD_MS || (change >= MIN_CHANGE && sinceMs >= MIN_INTERVAL_MS)) {
@@ -127,3 +160,7 @@
         }
     }
 }
+
+function getLagMs({ backlogMs, router }: RouterState): number {
+    return backlogMs / router.cores;
+}
