--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -44,7 +44,8 @@
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { type RefusalDetails, RelayContext, type RelayOptions, type ResponseDetails } from "./relayContext.js";
-import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import type { RelayCoordinator } from "./relayCoordinator.js";
+import { computePriority, type RelayRequest, type ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
@@ -101,6 +102,7 @@
     private gaugeTimer: NodeJS.Timeout | undefined;
     private isRefusingRequests = false;
     private wasReady = false;
+    private coordinator: RelayCoordinator | undefined;
     private readonly controllerContact: ControllerContact;
 
     constructor(
@@ -162,6 +164,18 @@
         );
     }
 
+    /** Enables the relay of callers' connections. Called before `start`. */
+    enableConnectionRelay(coordinator: RelayCoordinator, handlers: PeerHandlers): void {
+        this.coordinator = coordinator;
+        coordinator.addHandlers(handlers);
+        this.otherRouters.onMembershipChange(others => coordinator.setOthers(others));
+    }
+
+    /** Returns the decisions about relayed connections; undefined if the relay is disabled. */
+    tryGetRelayCoordinator(): RelayCoordinator | undefined {
+        return this.coordinator;
+    }
+
     /** Registers handlers for notifications on the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(
@@ -179,6 +193,7 @@
         this.controllerFeeds.setSeeds(this.options.seeds);
         void this.prepaidReporter.run();
         this.quarantine.start();
+        this.coordinator?.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
         this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
@@ -219,6 +234,7 @@
     startDrain(): void {
         this.isDraining = true;
         this.log.info("router_stopping", { running: this.activeRequestCount });
+        this.coordinator?.notifyStateChange();
     }
 
     /** Refuses all further requests, because they could not complete before the process exits. */
@@ -248,6 +264,12 @@
             this.refuse(request, resolved, sink);
             return;
         }
+        const overloadRefusal = this.coordinator?.tryRefuse(computePriority(resolved));
+        if (overloadRefusal !== undefined) {
+            this.recordRefused(resolved, overloadRefusal, { abortCause: undefined, overdueMs: undefined });
+            sink.sendRefusal(overloadRefusal);
+            return;
+        }
         this.getRetryBudget(resolved.service.name).recordRequest();
         this.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
@@ -426,6 +448,7 @@
             return;
         }
         this.bundleIndex = new BundleIndex(bundle);
+        this.coordinator?.receiveBundle(bundle);
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
         const limits = bundle.accounts.filter(account => account.prepaidTokens !== undefined);
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -67,6 +67,12 @@
         503,
         "The router holds as many bytes of request bodies as it may.",
     ),
+    routerOverloaded: createCode(
+        1311,
+        "routerOverloaded",
+        503,
+        "The router is out of CPU time and refuses a part of the requests.",
+    ),
     requestIdReused: createCode(1401, "requestIdReused", 422, "The idempotency key was used before with another body."),
     outcomeUnknown: createCode(1402, "outcomeUnknown", 503, "The request may have run; its outcome is not known here."),
     intentUnreachable: createCode(
