--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -15,6 +15,7 @@
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
 import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
+import { createReadPacer } from "./daemons/readPacing.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
 import { TokenHolders } from "./domain/tokenHolders.js";
@@ -24,6 +25,7 @@
 import type { Log } from "./ports/log.js";
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
+import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -68,6 +70,8 @@
     readonly borrower: PrepaidBorrowerOptions;
     readonly sharer: PlacementSharerOptions;
     readonly upstreams: DirectUpstreams;
+    /** Delays reads of streams while the router is loaded; undefined to pass on each event as it arrives. */
+    readonly readPacing?: ReadPacingSettings | undefined;
 }
 
 /** A running role and its daemon. */
@@ -154,8 +158,12 @@
 export async function startDirectRouter(
     settings: DirectRouterSettings,
 ): Promise<RunningBundleRole<DirectRouterDaemon>> {
+    checkReadPacingSettings(settings.readPacing);
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
+    if (settings.readPacing !== undefined) {
+        settings.upstreams.setReadSchedule(createReadPacer(settings.readPacing, base));
+    }
     const self = { address: settings.router.address, zone: settings.zone };
     const holders = new TokenHolders(self);
     const routerLinks = new RouterLinks(network, log);
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -164,6 +164,7 @@
                 priority: Math.min(LOWEST_PRIORITY, accountRank * ROUTE_RANK_COUNT + route.rank),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
+                isStream: route.kind === "stream",
                 // The request may have waited for a connection until little of its time is left.
                 mayStart: () =>
                     this.hasTimeToSend()
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -28,6 +28,8 @@
     readonly resumeAfter: string | undefined;
     /** Limit on the connections of this process to the upstream. */
     readonly maxConnections: number;
+    /** Whether the response is a stream of events, so that reading it may be delayed (`DirectUpstreams.setReadSchedule`). */
+    readonly isStream: boolean;
     /** Called when a connection is available, possibly after a wait. The request is not sent if it returns false. */
     readonly mayStart: () => boolean;
 }
@@ -80,8 +82,23 @@
     cancel(): void;
 }
 
+/** Decides when reads of streams continue that are delayed to save CPU time. */
+export interface ReadSchedule {
+    /** Whether reads should be delayed at present. */
+    isActive(): boolean;
+    /** Calls `resume` after the current delay. */
+    scheduleResume(resume: () => void): void;
+}
+
 /** A router's connections to its upstreams. */
 export abstract class DirectUpstreams {
+    /**
+     * Delays reads of event streams by `schedule`, except for the first bytes of a body. Without a call, and in
+     * implementations that cannot delay reads, data is passed on as it arrives.
+     */
+    setReadSchedule(_schedule: ReadSchedule): void {
+        // Nothing to delay.
+    }
     /** Sends a request and reports the response to `listener`. Never throws. */
     abstract send(call: UpstreamCall, listener: UpstreamListener): UpstreamExchange;
     /** Closes connections to addresses that are not in `known` once they are idle. */
--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -40,6 +40,7 @@
         priority: 2,
         resumeAfter: undefined,
         maxConnections: 1,
+        isStream: true,
         mayStart: () => true,
         ...part,
     };
