--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -93,12 +93,10 @@
 /** A router's connections to its upstreams. */
 export abstract class DirectUpstreams {
     /**
-     * Delays reads of event streams by `schedule`, except for the first bytes of a body. Without a call, and in
-     * implementations that cannot delay reads, data is passed on as it arrives.
+     * Delays reads of event streams by `schedule`, except for the first bytes of a body. Without a call, data is passed on as
+     * it arrives.
      */
-    setReadSchedule(_schedule: ReadSchedule): void {
-        // Nothing to delay.
-    }
+    abstract setReadSchedule(schedule: ReadSchedule): void;
     /** Sends a request and reports the response to `listener`. Never throws. */
     abstract send(call: UpstreamCall, listener: UpstreamListener): UpstreamExchange;
     /** Closes connections to addresses that are not in `known` once they are idle. */
--- a/test/daemons/upstreamEndWatch.test.ts
+++ b/test/daemons/upstreamEndWatch.test.ts
@@ -40,6 +40,7 @@
     }
     override drainExcept(): void {}
     override drain(): void {}
+    override setReadSchedule(): void {}
     override close(): void {}
 }
 
