--- a/bench/relayBench.ts
+++ b/bench/relayBench.ts
@@ -1,12 +1,14 @@
 /**
  * `npm run bench:relay`: router and sidecar beside (a) the bare engine and (b) a bare fastify and undici relay, in one
- * run: time to the first token, requests a second for each core of the process under test, resident memory.
+ * run: time to the first token, requests a second for each core of the process under test, resident memory. Then the CPU
+ * time per request of the direct router, which `npm run bench:relay -- direct-router` measures alone.
  */
 import { spawn } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { sendChatRequest } from "../src/replay/chatClient.js";
 import { Fleet, type FleetProcess } from "../test/tools/fleet.js";
+import { runDirectRouterTarget } from "./directRouterTarget.js";
 
 const SECONDS = 6;
 const CALLERS = 16;
@@ -67,6 +69,10 @@
     return { url, pid: child.pid!, stop: () => child.kill("SIGKILL") };
 }
 
+if (process.argv[2] === "direct-router") {
+    await runDirectRouterTarget();
+    process.exit(0);
+}
 const fleet = new Fleet({
     zones: ["zone"],
     services: [{
@@ -109,4 +115,5 @@
 );
 relay.stop();
 await fleet.stop();
+await runDirectRouterTarget();
 process.exit(0);
