--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { openJournalFile } from "./adapters/disk/journalFile.js";
 import type { LogOutput } from "./adapters/keyValueLog.js";
+import type { ReadPacer } from "./adapters/readPacer.js";
 import { LogStorage } from "./consensus/logStorage.js";
 import { ReplicaSetReconciler } from "./consensus/replicaSetReconciler.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
@@ -16,6 +17,7 @@
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
 import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
+import { createReadPacer } from "./daemons/readPacing.js";
 import { checkBodyMemoryOptions } from "./domain/bodyMemory.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
@@ -27,6 +29,7 @@
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
 import { type ConnectionRelaySettingsInput, parseConnectionRelaySettings } from "./settings/connectionRelaySettings.js";
+import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -73,6 +76,8 @@
     /** Disabled if undefined. */
     readonly connectionRelay?: ConnectionRelaySettingsInput | undefined;
     readonly upstreams: DirectUpstreams;
+    /** Delays reads of streams while the router is loaded; undefined to pass on each event as it arrives. */
+    readonly readPacing?: ReadPacingSettings | undefined;
 }
 
 /** A running role and its daemon. */
@@ -80,6 +85,8 @@
     readonly daemon: T;
     readonly log: Log;
     readonly metrics: Metrics;
+    /** Delays reads of streams while the router is loaded; undefined if reads are not delayed. */
+    readonly readPacer?: ReadPacer | undefined;
     /** Shuts down gracefully; resolves when all resources are released. */
     stop(): Promise<void>;
 }
@@ -165,8 +172,13 @@
         checkBodyMemoryOptions(settings.router.bodyMemory);
     }
     const relaySettings = settings.connectionRelay && parseConnectionRelaySettings(settings.connectionRelay);
+    checkReadPacingSettings(settings.readPacing);
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
+    const readPacer = settings.readPacing && createReadPacer(settings.readPacing, base);
+    if (readPacer !== undefined) {
+        settings.upstreams.setReadSchedule(readPacer);
+    }
     const self = { address: settings.router.address, zone: settings.zone };
     const holders = new TokenHolders(self);
     const routerLinks = new RouterLinks(network, log);
@@ -225,6 +237,7 @@
         daemon,
         log,
         metrics,
+        readPacer,
         stop: async () => {
             await daemon.finishStop();
             closeRoleBase(base);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -5,9 +5,8 @@
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
-import { RepeatBudget } from "../../domain/repeatBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
-import { RetryBudget } from "../../domain/retryBudget.js";
+import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { UpstreamBackoffs } from "../../domain/upstreamBackoffs.js";
@@ -49,24 +48,17 @@
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
+import { type ServiceBudgetOptions, ServiceBudgets } from "./serviceBudgets.js";
 import { UpstreamNotifier } from "./upstreamNotifier.js";
 import { UpstreamSignalRecorder } from "./upstreamSignalRecorder.js";
 import type { UpstreamReportAge } from "./upstreamUpdateTracker.js";
 
 /** Times in milliseconds. */
-export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions, ServiceBudgetOptions {
     /** Addresses of the controllers to contact first. */
     readonly seeds: readonly string[];
     /** An upstream without a report for this long counts as lost, as long as controllers can be reached. */
     readonly upstreamReportTimeoutMs: number;
-    /** Retries earned by each request to a service. */
-    readonly retryRatio: number;
-    /** Retries to a service that all routers together may accumulate. */
-    readonly maxSavedRetries: number;
-    /** Repeats after status 421 for each request to a service; see `RepeatBudget`. */
-    readonly repeatRatio: number;
-    /** Repeats after status 421 to a service that need no requests, of all routers together in 10 s. */
-    readonly repeatSlack: number;
     /** Fraction of a connection limit that is used; the rest is headroom for routers that start or stop. */
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
@@ -94,8 +86,7 @@
     private readonly upstreamNotifier: UpstreamNotifier;
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly otherRouters: OtherRouters;
-    private readonly retryBudgets = new Map<string, RetryBudget>();
-    private readonly repeatBudgets = new Map<string, RepeatBudget>();
+    private readonly serviceBudgets: ServiceBudgets;
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
@@ -124,6 +115,7 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
+        this.serviceBudgets = new ServiceBudgets(options, () => this.getSharingRouterCount());
         this.bodyMemory = options.bodyMemory === undefined
             ? undefined
             : new BodyMemory(options.bodyMemory, Math.random);
@@ -271,7 +263,7 @@
             return;
         }
         this.getRetryBudget(resolved.service.name).recordRequest();
-        this.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
+        this.serviceBudgets.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
             await new RelayRun(this, resolved, sink).run();
@@ -349,40 +341,17 @@
     }
 
     override getRetryBudget(service: string): RetryBudget {
-        let budget = this.retryBudgets.get(service);
-        if (budget === undefined) {
-            budget = new RetryBudget(this.options.retryRatio, this.computeRetrySlack());
-            this.retryBudgets.set(service, budget);
-        }
-        return budget;
-    }
-
-    /** Computes this router's share of the retries that all routers may accumulate. */
-    private computeRetrySlack(): number {
-        return Math.max(1, this.options.maxSavedRetries / this.getSharingRouterCount());
+        return this.serviceBudgets.getRetryBudget(service);
     }
 
     override tryClaimRepeat(service: string): boolean {
         // Beyond the bound on repeats, retries are used as long as one is left for a request that an upstream rejects.
-        const isClaimed = this.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
+        const isClaimed = this.serviceBudgets.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
             || this.getRetryBudget(service).trySpendSurplus();
         this.recorder.recordRepeat(isClaimed);
         return isClaimed;
     }
 
-    private getRepeatBudget(service: string): RepeatBudget {
-        let budget = this.repeatBudgets.get(service);
-        if (budget === undefined) {
-            budget = new RepeatBudget(this.options.repeatRatio, this.computeRepeatSlack());
-            this.repeatBudgets.set(service, budget);
-        }
-        return budget;
-    }
-
-    private computeRepeatSlack(): number {
-        return this.options.repeatSlack / this.getSharingRouterCount();
-    }
-
     /** Number of routers among which fleet-wide limits are divided. */
     private getSharingRouterCount(): number {
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
@@ -483,8 +452,7 @@
                 now,
             )
         ) {
-            this.retryBudgets.forEach(budget => budget.setMaxTokens(this.computeRetrySlack()));
-            this.repeatBudgets.forEach(budget => budget.setSlack(this.computeRepeatSlack()));
+            this.serviceBudgets.updateShares();
         }
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -192,6 +192,7 @@
                 priority: computePriority(this.resolved),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
+                isStream: route.kind === "stream",
                 // The request may have waited for a connection until little of its time is left.
                 mayStart: () =>
                     this.hasTimeToSend()
