--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -30,8 +30,8 @@
  * its utilization follows after about 0.5 s.
  */
 const ALLOWANCE_GAIN = 0.5;
-/** Time constant of the measured rates of connections. */
-const RATE_SMOOTHING_MS = 500;
+/** Time constant of the measured rates of connections. Longer than the time in which a reported utilization follows. */
+const RATE_SMOOTHING_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 /** Number of routers whose load is stored. A zone has 6 to 10 routers, of which at most 16 send notices. */
 export const MAX_KNOWN_LOADS = 32;
--- /dev/null
+++ b/test/adapters/connectionRelay.test.ts
@@ -0,0 +1,281 @@
+/** Guards against relayed connections that look complete though they broke, that leak, or that hold up their callers. */
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { Worker } from "node:worker_threads";
+import t, { type Test } from "tap";
+import { ConnectionRelay } from "../../src/adapters/http/connectionRelay.js";
+import { ReadPacer } from "../../src/adapters/readPacer.js";
+import { NoLog } from "../../src/ports/log.js";
+import { NoMetrics } from "../../src/ports/metrics.js";
+import { wait, waitUntil } from "../tools/waiting.js";
+
+const CONNECT_TIMEOUT_MS = 100;
+const MANY_BYTES = 20_000_000;
+
+interface Setup {
+    readonly relay: ConnectionRelay;
+    /** Connections that arrived at the neighbour. */
+    readonly accepted: Socket[];
+    /** Connections that were served locally. */
+    readonly local: Socket[];
+    readonly unreachable: Set<string>;
+    target: { address: string; relayAddress: string; };
+    connectCaller(): Promise<Socket>;
+}
+
+async function listen(t: Test, server: Server): Promise<number> {
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    return (server.address() as AddressInfo).port;
+}
+
+/** Starts a neighbour and a listener that relays everything to it. */
+async function createSetup(t: Test, options: { maxConnections?: number; readDelayMs?: number; } = {}): Promise<Setup> {
+    const accepted: Socket[] = [];
+    const local: Socket[] = [];
+    const unreachable = new Set<string>();
+    const neighbourPort = await listen(
+        t,
+        createServer({ allowHalfOpen: true }, socket => accepted.push(socket.on("error", () => undefined))),
+    );
+    const relay = new ConnectionRelay(new ReadPacer(() => options.readDelayMs ?? 0), new NoLog(), new NoMetrics(), {
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        maxConnections: options.maxConnections ?? 10,
+        isReachable: address => !unreachable.has(address),
+    });
+    const callers: Socket[] = [];
+    const port = await listen(
+        t,
+        createServer({ allowHalfOpen: true, pauseOnConnect: true }, socket => {
+            const serveLocally = (): void => void local.push(socket);
+            if (!relay.tryRelay(socket, setup.target, serveLocally)) {
+                serveLocally();
+            }
+        }),
+    );
+    const setup: Setup = {
+        relay,
+        accepted,
+        local,
+        unreachable,
+        target: { address: "r2", relayAddress: `127.0.0.1:${neighbourPort}` },
+        connectCaller: async () => {
+            const caller = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+            caller.on("error", () => undefined);
+            callers.push(caller);
+            await once(caller, "connect");
+            return caller;
+        },
+    };
+    t.teardown(() => {
+        [...callers, ...accepted, ...local].forEach(socket => socket.destroy());
+        relay.close();
+    });
+    return setup;
+}
+
+/** Connects a caller whose first bytes have arrived at the neighbour, and returns both ends. */
+async function openRelayed(setup: Setup): Promise<{ caller: Socket; neighbour: Socket; }> {
+    const previousCount = setup.accepted.length;
+    const caller = await setup.connectCaller();
+    caller.write("request");
+    await waitUntil("relayed", () => setup.accepted.length > previousCount);
+    const neighbour = setup.accepted.at(-1)!;
+    await once(neighbour, "data");
+    return { caller, neighbour };
+}
+
+/** Reads from a connection that was accepted with `pauseOnConnect`. */
+async function readChunk(socket: Socket): Promise<string> {
+    const data = once(socket, "data");
+    socket.resume();
+    return String((await data)[0]);
+}
+
+/** Starts a blocked process, whose listen queue is full, so that connections to it are neither accepted nor refused. */
+async function startSilentListener(t: Test): Promise<string> {
+    const worker = new Worker(
+        `const { parentPort } = require("node:worker_threads");
+        const server = require("node:net").createServer().listen({ host: "127.0.0.1", port: 0, backlog: 1 }, () => {
+            parentPort.postMessage(server.address().port);
+            setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0));
+        });`,
+        { eval: true },
+    );
+    t.teardown(() => worker.terminate());
+    const [port] = await once(worker, "message");
+    await wait(100);
+    const fillers = Array.from({ length: 4 }, () => connect({ host: "127.0.0.1", port }).on("error", () => undefined));
+    t.teardown(() => fillers.forEach(socket => socket.destroy()));
+    await wait(100);
+    return `127.0.0.1:${port}`;
+}
+
+/** Resolves to the error code with which a connection ends, or to "end" if it is closed regularly. */
+function waitForEnd(socket: Socket): Promise<string> {
+    socket.resume();
+    return new Promise(resolve => {
+        socket.once("end", () => resolve("end"));
+        socket.once("error", (error: NodeJS.ErrnoException) => resolve(error.code!));
+    });
+}
+
+void t.test("bytes pass in both directions, and a half-closed connection is passed on as half-closed", async t => {
+    const setup = await createSetup(t);
+    const { caller, neighbour } = await openRelayed(setup);
+    const requestEnd = waitForEnd(neighbour);
+    caller.end();
+    t.equal(await requestEnd, "end");
+    neighbour.write("answer");
+    t.equal(String((await once(caller, "data"))[0]), "answer", "after the caller has closed its half");
+    neighbour.end();
+    t.equal(await waitForEnd(caller), "end");
+    await waitUntil("removed", () => setup.relay.countOpen() === 0);
+});
+
+void t.test("large amounts pass unchanged, also with paced reads", async t => {
+    for (const readDelayMs of [0, 20]) {
+        const setup = await createSetup(t, { readDelayMs });
+        const { caller, neighbour } = await openRelayed(setup);
+        const sent = Buffer.from(Array.from({ length: 1_000_003 }, (_, i) => i * i % 251));
+        const chunks: Buffer[] = [];
+        caller.on("data", (chunk: Buffer) => chunks.push(chunk));
+        neighbour.end(sent);
+        await once(caller, "end");
+        t.ok(Buffer.concat(chunks).equals(sent), `read delay ${readDelayMs} ms`);
+    }
+});
+
+void t.test("the first bytes of an answer are not delayed by paced reads", async t => {
+    const setup = await createSetup(t, { readDelayMs: 2_000 });
+    const { caller, neighbour } = await openRelayed(setup);
+    const startedAt = performance.now();
+    for (const part of ["head", "first", "second"]) {
+        neighbour.write(part);
+        t.equal(String((await once(caller, "data"))[0]), part);
+    }
+    t.ok(performance.now() - startedAt < 1_000);
+});
+
+void t.test("the neighbour refuses the connection: the caller is served locally, and nothing was read", async t => {
+    const setup = await createSetup(t);
+    const unused = createServer();
+    const port = await listen(t, unused);
+    unused.close();
+    setup.target = { address: "r2", relayAddress: `127.0.0.1:${port}` };
+    const caller = await setup.connectCaller();
+    caller.write("request");
+    await waitUntil("served locally", () => setup.local.length === 1);
+    t.equal(await readChunk(setup.local[0]!), "request");
+    t.equal(setup.relay.countOpen(), 0);
+});
+
+void t.test("the neighbour does not answer the connection attempt: the caller is served locally in time", async t => {
+    const setup = await createSetup(t);
+    setup.target = { address: "r2", relayAddress: await startSilentListener(t) };
+    const startedAt = performance.now();
+    const callers = await Promise.all([setup.connectCaller(), setup.connectCaller()]);
+    callers.forEach(caller => caller.write("request"));
+    await waitUntil("served locally", () => setup.local.length === 2);
+    t.ok(performance.now() - startedAt < 10 * CONNECT_TIMEOUT_MS);
+    t.equal(await readChunk(setup.local[0]!), "request");
+    t.equal(setup.relay.countOpen(), 0);
+});
+
+void t.test("the neighbour resets the connection: the caller's is reset, not closed as if the answer were complete", async t => {
+    const setup = await createSetup(t);
+    const { caller, neighbour } = await openRelayed(setup);
+    neighbour.write("part of an answer");
+    await once(caller, "data");
+    neighbour.resetAndDestroy();
+    t.equal(await waitForEnd(caller), "ECONNRESET");
+    t.equal(setup.relay.countOpen(), 0);
+});
+
+void t.test("the neighbour's process is killed, whose system closes the connection regularly: the caller's is reset", async t => {
+    const setup = await createSetup(t);
+    const { caller, neighbour } = await openRelayed(setup);
+    neighbour.write("part of an answer");
+    await once(caller, "data");
+    setup.unreachable.add("r2");
+    neighbour.end();
+    t.equal(await waitForEnd(caller), "ECONNRESET");
+});
+
+void t.test("the neighbour is silent: its connections are reset once its peer link is lost, others are not", async t => {
+    const setup = await createSetup(t);
+    const { caller } = await openRelayed(setup);
+    const otherCaller = await setup.connectCaller();
+    otherCaller.write("x");
+    await waitUntil("both relayed", () => setup.accepted.length === 2);
+    setup.relay.resetUnreachable();
+    t.equal(setup.relay.countOpen(), 2, "still reachable");
+    setup.unreachable.add("r2");
+    setup.relay.resetUnreachable();
+    t.equal(await waitForEnd(caller), "ECONNRESET");
+    t.equal(setup.relay.countOpen(), 0);
+});
+
+void t.test("the caller resets or closes its connection: the neighbour is told at once", async t => {
+    const setup = await createSetup(t);
+    const first = await openRelayed(setup);
+    const firstEnd = waitForEnd(first.neighbour);
+    first.caller.resetAndDestroy();
+    t.equal(await firstEnd, "ECONNRESET");
+    const second = await openRelayed(setup);
+    const secondEnd = waitForEnd(second.neighbour);
+    second.caller.destroy();
+    t.equal(await secondEnd, "end");
+    second.neighbour.destroy();
+    await waitUntil("removed", () => setup.relay.countOpen() === 0);
+});
+
+void t.test("a slow reader holds up the sender in either direction, and buffers are bounded", async t => {
+    const setup = await createSetup(t);
+    const { caller, neighbour } = await openRelayed(setup);
+    for (const [from, to] of [[neighbour, caller], [caller, neighbour]] as const) {
+        to.pause();
+        from.write(Buffer.alloc(MANY_BYTES));
+        await wait(300);
+        const before = process.memoryUsage().arrayBuffers;
+        await wait(300);
+        t.ok(from.writableLength > 0, "the sender is held up");
+        t.ok(process.memoryUsage().arrayBuffers - before < MANY_BYTES / 10, "nothing accumulates");
+        let received = 0;
+        to.on("data", (chunk: Buffer) => received += chunk.length);
+        to.resume();
+        await waitUntil("everything has arrived", () => received === MANY_BYTES);
+        to.removeAllListeners("data");
+    }
+});
+
+void t.test("the number of relayed connections is bounded; further ones are served locally", async t => {
+    const setup = await createSetup(t, { maxConnections: 1 });
+    await openRelayed(setup);
+    await setup.connectCaller();
+    await waitUntil("served locally", () => setup.local.length === 1);
+    t.equal(setup.relay.countOpen(), 1);
+});
+
+void t.test("a caller that keeps its half open after the answer does not occupy the relay for long", async t => {
+    const setup = await createSetup(t);
+    const { caller, neighbour } = await openRelayed(setup);
+    neighbour.end("answer");
+    await once(caller, "data");
+    await waitUntil("removed", () => setup.relay.countOpen() === 0, 10_000);
+});
+
+void t.test("connections that carried bytes recently count as active; at the end of a stop these are reset", async t => {
+    const setup = await createSetup(t);
+    const { caller } = await openRelayed(setup);
+    t.equal(setup.relay.countActive(), 1);
+    const end = waitForEnd(caller);
+    setup.relay.close();
+    t.equal(await end, "ECONNRESET");
+    const idle = await openRelayed(setup);
+    await waitUntil("idle", () => setup.relay.countActive() === 0);
+    const idleEnd = waitForEnd(idle.caller);
+    setup.relay.close();
+    t.equal(await idleEnd, "end");
+});
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -99,8 +99,9 @@
         await stopBox(this.controllers, box);
     }
 
-    async startRouter(box: string): Promise<void> {
-        const settings = this.createSettings(box, false, box);
+    /** Starts a router. `limits`: further settings of its box. */
+    async startRouter(box: string, limits = ""): Promise<void> {
+        const settings = this.createSettings(box, false, box, limits);
         const role = await startDirectRouter({
             ...createRouterSettings(settings, new EngineClient()),
             ...this.logSettings,
@@ -174,7 +175,7 @@
         }
     }
 
-    private createSettings(box: string, isFirstStart: boolean, disk: string): BoxSettings {
+    private createSettings(box: string, isFirstStart: boolean, disk: string, limits = ""): BoxSettings {
         const ip = this.getIp(box);
         const seeds = ["c1", "c2", "c3"].map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
         return parseBoxSettings(`
@@ -190,6 +191,7 @@
             http = "${ip}:${CALLER_PORT}"
             [fault_budget]
             machines = 1
+            ${limits}
         `);
     }
 }
