--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -34,6 +34,8 @@
 export interface ConnectionRelayOptions {
     /** Whether the process of a router is known to run, by its peer address. */
     readonly isReachable: (address: string) => boolean;
+    /** Whether a router serves the same configuration as this one, by its peer address. */
+    readonly isSameRevision: (address: string) => boolean;
     /** Time after which a connection attempt to another router is given up, in milliseconds. */
     readonly connectTimeoutMs: number;
     /** Maximum number of concurrent relayed connections. */
@@ -109,6 +111,10 @@
         return this.options.isReachable(address);
     }
 
+    isSameRevision(address: string): boolean {
+        return this.options.isSameRevision(address);
+    }
+
     countOpen(): number {
         return this.connections.size;
     }
@@ -239,6 +245,11 @@
     };
 
     private readonly handleRequest = (chunk: Buffer): void => {
+        // A further request on this connection. Its caller may have seen a newer configuration at this router meanwhile.
+        if (this.answerReads > 0 && !this.relay.isSameRevision(this.target.address)) {
+            this.close();
+            return;
+        }
         this.lastBytesAt = performance.now();
         this.answerReads = 0;
         if (this.isPaced) {
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -34,7 +34,8 @@
     private maxLagMs: number | undefined;
     /** Number of routers with spare capacity at the last sample. */
     private spareCount = 0;
-    private readonly relayedIn = new WeakSet<object>();
+    /** Connections that other routers have relayed to this one, with the revision of the configuration at that time. */
+    private readonly relayedIn = new WeakMap<object, number | undefined>();
     private loggedAt = -Infinity;
     private loggedFraction = 0;
     private loggedSpareCount = 0;
@@ -115,16 +116,25 @@
 
     /** Records a connection that another router has relayed to this one. */
     recordRelayedIn(connection: object): void {
-        this.relayedIn.add(connection);
+        this.relayedIn.set(connection, this.router.getBundleRevision());
     }
 
     /**
-     * Whether a connection is closed after the answer. This applies to all while connections are relayed, so that callers open
-     * new ones. A connection that was relayed to this router carries only one request: when the next one arrives, the
-     * configuration may differ between the two routers, or the other router may have spare capacity again.
+     * Whether a connection is closed after the answer. This applies to callers' connections while new ones are relayed, so
+     * that they come back and may be relayed. A connection that was relayed to this router is kept, because the other router
+     * would have to set it up again, unless the configuration has changed or this router is out of CPU time too.
      */
     shouldCloseAfterAnswer(connection: object): boolean {
-        return this.relayedIn.has(connection) || this.isRelaying();
+        return this.relayedIn.has(connection)
+            ? this.relayedIn.get(connection) !== this.router.getBundleRevision()
+                || this.utilization.get() > this.settings.targetUtilization
+            : this.isRelaying();
+    }
+
+    /** Whether a request may be sent to a router on a connection that was relayed before: it serves the same configuration. */
+    isSameRevision(address: string): boolean {
+        const revision = this.policy.tryGetLoad(address, this.clock.getMonotonicMs())?.revision;
+        return revision === undefined || revision === this.router.getBundleRevision();
     }
 
     recordConnectFailure(address: string): void {
--- a/src/settings/connectionRelaySettings.ts
+++ b/src/settings/connectionRelaySettings.ts
@@ -14,8 +14,11 @@
     maxFraction: z.number().min(0).max(0.97).default(0.97),
     /** Age at which the reported load of a router is not used any more. More than one notice period. */
     loadExpiryMs: z.int().min(1_100).max(10_000).default(2_000),
-    /** Time to connect to another router. Well above a round trip in a zone, and short for callers. */
-    connectTimeoutMs: z.int().min(10).max(1_000).default(100),
+    /**
+     * Time to connect to another router. A round trip in a zone takes a millisecond, but a saturated router sees an established
+     * connection only after several turns of its event loop, some 150 ms.
+     */
+    connectTimeoutMs: z.int().min(10).max(1_000).default(500),
     /** Time for which a router is not used after a connection to it has failed. */
     backoffMs: z.int().min(100).max(60_000).default(1_000),
     /** Maximum number of concurrent relayed connections. */
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -99,9 +99,9 @@
         await stopBox(this.controllers, box);
     }
 
-    /** `options`: replace those of the platform's settings. */
-    async startRouter(box: string, options: Partial<DirectRouterOptions> = {}): Promise<void> {
-        const settings = this.createSettings(box, false, box);
+    /** Starts a router. `options`: replace those of the platform's settings. `limits`: further settings of its box. */
+    async startRouter(box: string, options: Partial<DirectRouterOptions> = {}, limits = ""): Promise<void> {
+        const settings = this.createSettings(box, false, box, limits);
         const routerSettings = createRouterSettings(settings, new EngineClient());
         const role = await startDirectRouter({
             ...routerSettings,
@@ -177,7 +177,7 @@
         }
     }
 
-    private createSettings(box: string, isFirstStart: boolean, disk: string): BoxSettings {
+    private createSettings(box: string, isFirstStart: boolean, disk: string, limits = ""): BoxSettings {
         const ip = this.getIp(box);
         const seeds = ["c1", "c2", "c3"].map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
         return parseBoxSettings(`
@@ -193,6 +193,7 @@
             http = "${ip}:${CALLER_PORT}"
             [fault_budget]
             machines = 1
+            ${limits}
         `);
     }
 }
