--- a/src/adapters/boundedOutput.ts
+++ b/src/adapters/boundedOutput.ts
@@ -2,13 +2,22 @@
  * Writes lines to a file descriptor without blocking the process. Lines that exceed the buffer are dropped, those of low
  * priority first, and a log line reports their count.
  */
-import { write } from "node:fs";
+import { write, writeSync } from "node:fs";
 
 /** Buffered bytes above which lines of level info are dropped. */
 const MAX_BUFFERED_INFO_BYTES = 256 * 1024;
 /** Buffered bytes above which every line is dropped. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 const WRITE_RETRY_DELAY_MS = 50;
+/**
+ * How long lines of low priority wait for further ones, so that they share a write: each write wakes a thread of the pool and
+ * then the event loop. Lines of high priority are written at once, with all lines before them.
+ */
+const BATCH_DELAY_MS = 50;
+
+/** Outputs with lines that wait for a batch. */
+const waitingOutputs = new Set<BoundedOutput>();
+process.on("exit", () => waitingOutputs.forEach(output => output.writeRest()));
 
 export class BoundedOutput {
     private buffered: string[] = [];
@@ -16,6 +25,7 @@
     private droppedLines = 0;
     private isWriting = false;
     private hasFailed = false;
+    private batchTimer: NodeJS.Timeout | undefined;
 
     constructor(private readonly fd: number) {}
 
@@ -33,7 +43,25 @@
             this.droppedLines = 0;
         }
         this.addToBuffer(line);
-        this.flushBuffer();
+        if (isLowPriority) {
+            this.batchTimer ??= setTimeout(() => this.flushBuffer(), BATCH_DELAY_MS);
+            waitingOutputs.add(this);
+        }
+        else {
+            this.flushBuffer();
+        }
+    }
+
+    /** Writes the lines that still wait for a batch. Called when the process exits. */
+    writeRest(): void {
+        if (!this.isWriting && !this.hasFailed && this.buffered.length > 0) {
+            try {
+                writeSync(this.fd, this.buffered.join(""));
+            }
+            catch {
+                // The reader is gone or does not read; the process must not wait for it.
+            }
+        }
     }
 
     private addToBuffer(line: string): void {
@@ -42,6 +70,9 @@
     }
 
     private flushBuffer(): void {
+        clearTimeout(this.batchTimer);
+        this.batchTimer = undefined;
+        waitingOutputs.delete(this);
         if (this.isWriting || this.buffered.length === 0) {
             return;
         }
--- a/src/domain/eventSplitter.ts
+++ b/src/domain/eventSplitter.ts
@@ -2,7 +2,8 @@
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/g;
+const SPACE = 0x20;
+const ID_PREFIX = "id:";
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
@@ -21,9 +22,7 @@
             return undefined;
         }
         const complete = all.subarray(0, end);
-        for (const match of complete.toString("latin1").matchAll(ID_FIELD)) {
-            this.lastEventId = match[1];
-        }
+        this.lastEventId = findLastId(complete) ?? this.lastEventId;
         return complete;
     }
 
@@ -52,3 +51,19 @@
         return end;
     }
 }
+
+/** Returns the value of the last `id` field, or undefined if there is none. */
+function findLastId(events: Buffer): string | undefined {
+    let at = events.lastIndexOf(ID_PREFIX, undefined, "latin1");
+    while (at > 0 && events[at - 1] !== LINE_FEED) {
+        at = events.lastIndexOf(ID_PREFIX, at - 1, "latin1");
+    }
+    if (at < 0) {
+        return undefined;
+    }
+    const start = at + ID_PREFIX.length + (events[at + ID_PREFIX.length] === SPACE ? 1 : 0);
+    const lineFeed = events.indexOf(LINE_FEED, start);
+    const carriageReturn = events.indexOf(CARRIAGE_RETURN, start);
+    const ends = [lineFeed, carriageReturn].filter(end => end >= 0);
+    return events.toString("latin1", start, Math.min(events.length, ...ends));
+}
--- /dev/null
+++ b/test/platform/responseSink.test.ts
@@ -0,0 +1,54 @@
+/** The head of an answer shares a write with the first bytes of the same turn, and is not held back without them. */
+import { once } from "node:events";
+import { createServer, type ServerResponse } from "node:http";
+import { type AddressInfo, createConnection } from "node:net";
+import t from "tap";
+import { ResponseSink } from "../../platform/responseSink.js";
+import { waitUntil } from "../tools/waiting.js";
+
+/** Sends a request and returns the sink of its answer, and what the caller has received so far, one entry for each read. */
+async function openAnswer(t: { teardown(handler: () => void): void; }) {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const socket = createConnection((server.address() as AddressInfo).port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    const reads: string[] = [];
+    socket.on("data", bytes => reads.push(bytes.toString("latin1")));
+    t.teardown(() => {
+        socket.destroy();
+        server.close();
+    });
+    socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const [, response] = await once(server, "request") as [unknown, ServerResponse];
+    return { sink: new ResponseSink(response, () => false), reads, socket };
+}
+
+void t.test("head, body and end of one turn are one write", async t => {
+    const { sink, reads } = await openAnswer(t);
+    sink.sendHead(200, ["Content-Length", "4"], true);
+    queueMicrotask(() => {
+        sink.write(Buffer.from("body"));
+        sink.end();
+    });
+    await waitUntil("the body", () => reads.join("").endsWith("\r\n\r\nbody"));
+    t.equal(reads.length, 1);
+});
+
+void t.test("a head without a body is sent in the same turn", async t => {
+    const { sink, reads } = await openAnswer(t);
+    sink.sendHead(200, ["Content-Type", "text/event-stream"], true);
+    await waitUntil("the head", () => reads.join("").endsWith("\r\n\r\n"));
+    t.match(reads[0], /^HTTP\/1\.1 200 OK\r\n[^]*text\/event-stream/);
+    sink.write(Buffer.from("event"));
+    await waitUntil("the event", () => reads.join("").includes("event"));
+    sink.end();
+    await waitUntil("the end", () => reads.join("").endsWith("0\r\n\r\n"));
+});
+
+void t.test("an answer that is aborted before its head was sent is reset", async t => {
+    const { sink, socket } = await openAnswer(t);
+    const error = new Promise<NodeJS.ErrnoException>(resolve => socket.on("error", resolve));
+    sink.sendHead(200, [], true);
+    sink.abort();
+    t.equal((await error).code, "ECONNRESET");
+});
