--- a/src/adapters/keyValueLog.ts
+++ b/src/adapters/keyValueLog.ts
@@ -23,25 +23,23 @@
     write(record: Record<string, unknown>): void {
         const time = (record["time"] as Date).toISOString();
         const level = bunyan.nameFromLevel[record["level"] as number];
-        const pairs = [
-            `time=${time}`,
-            `level=${level}`,
-            `role=${String(record["role"])}`,
-            `name=${String(record["name"])}`,
-            `zone=${String(record["zone"])}`,
-        ];
-        pairs.push(`event=${formatValue(record["msg"])}`);
-        for (const [key, value] of Object.entries(record)) {
-            if (!NON_EVENT_KEYS.has(key) && value !== undefined) {
-                pairs.push(`${key}=${formatValue(value)}`);
+        const identity = `role=${String(record["role"])} name=${String(record["name"])} zone=${String(record["zone"])}`;
+        let line = `time=${time} level=${level} ${identity} event=${formatValue(record["msg"])}`;
+        for (const key in record) {
+            const value = record[key];
+            if (value !== undefined && !NON_EVENT_KEYS.has(key)) {
+                line += ` ${key}=${formatValue(value)}`;
             }
         }
-        this.out.writeLine(`${pairs.join(" ")}\n`, level === "info");
+        this.out.writeLine(`${line}\n`, level === "info");
     }
 }
 
 /** Quotes a value that is empty or contains whitespace, `=` or a double quote. */
 export function formatValue(value: unknown): string {
+    if (typeof value === "number") {
+        return String(value);
+    }
     const text = String(value);
     return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
 }
