--- a/src/daemons/readPacing.ts
+++ b/src/daemons/readPacing.ts
@@ -4,6 +4,7 @@
 import type { Log } from "../ports/log.js";
 import type { Metrics } from "../ports/metrics.js";
 import type { ReadPacingSettings } from "../settings/readPacingSettings.js";
+import type { EventLoopMonitor } from "./eventLoopMonitor.js";
 import type { LoopUtilization } from "./loopUtilization.js";
 
 /** Bounds the log lines while the utilization varies around the threshold. */
@@ -12,14 +13,17 @@
 /** What the pacing uses of a role. */
 export interface ReadPacingBase {
     readonly utilization: Pick<LoopUtilization, "get" | "onSample">;
+    readonly loop: { readonly arrivalEstimator: Pick<EventLoopMonitor["arrivalEstimator"], "getLagMs">; };
     readonly log: Log;
     readonly metrics: Metrics;
 }
 
 /** Creates the pacer of a process. */
 export function createReadPacer(settings: ReadPacingSettings, base: ReadPacingBase): ReadPacer {
-    const { utilization, log, metrics } = base;
-    const getDelayMs = (): number => computeReadDelayMs(utilization.get(), settings);
+    const { utilization, loop, log, metrics } = base;
+    // A late turn has already collected the events of the time by which it is late, and delays them by as much.
+    const getDelayMs = (): number =>
+        Math.max(0, computeReadDelayMs(utilization.get(), settings) - loop.arrivalEstimator.getLagMs());
     const pacer = new ReadPacer(getDelayMs);
     let wasActive = false;
     let loggedAt = -Infinity;
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -154,10 +154,28 @@
     return `${event.length.toString(16)}\r\n${event}\r\n`;
 }
 
+function createLoop(lagMs: number) {
+    return { arrivalEstimator: { getLagMs: () => lagMs } };
+}
+
+void t.test("the delay shrinks by the lag of the event loop, so that the sum stays within the bound", t => {
+    const utilization = { get: () => 1, onSample: () => undefined };
+    const common = { utilization, log: new NoLog(), metrics: new NoMetrics() };
+    t.equal(createReadPacer(PACING, { ...common, loop: createLoop(0) }).isActive(), true);
+    t.equal(createReadPacer(PACING, { ...common, loop: createLoop(95) }).isActive(), false);
+    t.equal(createReadPacer(PACING, { ...common, loop: createLoop(500) }).isActive(), false);
+    t.end();
+});
+
 void t.test("on a busy event loop, each event arrives within 200 ms and several share a read", async t => {
     const utilization = new LoopUtilization();
     utilization.start();
-    const pacer = createReadPacer(PACING, { utilization, log: new NoLog(), metrics: new NoMetrics() });
+    const pacer = createReadPacer(PACING, {
+        utilization,
+        loop: createLoop(0),
+        log: new NoLog(),
+        metrics: new NoMetrics(),
+    });
     const harness = await Harness.open(t, pacer);
     const busyTimer = setInterval(() => {
         const until = performance.now() + 9;
