--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -6,12 +6,13 @@
  */
 import type { Command, LogEntry } from "../domain/commands.js";
 import type { DeclaredState, StateSnapshot } from "../domain/declaredState.js";
-import { assertInvariant, createRefusal, getRefusal, RefusalError } from "../domain/resultCodes.js";
+import { assertInvariant, createRefusal, RefusalError } from "../domain/resultCodes.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import { ConditionVariable } from "./conditionVariable.js";
 import { EntryAgeCollector } from "./entryAgeCollector.js";
+import { isLeaderExpected } from "./expectedLeader.js";
 import { runJoinLoop } from "./joining.js";
 import { type AppliedHandler, LogApplier } from "./logApplier.js";
 import type { LogStorage } from "./logStorage.js";
@@ -34,6 +35,7 @@
 import { type PeerProgress, PeerProgressTracker } from "./peerProgress.js";
 import { PeerReplicator } from "./peerReplicator.js";
 import { PendingProposals } from "./pendingProposals.js";
+import { convertForwardingError, createNoMajorityError } from "./proposalErrors.js";
 import { type ReplicaAddress, ReplicaSet } from "./replicaSet.js";
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
@@ -45,6 +47,8 @@
     private leader: string | undefined;
     private commitIndex = 0;
     private lastLeaderContactAt = -Infinity;
+    /** When a majority last answered this replica as a leader that has stepped down since. */
+    private lastLedAt = -Infinity;
     readonly replicas: ReplicaSet;
     readonly entryAges: EntryAgeCollector;
     private readonly peerProgress: PeerProgressTracker;
@@ -177,9 +181,7 @@
         }
         const leader = this.tryGetLeaderAddress();
         if (leader === undefined || !this.isConnectedToMajority()) {
-            throw new RefusalError(
-                createRefusal("noMajority", "no leader is known", "no", this.options.electionTimeoutMs),
-            );
+            throw createNoMajorityError("no leader is known", this.options.electionTimeoutMs);
         }
         try {
             return await this.network.call(
@@ -190,14 +192,7 @@
             );
         }
         catch (error) {
-            const refusal = getRefusal(error);
-            if (refusal.code === "peerGone" || refusal.code === "peerTimeout") {
-                const code = refusal.ran === "no" ? "noMajority" : "changeUnknown";
-                throw new RefusalError(
-                    createRefusal(code, "the leader could not be reached", refusal.ran, this.options.electionTimeoutMs),
-                );
-            }
-            throw error;
+            throw convertForwardingError(error, this.options.electionTimeoutMs);
         }
     }
 
@@ -225,7 +220,7 @@
 
     private async appendProposal(command: Command): Promise<ProposeAnswer> {
         if (this.role !== "leader" || this.stopped) {
-            throw new RefusalError(createRefusal("noMajority", "not the leader", "no", this.options.electionTimeoutMs));
+            throw createNoMajorityError("not the leader", this.options.electionTimeoutMs);
         }
         const term = this.storage.term;
         const entry: LogEntry = { index: this.storage.getLastIndex() + 1, term, at: this.clock.getWallMs(), command };
@@ -254,9 +249,7 @@
             this.replicationSignal.notifyAll();
             await this.applier.appliedSignal.wait(this.options.heartbeatMs);
         }
-        throw new RefusalError(
-            createRefusal("noMajority", "could not confirm leadership", "no", this.options.electionTimeoutMs),
-        );
+        throw createNoMajorityError("could not confirm leadership", this.options.electionTimeoutMs);
     }
 
     /**
@@ -269,6 +262,16 @@
         return this.leader !== undefined && lastContactAt > Math.max(oldestContactAt, this.storage.getLastMissedAt());
     }
 
+    /**
+     * Returns whether a leader is in contact, or was so recently that another one can be expected if a majority is up. False
+     * at a replica that has been cut off for longer.
+     */
+    isLeaderExpected(): boolean {
+        const lastContactAt = Math.max(this.lastLeaderContactAt, this.lastLedAt, this.storage.getLastMissedAt());
+        return this.isConnectedToMajority()
+            || isLeaderExpected(lastContactAt, this.clock.getMonotonicMs(), this.options.electionTimeoutMs);
+    }
+
     private getMajorityContactAt(exclude?: string): number {
         return this.peerProgress.getMajorityContactAt(this.clock.getMonotonicMs(), exclude);
     }
@@ -382,6 +385,9 @@
     }
 
     private stepDown(term: number): void {
+        if (this.role === "leader") {
+            this.lastLedAt = this.getMajorityContactAt();
+        }
         this.role = "follower";
         this.leader = undefined;
         this.proposals.failAll();
--- a/src/daemons/controller/operatorService.ts
+++ b/src/daemons/controller/operatorService.ts
@@ -224,8 +224,8 @@
 
     /**
      * Proposes a change, and proposes it again if the leader was lost: while its outcome is unknown, or while it was not
-     * accepted and another leader can be expected. The operation id makes that safe; an operator who gave none could not
-     * ask again.
+     * accepted and another leader can be expected, also in the middle of an election. The operation id makes that safe; an
+     * operator who gave none could not ask again. A controller that has been cut off for longer refuses at once.
      */
     private async proposeUntilKnown(change: ObjectChangeRequest): Promise<ProposeAnswer> {
         const { log, clock } = this.context;
@@ -239,7 +239,7 @@
                 const { code } = getRefusal(error);
                 unknownOutcome = code === "changeUnknown" ? error : unknownOutcome;
                 const isLeaderLost = code === "changeUnknown" || code === "noMajority";
-                const mayBeKnown = unknownOutcome !== undefined || log.isConnectedToMajority();
+                const mayBeKnown = unknownOutcome !== undefined || log.isLeaderExpected();
                 if (!isLeaderLost) {
                     throw error;
                 }
--- a/test/daemons/operatorService.test.ts
+++ b/test/daemons/operatorService.test.ts
@@ -27,8 +27,11 @@
     }
 }
 
-/** Puts an object while proposals have the given outcomes, the last one repeatedly. Returns the outcome and the proposals. */
-async function put(outcomes: readonly ("accepted" | ResultCodeName)[], isConnected: boolean) {
+/**
+ * Puts an object while proposals have the given outcomes, the last one repeatedly. Returns the outcome and the proposals.
+ * `isElecting`: the controller lost its leader a moment ago.
+ */
+async function put(outcomes: readonly ("accepted" | ResultCodeName)[], isConnected: boolean, isElecting = false) {
     const proposals: Command[] = [];
     const propose = (command: Command): Promise<unknown> => {
         const outcome = outcomes[Math.min(proposals.length, outcomes.length - 1)]!;
@@ -37,7 +40,12 @@
             ? Promise.resolve({ index: 7, result: { type: "accepted", revision: 3 } })
             : Promise.reject(new RefusalError(createRefusal(outcome)));
     };
-    const log = { propose, waitApplied: () => Promise.resolve(), isConnectedToMajority: () => isConnected };
+    const log = {
+        propose,
+        waitApplied: () => Promise.resolve(),
+        isConnectedToMajority: () => isConnected,
+        isLeaderExpected: () => isConnected || isElecting,
+    };
     const service = new OperatorService(
         { log, clock: new InstantClock() } as unknown as ControllerContext,
         {} as TopUpService,
@@ -69,3 +77,7 @@
 void t.test("a controller without a majority refuses at once", async t => {
     t.same(await put(["noMajority"], false), { outcome: "noMajority", proposals: 1, operations: 1 });
 });
+
+void t.test("a change in the middle of an election waits for the next leader", async t => {
+    t.equal((await put(["noMajority", "noMajority", "accepted"], false, true)).outcome, "accepted as 3");
+});
