--- a/src/daemons/sidecar/upstreamRunner.ts
+++ b/src/daemons/sidecar/upstreamRunner.ts
@@ -140,7 +140,7 @@
         }
         const now = this.clock.getMonotonicMs();
         if (startedAt !== undefined) {
-            this.queue.recordEnd(run.params.rank, now - startedAt);
+            this.queue.recordEnd(run.params.rank, now - startedAt, refusal === undefined);
         }
         const consumed = getConsumed(run, refusal);
         if (consumed.promptTokens + consumed.outputTokens > 0) {
--- a/src/domain/rankQueue.ts
+++ b/src/domain/rankQueue.ts
@@ -75,10 +75,17 @@
         return best;
     }
 
-    /** Records that a run finished after `ms` milliseconds. */
-    recordEnd(rank: number, ms: number): void {
+    /**
+     * Records that a run ended after `ms` milliseconds. `isComplete`: false if it was cut off, by its deadline or its caller.
+     * Such a run would have taken longer, so it raises the average but does not lower it: otherwise runs that are cut off early
+     * make the average short, more are admitted that cannot finish, and hardly any finishes while the upstream is slow.
+     */
+    recordEnd(rank: number, ms: number, isComplete: boolean): void {
         this.runningByRank.set(rank, (this.runningByRank.get(rank) ?? 1) - 1);
         const previousAverage = this.averageRunMs.get(rank);
+        if (!isComplete && ms < this.getAverageRunMs(rank)) {
+            return;
+        }
         this.averageRunMs.set(
             rank,
             previousAverage === undefined ? ms : previousAverage + (ms - previousAverage) * RUN_TIME_SMOOTHING_FACTOR,
--- a/test/domain/rankQueue.test.ts
+++ b/test/domain/rankQueue.test.ts
@@ -18,7 +18,7 @@
     queue.add(createEntry("briefing", 0, 10));
     t.equal(queue.tryStartNext(20)?.name, "briefing");
     t.equal(queue.tryStartNext(20), undefined, "one slot");
-    queue.recordEnd(0, 5);
+    queue.recordEnd(0, 5, true);
     t.equal(queue.tryStartNext(30)?.name, "lookup");
 });
 
@@ -45,7 +45,7 @@
     const queue = new RankQueue<Entry>(1);
     queue.add(createEntry("first", 0, 0));
     queue.tryStartNext(0);
-    queue.recordEnd(0, 400);
+    queue.recordEnd(0, 400, true);
     t.equal(queue.estimateWait(0, 1_000, 0), 0, "a free slot");
     queue.add(createEntry("second", 0, 0));
     queue.tryStartNext(0);
@@ -54,10 +54,17 @@
     t.equal(queue.estimateWait(0, 1_000, 0), 200, "a higher rank does not count");
 });
 
-/** Simulates callers at an upstream with three slots. Each has one request at a time and retries refusals after a pause. */
-function simulateOverload(callers: number): { completed: number; wasted: number; } {
+const RUN_MS = 300;
+/** When the runs of an upstream that becomes slow begin to take longer, and when the simulation ends. */
+const SLOW_FROM_MS = 5_000;
+const SIMULATION_MS = 30_000;
+
+/**
+ * Simulates callers at an upstream with three slots. Each has one request at a time and retries refusals after a pause.
+ * `slowRunMs`: time that a run takes from `SLOW_FROM_MS` on.
+ */
+function simulateOverload(callers: number, slowRunMs = RUN_MS): { completed: number; wasted: number; } {
     const slots = 3;
-    const runMs = 300;
     const deadlineMs = 1_500;
     const pauseMs = 100;
     const stepMs = 10;
@@ -65,13 +72,14 @@
     const nextRequestAt = Array.from({ length: callers }, () => 0);
     let running: { entry: QueueEntry; caller: number; startedAt: number; }[] = [];
     const counts = { completed: 0, wasted: 0 };
-    for (let now = 0; now < 30_000; now += stepMs) {
+    for (let now = 0; now < SIMULATION_MS; now += stepMs) {
+        const runMs = now < SLOW_FROM_MS ? RUN_MS : slowRunMs;
         running = running.filter(run => {
             const isCompleted = now - run.startedAt >= runMs;
             const isCutOff = !isCompleted && now - run.entry.enqueuedAt >= deadlineMs;
             if (isCompleted || isCutOff) {
                 counts[isCompleted ? "completed" : "wasted"] += 1;
-                queue.recordEnd(run.entry.rank, now - run.startedAt);
+                queue.recordEnd(run.entry.rank, now - run.startedAt, isCompleted);
                 nextRequestAt[run.caller] = now;
             }
             return !isCompleted && !isCutOff;
@@ -107,3 +115,16 @@
     );
     t.end();
 });
+
+// Guards against a goodput that collapses while an upstream is slow: runs that are cut off by their deadline look short.
+void t.test("under overload, most runs are completed, not cut off by their deadline, after the upstream has become slow", t => {
+    for (const slowRunMs of [500, 700, 900, 1_200]) {
+        const capacity = simulateOverload(3, slowRunMs);
+        const overload = simulateOverload(24, slowRunMs);
+        t.comment(JSON.stringify({ slowRunMs, capacity, overload }));
+        t.equal(capacity.wasted, 0);
+        t.ok(overload.wasted < overload.completed, "most of the runs that start are completed");
+        t.ok(overload.completed >= capacity.completed * 0.8, "and the upstream does most of what it can");
+    }
+    t.end();
+});
