--- a/src/consensus/logApplier.ts
+++ b/src/consensus/logApplier.ts
@@ -17,6 +17,8 @@
     /** Notified when entries or a snapshot have been applied. */
     readonly appliedSignal = new ConditionVariable();
     private appliedIndex = 0;
+    /** Index committed when this process first heard of a leader that knew of one, or first led; undefined until then. */
+    private indexAtStart: number | undefined;
     private readonly appliedHandlers: AppliedHandler[] = [];
     private readonly snapshotHandlers: (() => void)[] = [];
 
@@ -32,6 +34,18 @@
         return this.appliedIndex;
     }
 
+    /** Records the committed index that a leader states. A new leader states 0 until it knows of one. */
+    recordCommitted(index: number): void {
+        if (index > 0) {
+            this.indexAtStart ??= index;
+        }
+    }
+
+    /** Whether the state contains what was committed before this process first heard of a leader. */
+    hasCaughtUp(): boolean {
+        return this.indexAtStart !== undefined && this.appliedIndex >= this.indexAtStart;
+    }
+
     /** Registers a handler that is called for each applied entry, in order. */
     onApplied(handler: AppliedHandler): void {
         this.appliedHandlers.push(handler);
@@ -60,6 +74,7 @@
             this.appliedHandlers.forEach(handler => handler(entry, result));
             this.proposals.resolve(entry, result);
         }
+        this.recordCommitted(commitIndex);
         this.appliedSignal.notifyAll();
         const count = this.appliedIndex - this.storage.getSnapshotIndex();
         const exceedsLength = count > 0 && this.storage.getLengthAfterSnapshot() > SNAPSHOT_LENGTH_THRESHOLD;
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -166,6 +166,11 @@
         return this.applier.getAppliedIndex();
     }
 
+    /** Whether the state contains what was committed before this process first heard of a leader. */
+    hasCaughtUp(): boolean {
+        return this.applier.hasCaughtUp();
+    }
+
     /** Returns the number of voters that form a majority. */
     getQuorumSize(): number {
         return this.replicas.getQuorumSize();
@@ -332,14 +337,9 @@
     }
 
     private collectVotes(method: typeof voteMethod, params: VoteParams): Promise<boolean> {
-        return collectVotes(
-            this.network,
-            this.replicas,
-            this.options.electionTimeoutMs,
-            method,
-            params,
-            term => this.observeTerm(term),
-        );
+        const { network, replicas, options: { electionTimeoutMs } } = this;
+        const observeTerm = (term: number): void => this.observeTerm(term);
+        return collectVotes(network, replicas, electionTimeoutMs, method, params, observeTerm);
     }
 
     /** Answers whether this replica would grant a vote, so that a returning candidate does not raise the term in vain. */
@@ -481,6 +481,7 @@
         if (params.term !== this.storage.term) {
             return this.createAppendAnswer(false, 0);
         }
+        this.applier.recordCommitted(params.commitIndex);
         const conflictIndex = this.storage.tryFindConflictIndex(params.previousIndex, params.previousTerm);
         if (conflictIndex !== undefined) {
             return this.createAppendAnswer(false, conflictIndex);
--- a/src/daemons/controller/statusService.ts
+++ b/src/daemons/controller/statusService.ts
@@ -103,7 +103,7 @@
 
     private isConnected(): boolean {
         const { log } = this.context;
-        return log.isElectable() && log.isConnectedToMajority();
+        return log.isElectable() && log.hasCaughtUp() && log.isConnectedToMajority();
     }
 
     private getLedgerStatus(): LedgerStatus {
--- a/test/daemons/statusService.test.ts
+++ b/test/daemons/statusService.test.ts
@@ -4,10 +4,11 @@
 import type { ControllerContext } from "../../src/daemons/controller/controllerContext.js";
 import { StatusService } from "../../src/daemons/controller/statusService.js";
 
-function createStatusService(isElectable: boolean): StatusService {
+function createStatusService(isElectable: boolean, hasCaughtUp = true): StatusService {
     const log = {
         isElectable: () => isElectable,
         isConnectedToMajority: () => true,
+        hasCaughtUp: () => hasCaughtUp,
         getLeaderName: () => "b",
         getTerm: () => 1,
         getAppliedIndex: () => 1,
@@ -27,3 +28,8 @@
     t.same([joining.connected, joining.controllers[0]!.connected], [false, false]);
     t.same([joined.connected, joined.controllers[0]!.connected], [true, true]);
 });
+
+// Guards against a status without the budgets and accounts of the fleet, by a controller that calls itself connected.
+void t.test("a controller that has started reports that it is connected only once it has the state", async t => {
+    t.equal((await createStatusService(true, false).getStatus()).connected, false);
+});
