--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -15,15 +15,19 @@
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
 import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
+import { type AdmissionOptions, AdmissionPolicy, admissionSchema } from "./domain/admissionPolicy.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
+import { createRefusal, RefusalError } from "./domain/resultCodes.js";
 import { TokenHolders } from "./domain/tokenHolders.js";
 import { UpstreamLoad, type UpstreamLoadOptions } from "./domain/upstreamLoad.js";
+import { UpstreamModel, type UpstreamModelOptions, upstreamModelSchema } from "./domain/upstreamModel.js";
 import type { BundleDecoder } from "./ports/bundleDecoder.js";
 import type { DirectUpstreams } from "./ports/directUpstream.js";
 import type { Log } from "./ports/log.js";
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
+import { checkSection } from "./settings/checkSection.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -68,6 +72,10 @@
     readonly borrower: PrepaidBorrowerOptions;
     readonly sharer: PlacementSharerOptions;
     readonly upstreams: DirectUpstreams;
+    /** Whether upstreams are chosen by when they can serve a request; undefined for the choice by counts. */
+    readonly upstreamModel?: UpstreamModelOptions | undefined;
+    /** Whether requests that cannot be served in time are refused at once. Needs `upstreamModel`. */
+    readonly admission?: AdmissionOptions | undefined;
 }
 
 /** A running role and its daemon. */
@@ -154,13 +162,19 @@
 export async function startDirectRouter(
     settings: DirectRouterSettings,
 ): Promise<RunningBundleRole<DirectRouterDaemon>> {
+    const model = createUpstreamModel(settings);
+    const admissionOptions = checkSection("admission", admissionSchema, settings.admission);
+    if (admissionOptions !== undefined && model === undefined) {
+        throw new RefusalError(createRefusal("settingsInvalid", "admission: needs the section upstreamModel"));
+    }
+    const admission = admissionOptions === undefined ? undefined : new AdmissionPolicy(admissionOptions, Math.random);
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
     const self = { address: settings.router.address, zone: settings.zone };
     const holders = new TokenHolders(self);
     const routerLinks = new RouterLinks(network, log);
     const tokenBudget = new LocalTokenBudget(settings.name, identity.incarnation, settings.purse);
-    const load = new UpstreamLoad(settings.zone, settings.load);
+    const load = new UpstreamLoad(settings.zone, settings.load, model);
     const reporter = new PrepaidReporter(
         tokenBudget,
         network,
@@ -190,6 +204,7 @@
         network,
         clock,
         loop,
+        admission,
     );
     daemon.addHandlers(handlers);
     daemon.start();
@@ -203,3 +218,8 @@
         },
     };
 }
+
+function createUpstreamModel({ upstreamModel, sharer }: DirectRouterSettings): UpstreamModel | undefined {
+    const options = checkSection("upstreamModel", upstreamModelSchema, upstreamModel);
+    return options === undefined ? undefined : new UpstreamModel(options, sharer.minTokens, Math.random);
+}
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -82,6 +82,8 @@
     readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the response body begins. */
     readonly onFirstByte: () => void;
+    /** Called when complete events of a stream arrive, with their number. Monotonic clock, milliseconds. */
+    readonly onEvents?: ((count: number, now: number) => void) | undefined;
 }
 
 export function isSuccess(status: number): boolean {
@@ -183,6 +185,9 @@
             this.eventCount += newEventCount;
             progress.eventCount += newEventCount;
             progress.lastEventId = this.splitter.lastEventId ?? progress.lastEventId;
+            if (newEventCount > 0) {
+                this.options.onEvents?.(newEventCount, this.lastActivityAt);
+            }
         }
         if (!isResumable) {
             return sink.write(bytes);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,4 +1,5 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
+import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import { BundleIndex, type BundleService, selectTarget } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
@@ -99,7 +100,7 @@
         override readonly tokenBudget: LocalTokenBudget,
         override readonly upstreams: DirectUpstreams,
         override readonly log: Log,
-        metrics: Metrics,
+        private readonly metrics: Metrics,
         private readonly decoder: BundleDecoder,
         private readonly prepaidReporter: PrepaidReporter,
         private readonly prepaidBorrower: PrepaidBorrower,
@@ -109,6 +110,7 @@
         network: PeerNetwork,
         private readonly clock: Clock,
         readonly loopMonitor: EventLoopMonitor,
+        override readonly admission: AdmissionPolicy | undefined,
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
@@ -168,11 +170,22 @@
         this.quarantine.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
-        this.gaugeTimer = setInterval(() => this.signalReceiver.setGauges(), GAUGE_PERIOD_MS);
+        this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
         // Upstreams have probably closed idle connections; a non-repeatable request sent on one could not be retried.
         this.loopMonitor.onSuspension(() => this.upstreams.drainExcept(new Set()));
     }
 
+    private setGauges(): void {
+        this.signalReceiver.setGauges();
+        if (this.load.model !== undefined) {
+            this.metrics.setGauge("upstream_stalls", this.load.model.stallCount);
+            this.metrics.setGauge("upstream_probes", this.load.model.probeCount);
+        }
+        if (this.admission !== undefined) {
+            this.metrics.setGauge("admission_confidence", this.admission.getConfidence());
+        }
+    }
+
     setSeeds(seeds: readonly string[]): void {
         this.controllerFeeds.setSeeds(seeds);
     }
@@ -273,8 +286,8 @@
         return this.bundleIndex?.getLongestWaitMs(service) ?? Infinity;
     }
 
-    override sharePlacement(placement: Placement, request: RelayRequest): void {
-        this.placementSharer.share(placement, request.parts);
+    override sharePlacement(placement: Placement, request: RelayRequest, outputTokens: number | undefined): void {
+        this.placementSharer.share(placement, request.parts, outputTokens);
     }
 
     override getRouterCount(): number {
@@ -468,6 +481,7 @@
                 });
             }
             this.signalReceiver.recordReportedLimit(heard);
+            this.load.recordRegistered(registration, now);
         }
     }
 }
--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -64,9 +64,14 @@
         this.routerLinks.reconcile(this.listLinkTargets());
     }
 
-    /** Queues a placement for the next batch. */
-    share({ upstream, uncachedTokens, excessPrefillMs }: Placement, parts: readonly PromptPart[]): void {
-        if (uncachedTokens >= this.options.minTokens) {
+    /** Queues a placement for the next batch. `outputTokens`: expected output, if it is to be reported. */
+    share(
+        { upstream, uncachedTokens, excessPrefillMs, isProbe }: Placement,
+        parts: readonly PromptPart[],
+        outputTokens?: number,
+    ): void {
+        // Probes are shared whatever their size, so that the other routers do not send one too.
+        if (uncachedTokens >= this.options.minTokens || isProbe === true) {
             const router = this.self.address;
             const { id, bornAt } = upstream;
             const placement = {
@@ -76,6 +81,7 @@
                 newTokens: uncachedTokens,
                 beyondMs: excessPrefillMs,
                 parts: parts.map(part => part.id),
+                ...(outputTokens === undefined ? {} : { outputTokens }),
             };
             this.enqueue({ placement, passTo: "all" });
         }
@@ -84,11 +90,18 @@
     private receive(passTo: PlacementScope, placements: readonly SharedPlacement[]): void {
         const now = this.clock.getMonotonicMs();
         for (const placement of placements) {
-            const { router, upstream, bornAt, newTokens, beyondMs, parts } = placement;
+            const { router, upstream, bornAt, newTokens, beyondMs, parts, outputTokens } = placement;
             if (router === this.self.address) {
                 continue;
             }
-            this.upstreamLoad.recordPeerRequest({ id: upstream, bornAt }, newTokens, beyondMs, parts, now);
+            this.upstreamLoad.recordPeerRequest(
+                { id: upstream, bornAt },
+                newTokens,
+                beyondMs,
+                parts,
+                now,
+                outputTokens,
+            );
             if (passTo !== "none") {
                 this.enqueue({ placement, passTo });
             }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -1,4 +1,5 @@
 /** State and operations of a router that its requests share. */
+import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import type { Refusal } from "../../domain/resultCodes.js";
@@ -65,11 +66,13 @@
     abstract readonly tokenBudget: LocalTokenBudget;
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
+    /** Undefined if requests are sent whatever their remaining time. */
+    abstract readonly admission: AdmissionPolicy | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
-    /** Reports a placement to the other routers. */
-    abstract sharePlacement(placement: Placement, request: RelayRequest): void;
+    /** Reports a placement to the other routers. `outputTokens`: expected output, if it is estimated. */
+    abstract sharePlacement(placement: Placement, request: RelayRequest, outputTokens: number | undefined): void;
     /** Number of known routers, including this one. */
     abstract getRouterCount(): number;
     /** Maximum age of an upstream's last report before it counts as lost, in milliseconds. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -6,7 +6,7 @@
 import { hasTimeToSend } from "../../domain/sendingTime.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
-import type { LoadOutcome, Placement, StartedPlacement } from "../../domain/upstreamLoad.js";
+import type { LoadOutcome, Placement, RequestDemand, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
@@ -18,6 +18,9 @@
 /** Number of route ranks within each account rank; the account rank takes precedence. */
 const ROUTE_RANK_COUNT = 3;
 
+/** A choice of an upstream is repeated if reserving tokens took longer; running requests change by then. Milliseconds. */
+const MAX_SELECTION_AGE_MS = 5;
+
 /** Processes one request. Attempts are made sequentially. */
 export class RelayRun {
     private readonly progress = new ResponseProgress();
@@ -73,7 +76,11 @@
                 this.finishWithRefusal(createRefusal("requestQuarantined", undefined, "no", remainingQuarantineMs));
                 return;
             }
-            const refusal = await this.tokens.reserve(this.progress.eventCount, this.mayHaveRun);
+            // Before tokens are reserved, which may wait: a refusal for lack of time is sent at once.
+            const selectedAt = performance.now();
+            const early = this.isAdmissionChecked() ? this.trySelectUpstream() : undefined;
+            const refusal = this.tryRefuseForTime(early)
+                ?? await this.tokens.reserve(this.progress.eventCount, this.mayHaveRun);
             if (refusal !== undefined) {
                 this.finishWithRefusal(refusal);
                 return;
@@ -85,10 +92,14 @@
                 this.finishWithRefusal(this.createIncompleteRefusal());
                 return;
             }
-            const placement = this.trySelectUpstream();
-            if (placement === undefined) {
+            const isRecent = this.reservedAt - selectedAt <= MAX_SELECTION_AGE_MS;
+            const placement = isRecent && early !== undefined ? early : this.trySelectUpstream();
+            const lateRefusal = placement === undefined
+                ? this.createNoUpstreamRefusal()
+                : this.tryRefuseForTime(placement);
+            if (placement === undefined || lateRefusal !== undefined) {
                 this.tokens.release();
-                this.finishWithRefusal(this.createNoUpstreamRefusal());
+                this.finishWithRefusal(lateRefusal!);
                 return;
             }
             const outcome = await this.runAttempt(placement);
@@ -102,7 +113,7 @@
     // Attempts
 
     private trySelectUpstream(): Placement | undefined {
-        const { request, service } = this.resolved;
+        const { service } = this.resolved;
         const { load, candidates } = this.context;
         const now = performance.now();
         const { upstreams, waitMs, unavailableReasons } = candidates.list(
@@ -116,8 +127,50 @@
             excludedIds: this.triedUpstreamIds,
             routerCount: this.context.getRouterCount(),
             maxWaitMs: this.context.getLongestWaitMs(service.name),
+            remainingMs: this.deadline - now,
+            cacheTokens: service.engine?.cacheTokens,
         };
-        return load.tryChoose(upstreams, request, terms, now);
+        return load.tryChoose(upstreams, this.getDemand(), terms, now);
+    }
+
+    private getDemand(): RequestDemand {
+        const { parts, promptTokens } = this.resolved.request;
+        return { parts, promptTokens, outputTokens: this.tryGetExpectedTokens() };
+    }
+
+    /** Returns the output tokens that are still expected; undefined if they are not estimated. */
+    private tryGetExpectedTokens(): number | undefined {
+        const { request, route, service } = this.resolved;
+        const { model } = this.context.load;
+        if (model === undefined) {
+            return undefined;
+        }
+        if (service.engine === undefined || route.kind !== "stream") {
+            return 0;
+        }
+        const expectedTokens = model.getExpectedTokens(route.name, request.maxOutputTokens);
+        return Math.max(0, expectedTokens - this.progress.eventCount * service.engine.tokensPerEvent);
+    }
+
+    /** An answer that has begun is continued, and one that may have run cannot be refused as not run. */
+    private isAdmissionChecked(): boolean {
+        return this.context.admission !== undefined && !this.mayHaveRun && !this.progress.isHeadSent;
+    }
+
+    /** Returns a refusal if no upstream can serve the request within its remaining time. */
+    private tryRefuseForTime(placement: Placement | undefined): Refusal | undefined {
+        const outlook = placement?.outlook;
+        const remainingMs = this.deadline - performance.now();
+        const retryAfterMs = this.isAdmissionChecked()
+            ? this.context.admission!.tryGetRetryAfterMs(outlook, remainingMs)
+            : undefined;
+        if (retryAfterMs === undefined || outlook === undefined) {
+            return undefined;
+        }
+        const { firstTokenMs, endMs } = outlook;
+        const detail = `first token expected in ${Math.round(firstTokenMs)} ms, the end in ${Math.round(endMs)} ms, `
+            + `${Math.round(remainingMs)} ms are left`;
+        return createRefusal("noTimeLeft", detail, "no", retryAfterMs);
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -126,12 +179,13 @@
         this.placement = placement;
         const { request } = this.resolved;
         const now = performance.now();
+        const expectedTokens = this.tryGetExpectedTokens();
         const started = load.recordStart(placement, request, now);
         const isLimited = this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
         if (isLimited) {
             this.context.recordRateLimitedSend();
         }
-        this.context.sharePlacement(placement, request);
+        this.context.sharePlacement(placement, request, expectedTokens);
         const attempt = this.createAttempt(started, isLimited);
         this.attempt = attempt;
         this.sendCount += 1;
@@ -141,7 +195,8 @@
         if (!attempt.hasFirstByte) {
             load.recordUnanswered(started);
         }
-        load.recordEnd(placement);
+        load.recordEnd(started, outcome.type === "answered", performance.now());
+        this.recordOutputTokens(attempt, outcome);
         this.mayHaveRun ||= outcome.type !== "notRun";
         this.recordOutcome(placement.upstream, outcome, attempt.hasAcceptedHead);
         this.tokens.settle(attempt, outcome);
@@ -178,10 +233,33 @@
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
-            onFirstByte: () => this.context.load.recordFirstByte(placement, performance.now()),
+            onFirstByte: () => this.recordFirstByte(placement, sentAt),
+            onEvents: this.context.load.model === undefined || service.engine === undefined
+                ? undefined
+                : (count, now) =>
+                    this.context.load.recordTokens(placement, count * service.engine!.tokensPerEvent, now),
         });
     }
 
+    private recordFirstByte(placement: StartedPlacement, sentAt: number): void {
+        const now = performance.now();
+        this.context.load.recordFirstByte(placement, now);
+        if (placement.forecast !== undefined) {
+            this.context.admission?.recordFirstToken(placement.forecast.firstTokenMs, now - sentAt);
+        }
+    }
+
+    /** Only whole answers of one upstream show how long the answers of a route are. */
+    private recordOutputTokens(attempt: Attempt, outcome: AttemptOutcome): void {
+        const { request, route, service } = this.resolved;
+        const isWhole = outcome.type === "answered" && isSuccess(outcome.status) && route.kind === "stream"
+            && this.sendCount === 1 && request.resumeAfter === undefined;
+        if (isWhole && service.engine !== undefined) {
+            const outputTokens = attempt.eventCount * service.engine.tokensPerEvent;
+            this.context.load.model?.recordAnswer(route.name, request.maxOutputTokens, outputTokens);
+        }
+    }
+
     private recordOutcome(upstream: UpstreamRegistration, outcome: AttemptOutcome, hasBegun: boolean): void {
         const loadOutcome = tryGetLoadOutcome(outcome);
         if (loadOutcome !== undefined) {
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -52,6 +52,8 @@
         readonly slots: number;
         /** Maximum number of tokens in one stream event. */
         readonly tokensPerEvent: number;
+        /** Prompt and output tokens of running requests that fit into its memory; undefined if unknown. */
+        readonly cacheTokens?: number | undefined;
     } | undefined;
 }
 
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -61,6 +61,8 @@
     grantClosed: createCode(1307, "grantClosed", 503, "The grant behind the run was closed by its ledger."),
     upstreamUnknown: createCode(1308, "upstreamUnknown", 503, "The sidecar does not serve this upstream."),
     tooManyRequests: createCode(1309, "tooManyRequests", 503, "The router holds as many open requests as it may."),
+    // 1310 is that of routers without capacity for connections.
+    noTimeLeft: createCode(1311, "noTimeLeft", 503, "No upstream can serve the request within its remaining time."),
     requestIdReused: createCode(1401, "requestIdReused", 422, "The idempotency key was used before with another body."),
     outcomeUnknown: createCode(1402, "outcomeUnknown", 503, "The request may have run; its outcome is not known here."),
     intentUnreachable: createCode(
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -9,7 +9,9 @@
 import { DecayingRate } from "./decayingRate.js";
 import { chooseByRendezvous } from "./identifiers.js";
 import { PrefillQueue, PrefillSpeed, type PrefillSpeedOptions, type QueuedPrompt } from "./prefillQueue.js";
+import { type OwnRequest, type ServeForecast, type UpstreamModel, UpstreamState } from "./upstreamModel.js";
 import { getIncarnationKey, type UpstreamIncarnation, type UpstreamRegistration } from "./upstreamRegistry.js";
+import { type ServiceOutlook, UpstreamSelection } from "./upstreamSelection.js";
 
 /** A part of a prompt, which other prompts may share. */
 export interface PromptPart {
@@ -21,6 +23,8 @@
 export interface RequestDemand {
     readonly parts: readonly PromptPart[];
     readonly promptTokens: number;
+    /** Expected output tokens; 0 by default. Used only with a model of the upstreams. */
+    readonly outputTokens?: number | undefined;
 }
 
 /** Inputs of a choice other than the request. */
@@ -30,6 +34,10 @@
     readonly routerCount: number;
     /** Longest acceptable wait for the first token or between two tokens of an answer. Milliseconds. */
     readonly maxWaitMs: number;
+    /** Time until the request's deadline, in milliseconds; Infinity by default. Used only with a model of the upstreams. */
+    readonly remainingMs?: number | undefined;
+    /** Prompt and output tokens that an upstream holds at most; undefined if unknown. */
+    readonly cacheTokens?: number | undefined;
 }
 
 /** Weights, limits and half-lives of the choice. */
@@ -80,6 +88,8 @@
     failureRateAt: number;
     consecutiveFailures: number;
     pausedUntil: number;
+    /** Undefined without a model of the upstreams. */
+    readonly state: UpstreamState | undefined;
 }
 
 /** The upstream that was chosen for a request, and the estimated prefill. */
@@ -91,11 +101,18 @@
     readonly queuedPrefillMs: number;
     /** Prefill time of the request beyond the length that is harmless to concurrent streams. Milliseconds. */
     readonly excessPrefillMs: number;
+    /** What the upstream, and the best ones of the service, can still do; undefined without a model of the upstreams. */
+    readonly forecast?: ServeForecast | undefined;
+    readonly outlook?: ServiceOutlook | undefined;
+    /** Whether the request measures an upstream that is otherwise avoided for its speed. */
+    readonly isProbe?: boolean | undefined;
 }
 
 /** A request that was sent and whose prefill is pending. */
 export interface StartedPlacement extends Placement {
     readonly prompt: QueuedPrompt;
+    /** Undefined without a model of the upstreams. */
+    readonly own?: OwnRequest | undefined;
 }
 
 /** Outcome of a request with regard to its upstream. */
@@ -105,7 +122,19 @@
     /** Keyed by incarnation: a restarted upstream has an empty cache and no failures. */
     private readonly loads = new Map<string, Load>();
 
-    constructor(private readonly zone: string, private readonly options: UpstreamLoadOptions) {}
+    constructor(
+        private readonly zone: string,
+        private readonly options: UpstreamLoadOptions,
+        /** Undefined if the choice does not consider when upstreams can serve a request. */
+        readonly model?: UpstreamModel,
+    ) {}
+
+    /** Records that an upstream was registered. */
+    recordRegistered(upstream: UpstreamIncarnation, now: number): void {
+        if (this.model !== undefined) {
+            this.getLoad(upstream, now);
+        }
+    }
 
     /** Chooses among upstreams that accept new work. Returns undefined if all have been tried. */
     tryChoose(
@@ -115,25 +144,57 @@
         now: number,
     ): Placement | undefined {
         const untried = candidates.filter(candidate => !context.excludedIds.has(candidate.id));
-        const unpaused = untried.filter(candidate => this.getLoad(candidate).pausedUntil <= now);
+        const unpaused = untried.filter(candidate => this.getLoad(candidate, now).pausedUntil <= now);
         const usable = unpaused.length > 0 ? unpaused : untried;
         const preferred = this.findPreferredByHash(usable, demand);
+        const selection = this.tryStartSelection(usable, demand, context, now);
         let best: UpstreamRegistration | undefined;
         let bestCost = Infinity;
         for (const upstream of usable) {
-            const newTokens = this.countNewTokens(upstream, demand);
+            const load = this.getLoad(upstream);
+            const newTokens = this.countNewTokens(load, demand);
             const presumedCachedTokens = upstream.id === preferred
                 ? this.countPresumedCachedTokens(demand, newTokens)
                 : 0;
-            const cost = this.estimateCostMs(upstream, newTokens - presumedCachedTokens, context, now);
+            const prefillMs = (newTokens - presumedCachedTokens) * load.speed.msPerToken;
+            const backlogMs = load.prefillQueue.getBacklogMs(now);
+            const cost = this.estimateCostMs(upstream, load, prefillMs, backlogMs, context, now);
+            selection?.add(upstream, load.state!, { prefillMs, backlogMs, slots: upstream.slots }, cost);
             if (cost < bestCost) {
                 best = upstream;
                 bestCost = cost;
             }
         }
+        const selected = selection?.tryChoose();
+        if (selected !== undefined) {
+            const { upstream, forecast, outlook, isProbe } = selected;
+            return { ...this.createPlacement(upstream, demand, context, now), forecast, outlook, isProbe };
+        }
         return best === undefined ? undefined : this.createPlacement(best, demand, context, now);
     }
 
+    private tryStartSelection(
+        usable: readonly UpstreamRegistration[],
+        demand: RequestDemand,
+        context: SelectionContext,
+        now: number,
+    ): UpstreamSelection | undefined {
+        const { model } = this;
+        if (model === undefined || usable.length === 0) {
+            return undefined;
+        }
+        const { service } = usable[0]!;
+        const states = usable.map(upstream => this.getLoad(upstream).state!);
+        const selectionDemand = {
+            promptTokens: demand.promptTokens,
+            outputTokens: demand.outputTokens ?? 0,
+            cacheTokens: context.cacheTokens,
+            remainingMs: context.remainingMs ?? Infinity,
+        };
+        const speeds = model.getSpeeds(service, states, now);
+        return new UpstreamSelection(model, service, selectionDemand, speeds, model.listHeldBack(states, now), now);
+    }
+
     private createPlacement(
         upstream: UpstreamRegistration,
         demand: RequestDemand,
@@ -141,7 +202,7 @@
         now: number,
     ): Placement {
         const load = this.getLoad(upstream);
-        const newTokens = this.countNewTokens(upstream, demand);
+        const newTokens = this.countNewTokens(load, demand);
         const prefillMs = newTokens * load.speed.msPerToken;
         const beyondMs = Math.max(0, Math.round(prefillMs - this.getMaxHarmlessPrefillMs(context)));
         return {
@@ -162,26 +223,42 @@
         load.activeRequests += 1;
         load.excessPrefillRate.add(placement.excessPrefillMs, now);
         this.addCachedParts(load, demand.parts.map(part => part.id));
-        return { ...placement, prompt: load.prefillQueue.add(placement.uncachedTokens, now) };
+        const { upstream, uncachedTokens, isProbe } = placement;
+        if (isProbe === true && this.model !== undefined) {
+            this.model.probeCount += 1;
+        }
+        const own = this.model?.recordStart(load.state!, upstream, demand.promptTokens, uncachedTokens, now);
+        return { ...placement, prompt: load.prefillQueue.add(uncachedTokens, now), own };
     }
 
-    /** Records a request that another router sent. */
+    /** Records a request that another router sent. `outputTokens`: expected output, 0 if unknown. */
     recordPeerRequest(
         upstream: UpstreamIncarnation,
         newTokens: number,
         beyondMs: number,
         parts: readonly string[],
         now: number,
+        outputTokens = 0,
     ): void {
-        const load = this.getLoad(upstream);
+        const load = this.getLoad(upstream, now);
         load.excessPrefillRate.add(beyondMs, now);
         this.addCachedParts(load, parts);
         load.prefillQueue.addRemote(newTokens, now);
+        this.model?.recordReported(load.state!, newTokens, outputTokens, load.prefillQueue.getBacklogMs(now), now);
     }
 
     /** Records that a response has begun, which shows that the prefill is complete. */
     recordFirstByte(placement: StartedPlacement, now: number): void {
-        this.getLoad(placement.upstream).prefillQueue.recordAnswerStart(placement.prompt, now);
+        const load = this.getLoad(placement.upstream);
+        load.prefillQueue.recordAnswerStart(placement.prompt, now);
+        this.model?.recordFirstByte(load.state!, now);
+    }
+
+    /** Records that output tokens of a stream arrived. */
+    recordTokens({ upstream, own }: StartedPlacement, tokens: number, now: number): void {
+        if (own !== undefined) {
+            this.model?.recordTokens(this.getLoad(upstream).state!, own, tokens, now);
+        }
     }
 
     /** Records that a request ended before its response began. */
@@ -189,9 +266,13 @@
         this.getLoad(placement.upstream).prefillQueue.recordDropped(placement.prompt);
     }
 
-    /** Records the end of a request, whatever its outcome. */
-    recordEnd(placement: Placement): void {
-        this.getLoad(placement.upstream).activeRequests -= 1;
+    /** Records the end of a request, whatever its outcome. `isComplete`: whether the upstream ran it to its end. */
+    recordEnd({ upstream, own }: Placement & Pick<StartedPlacement, "own">, isComplete = false, now = 0): void {
+        const load = this.getLoad(upstream);
+        load.activeRequests -= 1;
+        if (own !== undefined) {
+            this.model?.recordEnd(load.state!, own, isComplete, now);
+        }
     }
 
     /** Records the outcome of a request. An upstream that is unreachable, full or fails repeatedly is paused. */
@@ -234,16 +315,16 @@
 
     private estimateCostMs(
         upstream: UpstreamRegistration,
-        newTokens: number,
+        load: Load,
+        prefillMs: number,
+        waitMs: number,
         context: SelectionContext,
         now: number,
     ): number {
-        const load = this.getLoad(upstream);
         const { waitWeight, runningCostMs, otherZoneCostMs, failureCostMs, disturbanceWeight } = this.options;
-        const prefillMs = newTokens * load.speed.msPerToken;
-        const waitMs = load.prefillQueue.getBacklogMs(now);
-        // Assumes that each router sends about as many requests as this one.
-        const activeRequests = load.activeRequests * context.routerCount;
+        // Without a model, assumes that each router sends about as many requests as this one.
+        const activeRequests = this.model?.countPresumed(load.state!, upstream.service, context.routerCount, now)
+            ?? load.activeRequests * context.routerCount;
         return prefillMs + waitMs * waitWeight
             + this.estimateInterferenceCostMs(prefillMs + waitMs, activeRequests, context)
             + load.excessPrefillRate.getRate(now) * disturbanceWeight
@@ -264,8 +345,7 @@
     }
 
     /** Counts the prompt tokens that are not known to be cached. */
-    private countNewTokens(upstream: UpstreamIncarnation, demand: RequestDemand): number {
-        const { cachedParts } = this.getLoad(upstream);
+    private countNewTokens({ cachedParts }: Load, demand: RequestDemand): number {
         let cachedTokens = 0;
         for (const part of demand.parts) {
             if (!cachedParts.has(part.id)) {
@@ -303,7 +383,8 @@
             : chooseByRendezvous(shared.id, candidates.map(candidate => candidate.id), 1)[0];
     }
 
-    private getLoad(upstream: UpstreamIncarnation): Load {
+    /** `now`: when the upstream was heard of, if it was not known. */
+    private getLoad(upstream: UpstreamIncarnation, now = 0): Load {
         const key = getIncarnationKey(upstream);
         let load = this.loads.get(key);
         if (load === undefined) {
@@ -318,6 +399,7 @@
                 failureRateAt: 0,
                 consecutiveFailures: 0,
                 pausedUntil: 0,
+                state: this.model === undefined ? undefined : new UpstreamState(now),
             };
             this.loads.set(key, load);
         }
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -165,6 +165,8 @@
     readonly beyondMs: number;
     /** Ids of the parts of the prompt, in order. */
     readonly parts: readonly string[];
+    /** Expected output; omitted by routers without a model of the upstreams. */
+    readonly outputTokens?: number | undefined;
 }
 
 /** Maximum number of placements in one notice. */
@@ -177,6 +179,7 @@
     newTokens: nonNegativeInt,
     beyondMs: nonNegativeInt,
     parts: z.array(shortName).max(1_000),
+    outputTokens: nonNegativeInt.optional(),
 }) satisfies z.ZodType<SharedPlacement>;
 
 /**
