--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -35,12 +35,12 @@
 const CONFIRMED_MARGIN = 0.8;
 /** Shorter expected waits do not confirm anything: network latency and event loop lag dominate. Milliseconds. */
 const MIN_SAMPLE_MS = 100;
-/** Weight of one answer in the accuracy of the estimates. */
-const SMOOTHING_FACTOR = 0.2;
-/** Mean relative deviation above which estimates are not confirmed at all. */
-const MAX_CONFIRMED_DEVIATION = 0.5;
+/** Weight of one answer in the accuracy of the estimates; the first answers weigh more, as in a mean. */
+const MIN_SMOOTHING_FACTOR = 0.2;
+/** Mean relative earliness above which estimates are not confirmed at all. */
+const MAX_CONFIRMED_EARLINESS = 0.5;
 /** A sample counts as at most this multiple of its estimate, so that one stall does not outweigh many answers. */
-const MAX_SAMPLE_RATIO = 4;
+const MAX_SAMPLE_RATIO = 2;
 
 /** Whether upstreams are short: even the best one lets a request wait for more than half of its latency goal. */
 export function isShort(outlook: ServiceOutlook | undefined, goalMs: number): boolean {
@@ -49,9 +49,11 @@
 }
 
 export class AdmissionPolicy {
-    /** Mean ratio of actual to expected time of the first token, and its mean relative deviation. */
+    /** Mean ratio of actual to expected time of the first token. */
     private ratio = 1;
-    private deviation = 1;
+    /** Mean of how much lower the ratio of single answers is. Later ones are no reason to admit more. */
+    private earliness = 1;
+    private sampleCount = 0;
 
     constructor(private readonly options: AdmissionOptions, private readonly random: () => number) {}
 
@@ -73,13 +75,16 @@
             return;
         }
         const sample = Math.min(MAX_SAMPLE_RATIO, actualMs / expectedMs);
-        this.deviation += (Math.min(1, Math.abs(sample - this.ratio)) - this.deviation) * SMOOTHING_FACTOR;
-        this.ratio += (sample - this.ratio) * SMOOTHING_FACTOR;
+        this.sampleCount += 1;
+        // The initial values count as one sample.
+        const smoothingFactor = Math.max(MIN_SMOOTHING_FACTOR, 1 / (this.sampleCount + 1));
+        this.earliness += (Math.max(0, this.ratio - sample) - this.earliness) * smoothingFactor;
+        this.ratio += (sample - this.ratio) * smoothingFactor;
     }
 
     /** How well answers have confirmed the estimates, from 0 to 1. */
     getConfidence(): number {
-        return Math.max(0, 1 - this.deviation / MAX_CONFIRMED_DEVIATION);
+        return Math.max(0, 1 - this.earliness / MAX_CONFIRMED_EARLINESS);
     }
 
     /** Factor by which the estimates are corrected. */
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -136,6 +136,11 @@
         }
     }
 
+    /** Returns what the model knows of an upstream; undefined if that is unknown, or without a model. */
+    tryGetState(upstream: UpstreamIncarnation): UpstreamState | undefined {
+        return this.loads.get(getIncarnationKey(upstream))?.state;
+    }
+
     /** Chooses among upstreams that accept new work. Returns undefined if all have been tried. */
     tryChoose(
         candidates: readonly UpstreamRegistration[],
@@ -223,11 +228,11 @@
         load.activeRequests += 1;
         load.excessPrefillRate.add(placement.excessPrefillMs, now);
         this.addCachedParts(load, demand.parts.map(part => part.id));
-        const { upstream, uncachedTokens, isProbe } = placement;
+        const { uncachedTokens, isProbe } = placement;
         if (isProbe === true && this.model !== undefined) {
             this.model.probeCount += 1;
         }
-        const own = this.model?.recordStart(load.state!, upstream, demand.promptTokens, uncachedTokens, now);
+        const own = this.model?.recordStart(load.state!, placement, demand.promptTokens, now);
         return { ...placement, prompt: load.prefillQueue.add(uncachedTokens, now), own };
     }
 
@@ -392,7 +397,7 @@
             load = {
                 activeRequests: 0,
                 speed,
-                prefillQueue: new PrefillQueue(speed),
+                prefillQueue: new PrefillQueue(speed, this.model !== undefined),
                 excessPrefillRate: new DecayingRate(this.options.disturbanceHalfLifeMs),
                 cachedParts: new Set(),
                 failureRate: 0,
--- a/src/domain/upstreamModel.ts
+++ b/src/domain/upstreamModel.ts
@@ -32,13 +32,20 @@
 /** An own request at an upstream. */
 export interface OwnRequest {
     readonly startedAt: number;
-    /** Whether the upstream had a free slot, as far as known. */
+    /** Whether the upstream had a free slot and no backlog, as far as known. */
     readonly hadFreeSlot: boolean;
     /** Tokens of the prompt and output so far. */
     tokens: number;
     lastEventAt: number | undefined;
 }
 
+/** The part of a placement that the model uses. */
+interface PlacedRequest {
+    readonly upstream: UpstreamRegistration;
+    readonly uncachedTokens: number;
+    readonly queuedPrefillMs: number;
+}
+
 /** What is known of one upstream incarnation. */
 export class UpstreamState {
     readonly decodeSpeed = new DecodeSpeed();
@@ -99,13 +106,13 @@
 
     recordStart(
         state: UpstreamState,
-        { service, slots }: UpstreamRegistration,
+        placement: PlacedRequest,
         promptTokens: number,
-        uncachedTokens: number,
         now: number,
     ): OwnRequest {
+        const { upstream: { service, slots }, uncachedTokens, queuedPrefillMs } = placement;
         this.getFraction(service).record(uncachedTokens >= this.minReportedTokens);
-        const hadFreeSlot = this.countKnown(state, service, now) < slots;
+        const hadFreeSlot = queuedPrefillMs === 0 && this.countKnown(state, service, now) < slots;
         state.running.addOwn(promptTokens);
         this.scheduleProbe(state, now);
         return { startedAt: now, hadFreeSlot, tokens: promptTokens, lastEventAt: undefined };
