--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -62,11 +62,16 @@
         if (outlook === undefined || outlook.hasIdle || !outlook.isRecent) {
             return undefined;
         }
-        const { firstTokenMargin, wholeAnswerMargin } = this.options;
         const correction = this.getCorrection();
-        const isTooLate = outlook.firstTokenMs * correction > remainingMs * this.getMargin(firstTokenMargin)
-            || outlook.endMs * correction > remainingMs * this.getMargin(wholeAnswerMargin);
-        return isTooLate ? this.drawRetryAfterMs(outlook.endMs * correction - remainingMs) : undefined;
+        const firstTokenMs = outlook.firstTokenMs * correction;
+        const endMs = outlook.endMs * correction;
+        const firstTokenMargin = this.getMargin(this.options.firstTokenMargin);
+        const wholeAnswerMargin = this.getMargin(this.options.wholeAnswerMargin);
+        if (firstTokenMs <= remainingMs * firstTokenMargin && endMs <= remainingMs * wholeAnswerMargin) {
+            return undefined;
+        }
+        // A retry should find the end within its time, not only within the margin.
+        return this.drawRetryAfterMs(endMs - remainingMs * Math.min(1, wholeAnswerMargin));
     }
 
     /** Records when an admitted request had its first token, in milliseconds after it was sent. */
--- a/src/domain/identifiers.ts
+++ b/src/domain/identifiers.ts
@@ -37,17 +37,42 @@
 
 /** FNV-1a with a final mix, for distributing keys. Not cryptographic. */
 export function computeHash32(text: string): number {
-    let hash = 0x811c9dc5;
+    return mixHash(addToHash(FNV_OFFSET_BASIS, text));
+}
+
+const FNV_OFFSET_BASIS = 0x811c9dc5;
+
+function addToHash(hash: number, text: string): number {
     for (let i = 0; i < text.length; i++) {
         hash ^= text.charCodeAt(i);
         hash = Math.imul(hash, 0x01000193);
     }
+    return hash;
+}
+
+function mixHash(hash: number): number {
     hash ^= hash >>> 16;
     hash = Math.imul(hash, 0x85ebca6b);
     hash ^= hash >>> 13;
     return hash >>> 0;
 }
 
+/** Returns the member with the highest rendezvous hashing score for `key`, as `chooseByRendezvous` does. */
+export function tryChooseFirstByRendezvous(key: string, members: Iterable<string>): string | undefined {
+    // Hashing the key once makes this several times faster where there are many members.
+    const keyHash = addToHash(FNV_OFFSET_BASIS, `${key}|`);
+    let best: string | undefined;
+    let bestScore = -1;
+    for (const member of members) {
+        const score = mixHash(addToHash(keyHash, member));
+        if (score > bestScore || (score === bestScore && member < best!)) {
+            best = member;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 /** Returns the `count` members with the highest rendezvous hashing scores for `key`, best first. */
 export function chooseByRendezvous(key: string, members: readonly string[], count: number): string[] {
     const scored = members.map(member => ({ member, score: computeHash32(`${key}|${member}`) }));
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -7,7 +7,7 @@
  * prefill delays the concurrent streams of an engine, long prompts go to upstreams that have little prefill pending.
  */
 import { DecayingRate } from "./decayingRate.js";
-import { chooseByRendezvous } from "./identifiers.js";
+import { tryChooseFirstByRendezvous } from "./identifiers.js";
 import { PrefillQueue, PrefillSpeed, type PrefillSpeedOptions, type QueuedPrompt } from "./prefillQueue.js";
 import { type OwnRequest, type ServeForecast, type UpstreamModel, UpstreamState } from "./upstreamModel.js";
 import { getIncarnationKey, type UpstreamIncarnation, type UpstreamRegistration } from "./upstreamRegistry.js";
@@ -92,6 +92,11 @@
     readonly state: UpstreamState | undefined;
 }
 
+interface Candidate {
+    readonly upstream: UpstreamRegistration;
+    readonly load: Load;
+}
+
 /** The upstream that was chosen for a request, and the estimated prefill. */
 export interface Placement {
     readonly upstream: UpstreamRegistration;
@@ -148,15 +153,15 @@
         context: SelectionContext,
         now: number,
     ): Placement | undefined {
-        const untried = candidates.filter(candidate => !context.excludedIds.has(candidate.id));
-        const unpaused = untried.filter(candidate => this.getLoad(candidate, now).pausedUntil <= now);
+        const untried = candidates.filter(candidate => !context.excludedIds.has(candidate.id))
+            .map(upstream => ({ upstream, load: this.getLoad(upstream, now) }));
+        const unpaused = untried.filter(({ load }) => load.pausedUntil <= now);
         const usable = unpaused.length > 0 ? unpaused : untried;
         const preferred = this.findPreferredByHash(usable, demand);
         const selection = this.tryStartSelection(usable, demand, context, now);
         let best: UpstreamRegistration | undefined;
         let bestCost = Infinity;
-        for (const upstream of usable) {
-            const load = this.getLoad(upstream);
+        for (const { upstream, load } of usable) {
             const newTokens = this.countNewTokens(load, demand);
             const presumedCachedTokens = upstream.id === preferred
                 ? this.countPresumedCachedTokens(demand, newTokens)
@@ -179,7 +184,7 @@
     }
 
     private tryStartSelection(
-        usable: readonly UpstreamRegistration[],
+        usable: readonly Candidate[],
         demand: RequestDemand,
         context: SelectionContext,
         now: number,
@@ -188,8 +193,8 @@
         if (model === undefined || usable.length === 0) {
             return undefined;
         }
-        const { service } = usable[0]!;
-        const states = usable.map(upstream => this.getLoad(upstream).state!);
+        const { service } = usable[0]!.upstream;
+        const states = usable.map(({ load }) => load.state!);
         const selectionDemand = {
             promptTokens: demand.promptTokens,
             outputTokens: demand.outputTokens ?? 0,
@@ -379,13 +384,13 @@
 
     /** Finds the upstream that all routers prefer for a prompt, by hash of its longest part that may be shared. */
     private findPreferredByHash(
-        candidates: readonly UpstreamRegistration[],
+        candidates: readonly Candidate[],
         demand: RequestDemand,
     ): string | undefined {
         const shared = demand.parts[Math.max(0, demand.parts.length - 2)];
-        return shared === undefined || candidates.length === 0
+        return shared === undefined
             ? undefined
-            : chooseByRendezvous(shared.id, candidates.map(candidate => candidate.id), 1)[0];
+            : tryChooseFirstByRendezvous(shared.id, candidates.map(candidate => candidate.upstream.id));
     }
 
     /** `now`: when the upstream was heard of, if it was not known. */
--- a/test/daemons/placementSharer.test.ts
+++ b/test/daemons/placementSharer.test.ts
@@ -71,6 +71,27 @@
     t.same(logged, ["router_not_told"], "logged once, not per placement");
 });
 
+/** Guards against reports without the output from which the others estimate how long a request runs, and against herds of probes. */
+void t.test("the expected output is shared if it is estimated, and probes whatever their size", async t => {
+    const { sharer, network, recorded } = createSharer();
+    sharer.setOthers([{ address: "r2", zone: "z" }]);
+    await settlePromises();
+    const placement = { upstream: UPSTREAM, uncachedTokens: 900, queuedPrefillMs: 0, excessPrefillMs: 0 };
+    sharer.share(placement, [], 120);
+    sharer.share({ ...placement, uncachedTokens: 1, isProbe: true }, [], 8);
+    await settlePromises();
+    t.match(network.peer.notices, [{
+        placements: [{ newTokens: 900, outputTokens: 120 }, { newTokens: 1, outputTokens: 8 }],
+    }]);
+    const handlers = new PeerHandlers();
+    sharer.addHandlers(handlers);
+    const notice = { router: "r2", upstream: "u", newTokens: 900, beyondMs: 0, parts: [], outputTokens: 120 };
+    await handlers.handle("fleet.placementNotice", { passTo: "none", placements: [notice] }, network.peer);
+    t.equal(recorded[0]!.at(-1), 120);
+    const bad = { passTo: "none", placements: [{ ...notice, outputTokens: -1 }] };
+    await t.rejects(handlers.handle("fleet.placementNotice", bad, network.peer), { message: /^LW\d{4} peerMalformed/ });
+});
+
 void t.test("valid placements of other routers are recorded; malformed ones are refused with a result code", async t => {
     const { sharer, network, recorded } = createSharer();
     const handlers = new PeerHandlers();
--- a/test/platform/wireBundle.test.ts
+++ b/test/platform/wireBundle.test.ts
@@ -10,7 +10,7 @@
     const bundle = await decoder.decode(JSON.stringify(createWireBundle(7)));
     t.equal(bundle.revision, 7);
     t.match(bundle.routes[0], { kind: "stream", maxAttempts: 2, isResumable: true, targets: [{ service: "engines" }] });
-    t.match(bundle.services[0], { maxConnections: 40, engine: { slots: 4, tokensPerEvent: 5 } });
+    t.match(bundle.services[0], { maxConnections: 40, engine: { slots: 4, tokensPerEvent: 5, cacheTokens: 50_000 } });
     t.match(bundle.accounts[0], { name: "acme", keys: ["key-1"], prepaidTokens: 100_000 });
 });
 
