--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -34,6 +34,7 @@
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
+import { AdmissionMonitor } from "./admissionMonitor.js";
 import type { BundleListener } from "./bundleFetcher.js";
 import { ControllerContact } from "./controllerContact.js";
 import type { FeedListener } from "./controllerFeed.js";
@@ -81,6 +82,7 @@
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
+    private readonly admissionMonitor: AdmissionMonitor;
     private readonly controllerFeeds: ControllerFeeds;
     private readonly upstreamNotifier: UpstreamNotifier;
     private readonly signalReceiver: UpstreamSignalRecorder;
@@ -100,7 +102,7 @@
         override readonly tokenBudget: LocalTokenBudget,
         override readonly upstreams: DirectUpstreams,
         override readonly log: Log,
-        private readonly metrics: Metrics,
+        metrics: Metrics,
         private readonly decoder: BundleDecoder,
         private readonly prepaidReporter: PrepaidReporter,
         private readonly prepaidBorrower: PrepaidBorrower,
@@ -114,6 +116,7 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
+        this.admissionMonitor = new AdmissionMonitor(admission, load.model, log, metrics);
         this.controllerContact = new ControllerContact({
             contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
             upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
@@ -177,13 +180,7 @@
 
     private setGauges(): void {
         this.signalReceiver.setGauges();
-        if (this.load.model !== undefined) {
-            this.metrics.setGauge("upstream_stalls", this.load.model.stallCount);
-            this.metrics.setGauge("upstream_probes", this.load.model.probeCount);
-        }
-        if (this.admission !== undefined) {
-            this.metrics.setGauge("admission_confidence", this.admission.getConfidence());
-        }
+        this.admissionMonitor.update();
     }
 
     setSeeds(seeds: readonly string[]): void {
--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -54,6 +54,7 @@
     /** Mean of how much lower the ratio of single answers is. Later ones are no reason to admit more. */
     private earliness = 1;
     private sampleCount = 0;
+    private refusals = 0;
 
     constructor(private readonly options: AdmissionOptions, private readonly random: () => number) {}
 
@@ -70,6 +71,7 @@
         if (firstTokenMs <= remainingMs * firstTokenMargin && endMs <= remainingMs * wholeAnswerMargin) {
             return undefined;
         }
+        this.refusals += 1;
         // A retry should find the end within its time, not only within the margin.
         return this.drawRetryAfterMs(endMs - remainingMs * Math.min(1, wholeAnswerMargin));
     }
@@ -87,6 +89,11 @@
         this.ratio += (sample - this.ratio) * smoothingFactor;
     }
 
+    /** Number of refused requests since the process started. */
+    get refusalCount(): number {
+        return this.refusals;
+    }
+
     /** How well answers have confirmed the estimates, from 0 to 1. */
     getConfidence(): number {
         return Math.max(0, 1 - this.earliness / MAX_CONFIRMED_EARLINESS);
