--- a/test/domain/upstreamModel.test.ts
+++ b/test/domain/upstreamModel.test.ts
@@ -55,6 +55,17 @@
     t.end();
 });
 
+/** Guards against an upstream that is avoided for good, whose recovery nobody would notice. */
+void t.test("an upstream that is 10 times slower is still probed each second", t => {
+    const play = new UpstreamPlay({ ...UNLOADED, engines: createEngines(6, 10), rates: [10] });
+    play.run();
+    const probes = play.requests.filter(({ at, upstream }) => at >= 2_000 && upstream === "u0");
+    t.ok(probes.length >= 9 && probes.length <= 20, `${probes.length} requests in 10 s`);
+    t.equal(play.loads[0]!.model!.probeCount > 0, true);
+    t.equal(play.count("late"), 0);
+    t.end();
+});
+
 /** Guards against estimating the load of all routers from that of one, where one has most of the traffic. */
 void t.test("running requests are estimated from the reports of routers of very uneven load", t => {
     const engines = createEngines(4);
@@ -232,6 +243,30 @@
     t.end();
 });
 
+/** Guards against other choices in a fleet without load, where speeds vary a little from measurement to measurement. */
+void t.test("with the model, requests that find all upstreams idle go where they went without it", t => {
+    const upstreams = Array.from({ length: 5 }, (_, i) => createRegistration(`u${i}`));
+    const [plain, modelled] = [new UpstreamLoad("z1", LOAD_OPTIONS), createModelLoad()];
+    const random = createRandom();
+    for (let i = 0; i < 300; i++) {
+        const now = i * 1_000;
+        const demand = { parts: [{ id: `p${i % 7}`, tokens: 1_500 }], promptTokens: 1_800, outputTokens: 50 };
+        const placements = [plain, modelled].map(load => {
+            const placement = load.tryChoose(upstreams, demand, CONTEXT, now)!;
+            const started = load.recordStart(placement, demand, now);
+            load.recordFirstByte(started, now + 40);
+            load.recordTokens(started, 4, now + 40);
+            return { load, started };
+        });
+        const gapMs = 8 + random();
+        placements.forEach(({ load, started }) => load.recordTokens(started, 4, now + 40 + gapMs));
+        placements.forEach(({ load, started }) => load.recordEnd(started, true, now + 100));
+        t.equal(placements[1]!.started.upstream.id, placements[0]!.started.upstream.id);
+        t.equal(placements[1]!.started.outlook!.hasIdle, true);
+    }
+    t.end();
+});
+
 /** Guards against a changed choice where the settings have no section `upstreamModel`. */
 void t.test("without the model, output tokens, deadline and memory do not change the choice", t => {
     const upstreams = Array.from({ length: 5 }, (_, i) => createRegistration(`u${i}`));
