--- a/bench/decisionBench.ts
+++ b/bench/decisionBench.ts
@@ -57,7 +57,10 @@
     };
     upstreams.forEach((upstream, i) => {
         for (let k = 0; k < REPORTED_PER_UPSTREAM; k++) {
-            load.recordPeerRequest(upstream, 600, 0, [`system-${(i + k) % size.accounts}`], 0, 10_000);
+            load.recordPeerRequest(upstream, 600, 0, [`system-${(i + k) % size.accounts}`], 0, {
+                outputTokens: 10_000,
+                priority: k % 10,
+            });
         }
     });
     for (let i = 0; i < OWN_REQUESTS; i++) {
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -13,6 +13,7 @@
 import { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { UpstreamUpdate } from "../../domain/upstreamChanges.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import {
     getIncarnationKey,
     type HeardRegistration,
@@ -283,8 +284,12 @@
         return this.bundleIndex?.getLongestWaitMs(service) ?? Infinity;
     }
 
-    override sharePlacement(placement: Placement, request: RelayRequest, outputTokens: number | undefined): void {
-        this.placementSharer.share(placement, request.parts, outputTokens);
+    override sharePlacement(
+        placement: Placement,
+        request: RelayRequest,
+        estimates: ReportedEstimates | undefined,
+    ): void {
+        this.placementSharer.share(placement, request.parts, estimates);
     }
 
     override getRouterCount(): number {
--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -4,6 +4,7 @@
  */
 import { createRouterGroups, findGroupLinks, type GroupLinks, type RouterContact } from "../../domain/routerGroups.js";
 import type { Placement, PromptPart, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerHandlers } from "../../ports/peer.js";
@@ -64,11 +65,11 @@
         this.routerLinks.reconcile(this.listLinkTargets());
     }
 
-    /** Queues a placement for the next batch. `outputTokens`: expected output, if it is to be reported. */
+    /** Queues a placement for the next batch. `estimates`: omitted without a model of the upstreams. */
     share(
         { upstream, uncachedTokens, excessPrefillMs, isProbe }: Placement,
         parts: readonly PromptPart[],
-        outputTokens?: number,
+        estimates: ReportedEstimates = {},
     ): void {
         // Probes are shared whatever their size, so that the other routers do not send one too.
         if (uncachedTokens >= this.options.minTokens || isProbe === true) {
@@ -81,7 +82,7 @@
                 newTokens: uncachedTokens,
                 beyondMs: excessPrefillMs,
                 parts: parts.map(part => part.id),
-                ...(outputTokens === undefined ? {} : { outputTokens }),
+                ...estimates,
             };
             this.enqueue({ placement, passTo: "all" });
         }
@@ -90,18 +91,12 @@
     private receive(passTo: PlacementScope, placements: readonly SharedPlacement[]): void {
         const now = this.clock.getMonotonicMs();
         for (const placement of placements) {
-            const { router, upstream, bornAt, newTokens, beyondMs, parts, outputTokens } = placement;
+            const { router, upstream, bornAt, newTokens, beyondMs, parts, outputTokens, priority } = placement;
             if (router === this.self.address) {
                 continue;
             }
-            this.upstreamLoad.recordPeerRequest(
-                { id: upstream, bornAt },
-                newTokens,
-                beyondMs,
-                parts,
-                now,
-                outputTokens,
-            );
+            const estimates = { outputTokens, priority };
+            this.upstreamLoad.recordPeerRequest({ id: upstream, bornAt }, newTokens, beyondMs, parts, now, estimates);
             if (passTo !== "none") {
                 this.enqueue({ placement, passTo });
             }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -6,6 +6,7 @@
 import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
@@ -71,8 +72,12 @@
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
-    /** Reports a placement to the other routers. `outputTokens`: expected output, if it is estimated. */
-    abstract sharePlacement(placement: Placement, request: RelayRequest, outputTokens: number | undefined): void;
+    /** Reports a placement to the other routers. `estimates`: undefined without a model of the upstreams. */
+    abstract sharePlacement(
+        placement: Placement,
+        request: RelayRequest,
+        estimates: ReportedEstimates | undefined,
+    ): void;
     /** Number of known routers, including this one. */
     abstract getRouterCount(): number;
     /** Maximum age of an upstream's last report before it counts as lost, in milliseconds. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -2,11 +2,13 @@
  * Processes one request: reserves prepaid tokens, sends the request to an upstream and, where the route allows it, retries at
  * other upstreams until the caller has a final response.
  */
+import { LOWEST_PRIORITY } from "../../domain/priorityBacklog.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { hasTimeToSend } from "../../domain/sendingTime.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
 import type { LoadOutcome, Placement, RequestDemand, StartedPlacement } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
@@ -14,7 +16,6 @@
 import { computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
-const LOWEST_PRIORITY = 9;
 /** Number of route ranks within each account rank; the account rank takes precedence. */
 const ROUTE_RANK_COUNT = 3;
 
@@ -135,21 +136,28 @@
 
     private getDemand(): RequestDemand {
         const { parts, promptTokens } = this.resolved.request;
-        return { parts, promptTokens, outputTokens: this.tryGetExpectedTokens() };
+        return { parts, promptTokens, ...this.tryGetEstimates() };
     }
 
-    /** Returns the output tokens that are still expected; undefined if they are not estimated. */
-    private tryGetExpectedTokens(): number | undefined {
+    private getPriority(): number {
+        const { route, account } = this.resolved;
+        return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
+    }
+
+    /** Returns undefined without a model of the upstreams. */
+    private tryGetEstimates(): ReportedEstimates | undefined {
         const { request, route, service } = this.resolved;
         const { model } = this.context.load;
         if (model === undefined) {
             return undefined;
         }
+        const priority = this.getPriority();
         if (service.engine === undefined || route.kind !== "stream") {
-            return 0;
+            return { outputTokens: 0, priority };
         }
         const expectedTokens = model.getExpectedTokens(route.name, request.maxOutputTokens);
-        return Math.max(0, expectedTokens - this.progress.eventCount * service.engine.tokensPerEvent);
+        const sentTokens = this.progress.eventCount * service.engine.tokensPerEvent;
+        return { outputTokens: Math.max(0, expectedTokens - sentTokens), priority };
     }
 
     /** An answer that has begun is continued, and one that may have run cannot be refused as not run. */
@@ -179,13 +187,12 @@
         this.placement = placement;
         const { request } = this.resolved;
         const now = performance.now();
-        const expectedTokens = this.tryGetExpectedTokens();
-        const started = load.recordStart(placement, request, now);
+        const started = load.recordStart(placement, this.getDemand(), now);
         const isLimited = this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
         if (isLimited) {
             this.context.recordRateLimitedSend();
         }
-        this.context.sharePlacement(placement, request, expectedTokens);
+        this.context.sharePlacement(placement, request, this.tryGetEstimates());
         const attempt = this.createAttempt(started, isLimited);
         this.attempt = attempt;
         this.sendCount += 1;
@@ -207,7 +214,6 @@
     private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
-        const accountRank = account?.rank ?? 0;
         const sentAt = performance.now();
         const canRetryElsewhere = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
         return new Attempt(this.context.upstreams, {
@@ -216,7 +222,7 @@
                 request: request.forwarded,
                 account: account?.name,
                 remainingMs: Math.max(1, Math.floor(this.deadline - performance.now())),
-                priority: Math.min(LOWEST_PRIORITY, accountRank * ROUTE_RANK_COUNT + route.rank),
+                priority: this.getPriority(),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
                 // The request may have waited for a connection until little of its time is left.
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -9,7 +9,14 @@
 import { DecayingRate } from "./decayingRate.js";
 import { tryChooseFirstByRendezvous } from "./identifiers.js";
 import { PrefillQueue, PrefillSpeed, type PrefillSpeedOptions, type QueuedPrompt } from "./prefillQueue.js";
-import { type OwnRequest, type ServeForecast, type UpstreamModel, UpstreamState } from "./upstreamModel.js";
+import { LOWEST_PRIORITY } from "./priorityBacklog.js";
+import {
+    type OwnRequest,
+    type ReportedEstimates,
+    type ServeForecast,
+    type UpstreamModel,
+    UpstreamState,
+} from "./upstreamModel.js";
 import { getIncarnationKey, type UpstreamIncarnation, type UpstreamRegistration } from "./upstreamRegistry.js";
 import { type ServiceOutlook, UpstreamSelection } from "./upstreamSelection.js";
 
@@ -25,6 +32,8 @@
     readonly promptTokens: number;
     /** Expected output tokens; 0 by default. Used only with a model of the upstreams. */
     readonly outputTokens?: number | undefined;
+    /** From 0, the most urgent, to 9, the least, which is the default. Used only with a model of the upstreams. */
+    readonly priority?: number | undefined;
 }
 
 /** Inputs of a choice other than the request. */
@@ -169,7 +178,11 @@
             const prefillMs = (newTokens - presumedCachedTokens) * load.speed.msPerToken;
             const backlogMs = load.prefillQueue.getBacklogMs(now);
             const cost = this.estimateCostMs(upstream, load, prefillMs, backlogMs, context, now);
-            selection?.add(upstream, load.state!, { prefillMs, backlogMs, slots: upstream.slots }, cost);
+            if (selection !== undefined) {
+                const msPerPromptToken = load.speed.msPerToken;
+                const work = { prefillMs, backlogMs, msPerPromptToken, slots: upstream.slots };
+                selection.add(upstream, load.state!, work, cost);
+            }
             if (cost < bestCost) {
                 best = upstream;
                 bestCost = cost;
@@ -198,6 +211,7 @@
         const selectionDemand = {
             promptTokens: demand.promptTokens,
             outputTokens: demand.outputTokens ?? 0,
+            priority: demand.priority ?? LOWEST_PRIORITY,
             cacheTokens: context.cacheTokens,
             remainingMs: context.remainingMs ?? Infinity,
         };
@@ -237,24 +251,32 @@
         if (isProbe === true && this.model !== undefined) {
             this.model.probeCount += 1;
         }
-        const own = this.model?.recordStart(load.state!, placement, demand.promptTokens, now);
+        const own = this.model?.recordStart(
+            load.state!,
+            placement,
+            demand.promptTokens,
+            demand.priority,
+            load.speed.msPerToken,
+            now,
+        );
         return { ...placement, prompt: load.prefillQueue.add(uncachedTokens, now), own };
     }
 
-    /** Records a request that another router sent. `outputTokens`: expected output, 0 if unknown. */
+    /** Records a request that another router sent. */
     recordPeerRequest(
         upstream: UpstreamIncarnation,
         newTokens: number,
         beyondMs: number,
         parts: readonly string[],
         now: number,
-        outputTokens = 0,
+        estimates: ReportedEstimates = {},
     ): void {
         const load = this.getLoad(upstream, now);
         load.excessPrefillRate.add(beyondMs, now);
         this.addCachedParts(load, parts);
         load.prefillQueue.addRemote(newTokens, now);
-        this.model?.recordReported(load.state!, newTokens, outputTokens, load.prefillQueue.getBacklogMs(now), now);
+        const backlogMs = load.prefillQueue.getBacklogMs(now);
+        this.model?.recordReported(load.state!, newTokens, estimates, load.speed.msPerToken, backlogMs, now);
     }
 
     /** Records that a response has begun, which shows that the prefill is complete. */
--- a/src/domain/upstreamModel.ts
+++ b/src/domain/upstreamModel.ts
@@ -6,6 +6,7 @@
 import * as z from "zod";
 import { DecodeSpeed } from "./decodeSpeed.js";
 import { ExpectedOutput } from "./expectedOutput.js";
+import { LOWEST_PRIORITY, PriorityBacklog } from "./priorityBacklog.js";
 import { ReportedFraction, RunningRequests } from "./runningRequests.js";
 import type { UpstreamRegistration } from "./upstreamRegistry.js";
 
@@ -46,10 +47,19 @@
     readonly queuedPrefillMs: number;
 }
 
+/** What a router reports of a request besides its prompt. */
+export interface ReportedEstimates {
+    /** Expected output. */
+    readonly outputTokens?: number | undefined;
+    /** From 0, the most urgent, to 9, the least; the latter if unknown. */
+    readonly priority?: number | undefined;
+}
+
 /** What is known of one upstream incarnation. */
 export class UpstreamState {
     readonly decodeSpeed = new DecodeSpeed();
     readonly running = new RunningRequests();
+    readonly backlog = new PriorityBacklog();
     /** Time that a request occupies a slot; undefined until measured. */
     durationMs: number | undefined;
     /** When the upstream or another router last said anything about its load. */
@@ -71,6 +81,7 @@
     /** Time to process the request's own prompt, and the prompts before it. */
     readonly prefillMs: number;
     readonly backlogMs: number;
+    readonly msPerPromptToken: number;
     readonly slots: number;
 }
 
@@ -78,6 +89,8 @@
 export interface ServeForecast {
     /** Time until the upstream begins to process the prompt. */
     readonly queueWaitMs: number;
+    /** Part of it until the upstream has a free slot and memory. */
+    readonly capacityWaitMs: number;
     readonly firstTokenMs: number;
     readonly endMs: number;
     /** Whether the upstream has a free slot and no known backlog. */
@@ -108,9 +121,12 @@
         state: UpstreamState,
         placement: PlacedRequest,
         promptTokens: number,
+        priority: number | undefined,
+        msPerPromptToken: number,
         now: number,
     ): OwnRequest {
         const { upstream: { service, slots }, uncachedTokens, queuedPrefillMs } = placement;
+        state.backlog.add(uncachedTokens, priority ?? LOWEST_PRIORITY, msPerPromptToken, now);
         this.getFraction(service).record(uncachedTokens >= this.minReportedTokens);
         const hadFreeSlot = queuedPrefillMs === 0 && this.countKnown(state, service, now) < slots;
         state.running.addOwn(promptTokens);
@@ -150,10 +166,12 @@
     recordReported(
         state: UpstreamState,
         newTokens: number,
-        outputTokens: number,
+        { outputTokens = 0, priority = LOWEST_PRIORITY }: ReportedEstimates,
+        msPerPromptToken: number,
         waitMs: number,
         now: number,
     ): void {
+        state.backlog.add(newTokens, priority, msPerPromptToken, now);
         const durationMs = waitMs + outputTokens * (state.decodeSpeed.msPerToken ?? this.typicalMsPerToken);
         state.running.addReported(durationMs, newTokens + outputTokens / 2, now);
         state.dataAt = now;
@@ -255,16 +273,17 @@
         state: UpstreamState,
         work: CandidateWork,
         service: string,
-        tokens: {
+        demand: {
             readonly promptTokens: number;
             readonly outputTokens: number;
             readonly cacheTokens?: number | undefined;
+            readonly priority: number;
         },
         msPerToken: number,
         now: number,
     ): ServeForecast {
-        const { slots, backlogMs, prefillMs } = work;
-        const { promptTokens, outputTokens, cacheTokens = Infinity } = tokens;
+        const { slots, backlogMs, prefillMs, msPerPromptToken } = work;
+        const { promptTokens, outputTokens, cacheTokens = Infinity, priority } = demand;
         const count = this.countKnown(state, service, now);
         const missingSlotsPart = slots > 0 ? Math.max(0, (Math.floor(count) + 1 - slots) / slots) : 0;
         const occupiedTokens = state.running.getTokens(now);
@@ -272,11 +291,13 @@
         const missingMemoryPart = occupiedTokens > 0
             ? Math.max(0, (occupiedTokens + promptTokens + outputTokens) / cacheTokens - 1)
             : 0;
-        const admissionWaitMs = Math.max(missingSlotsPart, missingMemoryPart) * (state.durationMs ?? 0);
-        const queueWaitMs = backlogMs + admissionWaitMs;
+        const capacityWaitMs = Math.max(missingSlotsPart, missingMemoryPart) * (state.durationMs ?? 0);
+        const urgentFraction = backlogMs > 0 ? state.backlog.getUrgentFraction(priority, msPerPromptToken, now) : 1;
+        const queueWaitMs = backlogMs * urgentFraction + capacityWaitMs;
         const firstTokenMs = queueWaitMs + prefillMs;
         return {
             queueWaitMs,
+            capacityWaitMs,
             firstTokenMs,
             endMs: firstTokenMs + outputTokens * msPerToken,
             isIdle: backlogMs === 0 && missingSlotsPart === 0 && missingMemoryPart === 0,
--- a/src/domain/upstreamSelection.ts
+++ b/src/domain/upstreamSelection.ts
@@ -16,6 +16,8 @@
 export interface SelectionDemand {
     readonly promptTokens: number;
     readonly outputTokens: number;
+    /** From 0, the most urgent, to 9, the least. */
+    readonly priority: number;
     /** Prompt and output tokens that an upstream of the service holds at most; undefined if unknown. */
     readonly cacheTokens: number | undefined;
     /** Time until the request's deadline, in milliseconds. */
@@ -79,12 +81,11 @@
         this.endMs = Math.min(this.endMs, forecast.endMs);
         this.hasIdle ||= forecast.isIdle;
         const extraMsPerToken = Math.max(0, msPerToken - speeds.fastest * SPEED_TOLERANCE_FACTOR);
-        const admissionWaitMs = forecast.queueWaitMs - work.backlogMs;
         const candidate = {
             upstream,
             state,
             forecast,
-            cost: cost + demand.outputTokens * extraMsPerToken + admissionWaitMs,
+            cost: cost + demand.outputTokens * extraMsPerToken + forecast.capacityWaitMs,
         };
         if (this.heldBack.has(state)) {
             if (forecast.firstTokenMs <= demand.remainingMs) {
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -4,6 +4,7 @@
 import { MAX_ZONE_LENGTH } from "../domain/evacuationCommands.js";
 import type { EvacuationList } from "../domain/evacuationStore.js";
 import type { PrepaidResult } from "../domain/prepaidLedger.js";
+import { LOWEST_PRIORITY } from "../domain/priorityBacklog.js";
 import type { RouterContact } from "../domain/routerGroups.js";
 import type { ChangeCursor, UpstreamUpdate } from "../domain/upstreamChanges.js";
 import {
@@ -167,6 +168,8 @@
     readonly parts: readonly string[];
     /** Expected output; omitted by routers without a model of the upstreams. */
     readonly outputTokens?: number | undefined;
+    /** Priority at the upstream, from 0, the most urgent, to 9; omitted like `outputTokens`. */
+    readonly priority?: number | undefined;
 }
 
 /** Maximum number of placements in one notice. */
@@ -180,6 +183,7 @@
     beyondMs: nonNegativeInt,
     parts: z.array(shortName).max(1_000),
     outputTokens: nonNegativeInt.optional(),
+    priority: z.int().min(0).max(LOWEST_PRIORITY).optional(),
 }) satisfies z.ZodType<SharedPlacement>;
 
 /**
--- a/test/daemons/placementSharer.test.ts
+++ b/test/daemons/placementSharer.test.ts
@@ -77,17 +77,25 @@
     sharer.setOthers([{ address: "r2", zone: "z" }]);
     await settlePromises();
     const placement = { upstream: UPSTREAM, uncachedTokens: 900, queuedPrefillMs: 0, excessPrefillMs: 0 };
-    sharer.share(placement, [], 120);
-    sharer.share({ ...placement, uncachedTokens: 1, isProbe: true }, [], 8);
+    sharer.share(placement, [], { outputTokens: 120, priority: 3 });
+    sharer.share({ ...placement, uncachedTokens: 1, isProbe: true }, [], { outputTokens: 8, priority: 9 });
     await settlePromises();
     t.match(network.peer.notices, [{
-        placements: [{ newTokens: 900, outputTokens: 120 }, { newTokens: 1, outputTokens: 8 }],
+        placements: [{ newTokens: 900, outputTokens: 120, priority: 3 }, { newTokens: 1, outputTokens: 8 }],
     }]);
     const handlers = new PeerHandlers();
     sharer.addHandlers(handlers);
-    const notice = { router: "r2", upstream: "u", newTokens: 900, beyondMs: 0, parts: [], outputTokens: 120 };
+    const notice = {
+        router: "r2",
+        upstream: "u",
+        newTokens: 900,
+        beyondMs: 0,
+        parts: [],
+        outputTokens: 120,
+        priority: 3,
+    };
     await handlers.handle("fleet.placementNotice", { passTo: "none", placements: [notice] }, network.peer);
-    t.equal(recorded[0]!.at(-1), 120);
+    t.same(recorded[0]!.at(-1), { outputTokens: 120, priority: 3 });
     const bad = { passTo: "none", placements: [{ ...notice, outputTokens: -1 }] };
     await t.rejects(handlers.handle("fleet.placementNotice", bad, network.peer), { message: /^LW\d{4} peerMalformed/ });
 });
--- a/test/domain/upstreamModel.test.ts
+++ b/test/domain/upstreamModel.test.ts
@@ -116,7 +116,7 @@
         load.recordEnd(load.recordStart(placement, demand, 0), true, 0);
     }
     for (let i = 0; i < 10; i++) {
-        load.recordPeerRequest(upstream, 600, 0, [], 0, 100);
+        load.recordPeerRequest(upstream, 600, 0, [], 0, { outputTokens: 100 });
     }
     const state = load.tryGetState(upstream)!;
     t.ok(Math.abs(load.model!.countKnown(state, "s", 0) - 20) < 1, "10 reported, as many unreported");
@@ -167,7 +167,7 @@
     const started = load.recordStart(load.tryChoose([first], demand, CONTEXT, 0)!, demand, 0);
     load.recordTokens(started, 4, 10);
     load.recordTokens(started, 4, 90);
-    load.recordPeerRequest(first, 600, 0, [], 90, 100);
+    load.recordPeerRequest(first, 600, 0, [], 90, { outputTokens: 100 });
     load.recordRegistered(second, 100);
     const state = load.tryGetState(second)!;
     t.equal(load.model!.countKnown(state, "s", 100), 0);
@@ -186,7 +186,7 @@
     const demand = { parts: [], promptTokens: 600, outputTokens: 100 };
     load.recordStart(load.tryChoose([upstream], demand, CONTEXT, 0)!, demand, 0);
     for (let i = 0; i < 20; i++) {
-        load.recordPeerRequest(upstream, 600, 0, [], 0, 100);
+        load.recordPeerRequest(upstream, 600, 0, [], 0, { outputTokens: 100 });
     }
     const state = load.tryGetState(upstream)!;
     t.equal(load.model!.countPresumed(state, "s", 10, 10), 21, "reported");
@@ -205,7 +205,7 @@
     load.recordRegistered(added, 60_000);
     // All others have a backlog, so that the new one is always the best.
     const countChosen = (now: number) => {
-        upstreams.forEach(upstream => load.recordPeerRequest(upstream, 20_000, 0, [], now, 0));
+        upstreams.forEach(upstream => load.recordPeerRequest(upstream, 20_000, 0, [], now));
         const demand = { parts: [], promptTokens: 600, outputTokens: 0 };
         const chosen = Array.from(
             { length: 1_000 },
@@ -243,6 +243,24 @@
     t.end();
 });
 
+/** Guards against urgent requests that are refused for a backlog which engines process after them. */
+void t.test("a request waits only for prompts that are at least as urgent", t => {
+    const load = createModelLoad();
+    const upstream = createRegistration("u");
+    load.recordPeerRequest(upstream, 100_000, 0, [], 0, { priority: 6 });
+    load.recordPeerRequest(upstream, 10_000, 0, [], 0, { priority: 3 });
+    const estimate = (priority: number, now: number) => {
+        const demand = { parts: [], promptTokens: 0, priority };
+        return Math.round(load.tryChoose([upstream], demand, CONTEXT, now)!.outlook!.queueWaitMs);
+    };
+    t.equal(estimate(0, 0), 0);
+    t.equal(estimate(3, 0), 200);
+    t.equal(estimate(6, 0), 2_200);
+    t.equal(estimate(3, 200), 0, "the more urgent prompts are processed first");
+    t.equal(estimate(6, 200), 2_000);
+    t.end();
+});
+
 /** Guards against other choices in a fleet without load, where speeds vary a little from measurement to measurement. */
 void t.test("with the model, requests that find all upstreams idle go where they went without it", t => {
     const upstreams = Array.from({ length: 5 }, (_, i) => createRegistration(`u${i}`));
--- a/test/tools/upstreamPlay.ts
+++ b/test/tools/upstreamPlay.ts
@@ -211,7 +211,7 @@
         }
         this.schedule(this.now + NOTICE_DELAY_MS, () => {
             const others = this.loads.filter((_, i) => i !== router);
-            others.forEach(load => load.recordPeerRequest(upstream, promptTokens, 0, [], this.now, outputTokens));
+            others.forEach(load => load.recordPeerRequest(upstream, promptTokens, 0, [], this.now, { outputTokens }));
         });
     }
 }
