--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -82,8 +82,11 @@
     readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the response body begins. */
     readonly onFirstByte: () => void;
-    /** Called when complete events of a stream arrive, with their number. Monotonic clock, milliseconds. */
-    readonly onEvents?: ((count: number, now: number) => void) | undefined;
+    /**
+     * Called when complete events of a stream arrive, with their number. Monotonic clock, milliseconds. `wasPaused`: reading had
+     * been paused for a slow caller, so that the gap before them says nothing about the upstream.
+     */
+    readonly onEvents?: ((count: number, now: number, wasPaused: boolean) => void) | undefined;
 }
 
 export function isSuccess(status: number): boolean {
@@ -104,6 +107,7 @@
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => undefined;
     private isSettled = false;
     private isStarted = false;
+    private wasPaused = false;
     private status = 0;
     private isFramed = false;
     private inactivityTimer: NodeJS.Timeout | undefined;
@@ -186,13 +190,14 @@
             progress.eventCount += newEventCount;
             progress.lastEventId = this.splitter.lastEventId ?? progress.lastEventId;
             if (newEventCount > 0) {
-                this.options.onEvents?.(newEventCount, this.lastActivityAt);
+                this.options.onEvents?.(newEventCount, this.lastActivityAt, this.wasPaused);
+                this.wasPaused = false;
             }
         }
-        if (!isResumable) {
-            return sink.write(bytes);
-        }
-        return completeEvents === undefined ? true : sink.write(completeEvents);
+        const forwarded = isResumable ? completeEvents : bytes;
+        const canContinue = forwarded === undefined || sink.write(forwarded);
+        this.wasPaused ||= !canContinue;
+        return canContinue;
     }
 
     onEnd(): void {
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -202,7 +202,7 @@
         if (!attempt.hasFirstByte) {
             load.recordUnanswered(started);
         }
-        load.recordEnd(started, outcome.type === "answered", performance.now());
+        load.recordEnd(started, outcome.type === "answered" && isSuccess(outcome.status), performance.now());
         this.recordOutputTokens(attempt, outcome);
         this.mayHaveRun ||= outcome.type !== "notRun";
         this.recordOutcome(placement.upstream, outcome, attempt.hasAcceptedHead);
@@ -242,8 +242,8 @@
             onFirstByte: () => this.recordFirstByte(placement, sentAt),
             onEvents: this.context.load.model === undefined || service.engine === undefined
                 ? undefined
-                : (count, now) =>
-                    this.context.load.recordTokens(placement, count * service.engine!.tokensPerEvent, now),
+                : (count, now, wasPaused) =>
+                    this.context.load.recordTokens(placement, count * service.engine!.tokensPerEvent, now, wasPaused),
         });
     }
 
--- a/src/domain/upstreamLoad.ts
+++ b/src/domain/upstreamLoad.ts
@@ -286,10 +286,10 @@
         this.model?.recordFirstByte(load.state!, now);
     }
 
-    /** Records that output tokens of a stream arrived. */
-    recordTokens({ upstream, own }: StartedPlacement, tokens: number, now: number): void {
+    /** Records that output tokens of a stream arrived. `wasPaused`: the router had not read it for a time. */
+    recordTokens({ upstream, own }: StartedPlacement, tokens: number, now: number, wasPaused = false): void {
         if (own !== undefined) {
-            this.model?.recordTokens(this.getLoad(upstream).state!, own, tokens, now);
+            this.model?.recordTokens(this.getLoad(upstream).state!, own, tokens, now, wasPaused);
         }
     }
 
--- a/src/domain/upstreamModel.ts
+++ b/src/domain/upstreamModel.ts
@@ -134,9 +134,9 @@
         return { startedAt: now, hadFreeSlot, tokens: promptTokens, lastEventAt: undefined };
     }
 
-    /** Records that output tokens of a stream arrived. */
-    recordTokens(state: UpstreamState, request: OwnRequest, tokens: number, now: number): void {
-        if (request.lastEventAt !== undefined) {
+    /** Records that output tokens of a stream arrived. `wasPaused`: the router had not read it for a time. */
+    recordTokens(state: UpstreamState, request: OwnRequest, tokens: number, now: number, wasPaused: boolean): void {
+        if (request.lastEventAt !== undefined && !wasPaused) {
             const stallsBefore = state.decodeSpeed.stallCount;
             state.decodeSpeed.recordGap(tokens, now - request.lastEventAt, now);
             this.stallCount += state.decodeSpeed.stallCount - stallsBefore;
--- a/test/domain/upstreamModel.test.ts
+++ b/test/domain/upstreamModel.test.ts
@@ -146,6 +146,20 @@
     t.end();
 });
 
+/** Guards against a slow caller whose pauses are taken for those of the upstream. */
+void t.test("a gap in which the router did not read the stream does not count", t => {
+    const load = createModelLoad();
+    const upstream = createRegistration("u");
+    const demand = { parts: [], promptTokens: 600, outputTokens: 100 };
+    const started = load.recordStart(load.tryChoose([upstream], demand, CONTEXT, 0)!, demand, 0);
+    [10, 18, 26].forEach(now => load.recordTokens(started, 4, now));
+    load.recordTokens(started, 4, 900, true);
+    const { decodeSpeed } = load.tryGetState(upstream)!;
+    t.equal(decodeSpeed.msPerToken, 2);
+    t.equal(decodeSpeed.stallCount, 0);
+    t.end();
+});
+
 /** Guards against an upstream whose permanent slowdown is taken for an endless series of stalls. */
 void t.test("an upstream that became much slower is measured after some stalls", t => {
     const { decodeSpeed } = new UpstreamState(0);
--- a/test/platform/admission.test.ts
+++ b/test/platform/admission.test.ts
@@ -13,6 +13,8 @@
 /** The engine processes one prompt after the other, each in the time that the router presumes for its tokens. */
 const PREFILL_MS = 100;
 const PROMPT_TOKENS = 5_000;
+/** Between two events, each of 5 tokens. */
+const EVENT_MS = 20;
 const DEADLINE_MS = 1_500;
 const GOAL_MS = 800;
 const BURST = 40;
@@ -23,7 +25,8 @@
     setTimeout(() => {
         const signed = { "Attempt-Id": message.headers["attempt-id"], "Instance-Signature": "sig" };
         response.writeHead(200, { ...signed, "Content-Type": "text/event-stream" });
-        response.end("id: 1\ndata: piece\n\n");
+        response.write("id: 1\ndata: piece\n\n");
+        setTimeout(() => response.end("id: 2\ndata: piece\n\n"), EVENT_MS);
     }, prefillEndsAt - performance.now());
 };
 
@@ -36,7 +39,7 @@
             "Attempt-Id": id,
             "Credential": "key-1",
             "Deadline-Ms": String(DEADLINE_MS),
-            "Token-Usage": `${PROMPT_TOKENS},5`,
+            "Token-Usage": `${PROMPT_TOKENS},10`,
             "Prefix-Hash": `${id}:${PROMPT_TOKENS}`,
         },
         body: "{}",
@@ -82,5 +85,9 @@
     const waits = refused.map(({ retryAfter }) => retryAfter);
     t.ok(waits.every(seconds => seconds >= 0.1 && seconds <= 5), waits.join(" "));
     t.ok(new Set(waits).size > refused.length / 4, "spread out");
+    const { load, registry } = fleet.routers.get("r1")!.role.daemon;
+    const { decodeSpeed, running } = load.tryGetState(registry.tryGet("e1")!)!;
+    t.ok(Math.abs(decodeSpeed.msPerToken! - EVENT_MS / 5) < 2, `${decodeSpeed.msPerToken} ms per token were learned`);
+    t.equal(running.getTokens(performance.now()), 0, "no request is left in the model");
     t.ok(served.length >= sent * 0.8, `${served.length} of ${sent} were served by their deadline`);
 });
