--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -82,6 +82,11 @@
     readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the response body begins. */
     readonly onFirstByte: () => void;
+    /**
+     * Called when complete events of a stream arrive, with their number. Monotonic clock, milliseconds. `wasPaused`: reading had
+     * been paused for a slow caller, so that the gap before them says nothing about the upstream.
+     */
+    readonly onEvents?: ((count: number, now: number, wasPaused: boolean) => void) | undefined;
 }
 
 export function isSuccess(status: number): boolean {
@@ -104,6 +109,7 @@
     private isStarted = false;
     /** Whether the answer is not read because the caller reads too slowly. */
     private isPaused = false;
+    private wasPaused = false;
     private status = 0;
     private isFramed = false;
     private inactivityTimer: NodeJS.Timeout | undefined;
@@ -191,10 +197,15 @@
             this.eventCount += newEventCount;
             progress.eventCount += newEventCount;
             progress.lastEventId = this.splitter.lastEventId ?? progress.lastEventId;
+            if (newEventCount > 0) {
+                this.options.onEvents?.(newEventCount, this.lastActivityAt, this.wasPaused);
+                this.wasPaused = false;
+            }
         }
         const forwarded = isResumable ? completeEvents : bytes;
         const canContinue = forwarded === undefined || sink.write(forwarded);
         this.isPaused = !canContinue;
+        this.wasPaused ||= !canContinue;
         return canContinue;
     }
 
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,6 +1,7 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
+import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
-import { BundleIndex, type BundleService, selectTarget } from "../../domain/bundle.js";
+import { BundleIndex, type BundleService, listPrepaidLimits, selectTarget } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
@@ -13,6 +14,7 @@
 import { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { UpstreamUpdate } from "../../domain/upstreamChanges.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import {
     getIncarnationKey,
     type HeardRegistration,
@@ -34,6 +36,7 @@
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
+import { AdmissionMonitor } from "./admissionMonitor.js";
 import type { BundleListener } from "./bundleFetcher.js";
 import { ControllerContact } from "./controllerContact.js";
 import type { FeedListener } from "./controllerFeed.js";
@@ -82,6 +85,7 @@
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
+    private readonly admissionMonitor: AdmissionMonitor;
     private readonly controllerFeeds: ControllerFeeds;
     private readonly upstreamNotifier: UpstreamNotifier;
     private readonly signalReceiver: UpstreamSignalRecorder;
@@ -112,6 +116,7 @@
         network: PeerNetwork,
         private readonly clock: Clock,
         readonly loopMonitor: EventLoopMonitor,
+        override readonly admission: AdmissionPolicy | undefined,
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
@@ -119,6 +124,7 @@
         this.bodyMemory = options.bodyMemory === undefined
             ? undefined
             : new BodyMemory(options.bodyMemory, Math.random);
+        this.admissionMonitor = new AdmissionMonitor(admission, load.model, log, metrics);
         this.controllerContact = new ControllerContact({
             contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
             upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
@@ -305,8 +311,12 @@
         return this.bundleIndex?.getLongestWaitMs(service) ?? Infinity;
     }
 
-    override sharePlacement(placement: Placement, request: RelayRequest): void {
-        this.placementSharer.share(placement, request.parts);
+    override sharePlacement(
+        placement: Placement,
+        request: RelayRequest,
+        estimates: ReportedEstimates | undefined,
+    ): void {
+        this.placementSharer.share(placement, request.parts, estimates);
     }
 
     override getRouterCount(): number {
@@ -420,13 +430,8 @@
         this.coordinator?.receiveBundle(bundle);
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
-        const limits = bundle.accounts.filter(account => account.prepaidTokens !== undefined);
         // Report only changed limits: a report per router and bundle would load the leader.
-        if (
-            this.tokenBudget.setLimits(
-                limits.map(account => ({ account: account.name, tokens: account.prepaidTokens! })),
-            )
-        ) {
+        if (this.tokenBudget.setLimits(listPrepaidLimits(bundle))) {
             this.prepaidReporter.requestReport();
         }
     }
@@ -478,6 +483,7 @@
 
     private setGauges(): void {
         this.signalReceiver.setGauges();
+        this.admissionMonitor.update();
         if (this.bodyMemory !== undefined) {
             this.recorder.setBodyBytes(this.bodyMemory.getHeldBytes());
         }
@@ -514,6 +520,7 @@
                 });
             }
             this.signalReceiver.recordReportedLimit(heard);
+            this.load.recordRegistered(registration, now);
         }
     }
 }
--- a/src/daemons/directRouter/placementSharer.ts
+++ b/src/daemons/directRouter/placementSharer.ts
@@ -4,6 +4,7 @@
  */
 import { createRouterGroups, findGroupLinks, type GroupLinks, type RouterContact } from "../../domain/routerGroups.js";
 import type { Placement, PromptPart, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerHandlers } from "../../ports/peer.js";
@@ -64,9 +65,14 @@
         this.routerLinks.reconcile(this.listLinkTargets());
     }
 
-    /** Queues a placement for the next batch. */
-    share({ upstream, uncachedTokens, excessPrefillMs }: Placement, parts: readonly PromptPart[]): void {
-        if (uncachedTokens >= this.options.minTokens) {
+    /** Queues a placement for the next batch. `estimates`: omitted without a model of the upstreams. */
+    share(
+        { upstream, uncachedTokens, excessPrefillMs, isProbe }: Placement,
+        parts: readonly PromptPart[],
+        estimates: ReportedEstimates = {},
+    ): void {
+        // Probes are shared whatever their size, so that the other routers do not send one too.
+        if (uncachedTokens >= this.options.minTokens || isProbe === true) {
             const router = this.self.address;
             const { id, bornAt } = upstream;
             const placement = {
@@ -76,6 +82,7 @@
                 newTokens: uncachedTokens,
                 beyondMs: excessPrefillMs,
                 parts: parts.map(part => part.id),
+                ...estimates,
             };
             this.enqueue({ placement, passTo: "all" });
         }
@@ -84,11 +91,12 @@
     private receive(passTo: PlacementScope, placements: readonly SharedPlacement[]): void {
         const now = this.clock.getMonotonicMs();
         for (const placement of placements) {
-            const { router, upstream, bornAt, newTokens, beyondMs, parts } = placement;
+            const { router, upstream, bornAt, newTokens, beyondMs, parts, outputTokens, priority } = placement;
             if (router === this.self.address) {
                 continue;
             }
-            this.upstreamLoad.recordPeerRequest({ id: upstream, bornAt }, newTokens, beyondMs, parts, now);
+            const estimates = { outputTokens, priority };
+            this.upstreamLoad.recordPeerRequest({ id: upstream, bornAt }, newTokens, beyondMs, parts, now, estimates);
             if (passTo !== "none") {
                 this.enqueue({ placement, passTo });
             }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -1,4 +1,5 @@
 /** State and operations of a router that its requests share. */
+import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import type { BodyMemory } from "../../domain/bodyMemory.js";
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
@@ -6,6 +7,7 @@
 import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
@@ -68,11 +70,17 @@
     abstract readonly quarantine: RequestQuarantine;
     /** Undefined if the memory of request bodies is not bounded. */
     abstract readonly bodyMemory: BodyMemory | undefined;
+    /** Undefined if requests are sent whatever their remaining time. */
+    abstract readonly admission: AdmissionPolicy | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
-    /** Reports a placement to the other routers. */
-    abstract sharePlacement(placement: Placement, request: RelayRequest): void;
+    /** Reports a placement to the other routers. `estimates`: undefined without a model of the upstreams. */
+    abstract sharePlacement(
+        placement: Placement,
+        request: RelayRequest,
+        estimates: ReportedEstimates | undefined,
+    ): void;
     /** Number of known routers, including this one. */
     abstract getRouterCount(): number;
     /** Maximum age of an upstream's last report before it counts as lost, in milliseconds. */
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -52,6 +52,8 @@
         readonly slots: number;
         /** Maximum number of tokens in one stream event. */
         readonly tokensPerEvent: number;
+        /** Prompt and output tokens of running requests that fit into its memory; undefined if unknown. */
+        readonly cacheTokens?: number | undefined;
     } | undefined;
 }
 
@@ -127,6 +129,13 @@
     return new RefusalError(createRefusal("objectInvalid", detail));
 }
 
+/** Lists the accounts whose token consumption is limited. */
+export function listPrepaidLimits({ accounts }: Bundle): { account: string; tokens: number; }[] {
+    return accounts.flatMap(({ name, prepaidTokens }) =>
+        prepaidTokens === undefined ? [] : [{ account: name, tokens: prepaidTokens }]
+    );
+}
+
 /** Lookup tables for a bundle. */
 export class BundleIndex {
     private readonly routes = new Map<string, BundleRoute[]>();
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -73,6 +73,7 @@
         503,
         "The router is out of CPU time and refuses a part of the requests.",
     ),
+    noTimeLeft: createCode(1310, "noTimeLeft", 503, "No upstream can serve the request within its remaining time."),
     requestIdReused: createCode(1401, "requestIdReused", 422, "The idempotency key was used before with another body."),
     outcomeUnknown: createCode(1402, "outcomeUnknown", 503, "The request may have run; its outcome is not known here."),
     intentUnreachable: createCode(
