--- a/src/domain/advanceLoans.ts
+++ b/src/domain/advanceLoans.ts
@@ -125,9 +125,11 @@
             return undefined;
         }
         const kept = this.computeKeptTokens(account, now);
-        if (kept === 0 || available >= kept * REFILL_FRACTION) {
+        if (kept === 0 || available >= kept * REFILL_FRACTION || demand.lenders.size === 0) {
             return undefined;
         }
+        // Also set if no lender has enough, because listing the lenders costs a hash of each router.
+        demand.notBefore = now + this.aheadMs * MIN_INTERVAL_FRACTION;
         // A smaller loan would not cover a request, so its call would be wasted.
         const minTokens = demand.tokenRate.getRate(now) / demand.requestRate.getRate(now);
         const lender = listLenders().find(address => computeMaxLoan(demand, address, now) >= minTokens);
@@ -135,7 +137,6 @@
             return undefined;
         }
         demand.isLoanPending = true;
-        demand.notBefore = now + this.aheadMs * MIN_INTERVAL_FRACTION;
         const tokens = Math.min(kept - Math.max(0, available), computeMaxLoan(demand, lender, now));
         return { lender, tokens, rank: demand.rank };
     }
--- a/test/domain/advanceLoans.test.ts
+++ b/test/domain/advanceLoans.test.ts
@@ -154,13 +154,17 @@
 // Guards against calls to routers that have no tokens, or whose version does not state what is left.
 void t.test("only lenders that stated enough tokens are asked, in the given order", t => {
     const loans = createAdvanceLoans({ left: 0 });
-    t.equal(tryStart(loans, 0, 10_000, [HOLDER, "unknown"]), undefined);
-    loans.recordLender(ACCOUNT, "other", 8_000, 10_000);
-    loans.recordLender(ACCOUNT, "third", 8_000, 10_000);
-    t.match(tryStart(loans, 0, 10_000, [HOLDER, "unknown", "other", "third"]), { lender: "other", tokens: 2_000 });
+    let listed = 0;
+    for (let now = 10_000; now < 10_000 + AHEAD_MS / 4; now += REQUEST_INTERVAL_MS) {
+        t.equal(loans.tryStartLoan(ACCOUNT, 0, () => [HOLDER, `unknown${listed++}`], now), undefined);
+    }
+    t.equal(listed, 1, "lenders are not listed for each request");
+    loans.recordLender(ACCOUNT, "other", 8_000, 10_150);
+    loans.recordLender(ACCOUNT, "third", 8_000, 10_150);
+    t.match(tryStart(loans, 0, 10_150, [HOLDER, "unknown", "other", "third"]), { lender: "other", tokens: 2_000 });
     loans.finishLoan(ACCOUNT);
-    loans.recordLender(ACCOUNT, "other", undefined, 10_200);
-    t.match(tryStart(loans, 0, 10_200, [HOLDER, "other", "third"]), { lender: "third" });
+    loans.recordLender(ACCOUNT, "other", undefined, 10_300);
+    t.match(tryStart(loans, 0, 10_300, [HOLDER, "other", "third"]), { lender: "third" });
     t.end();
 });
 
