--- a/test/daemons/prepaidBorrower.test.ts
+++ b/test/daemons/prepaidBorrower.test.ts
@@ -19,8 +19,10 @@
 const BEYOND_TEST_MS = 600_000;
 const RANK = 0;
 const ACCOUNT = "a";
+/** A router of another zone, which forms a group of its own. */
+const OTHER_GROUP = { address: "other", zone: "y" };
 /** Enough routers in one zone to form a group with a shared holder. */
-const CONTACTS = Array.from({ length: 14 }, (_, i) => ({ address: `r${i}`, zone: "z" }));
+const CONTACTS = [...Array.from({ length: 14 }, (_, i) => ({ address: `r${i}`, zone: "z" })), OTHER_GROUP];
 
 /** Records notifications. */
 class RecordingPeer extends Peer {
@@ -54,6 +56,8 @@
     readonly requests: LoanRequest[] = [];
     /** Tokens that each lender states it has left. */
     left: number | undefined;
+    /** Lenders that state that they have nothing left. */
+    readonly empty = new Set<string>();
     readonly unreachable = new Set<string>();
     readonly slow = new Set<string>();
     readonly delayedAnswers: (() => void)[] = [];
@@ -69,7 +73,7 @@
     }
     override call<P, R>(address: string, _method: PeerMethod<P, R>, params: P): Promise<R> {
         this.calledAddresses.push(address);
-        const { left } = this;
+        const left = this.empty.has(address) ? 0 : this.left;
         const request = params as LoanRequest;
         const { tokens } = request;
         this.requests.push(request);
@@ -260,6 +264,19 @@
     borrower.stop();
 });
 
+// Guards against requests that find no tokens in a cut, in which the holder has none but those of other groups have.
+void t.test("if the holder has no tokens left, a holder of another group is asked in advance", async t => {
+    const { borrower, network, holder } = await createAdvanceBorrower(AHEAD_MS);
+    network.empty.add(holder);
+    await borrower.borrowFromHolder(ACCOUNT, REQUEST_TOKENS * 2, RANK);
+    await borrower.borrowFromOtherGroups(ACCOUNT, REQUEST_TOKENS * 3, RANK);
+    recordRequests(borrower);
+    await settlePromises();
+    t.match(network.requests.at(-1), { isInAdvance: true, isHeldForAsker: false });
+    t.equal(network.calledAddresses.at(-1), OTHER_GROUP.address);
+    borrower.stop();
+});
+
 // Guards against tokens that appear twice: a lost answer adds nothing, and requests go on borrowing for themselves.
 void t.test("a loan in advance whose answer is lost adds nothing", async t => {
     const { borrower, tokenBudget, network, holder } = await createAdvanceBorrower(AHEAD_MS);
