--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { openJournalFile } from "./adapters/disk/journalFile.js";
 import type { LogOutput } from "./adapters/keyValueLog.js";
+import type { ReadPacer } from "./adapters/readPacer.js";
 import { LogStorage } from "./consensus/logStorage.js";
 import { ReplicaSetReconciler } from "./consensus/replicaSetReconciler.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
@@ -11,11 +12,14 @@
 import { PlacementSharer, type PlacementSharerOptions } from "./daemons/directRouter/placementSharer.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
+import { RelayCoordinator } from "./daemons/directRouter/relayCoordinator.js";
 import { RequestQuarantine } from "./daemons/directRouter/requestQuarantine.js";
 import { RouterLinks } from "./daemons/directRouter/routerLinks.js";
 import { UpstreamEndReporter } from "./daemons/directRouter/upstreamEndReporter.js";
 import { UpstreamEndWatch } from "./daemons/directRouter/upstreamEndWatch.js";
+import { createReadPacer } from "./daemons/readPacing.js";
 import { type AdmissionOptions, AdmissionPolicy, admissionSchema } from "./domain/admissionPolicy.js";
+import { checkBodyMemoryOptions } from "./domain/bodyMemory.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
@@ -28,6 +32,8 @@
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
 import { checkSection } from "./settings/checkSection.js";
+import { type ConnectionRelaySettingsInput, parseConnectionRelaySettings } from "./settings/connectionRelaySettings.js";
+import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -71,17 +77,24 @@
     readonly reporter: PrepaidReporterOptions;
     readonly borrower: PrepaidBorrowerOptions;
     readonly sharer: PlacementSharerOptions;
+    /** Disabled if undefined. */
+    readonly connectionRelay?: ConnectionRelaySettingsInput | undefined;
     readonly upstreams: DirectUpstreams;
     /** Whether upstreams are chosen by when they can serve a request; undefined for the choice by counts. */
     readonly upstreamModel?: UpstreamModelOptions | undefined;
     /** Whether requests that cannot be served in time are refused at once. Needs `upstreamModel`. */
     readonly admission?: AdmissionOptions | undefined;
+    /** Delays reads of streams while the router is loaded; undefined to pass on each event as it arrives. */
+    readonly readPacing?: ReadPacingSettings | undefined;
 }
 
 /** A running role and its daemon. */
 export interface RunningBundleRole<T> {
     readonly daemon: T;
     readonly log: Log;
+    readonly metrics: Metrics;
+    /** Delays reads of streams while the router is loaded; undefined if reads are not delayed. */
+    readonly readPacer?: ReadPacer | undefined;
     /** Shuts down gracefully; resolves when all resources are released. */
     stop(): Promise<void>;
 }
@@ -92,7 +105,7 @@
 ): Promise<RunningBundleRole<BundleControllerDaemon>> {
     await mkdir(settings.dataFolder, { recursive: true });
     const base = await createRoleBase({ ...settings, role: "controller", listen: settings.peerAddress });
-    const { clock, log, network, handlers, loop, peerAddress } = base;
+    const { clock, log, metrics, network, handlers, loop, peerAddress } = base;
     const journal = await openJournalFile(join(settings.dataFolder, "log.journal"), {
         retryWriteMs: settings.retryWriteMs,
         onWriteError: error => log.warn("disk_refused_write", { error: String(error) }),
@@ -115,6 +128,7 @@
     return {
         daemon,
         log,
+        metrics,
         stop: async () => {
             await daemon.stop();
             closeRoleBase(base);
@@ -168,8 +182,17 @@
         throw new RefusalError(createRefusal("settingsInvalid", "admission: needs the section upstreamModel"));
     }
     const admission = admissionOptions === undefined ? undefined : new AdmissionPolicy(admissionOptions, Math.random);
+    if (settings.router.bodyMemory !== undefined) {
+        checkBodyMemoryOptions(settings.router.bodyMemory);
+    }
+    const relaySettings = settings.connectionRelay && parseConnectionRelaySettings(settings.connectionRelay);
+    checkReadPacingSettings(settings.readPacing);
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
+    const readPacer = settings.readPacing && createReadPacer(settings.readPacing, base);
+    if (readPacer !== undefined) {
+        settings.upstreams.setReadSchedule(readPacer);
+    }
     const self = { address: settings.router.address, zone: settings.zone };
     const holders = new TokenHolders(self);
     const routerLinks = new RouterLinks(network, log);
@@ -197,7 +220,7 @@
         metrics,
         settings.decoder,
         reporter,
-        new PrepaidBorrower(tokenBudget, holders, network, routerLinks, log, settings.borrower),
+        new PrepaidBorrower(tokenBudget, holders, network, routerLinks, log, metrics, settings.borrower),
         holders,
         new PlacementSharer(self, load, routerLinks, clock, log, settings.sharer),
         new RequestQuarantine(endWatch, endReporter, clock),
@@ -207,11 +230,29 @@
         admission,
     );
     daemon.addHandlers(handlers);
+    if (relaySettings !== undefined) {
+        daemon.enableConnectionRelay(
+            new RelayCoordinator(
+                self,
+                relaySettings,
+                daemon,
+                routerLinks,
+                base.utilization,
+                () => daemon.getEventLoopLagMs(),
+                clock,
+                log,
+                metrics,
+            ),
+            handlers,
+        );
+    }
     daemon.start();
     log.info("router_started", { incarnation: identity.incarnation });
     return {
         daemon,
         log,
+        metrics,
+        readPacer,
         stop: async () => {
             await daemon.finishStop();
             closeRoleBase(base);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,12 +1,13 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
 import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
+import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
 import { BundleIndex, type BundleService, selectTarget } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
-import { RetryBudget } from "../../domain/retryBudget.js";
+import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { UpstreamBackoffs } from "../../domain/upstreamBackoffs.js";
@@ -45,28 +46,28 @@
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
 import { type RefusalDetails, RelayContext, type RelayOptions, type ResponseDetails } from "./relayContext.js";
-import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
+import type { RelayCoordinator } from "./relayCoordinator.js";
+import { computePriority, type RelayRequest, type ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
+import { type ServiceBudgetOptions, ServiceBudgets } from "./serviceBudgets.js";
 import { UpstreamNotifier } from "./upstreamNotifier.js";
 import { UpstreamSignalRecorder } from "./upstreamSignalRecorder.js";
 import type { UpstreamReportAge } from "./upstreamUpdateTracker.js";
 
 /** Times in milliseconds. */
-export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions, ServiceBudgetOptions {
     /** Addresses of the controllers to contact first. */
     readonly seeds: readonly string[];
     /** An upstream without a report for this long counts as lost, as long as controllers can be reached. */
     readonly upstreamReportTimeoutMs: number;
-    /** Retries earned by each request to a service. */
-    readonly retryRatio: number;
-    /** Retries to a service that all routers together may accumulate. */
-    readonly maxSavedRetries: number;
     /** Fraction of a connection limit that is used; the rest is headroom for routers that start or stop. */
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
     readonly controllerGrantMs: number;
+    /** Bounds the memory of request bodies; without it, it is not bounded. */
+    readonly bodyMemory?: BodyMemoryOptions | undefined;
     /** Number of routers to assume until the controllers report it; also the lower bound when limits are divided. */
     readonly assumedRouterCount: number;
 }
@@ -80,6 +81,7 @@
 export class DirectRouterDaemon extends RelayContext implements FeedListener, BundleListener {
     override readonly registry = new UpstreamRegistry();
     override readonly candidates: UpstreamCandidates;
+    override readonly bodyMemory: BodyMemory | undefined;
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
@@ -88,13 +90,14 @@
     private readonly upstreamNotifier: UpstreamNotifier;
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly otherRouters: OtherRouters;
-    private readonly retryBudgets = new Map<string, RetryBudget>();
+    private readonly serviceBudgets: ServiceBudgets;
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
     private gaugeTimer: NodeJS.Timeout | undefined;
     private isRefusingRequests = false;
     private wasReady = false;
+    private coordinator: RelayCoordinator | undefined;
     private readonly controllerContact: ControllerContact;
 
     constructor(
@@ -118,6 +121,10 @@
         super();
         this.recorder = new RequestRecorder(log, metrics);
         this.admissionMonitor = new AdmissionMonitor(admission, load.model, log, metrics);
+        this.serviceBudgets = new ServiceBudgets(options, () => this.getSharingRouterCount());
+        this.bodyMemory = options.bodyMemory === undefined
+            ? undefined
+            : new BodyMemory(options.bodyMemory, Math.random);
         this.controllerContact = new ControllerContact({
             contactGapMs: options.pollIntervalMs * MISSED_POLLS_UNTIL_LOST,
             upstreamReportTimeoutMs: options.upstreamReportTimeoutMs,
@@ -155,6 +162,18 @@
         );
     }
 
+    /** Enables the relay of callers' connections. Called before `start`. */
+    enableConnectionRelay(coordinator: RelayCoordinator, handlers: PeerHandlers): void {
+        this.coordinator = coordinator;
+        coordinator.addHandlers(handlers);
+        this.otherRouters.onMembershipChange(others => coordinator.setOthers(others));
+    }
+
+    /** Returns the decisions about relayed connections; undefined if the relay is disabled. */
+    tryGetRelayCoordinator(): RelayCoordinator | undefined {
+        return this.coordinator;
+    }
+
     /** Registers handlers for notifications on the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(
@@ -172,6 +191,7 @@
         this.controllerFeeds.setSeeds(this.options.seeds);
         void this.prepaidReporter.run();
         this.quarantine.start();
+        this.coordinator?.start();
         this.prepaidBorrower.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
         this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
@@ -179,11 +199,6 @@
         this.loopMonitor.onSuspension(() => this.upstreams.drainExcept(new Set()));
     }
 
-    private setGauges(): void {
-        this.signalReceiver.setGauges();
-        this.admissionMonitor.update();
-    }
-
     setSeeds(seeds: readonly string[]): void {
         this.controllerFeeds.setSeeds(seeds);
     }
@@ -217,6 +232,7 @@
     startDrain(): void {
         this.isDraining = true;
         this.log.info("router_stopping", { running: this.activeRequestCount });
+        this.coordinator?.notifyStateChange();
     }
 
     /** Refuses all further requests, because they could not complete before the process exits. */
@@ -233,7 +249,6 @@
         clearInterval(this.cleanupTimer);
         clearInterval(this.gaugeTimer);
         this.prepaidBorrower.stop();
-        this.prepaidBorrower.returnLoans();
         this.controllerFeeds.stop();
         this.quarantine.stop();
         await this.prepaidReporter.stop();
@@ -244,11 +259,17 @@
     async handle(request: RelayRequest, sink: PassThroughSink): Promise<void> {
         const resolved = this.resolve(request);
         if ("code" in resolved) {
-            this.logRefusal(request, "", resolved, { abortCause: undefined, overdueMs: undefined });
-            sink.sendRefusal(resolved);
+            this.refuse(request, resolved, sink);
+            return;
+        }
+        const overloadRefusal = this.coordinator?.tryRefuse(computePriority(resolved));
+        if (overloadRefusal !== undefined) {
+            this.recordRefused(resolved, overloadRefusal, { abortCause: undefined, overdueMs: undefined });
+            sink.sendRefusal(overloadRefusal);
             return;
         }
         this.getRetryBudget(resolved.service.name).recordRequest();
+        this.serviceBudgets.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
             await new RelayRun(this, resolved, sink).run();
@@ -258,6 +279,12 @@
         }
     }
 
+    /** Refuses a request that no route was found for, or whose body was not read. */
+    refuse(request: RelayRequest, refusal: Refusal, sink: PassThroughSink): void {
+        this.logRefusal(request, "", refusal, { abortCause: undefined, overdueMs: undefined });
+        sink.sendRefusal(refusal);
+    }
+
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
         const { bundleIndex } = this;
         if (this.isRefusingRequests) {
@@ -284,12 +311,8 @@
         return this.bundleIndex?.getLongestWaitMs(service) ?? Infinity;
     }
 
-    override sharePlacement(
-        placement: Placement,
-        request: RelayRequest,
-        estimates: ReportedEstimates | undefined,
-    ): void {
-        this.placementSharer.share(placement, request.parts, estimates);
+    override sharePlacement(placement: Placement, { parts }: RelayRequest, estimates?: ReportedEstimates): void {
+        this.placementSharer.share(placement, parts, estimates);
     }
 
     override getRouterCount(): number {
@@ -324,17 +347,15 @@
     }
 
     override getRetryBudget(service: string): RetryBudget {
-        let budget = this.retryBudgets.get(service);
-        if (budget === undefined) {
-            budget = new RetryBudget(this.options.retryRatio, this.computeRetrySlack());
-            this.retryBudgets.set(service, budget);
-        }
-        return budget;
+        return this.serviceBudgets.getRetryBudget(service);
     }
 
-    /** Computes this router's share of the retries that all routers may accumulate. */
-    private computeRetrySlack(): number {
-        return Math.max(1, this.options.maxSavedRetries / this.getSharingRouterCount());
+    override tryClaimRepeat(service: string): boolean {
+        // Beyond the bound on repeats, retries are used as long as one is left for a request that an upstream rejects.
+        const isClaimed = this.serviceBudgets.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
+            || this.getRetryBudget(service).trySpendSurplus();
+        this.recorder.recordRepeat(isClaimed);
+        return isClaimed;
     }
 
     /** Number of routers among which fleet-wide limits are divided. */
@@ -342,6 +363,14 @@
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
     }
 
+    override isInControllerContact(): boolean {
+        return this.controllerContact.isInContact(this.clock.getMonotonicMs());
+    }
+
+    override recordTokenDemand(account: string, tokens: number, rank: number): void {
+        this.prepaidBorrower.recordRequest(account, tokens, rank);
+    }
+
     override async waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void> {
         const timeout = this.clock.wait(timeoutMs);
         if (await Promise.race([this.prepaidBorrower.borrowFromHolder(account, tokens, rank), timeout]) === true) {
@@ -394,6 +423,7 @@
             return;
         }
         this.bundleIndex = new BundleIndex(bundle);
+        this.coordinator?.receiveBundle(bundle);
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
         const limits = bundle.accounts.filter(account => account.prepaidTokens !== undefined);
@@ -428,7 +458,7 @@
                 now,
             )
         ) {
-            this.retryBudgets.forEach(budget => budget.setMaxTokens(this.computeRetrySlack()));
+            this.serviceBudgets.updateShares();
         }
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
@@ -452,6 +482,14 @@
         }
     }
 
+    private setGauges(): void {
+        this.signalReceiver.setGauges();
+        this.admissionMonitor.update();
+        if (this.bodyMemory !== undefined) {
+            this.recorder.setBodyBytes(this.bodyMemory.getHeldBytes());
+        }
+    }
+
     private removeStaleUpstreams(): void {
         const now = this.clock.getMonotonicMs();
         this.registry.evictExpired(now);
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -1,5 +1,6 @@
 /** State and operations of a router that its requests share. */
 import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
+import type { BodyMemory } from "../../domain/bodyMemory.js";
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import type { Refusal } from "../../domain/resultCodes.js";
@@ -69,6 +70,8 @@
     abstract readonly quarantine: RequestQuarantine;
     /** Undefined if requests are sent whatever their remaining time. */
     abstract readonly admission: AdmissionPolicy | undefined;
+    /** Undefined if the memory of request bodies is not bounded. */
+    abstract readonly bodyMemory: BodyMemory | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
@@ -92,6 +95,12 @@
     abstract getMaxConnections(service: BundleService): number;
     /** Returns the retry budget shared by all requests to a service. */
     abstract getRetryBudget(service: string): RetryBudget;
+    /** Claims that a request is sent again because its upstream had been replaced; false if that is not allowed now. */
+    abstract tryClaimRepeat(service: string): boolean;
+    /** Records that a request wants to reserve tokens of an account, so that they are borrowed in advance. */
+    abstract recordTokenDemand(account: string, tokens: number, rank: number): void;
+    /** Whether a controller has responded recently. */
+    abstract isInControllerContact(): boolean;
     /** Requests tokens of an account; resolves when more may be available, or after `timeoutMs`. */
     abstract waitForGrant(account: string, tokens: number, rank: number, timeoutMs: number): Promise<void>;
     /** Current lag of the event loop, in milliseconds. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -2,7 +2,6 @@
  * Processes one request: reserves prepaid tokens, sends the request to an upstream and, where the route allows it, retries at
  * other upstreams until the caller has a final response.
  */
-import { LOWEST_PRIORITY } from "../../domain/priorityBacklog.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { hasTimeToSend } from "../../domain/sendingTime.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
@@ -13,11 +12,14 @@
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
 import type { RelayContext, ResponseDetails } from "./relayContext.js";
-import { computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
+import { computePriority, computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
-/** Number of route ranks within each account rank; the account rank takes precedence. */
-const ROUTE_RANK_COUNT = 3;
+/**
+ * Replaced upstreams at which one request may find another one before it is refused. Where a third of the upstreams has been
+ * replaced unnoticed, one request in 80 finds a fourth.
+ */
+const MAX_REPLACED_SENDS = 3;
 
 /** A choice of an upstream is repeated if reserving tokens took longer; running requests change by then. Milliseconds. */
 const MAX_SELECTION_AGE_MS = 5;
@@ -35,6 +37,8 @@
     private sendCount = 0;
     /** Attempts that do not count towards `maxAttempts`: the upstream had been replaced, or nothing was sent. */
     private uncountedSends = 0;
+    /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
+    private replacedSends = 0;
     private mayHaveRun = false;
     private abortCause: "gone" | "late" | undefined;
     private lastFailureReason = "";
@@ -42,6 +46,8 @@
     private candidateWaitMs: number | undefined;
     /** Why no ready upstream could be used. */
     private closedCauses: readonly UnavailableReason[] = [];
+    /** Whether upstreams were passed over because they do not read the bodies of requests. */
+    private hasSlowReaders = false;
 
     constructor(
         private readonly context: RelayContext,
@@ -131,7 +137,7 @@
             remainingMs: this.deadline - now,
             cacheTokens: service.engine?.cacheTokens,
         };
-        return load.tryChoose(upstreams, this.getDemand(), terms, now);
+        return load.tryChoose(this.filterReading(upstreams), this.getDemand(), terms, now);
     }
 
     private getDemand(): RequestDemand {
@@ -139,11 +145,6 @@
         return { parts, promptTokens, ...this.tryGetEstimates() };
     }
 
-    private getPriority(): number {
-        const { route, account } = this.resolved;
-        return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
-    }
-
     /** Returns undefined without a model of the upstreams. */
     private tryGetEstimates(): ReportedEstimates | undefined {
         const { request, route, service } = this.resolved;
@@ -151,7 +152,7 @@
         if (model === undefined) {
             return undefined;
         }
-        const priority = this.getPriority();
+        const priority = computePriority(this.resolved);
         if (service.engine === undefined || route.kind !== "stream") {
             return { outputTokens: 0, priority };
         }
@@ -181,6 +182,17 @@
         return createRefusal("noTimeLeft", detail, "no", retryAfterMs);
     }
 
+    /** Excludes upstreams whose requests hold as much memory as the requests of one upstream may. */
+    private filterReading(upstreams: readonly UpstreamRegistration[]): readonly UpstreamRegistration[] {
+        const { bodyMemory } = this.context;
+        if (bodyMemory === undefined || this.resolved.request.forwarded.body.length === 0) {
+            return upstreams;
+        }
+        const reading = upstreams.filter(({ id }) => bodyMemory.allowsUpstream(id));
+        this.hasSlowReaders = reading.length < upstreams.length;
+        return reading;
+    }
+
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
         const { load } = this.context;
         this.triedUpstreamIds.add(placement.upstream.id);
@@ -193,12 +205,17 @@
             this.context.recordRateLimitedSend();
         }
         this.context.sharePlacement(placement, request, this.tryGetEstimates());
-        const attempt = this.createAttempt(started, isLimited);
+        const endWaiting = this.context.bodyMemory?.recordWaiting(
+            placement.upstream.id,
+            request.forwarded.body.length,
+        );
+        const attempt = this.createAttempt(started, isLimited, endWaiting);
         this.attempt = attempt;
         this.sendCount += 1;
         const outcome = this.abortCause === undefined
             ? await attempt.run()
             : { type: "notRun", cause: "full", reason: "aborted before it was sent" } as const;
+        endWaiting?.();
         if (!attempt.hasFirstByte) {
             load.recordUnanswered(started);
         }
@@ -210,8 +227,15 @@
         return outcome;
     }
 
-    /** `isLimited`: whether the request was counted towards a rate limit of the upstream. */
-    private createAttempt(placement: StartedPlacement, isLimited: boolean): Attempt {
+    /**
+     * `isLimited`: whether the request was counted towards a rate limit of the upstream. `onAnswering`: called when the
+     * answer begins.
+     */
+    private createAttempt(
+        placement: StartedPlacement,
+        isLimited: boolean,
+        onAnswering: (() => void) | undefined,
+    ): Attempt {
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const sentAt = performance.now();
@@ -222,9 +246,10 @@
                 request: request.forwarded,
                 account: account?.name,
                 remainingMs: Math.max(1, Math.floor(this.deadline - performance.now())),
-                priority: this.getPriority(),
+                priority: computePriority(this.resolved),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
+                isStream: route.kind === "stream",
                 // The request may have waited for a connection until little of its time is left.
                 mayStart: () =>
                     this.hasTimeToSend()
@@ -239,7 +264,10 @@
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
-            onFirstByte: () => this.recordFirstByte(placement, sentAt),
+            onFirstByte: () => {
+                onAnswering?.();
+                this.recordFirstByte(placement, sentAt);
+            },
             onEvents: this.context.load.model === undefined || service.engine === undefined
                 ? undefined
                 : (count, now, wasPaused) =>
@@ -273,6 +301,7 @@
         }
         if (outcome.type === "notRun" && outcome.cause === "replaced") {
             this.uncountedSends += 1;
+            this.replacedSends += 1;
             this.context.recordReplaced(upstream);
         }
         if (outcome.type === "notRun" && outcome.cause === "withheld") {
@@ -327,14 +356,25 @@
                 // `shouldRetryServerError` has already spent the retry.
                 return true;
             case "notRun":
-                return outcome.cause === "unreachable" || outcome.cause === "withheld"
-                    ? this.hasTimeToSend()
-                    : this.tryClaimRetry();
+                return this.shouldRetryNotRun(outcome.cause);
             case "interrupted":
                 return this.isRepeatable() && this.canResumeResponse() && this.tryClaimRetry();
         }
     }
 
+    private shouldRetryNotRun(cause: "unreachable" | "full" | "replaced" | "withheld"): boolean {
+        switch (cause) {
+            case "unreachable":
+            case "withheld":
+                return this.hasTimeToSend();
+            case "full":
+                return this.tryClaimRetry();
+            case "replaced":
+                return this.replacedSends <= MAX_REPLACED_SENDS && this.hasTimeToSend()
+                    && this.context.tryClaimRepeat(this.resolved.service.name);
+        }
+    }
+
     private canResumeResponse(): boolean {
         return !this.progress.isHeadSent || (this.progress.canResume && this.progress.lastEventId !== undefined);
     }
@@ -394,7 +434,10 @@
 
     /** Creates the refusal for when no upstream can be used; Retry-After covers the time until one may be. */
     private createNoUpstreamRefusal(): Refusal {
-        const { retryAfterMs } = this.context.options;
+        const { options: { retryAfterMs }, bodyMemory } = this.context;
+        if (this.hasSlowReaders && bodyMemory !== undefined) {
+            return bodyMemory.createRefusal("upstreams read their requests too slowly");
+        }
         const reason = this.closedCauses.length > 0
             ? `upstreams are ${formatCauses(this.closedCauses)}`
             : this.lastFailureReason || "no upstream has reported in time";
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -1,6 +1,7 @@
 /** RPC methods between routers and controllers in fleets with declared bundles and self-registering upstreams. */
 import * as z from "zod";
 import { type PrepaidReportCommand, prepaidReportCommand } from "../domain/bundleCommands.js";
+import type { RouterLoad } from "../domain/connectionRelayPolicy.js";
 import { MAX_ZONE_LENGTH } from "../domain/evacuationCommands.js";
 import type { EvacuationList } from "../domain/evacuationStore.js";
 import type { PrepaidResult } from "../domain/prepaidLedger.js";
@@ -225,9 +226,31 @@
     rank: nonNegativeInt,
     /** Whether the lender also holds the account for the asker, so that it reserves nothing for itself. */
     isHeldForAsker: z.boolean(),
+    /** Whether no request waits for the loan; absent: a request waits. */
+    isInAdvance: z.boolean().optional(),
 });
 /** A router's request to another for a loan. */
 export type LoanRequest = z.infer<typeof loanSchema>;
 
-/** Asks another router for prepaid tokens. Returns the number of tokens transferred, which is final. */
-export const lendPrepaidMethod = createPeerMethod<LoanRequest, { tokens: number; }>("fleet.lendPrepaid", loanSchema);
+/** A lender's answer. */
+export interface LoanAnswer {
+    /** Number of tokens transferred, which is final. */
+    readonly tokens: number;
+    /** Tokens of the lender's grant that are left for further loans; undefined if it does not lend in advance. */
+    readonly left?: number | undefined;
+}
+
+/** Asks another router for prepaid tokens. */
+export const lendPrepaidMethod = createPeerMethod<LoanRequest, LoanAnswer>("fleet.lendPrepaid", loanSchema);
+
+const routerLoadSchema = z.object({
+    address: shortName,
+    relayAddress: z.string().max(128).regex(/^[^\s:]+:\d{1,5}$/, "HOST:PORT"),
+    revision: nonNegativeInt,
+    utilization: z.number().min(0).max(1),
+    cores: z.number().positive().max(1_024),
+    isAccepting: z.boolean(),
+}) satisfies z.ZodType<RouterLoad>;
+
+/** Notifies another router of the same zone of the sender's load. */
+export const routerLoadNoticeMethod = createPeerMethod<RouterLoad, void>("fleet.routerLoadNotice", routerLoadSchema);
--- a/test/daemons/attemptEvents.test.ts
+++ b/test/daemons/attemptEvents.test.ts
@@ -9,6 +9,7 @@
         return { resume: () => undefined, cancel: () => undefined };
     }
     override drainExcept(): void {}
+    override setReadSchedule(): void {}
     override drain(): void {}
     override isListening(): Promise<undefined> {
         return Promise.resolve(undefined);
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -14,7 +14,7 @@
 import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
 import { type RunningBundleRole, startBundleController, startDirectRouter } from "../../src/bundleWiring.js";
 import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
-import type { DirectRouterDaemon } from "../../src/daemons/directRouter/directRouterDaemon.js";
+import type { DirectRouterDaemon, DirectRouterOptions } from "../../src/daemons/directRouter/directRouterDaemon.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { tryOpenLogOutput } from "./testLogs.js";
 
@@ -25,7 +25,7 @@
 
 interface RunningBox<T> {
     readonly role: RunningBundleRole<T>;
-    readonly server: Server;
+    readonly server: { close(): void; closeAllConnections(): void; };
 }
 
 /** A request received by an engine of the fleet. */
@@ -99,13 +99,16 @@
         await stopBox(this.controllers, box);
     }
 
-    async startRouter(box: string): Promise<void> {
+    /** `options`: replace those of the platform's settings. */
+    async startRouter(box: string, options: Partial<DirectRouterOptions> = {}): Promise<void> {
         const settings = this.createSettings(box, false, box);
+        const routerSettings = createRouterSettings(settings, new EngineClient());
         const role = await startDirectRouter({
-            ...createRouterSettings(settings, new EngineClient()),
+            ...routerSettings,
+            router: { ...routerSettings.router, ...options },
             ...this.logSettings,
         });
-        const server = await startCallerServer(role.daemon, settings.callerListen!, role.log);
+        const server = await startCallerServer(role, settings.callerListen!);
         this.routers.set(box, { role, server });
     }
 
--- a/test/tools/prepaidSimulation.ts
+++ b/test/tools/prepaidSimulation.ts
@@ -2,12 +2,14 @@
  * Simulates the prepaid ledger and the token budgets of several routers under partitions, crashes, restarts, clock steps, and
  * reports that are lost, delayed or applied without an answer.
  */
+import { AdvanceLoans } from "../../src/domain/advanceLoans.js";
 import type { PrepaidReportCommand } from "../../src/domain/bundleCommands.js";
 import { LocalTokenBudget } from "../../src/domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "../../src/domain/localTokenBudgetOptions.js";
 import { type EntryAge, PredecessorLifetimes } from "../../src/domain/predecessorLifetimes.js";
 import { PrepaidLedger, type PrepaidResult } from "../../src/domain/prepaidLedger.js";
 import { WallClockMonitor } from "../../src/domain/wallClockMonitor.js";
+import { type RouterProcess, SimulatedLoans } from "./simulatedLoans.js";
 
 const ROUTERS = ["r1", "r2", "r3"];
 const ACCOUNTS = ["large", "small"];
@@ -37,9 +39,8 @@
 /** Maximum delay of late reports and loans. */
 const MAX_DELAY_MS = 3_000;
 
-/** Fraction of loans that arrive on time, and fraction that arrive at all if late loans are simulated. */
-const ON_TIME_LOAN_FRACTION = 0.8;
-const DELIVERED_LOAN_FRACTION = 0.9;
+/** Duration of demand that is borrowed in advance; long enough that a killed router often has unused loans. */
+const AHEAD_MS = 2_000;
 
 export const testTokenBudgetOptions: LocalTokenBudgetOptions = {
     horizonMs: 10_000,
@@ -59,26 +60,6 @@
     wantedChangePart: 0.25,
 };
 
-interface Reservation {
-    readonly account: string;
-    readonly tokens: number;
-}
-
-interface LateLoan {
-    readonly borrower: RouterProcess;
-    readonly account: string;
-    readonly tokens: number;
-    readonly dueAt: number;
-}
-
-interface RouterProcess {
-    readonly incarnation: string;
-    readonly startedAt: number;
-    readonly tokenBudget: LocalTokenBudget;
-    readonly reservations: Reservation[];
-    isPartitioned: boolean;
-}
-
 interface LateReport {
     readonly dueAt: number;
     readonly report: PrepaidReportCommand;
@@ -88,6 +69,7 @@
     /** Actual consumption by account. */
     readonly consumed = new Map<string, number>();
     readonly prepaid = new Map<string, number>();
+    readonly loans: SimulatedLoans;
     private readonly ledger = new PrepaidLedger();
     private readonly appendedAt: number[] = [0];
     /** Index of the first entry appended by the current leader. */
@@ -109,17 +91,19 @@
     private lateReports: LateReport[] = [];
     private now = 10_000;
     private processCount = 0;
-    private lateLoans: LateLoan[] = [];
 
     /**
      * `random` returns a number in [0, 1). `holder`: the router that holds all accounts for the others, if any.
      * `hasLateLoans`: half of the loans that do not arrive on time arrive later, and the rest are lost.
+     * `hasAdvanceLoans`: the other routers borrow in advance from the holder and return only what exceeds that.
      */
     constructor(
         private readonly random: () => number,
         private readonly holder?: string,
-        private readonly hasLateLoans = false,
+        hasLateLoans = false,
+        private readonly hasAdvanceLoans = false,
     ) {
+        this.loans = new SimulatedLoans(random, hasLateLoans, MAX_DELAY_MS);
         ACCOUNTS.forEach((account, i) => this.prepaid.set(account, INITIAL_PREPAID * (i + 1)));
         this.applyLimits();
         ROUTERS.forEach(router => this.startRouter(router));
@@ -128,7 +112,7 @@
     step(): void {
         this.now += Math.floor(this.random() * 60);
         this.deliverLateReports();
-        this.deliverLateLoans();
+        this.loans.deliverLate(borrower => [...this.routerProcesses.values()].includes(borrower), this.now);
         const router = this.pick(ROUTERS);
         const routerProcess = this.routerProcesses.get(router)!;
         const draw = this.random();
@@ -214,6 +198,7 @@
             startedAt: this.now,
             tokenBudget,
             reservations: [],
+            advanceLoans: new AdvanceLoans(this.hasAdvanceLoans ? AHEAD_MS : 0),
             isPartitioned: false,
         });
         this.applyLimits();
@@ -223,6 +208,11 @@
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
         const rank = this.pick(REQUEST_RANKS);
+        if (this.hasAdvanceLoans && this.holder !== undefined && this.holder !== this.findRouter(routerProcess)) {
+            const holder = this.routerProcesses.get(this.holder)!;
+            const request = { account, tokens, rank, isHeldForAsker: true, isInAdvance: true };
+            this.loans.borrowInAdvance(holder, routerProcess, request, this.now);
+        }
         const tryReserve = (): boolean => {
             const outcome = routerProcess.tokenBudget.tryReserve(
                 account,
@@ -256,7 +246,13 @@
 
     /** Returns unused loans to the holder; some returns are lost. */
     private returnLoans(routerProcess: RouterProcess, holder: RouterProcess): void {
-        for (const { account, tokens } of routerProcess.tokenBudget.listUnusedLoans()) {
+        for (const unused of routerProcess.tokenBudget.listUnusedLoans()) {
+            const { account } = unused;
+            const now = this.now - routerProcess.startedAt;
+            const tokens = unused.tokens - routerProcess.advanceLoans.computeKeptTokens(account, now);
+            if (tokens <= 0) {
+                continue;
+            }
             routerProcess.tokenBudget.deductReturnedLoan(account, tokens);
             if (tokens % LOST_RETURN_DIVISOR !== 0) {
                 holder.tokenBudget.addReturnedLoan(account, tokens, this.now - holder.startedAt);
@@ -441,35 +437,9 @@
     private lend(lender: RouterProcess, borrower: RouterProcess): void {
         const account = this.pick(ACCOUNTS);
         const tokens = 1 + Math.floor(this.random() * MAX_REQUEST_TOKENS);
-        const lent = lender === borrower
-            ? 0
-            : lender.tokenBudget.lend(
-                account,
-                tokens,
-                this.pick(REQUEST_RANKS),
-                this.holder === this.findRouter(lender),
-                this.now - lender.startedAt,
-            );
-        const draw = this.random();
-        if (draw < ON_TIME_LOAN_FRACTION) {
-            borrower.tokenBudget.addBorrowed(account, lent);
-        }
-        else if (this.hasLateLoans && draw < DELIVERED_LOAN_FRACTION) {
-            const delayMs = (draw - ON_TIME_LOAN_FRACTION) / (DELIVERED_LOAN_FRACTION - ON_TIME_LOAN_FRACTION)
-                * MAX_DELAY_MS;
-            this.lateLoans.push({ borrower, account, tokens: lent, dueAt: this.now + delayMs });
-        }
-    }
-
-    /** Loans for a router process that has ended are lost with its connections. */
-    private deliverLateLoans(): void {
-        const due = this.lateLoans.filter(({ dueAt }) => dueAt <= this.now);
-        this.lateLoans = this.lateLoans.filter(({ dueAt }) => dueAt > this.now);
-        for (const { borrower, account, tokens } of due) {
-            if ([...this.routerProcesses.values()].includes(borrower)) {
-                borrower.tokenBudget.addBorrowed(account, tokens);
-            }
-        }
+        const rank = lender === borrower ? MOST_URGENT : this.pick(REQUEST_RANKS);
+        const isHeldForAsker = this.holder === this.findRouter(lender);
+        this.loans.lend(lender, borrower, { account, tokens, rank, isHeldForAsker, isInAdvance: false }, this.now);
     }
 
     private isHolder(router: string): boolean {
