--- /dev/null
+++ b/test/platform/admissionSettings.test.ts
@@ -0,0 +1,32 @@
+/** Guards against a router that starts although its settings of the upstream model or of admission are invalid. */
+import t from "tap";
+import { parseBoxSettings } from "../../platform/boxSettings.js";
+import { EngineClient } from "../../platform/engineClient.js";
+import { createRouterSettings } from "../../platform/roleSettings.js";
+import { startDirectRouter } from "../../src/bundleWiring.js";
+
+process.env["LOOMWINCH_FLEET_SECRET"] = "test-fleet-secret";
+const settings = createRouterSettings(
+    parseBoxSettings(`
+        node_name = "r1"
+        ip = "127.0.0.1"
+        zone = "z"
+        port_range = [1, 2]
+        seeds = []
+        [listen]
+    `),
+    new EngineClient(),
+);
+
+void t.test("a router does not start with invalid settings", async t => {
+    const { upstreamModel, admission } = settings;
+    await t.rejects(startDirectRouter({ ...settings, upstreamModel: { ...upstreamModel!, rampMs: -1 } }), {
+        message: /settingsInvalid: upstreamModel\.rampMs.*0/,
+    });
+    await t.rejects(startDirectRouter({ ...settings, admission: { ...admission!, wholeAnswerMargin: 11 } }), {
+        message: /settingsInvalid: admission\.wholeAnswerMargin.*10/,
+    });
+    await t.rejects(startDirectRouter({ ...settings, upstreamModel: undefined }), {
+        message: /settingsInvalid: admission: needs the section upstreamModel/,
+    });
+});
