--- a/src/domain/loadShedding.ts
+++ b/src/domain/loadShedding.ts
@@ -9,8 +9,8 @@
 const MAX_STEPS_PER_SAMPLE = 5;
 /** Below this utilization, lag has another cause, such as a single long turn, and refusing requests would not shorten it. */
 const MIN_UTILIZATION = 0.9;
-/** Utilization from which a router that cannot relay more is refusing requests even before the lag is long. */
-const SATURATED_UTILIZATION = 0.95;
+/** Factor of the highest lag where no other router has spare capacity: then nothing else will shorten the lag. */
+const SHORT_OF_SPARE_FACTOR = 0.5;
 /** Smoothing factor of the lag. A single long turn is no overload. */
 const LAG_SMOOTHING_FACTOR = 0.4;
 /** Lag that is below the smoothed one by this factor falls by 5 % per sample or more, and is worked off within about 2 s. */
@@ -92,12 +92,9 @@
             return -1 - RECOVERY_GAIN * Math.max(0, MIN_UTILIZATION - utilization);
         }
         // A backlog from before the router began to relay or refuse takes some time to be worked off.
-        const rawLagError = maxLagMs === undefined ? -1 : this.smoothedLagMs / maxLagMs - 1;
-        const lagError = this.isLagFalling ? Math.min(0, rawLagError) : rawLagError;
-        const saturationError = isShortOfSpare
-            ? (utilization - SATURATED_UTILIZATION) / (1 - SATURATED_UTILIZATION) * (this.isLagFalling ? 0 : 1)
-            : -1;
-        return Math.min(MAX_RELATIVE_ERROR, Math.max(-1, lagError, saturationError));
+        const boundMs = (maxLagMs ?? Infinity) * (isShortOfSpare ? SHORT_OF_SPARE_FACTOR : 1);
+        const error = this.smoothedLagMs / boundMs - 1;
+        return this.isLagFalling ? Math.min(0, error) : Math.min(MAX_RELATIVE_ERROR, error);
     }
 
     /** Distributes the refusals over the requests that are not relayed, from the least urgent rank to the most urgent one. */
