--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -9,6 +9,7 @@
 import { waitForNextPoll } from "../nextPoll.js";
 import type { ReadPacer } from "../readPacer.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
+import { encodeRelayPreamble } from "./relayPreamble.js";
 
 /** Size of the buffer into which all connections to other routers are read. */
 const READ_BUFFER_BYTES = 65_536;
@@ -159,6 +160,8 @@
     /** When bytes were last passed on in either direction. Monotonic clock, milliseconds. */
     lastBytesAt = performance.now();
     private readonly neighbour: Socket;
+    private readonly acceptedAt = performance.now();
+    private isPreambleSent = false;
     private state: "connecting" | "open" | "closed" = "connecting";
     /** Reads from the neighbour since the caller last sent something. */
     private answerReads = 0;
@@ -255,11 +258,20 @@
         if (this.isPaced) {
             this.resumePaced();
         }
-        if (!this.neighbour.write(chunk)) {
+        if (!this.neighbour.write(this.addPreamble(chunk))) {
             this.caller.pause();
         }
     };
 
+    /** Sends the preamble together with the first bytes, which saves a packet. */
+    private addPreamble(chunk: Buffer): Buffer {
+        if (this.isPreambleSent) {
+            return chunk;
+        }
+        this.isPreambleSent = true;
+        return Buffer.concat([encodeRelayPreamble(performance.now() - this.acceptedAt), chunk]);
+    }
+
     /** Returns whether to continue reading. */
     private handleAnswer(length: number, buffer: Uint8Array): boolean {
         if (this.state !== "open") {
--- a/test/platform/connectionRelay.test.ts
+++ b/test/platform/connectionRelay.test.ts
@@ -144,15 +144,24 @@
         t.same([...served], [["r1", 2]]);
     });
 
-    await t.test("a relayed request is served whole by the other router, which closes the connection", async t => {
+    // Guards against callers that see an older configuration after a newer one on a kept connection.
+    await t.test("relayed requests are served whole by the other router, until its configuration changes", async t => {
         served.clear();
         relayAll("r1", "r2");
         relayAll("r2", "r1");
-        const answer = await call("r1");
-        t.equal(answer.status, 200);
-        t.equal(answer.body.match(/^id: /gm)?.length, EVENTS);
-        t.equal(answer.connection, "close", "the next request may have to be served elsewhere");
-        t.same([...served], [["r2", 1]], "relayed once, not back again");
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        t.teardown(() => agent.destroy());
+        for (let i = 0; i < 2; i++) {
+            const answer = await call("r1", agent);
+            t.equal(answer.status, 200);
+            t.equal(answer.body.match(/^id: /gm)?.length, EVENTS);
+            t.not(answer.connection, "close", "setting up a connection costs more than a request");
+        }
+        t.same([...served], [["r2", 2]], "relayed once, not back again");
+        const { daemon } = fleet.routers.get("r2")!.role;
+        daemon.getBundleRevision = () => 2;
+        t.equal((await call("r1", agent)).connection, "close", "the next request may have to be served elsewhere");
+        daemon.getBundleRevision = () => 1;
     });
 
     await t.test("no connection to the other router: the request is served locally, and the router not used for a while", async t => {
