--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -220,7 +220,8 @@
 
     /** Whether load balancers should send requests to this router. */
     isReady(): boolean {
-        const ready = !this.isDraining && this.bundleIndex !== undefined && this.controllerFeeds.isReady();
+        const ready = !this.isDraining && this.bundleIndex !== undefined && this.controllerFeeds.isReady()
+            && this.coordinator?.isReady() !== false;
         if (ready !== this.wasReady) {
             this.wasReady = ready;
             this.log.info("ready_changed", { ready, revision: this.bundleIndex?.bundle.revision });
