--- a/test/platform/admission.test.ts
+++ b/test/platform/admission.test.ts
@@ -8,6 +8,7 @@
 import { waitUntil } from "../tools/waiting.js";
 import { createWireBundle } from "../tools/wireBundle.js";
 
+process.env["LOOMWINCH_UPSTREAM_MODEL"] = "on";
 const NETWORK = 82;
 const fleet = new DirectFleet(NETWORK);
 /** The engine processes one prompt after the other, each in the time that the router presumes for its tokens. */
--- a/test/platform/admissionSettings.test.ts
+++ b/test/platform/admissionSettings.test.ts
@@ -6,17 +6,16 @@
 import { startDirectRouter } from "../../src/bundleWiring.js";
 
 process.env["LOOMWINCH_FLEET_SECRET"] = "test-fleet-secret";
-const settings = createRouterSettings(
-    parseBoxSettings(`
-        node_name = "r1"
-        ip = "127.0.0.1"
-        zone = "z"
-        port_range = [1, 2]
-        seeds = []
-        [listen]
-    `),
-    new EngineClient(),
-);
+process.env["LOOMWINCH_UPSTREAM_MODEL"] = "on";
+const boxSettings = parseBoxSettings(`
+    node_name = "r1"
+    ip = "127.0.0.1"
+    zone = "z"
+    port_range = [1, 2]
+    seeds = []
+    [listen]
+`);
+const settings = createRouterSettings(boxSettings, new EngineClient());
 
 void t.test("a router does not start with invalid settings", async t => {
     const { upstreamModel, admission } = settings;
@@ -30,3 +29,12 @@
         message: /settingsInvalid: admission: needs the section upstreamModel/,
     });
 });
+
+void t.test("both sections are absent unless the deployment sets the variable", async t => {
+    t.teardown(() => process.env["LOOMWINCH_UPSTREAM_MODEL"] = "on");
+    delete process.env["LOOMWINCH_UPSTREAM_MODEL"];
+    const { upstreamModel, admission } = createRouterSettings(boxSettings, new EngineClient());
+    t.same([upstreamModel, admission], [undefined, undefined]);
+    process.env["LOOMWINCH_UPSTREAM_MODEL"] = "yes";
+    t.throws(() => createRouterSettings(boxSettings, new EngineClient()), { message: /LOOMWINCH_UPSTREAM_MODEL/ });
+});
