--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -9,6 +9,7 @@
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
 import { BundleControllerDaemon } from "./daemons/bundleController/bundleControllerDaemon.js";
 import { DirectRouterDaemon, type DirectRouterOptions } from "./daemons/directRouter/directRouterDaemon.js";
+import { FairShareControl } from "./daemons/directRouter/fairShareControl.js";
 import { PlacementSharer, type PlacementSharerOptions } from "./daemons/directRouter/placementSharer.js";
 import { PrepaidBorrower, type PrepaidBorrowerOptions } from "./daemons/directRouter/prepaidBorrower.js";
 import { PrepaidReporter, type PrepaidReporterOptions } from "./daemons/directRouter/prepaidReporter.js";
@@ -20,6 +21,7 @@
 import { createReadPacer } from "./daemons/readPacing.js";
 import { type AdmissionOptions, AdmissionPolicy, admissionSchema } from "./domain/admissionPolicy.js";
 import { checkBodyMemoryOptions } from "./domain/bodyMemory.js";
+import { type FairSharesOptions, fairSharesSchema } from "./domain/fairShares.js";
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
@@ -86,6 +88,8 @@
     readonly upstreamModel?: UpstreamModelOptions | undefined;
     /** Whether requests that cannot be served in time are refused at once. Needs `upstreamModel`. */
     readonly admission?: AdmissionOptions | undefined;
+    /** Whether accounts beyond their shares come last while upstreams are short. Needs `admission`. */
+    readonly fairShares?: FairSharesOptions | undefined;
 }
 
 /** A running role and its daemon. */
@@ -187,6 +191,10 @@
         throw new RefusalError(createRefusal("settingsInvalid", "admission: needs the section upstreamModel"));
     }
     const admission = admissionOptions === undefined ? undefined : new AdmissionPolicy(admissionOptions, Math.random);
+    const shareOptions = checkSection("fairShares", fairSharesSchema, settings.fairShares);
+    if (shareOptions !== undefined && admission === undefined) {
+        throw new RefusalError(createRefusal("settingsInvalid", "fairShares: needs the section admission"));
+    }
     const base = await createRoleBase({ ...settings, role: "router", listen: settings.router.address });
     const { clock, log, metrics, network, handlers, loop, identity } = base;
     const readPacer = settings.readPacing && createReadPacer(settings.readPacing, base);
@@ -230,6 +238,19 @@
         admission,
     );
     daemon.addHandlers(handlers);
+    if (shareOptions !== undefined && admission !== undefined) {
+        const countRouters = () => daemon.getRouterCount();
+        daemon.fairShares = new FairShareControl(
+            shareOptions,
+            admission,
+            tokenBudget,
+            countRouters,
+            Math.random,
+            log,
+            metrics,
+        );
+        daemon.fairShares.start();
+    }
     if (relaySettings !== undefined) {
         daemon.enableConnectionRelay(
             new RelayCoordinator(
@@ -254,6 +275,7 @@
         metrics,
         readPacer,
         stop: async () => {
+            daemon.fairShares?.stop();
             await daemon.finishStop();
             closeRoleBase(base);
         },
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -12,6 +12,7 @@
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { DirectUpstreams } from "../../ports/directUpstream.js";
 import type { Log } from "../../ports/log.js";
+import type { FairShareControl } from "./fairShareControl.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 
@@ -72,6 +73,8 @@
     abstract readonly bodyMemory: BodyMemory | undefined;
     /** Undefined if requests are sent whatever their remaining time. */
     abstract readonly admission: AdmissionPolicy | undefined;
+    /** Undefined if accounts may use any part of the upstreams. Set before the first request. */
+    fairShares: FairShareControl | undefined;
 
     /** Longest wait with which every response of a service meets its latency goal, in milliseconds. */
     abstract getLongestWaitMs(service: string): number;
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -36,7 +36,8 @@
     readonly account: BundleAccount | undefined;
 }
 
-const LOWEST_PRIORITY = 9;
+/** Priority of the least urgent requests. */
+export const LOWEST_PRIORITY = 9;
 /** Number of route ranks within each account rank; the account rank takes precedence. */
 const ROUTE_RANK_COUNT = 3;
 
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -11,6 +11,7 @@
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
+import type { FairShareRequest } from "./fairShareControl.js";
 import type { RelayContext, ResponseDetails } from "./relayContext.js";
 import { computePriority, computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
@@ -31,6 +32,8 @@
     /** Monotonic clock, milliseconds. */
     private readonly deadline: number;
     private readonly tokens: TokenReservation;
+    /** Undefined without fair shares. */
+    private readonly share: FairShareRequest | undefined;
     private attempt: Attempt | undefined;
     private placement: Placement | undefined;
     private reservedAt = 0;
@@ -57,6 +60,11 @@
         const { request, route } = resolved;
         this.deadline = request.arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
         this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abortCause !== undefined);
+        this.share = context.fairShares?.createRequest(
+            resolved,
+            request.promptTokens + (this.tryGetEstimates()?.outputTokens ?? 0),
+            performance.now(),
+        );
     }
 
     /** Resolves when the final response has been written or the caller has disconnected. */
@@ -163,7 +171,7 @@
         if (model === undefined) {
             return undefined;
         }
-        const priority = computePriority(this.resolved);
+        const priority = this.getPriority();
         if (service.engine === undefined || route.kind !== "stream") {
             return { outputTokens: 0, priority };
         }
@@ -172,21 +180,28 @@
         return { outputTokens: Math.max(0, expectedTokens - sentTokens), priority };
     }
 
+    private getPriority(): number {
+        return this.share?.getPriority() ?? computePriority(this.resolved);
+    }
+
     /** An answer that has begun is continued, and one that may have run cannot be refused as not run. */
     private isAdmissionChecked(): boolean {
         return this.context.admission !== undefined && !this.mayHaveRun && !this.progress.isHeadSent;
     }
 
-    /** Returns a refusal if no upstream can serve the request within its remaining time. */
+    /** Returns a refusal if no upstream can serve the request within its remaining time, or others have precedence. */
     private tryRefuseForTime(placement: Placement | undefined): Refusal | undefined {
         const outlook = placement?.outlook;
-        const remainingMs = this.deadline - performance.now();
-        const retryAfterMs = this.isAdmissionChecked()
-            ? this.context.admission!.tryGetRetryAfterMs(outlook, remainingMs)
-            : undefined;
-        if (retryAfterMs === undefined || outlook === undefined) {
+        const now = performance.now();
+        const remainingMs = this.deadline - now;
+        if (!this.isAdmissionChecked()) {
             return undefined;
         }
+        const retryAfterMs = this.context.admission!.tryGetRetryAfterMs(outlook, remainingMs);
+        if (retryAfterMs === undefined || outlook === undefined) {
+            return this.share?.tryRefuse(outlook, now);
+        }
+        this.share?.recordNoTimeLeft(outlook, now);
         const { firstTokenMs, endMs } = outlook;
         const detail = `first token expected in ${Math.round(firstTokenMs)} ms, the end in ${Math.round(endMs)} ms, `
             + `${Math.round(remainingMs)} ms are left`;
@@ -199,6 +214,7 @@
         this.placement = placement;
         const { request } = this.resolved;
         const now = performance.now();
+        this.share?.recordSend(now);
         const started = load.recordStart(placement, this.getDemand(), now);
         const isLimited = this.context.candidates.recordSend(placement.upstream, this.resolved.service, now);
         if (isLimited) {
@@ -246,7 +262,7 @@
                 request: request.forwarded,
                 account: account?.name,
                 remainingMs: Math.max(1, Math.floor(this.deadline - performance.now())),
-                priority: computePriority(this.resolved),
+                priority: this.getPriority(),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
                 isStream: route.kind === "stream",
@@ -399,6 +415,7 @@
     private finishWithOutcome(outcome: AttemptOutcome): void {
         if (outcome.type === "answered") {
             // An error response does not prove that the request is harmless: it may not have run to completion.
+            this.share?.recordAnswered(performance.now());
             if (outcome.isFramed && isSuccess(outcome.status)) {
                 this.context.quarantine.recordCompleteResponse(this.resolved);
             }
--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -108,8 +108,11 @@
         return unconfirmedMargin + (CONFIRMED_MARGIN - unconfirmedMargin) * this.getConfidence();
     }
 
-    /** `waitMs`: time until the backlog has fallen enough. The base is bounded first, so that long waits are spread out too. */
-    private drawRetryAfterMs(waitMs: number): number {
+    /**
+     * Draws a Retry-After in milliseconds. `waitMs`: time until the backlog has fallen enough. The base is bounded first, so that
+     * long waits are spread out too.
+     */
+    drawRetryAfterMs(waitMs: number): number {
         const { minRetryAfterMs, maxRetryAfterMs } = this.options;
         const maxBaseMs = maxRetryAfterMs / (1 + RETRY_SPREAD_FRACTION);
         const baseMs = Math.max(Math.min(minRetryAfterMs, maxBaseMs), Math.min(maxBaseMs, waitMs));
--- a/src/domain/localAccountBudget.ts
+++ b/src/domain/localAccountBudget.ts
@@ -39,6 +39,13 @@
 /** Outcome of a reservation. `short`: the next grant may cover it. */
 export type ReserveOutcome = "reserved" | "short" | "exhausted";
 
+/** Demand of all routers together for an account. */
+export interface AccountDemand {
+    readonly tokensPerSecond: number;
+    /** When the controllers' answer arrived. Monotonic clock, milliseconds. */
+    readonly answeredAt: number;
+}
+
 /** Tokens that a report permits its router to commit until the next report is answered. */
 interface Allowance {
     readonly committed: number;
@@ -85,6 +92,8 @@
     private allowance = NO_ALLOWANCE;
     /** Whether the newest report that included this account is unanswered. */
     private isReportPending = true;
+    /** Demand of all routers and its time, according to the newest answer; undefined until one arrives. */
+    private fleetDemand: AccountDemand | undefined;
     /** Tokens wanted in that report, and its time in milliseconds on the monotonic clock. */
     private reportedWanted = 0;
     private reportedAt = -Infinity;
@@ -252,12 +261,26 @@
         return { account, ...this.reported, ceiling: this.granted, wanted };
     }
 
+    /** Includes the account in the next report if its newest answer is older than `answeredBefore` or missing. */
+    requestAnswer(answeredBefore: number): void {
+        this.isReportPending ||= (this.fleetDemand?.answeredAt ?? -Infinity) < answeredBefore;
+    }
+
+    /** Returns the demand of all routers according to the newest answer; undefined until one arrives. */
+    tryGetFleetDemand(): AccountDemand | undefined {
+        return this.fleetDemand;
+    }
+
     /** Applies the answer to the newest report. */
     applyAnswer(answer: PrepaidAnswer): void {
         this.granted = answer.granted;
         this.free = answer.free;
         this.writtenOff = answer.writtenOff;
         this.demandShare = answer.burst > 0 ? this.reported.burst / answer.burst : undefined;
+        this.fleetDemand = {
+            tokensPerSecond: answer.burst * MS_PER_SECOND / this.options.burstMs,
+            answeredAt: this.lastAnswer.answeredAt,
+        };
         this.allowance = this.reported;
         this.isReportPending = false;
     }
--- a/src/domain/localTokenBudget.ts
+++ b/src/domain/localTokenBudget.ts
@@ -7,6 +7,7 @@
  */
 import type { PrepaidReportCommand } from "./bundleCommands.js";
 import {
+    type AccountDemand,
     type AccountHolding,
     LocalAccountBudget,
     type LocalAccountBudgetState,
@@ -89,6 +90,19 @@
         return this.accounts.get(account)?.getState(now);
     }
 
+    /** Returns the demand of all routers for each account, according to the controllers' newest answers. */
+    listFleetDemand(): (AccountDemand & { readonly account: string; })[] {
+        return [...this.accounts].flatMap(([account, entry]) => {
+            const demand = entry.tryGetFleetDemand();
+            return demand === undefined ? [] : [{ account, ...demand }];
+        });
+    }
+
+    /** Includes the accounts without an answer since `answeredBefore` in the next report. */
+    requestAnswers(answeredBefore: number): void {
+        this.accounts.forEach(entry => entry.requestAnswer(answeredBefore));
+    }
+
     /** Returns how many tokens a reservation lacks, or 0 if it would succeed. */
     getShortfall(account: string, tokens: number, rank: number, now: number): number {
         return this.accounts.get(account)?.getShortfall(tokens, rank, now) ?? 0;
--- /dev/null
+++ b/src/domain/rankOrder.ts
@@ -0,0 +1,64 @@
+/**
+ * Shortage of the upstreams of one service, and the order of ranks under it: where a more urgent request was refused a moment ago,
+ * less urgent ones are refused too, except for a small part of each rank so that it does not starve.
+ */
+
+const RANK_COUNT = 10;
+/** Half-life of the smoothed shortage, in milliseconds: about the time of some requests at each router. */
+const SHORTAGE_HALF_LIFE_MS = 300;
+/** Weight of one request at most, so that a single one neither begins nor ends a shortage. */
+const MAX_SAMPLE_WEIGHT = 0.25;
+/** Smoothed parts of requests at which a shortage begins and ends; the distance prevents flapping. */
+const BEGIN_FRACTION = 0.6;
+const END_FRACTION = 0.3;
+/** A shortage ends if no request has confirmed it for this long, in milliseconds. */
+const SHORTAGE_EXPIRY_MS = 2_000;
+
+/** All `now` parameters are milliseconds on the monotonic clock. */
+export class ShortageState {
+    private shortFraction = 0;
+    private isActive = false;
+    private recordedAt = -Infinity;
+
+    /** Records whether upstreams were short for one request. */
+    record(isShort: boolean, now: number): void {
+        // Requests of the same millisecond count as one apart.
+        const elapsedMs = Math.max(1, now - this.recordedAt);
+        const weight = Math.min(MAX_SAMPLE_WEIGHT, 1 - 2 ** (-elapsedMs / SHORTAGE_HALF_LIFE_MS));
+        this.shortFraction += ((isShort ? 1 : 0) - this.shortFraction) * weight;
+        this.recordedAt = now;
+        this.isActive = this.shortFraction > (this.isActive ? END_FRACTION : BEGIN_FRACTION);
+    }
+
+    isShort(now: number): boolean {
+        return this.isActive && now - this.recordedAt <= SHORTAGE_EXPIRY_MS;
+    }
+}
+
+/** Ranks from 0, the most urgent, to 9, the least. */
+export class RankOrder {
+    private readonly refusedAt = Array.from({ length: RANK_COUNT }, () => -Infinity);
+    /** Requests of each rank that were refused by this order since the last admitted one. */
+    private readonly refusedInRow = Array.from({ length: RANK_COUNT }, () => 0);
+
+    /** `floorFraction`: part of each rank's requests that is admitted in any case. */
+    constructor(private readonly floorFraction: number, private readonly refusalMemoryMs: number) {}
+
+    /** Records that upstreams could not serve a request of this rank in time. */
+    recordRefusal(rank: number, now: number): void {
+        this.refusedAt[rank] = now;
+    }
+
+    /** Whether a request of this or a more urgent rank was refused a moment ago. */
+    isRefusing(rank: number, now: number): boolean {
+        return this.refusedAt.slice(0, rank + 1).some(at => now - at <= this.refusalMemoryMs);
+    }
+
+    /** Whether to admit a request of this rank; counts towards the part that is admitted in any case. */
+    tryAdmit(rank: number, now: number): boolean {
+        const isBlocked = rank > 0 && this.isRefusing(rank - 1, now);
+        const isAdmitted = !isBlocked || (this.refusedInRow[rank]! + 1) * this.floorFraction >= 1;
+        this.refusedInRow[rank] = isAdmitted ? 0 : this.refusedInRow[rank]! + 1;
+        return isAdmitted;
+    }
+}
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -74,6 +74,12 @@
         "The router is out of CPU time and refuses a part of the requests.",
     ),
     noTimeLeft: createCode(1310, "noTimeLeft", 503, "No upstream can serve the request within its remaining time."),
+    overShare: createCode(
+        1313,
+        "overShare",
+        503,
+        "Upstreams are short, and the request is beyond its account's share or less urgent than refused ones.",
+    ),
     requestIdReused: createCode(1401, "requestIdReused", 422, "The idempotency key was used before with another body."),
     outcomeUnknown: createCode(1402, "outcomeUnknown", 503, "The request may have run; its outcome is not known here."),
     intentUnreachable: createCode(
