--- a/src/daemons/directRouter/fairShareControl.ts
+++ b/src/daemons/directRouter/fairShareControl.ts
@@ -1,5 +1,5 @@
 /** Applies fair shares and the order of ranks to the requests of a router while upstreams are short. */
-import { type AdmissionPolicy, isShort } from "../../domain/admissionPolicy.js";
+import { type AdmissionPolicy, isShort, SHORTAGE_GOAL_FRACTION } from "../../domain/admissionPolicy.js";
 import { FairShares, type FairSharesOptions } from "../../domain/fairShares.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import { RankOrder, ShortageState } from "../../domain/rankOrder.js";
@@ -37,7 +37,12 @@
         private readonly log: Log,
         readonly metrics: Metrics,
     ) {
-        this.shares = new FairShares(options, () => tokenBudget.listFleetDemand(), getRouterCount);
+        this.shares = new FairShares(
+            options,
+            () => tokenBudget.listFleetDemand(),
+            getRouterCount,
+            now => Math.min(1, ...[...this.services.values()].map(({ shortage }) => shortage.getCapacityFactor(now))),
+        );
     }
 
     start(): void {
@@ -127,17 +132,16 @@
         if (this.isChecked || outlook === undefined || !outlook.isRecent) {
             return undefined;
         }
-        this.isChecked = true;
+        this.recordOutlook(outlook, now);
         const { shortage, order } = this.state;
         const { goalMs } = this.resolved.route;
-        shortage.record(isShort(outlook, goalMs), now);
         if (!shortage.isShort(now) || outlook.hasIdle) {
             return undefined;
         }
         // Requests within their shares would miss their goals, or are refused already.
         if (this.isBeyondShare && (outlook.queueWaitMs > goalMs || order.isRefusing(this.rank, now))) {
             const detail = `account ${this.resolved.account!.name} is beyond its share`;
-            return this.createRefusal(detail, outlook.queueWaitMs - goalMs / 2);
+            return this.createRefusal(detail, outlook.queueWaitMs - goalMs * SHORTAGE_GOAL_FRACTION);
         }
         return order.tryAdmit(this.rank, now)
             ? undefined
@@ -147,8 +151,7 @@
     /** Records that upstreams cannot serve the request in time. The part beyond a share does not block less urgent ranks. */
     recordNoTimeLeft(outlook: ServiceOutlook, now: number): void {
         if (!this.isChecked) {
-            this.isChecked = true;
-            this.state.shortage.record(isShort(outlook, this.resolved.route.goalMs), now);
+            this.recordOutlook(outlook, now);
         }
         if (!this.isBeyondShare) {
             this.state.order.recordRefusal(this.rank, now);
@@ -168,11 +171,14 @@
         }
     }
 
-    /** Records that the request was answered. */
-    recordAnswered(now: number): void {
-        if (this.isAdmitted) {
-            this.shares.recordFinished(this.tokens, now);
-        }
+    private recordOutlook(outlook: ServiceOutlook, now: number): void {
+        const { goalMs } = this.resolved.route;
+        const isTooLong = isShort(outlook, goalMs);
+        const overdueFraction = isTooLong
+            ? (outlook.queueWaitMs / goalMs - SHORTAGE_GOAL_FRACTION) / (1 - SHORTAGE_GOAL_FRACTION)
+            : 0;
+        this.isChecked = true;
+        this.state.shortage.record(isTooLong, this.isBeyondShare ? undefined : overdueFraction, now);
     }
 
     private createRefusal(detail: string, waitMs: number): Refusal {
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -415,7 +415,6 @@
     private finishWithOutcome(outcome: AttemptOutcome): void {
         if (outcome.type === "answered") {
             // An error response does not prove that the request is harmless: it may not have run to completion.
-            this.share?.recordAnswered(performance.now());
             if (outcome.isFramed && isSuccess(outcome.status)) {
                 this.context.quarantine.recordCompleteResponse(this.resolved);
             }
--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -27,7 +27,7 @@
 /** Part of the Retry-After that is added at random at most, so that retries are spread out. */
 const RETRY_SPREAD_FRACTION = 0.5;
 /** Part of the latency goal that a request may wait before its prompt is processed, without a shortage. */
-const SHORTAGE_GOAL_FRACTION = 0.5;
+export const SHORTAGE_GOAL_FRACTION = 0.5;
 /**
  * Multiple of the remaining time at which confirmed estimates lead to a refusal. The rest is for what they leave out: the way to
  * the caller, and streams that slow down because others begin.
--- a/src/domain/fairShares.ts
+++ b/src/domain/fairShares.ts
@@ -30,10 +30,15 @@
     readonly answeredAt: number;
 }
 
-/** Part of an account's demand beyond its share is not counted up to this multiple; demand varies at random by a fifth. */
-const EXCESS_TOLERANCE_FACTOR = 1.25;
-/** Less of the admitted work than this part finishes only while upstreams stall, which is not the fault of an account. */
-const MIN_FINISHED_FRACTION = 0.5;
+/**
+ * An account with up to this multiple of its share is not beyond it. The measured demand of an account with 10 requests per second
+ * varies at random by a seventh, and the sum over all routers adds to that.
+ */
+const FLEET_TOLERANCE_FACTOR = 1.5;
+/** The same without recent sums over all routers: the part of an account's demand at this router may have changed since. */
+const OWN_TOLERANCE_FACTOR = 2;
+/** Weight of one measurement of the sharing factor; it follows within some seconds, as the measured demand does. */
+const SHARING_SMOOTHING_FACTOR = 0.1;
 /** Shares are computed at most this often, in milliseconds: as often as routers report. */
 const COMPUTE_PERIOD_MS = 200;
 /** Accounts without demand for this long are forgotten, in milliseconds. */
@@ -50,15 +55,18 @@
     sharingFactor: number;
 }
 
-/** Returns how much each account with a larger demand may use, so that all together use at most `capacity`. */
-export function computeShareLevel(demands: readonly number[], capacity: number): number {
+/**
+ * Returns how much each account with a larger demand may use. `served`: what upstreams serve for all accounts. `capacityFactor`:
+ * the part of it that does not make their backlog grow. No account has to use less than an equal share of what is served,
+ * because a backlog is worked off at the cost of those who use more.
+ */
+export function computeShareLevel(demands: readonly number[], served: number, capacityFactor: number): number {
     const sorted = [...demands].sort((a, b) => a - b);
-    let left = capacity;
+    let left = served * capacityFactor;
     for (const [i, demand] of sorted.entries()) {
         const equalShare = left / (sorted.length - i);
         if (demand > equalShare) {
-            // If even the smallest demand exceeds it, all are equal up to that demand.
-            return Math.max(equalShare, sorted[0]!);
+            return Math.max(equalShare, served / sorted.length);
         }
         left -= demand;
     }
@@ -68,21 +76,20 @@
 /** All `now` parameters are milliseconds on the monotonic clock. */
 export class FairShares {
     private readonly accounts = new Map<string, AccountDemand>();
-    private readonly admittedWork: DecayingRate;
-    private readonly finishedWork: DecayingRate;
     private excessFractions: ReadonlyMap<string, number> = new Map();
-    private isFleetView = true;
+    private isFleetView = false;
     private computedAt = -Infinity;
 
-    /** `getRouterCount`: number of routers, an upper bound of those that share an account. */
+    /**
+     * `getRouterCount`: number of routers, an upper bound of those that share an account. `getCapacityFactor`: part of the
+     * admitted work that does not make the backlog of upstreams grow, from 0 to 1.
+     */
     constructor(
         private readonly options: FairSharesOptions,
         private readonly listFleetDemand: () => readonly FleetDemand[],
         private readonly getRouterCount: () => number,
-    ) {
-        this.admittedWork = new DecayingRate(options.demandHalfLifeMs);
-        this.finishedWork = new DecayingRate(options.demandHalfLifeMs);
-    }
+        private readonly getCapacityFactor: (now: number) => number,
+    ) {}
 
     /** Records a request of an account, whether it is admitted or not. */
     recordRequested(account: string, tokens: number, now: number): void {
@@ -107,12 +114,6 @@
     /** Records that a request was sent to an upstream. */
     recordAdmitted(account: string, tokens: number, now: number): void {
         this.accounts.get(account)?.admitted.add(tokens, now);
-        this.admittedWork.add(tokens, now);
-    }
-
-    /** Records that an admitted request was answered. */
-    recordFinished(tokens: number, now: number): void {
-        this.finishedWork.add(tokens, now);
     }
 
     /** Returns the part of the account's demand that is beyond its share, from 0 to 1. */
@@ -144,7 +145,7 @@
                 .filter(({ answeredAt }) => now - answeredAt <= this.options.dataExpiryMs)
                 .map(({ account, tokensPerSecond }) => [account, tokensPerSecond]),
         );
-        this.isFleetView = answers.length === 0 || admittedRates.size > 0;
+        this.isFleetView = admittedRates.size > 0;
         const demands = new Map(admittedRates);
         for (const [account, entry] of this.accounts) {
             if (now - entry.requestedAt > ACCOUNT_RETENTION_MS) {
@@ -155,28 +156,19 @@
             const requested = entry.requested.getUnbiasedRate(now);
             const admitted = entry.admitted.getUnbiasedRate(now);
             if (fleetRate !== undefined && admitted > 0) {
-                entry.sharingFactor = Math.max(1, Math.min(this.getRouterCount(), fleetRate / admitted));
+                const factor = Math.max(1, Math.min(this.getRouterCount(), fleetRate / admitted));
+                entry.sharingFactor += (factor - entry.sharingFactor) * SHARING_SMOOTHING_FACTOR;
             }
             admittedRates.set(account, Math.max(fleetRate ?? 0, admitted * entry.sharingFactor));
             demands.set(account, Math.max(fleetRate ?? 0, requested * entry.sharingFactor));
         }
-        this.excessFractions = this.computeExcessFractions(demands, this.computeCapacity(admittedRates, now));
-    }
-
-    /** Estimates what upstreams finish for all routers: what was admitted, less what makes their backlog grow. */
-    private computeCapacity(admittedRates: ReadonlyMap<string, number>, now: number): number {
-        const admitted = this.admittedWork.getRate(now);
-        const finishedFraction = admitted > 0 ? this.finishedWork.getRate(now) / admitted : 1;
-        const sum = [...admittedRates.values()].reduce((total, rate) => total + rate, 0);
-        return sum * Math.max(MIN_FINISHED_FRACTION, Math.min(1, finishedFraction));
-    }
-
-    private computeExcessFractions(demands: ReadonlyMap<string, number>, capacity: number): Map<string, number> {
+        const served = [...admittedRates.values()].reduce((sum, rate) => sum + rate, 0);
         const positive = [...demands].filter(([, demand]) => demand > 0);
-        const level = computeShareLevel(positive.map(([, demand]) => demand), capacity);
-        return new Map(
+        const level = computeShareLevel(positive.map(([, demand]) => demand), served, this.getCapacityFactor(now));
+        const tolerance = this.isFleetView ? FLEET_TOLERANCE_FACTOR : OWN_TOLERANCE_FACTOR;
+        this.excessFractions = new Map(
             positive
-                .filter(([, demand]) => demand > level * EXCESS_TOLERANCE_FACTOR)
+                .filter(([, demand]) => demand > level * tolerance)
                 .map(([account, demand]) => [account, 1 - level / demand]),
         );
     }
--- a/src/domain/rankOrder.ts
+++ b/src/domain/rankOrder.ts
@@ -11,27 +11,49 @@
 /** Smoothed parts of requests at which a shortage begins and ends; the distance prevents flapping. */
 const BEGIN_FRACTION = 0.6;
 const END_FRACTION = 0.3;
-/** A shortage ends if no request has confirmed it for this long, in milliseconds. */
-const SHORTAGE_EXPIRY_MS = 2_000;
+/**
+ * A shortage ends if no request has confirmed it for this long, in milliseconds. As soon as it ends, the excess returns with its
+ * former urgency; a shorter time makes the wait swing beyond the goals.
+ */
+const SHORTAGE_HOLD_MS = 2_000;
 
 /** All `now` parameters are milliseconds on the monotonic clock. */
 export class ShortageState {
     private shortFraction = 0;
-    private isActive = false;
+    private overdueFraction = 0;
     private recordedAt = -Infinity;
+    /** When the smoothed part was last high enough for a shortage. */
+    private confirmedAt = -Infinity;
 
-    /** Records whether upstreams were short for one request. */
-    record(isShort: boolean, now: number): void {
+    /**
+     * Records whether upstreams were short for one request. `overdueFraction`: its wait, from 0 where a shortage
+     * begins to 1 where it misses its goal; undefined for requests that wait longer because they are deferred.
+     */
+    record(isShort: boolean, overdueFraction: number | undefined, now: number): void {
         // Requests of the same millisecond count as one apart.
         const elapsedMs = Math.max(1, now - this.recordedAt);
         const weight = Math.min(MAX_SAMPLE_WEIGHT, 1 - 2 ** (-elapsedMs / SHORTAGE_HALF_LIFE_MS));
         this.shortFraction += ((isShort ? 1 : 0) - this.shortFraction) * weight;
+        if (overdueFraction !== undefined) {
+            const bounded = Math.max(0, Math.min(1, overdueFraction));
+            this.overdueFraction += (bounded - this.overdueFraction) * weight;
+        }
         this.recordedAt = now;
-        this.isActive = this.shortFraction > (this.isActive ? END_FRACTION : BEGIN_FRACTION);
+        if (this.shortFraction > (this.isShort(now) ? END_FRACTION : BEGIN_FRACTION)) {
+            this.confirmedAt = now;
+        }
     }
 
     isShort(now: number): boolean {
-        return this.isActive && now - this.recordedAt <= SHORTAGE_EXPIRY_MS;
+        return now - this.confirmedAt <= SHORTAGE_HOLD_MS;
+    }
+
+    /**
+     * Returns the part of what upstreams serve that requests may use, so that the backlog falls. It is 0 before requests miss
+     * their goals.
+     */
+    getCapacityFactor(now: number): number {
+        return this.isShort(now) ? 1 - this.overdueFraction : 1;
     }
 }
 
