--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -12,7 +12,12 @@
 import { startControlServer } from "../../platform/controlServer.js";
 import { EngineClient } from "../../platform/engineClient.js";
 import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
-import { type RunningBundleRole, startBundleController, startDirectRouter } from "../../src/bundleWiring.js";
+import {
+    type DirectRouterSettings,
+    type RunningBundleRole,
+    startBundleController,
+    startDirectRouter,
+} from "../../src/bundleWiring.js";
 import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
 import type { DirectRouterDaemon, DirectRouterOptions } from "../../src/daemons/directRouter/directRouterDaemon.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
@@ -99,12 +104,20 @@
         await stopBox(this.controllers, box);
     }
 
-    /** Starts a router. `options`: replace those of the platform's settings. `limits`: further settings of its box. */
-    async startRouter(box: string, options: Partial<DirectRouterOptions> = {}, limits = ""): Promise<void> {
+    /**
+     * Starts a router. `options` and `sections`: replace those of the platform's settings. `limits`: further settings of its box.
+     */
+    async startRouter(
+        box: string,
+        options: Partial<DirectRouterOptions> = {},
+        limits = "",
+        sections: Partial<DirectRouterSettings> = {},
+    ): Promise<void> {
         const settings = this.createSettings(box, false, box, limits);
         const routerSettings = createRouterSettings(settings, new EngineClient());
         const role = await startDirectRouter({
             ...routerSettings,
+            ...sections,
             router: { ...routerSettings.router, ...options },
             ...this.logSettings,
         });
