--- a/src/daemons/directRouter/fairShareControl.ts
+++ b/src/daemons/directRouter/fairShareControl.ts
@@ -33,7 +33,7 @@
         readonly admission: AdmissionPolicy,
         private readonly tokenBudget: LocalTokenBudget,
         getRouterCount: () => number,
-        private readonly random: () => number,
+        readonly random: () => number,
         private readonly log: Log,
         readonly metrics: Metrics,
     ) {
@@ -138,8 +138,10 @@
         if (!shortage.isShort(now) || outlook.hasIdle) {
             return undefined;
         }
-        // Requests within their shares would miss their goals, or are refused already.
-        if (this.isBeyondShare && (outlook.queueWaitMs > goalMs || order.isRefusing(this.rank, now))) {
+        // It would miss its goal, others are refused already, or those within their shares leave no time for it.
+        const hasNoRoom = outlook.queueWaitMs > goalMs || order.isRefusing(this.rank, now)
+            || this.control.random() >= shortage.getCapacityFactor(now);
+        if (this.isBeyondShare && hasNoRoom) {
             const detail = `account ${this.resolved.account!.name} is beyond its share`;
             return this.createRefusal(detail, outlook.queueWaitMs - goalMs * SHORTAGE_GOAL_FRACTION);
         }
--- a/test/domain/fairShares.test.ts
+++ b/test/domain/fairShares.test.ts
@@ -47,6 +47,8 @@
     /** Requests per second. */
     readonly rate: number;
     readonly rank?: number;
+    /** Whether its requests reach all routers, and not only one. */
+    readonly isSpread?: boolean;
 }
 
 function createUsualAccounts(rate: number): PlayedAccount[] {
@@ -111,7 +113,8 @@
                 if (random() < account.rate / 1_000) {
                     const request = { account, arrivedAt: this.now, retryAt: undefined, priority: 0 };
                     this.requests.push({ ...request, refusedAs: [], retryAfterMs: [] });
-                    this.send(this.requests.at(-1)!, i % ROUTER_COUNT);
+                    const router = account.isSpread ? this.requests.length : i;
+                    this.send(this.requests.at(-1)!, router % ROUTER_COUNT);
                 }
             });
             while (this.retries.length > 0 && this.retries[0]!.at <= this.now) {
@@ -263,6 +266,24 @@
     t.end();
 });
 
+/** Guards against an account that escapes its share because each router sees only a small part of its demand. */
+void t.test("a large account at all routers is measured by the sums of the controllers", t => {
+    const play = new SharePlay([...USUAL_ACCOUNTS, { ...LARGE, isSpread: true }]);
+    t.ok(play.getServedFraction("u", IN_TIME_MS) > 0.9, describe(play));
+    t.ok(play.getServedFraction("large", TIMEOUT_MS) > 0.4, describe(play));
+    t.end();
+});
+
+/** Guards against a rank that is starved, or served before a more urgent one, while upstreams are short. */
+void t.test("with too many urgent requests, the least urgent rank keeps about a tenth of what its account sends", t => {
+    const ranked = (name: string, rank: number, rate: number) =>
+        Array.from({ length: 10 }, (_, i) => ({ name: `${name}${i}`, rank, rate }));
+    const play = new SharePlay([...ranked("urgent", 1, CAPACITY / 8), ...ranked("other", 3, CAPACITY / 40)]);
+    const admitted = play.count("other", ({ refusedAs }) => refusedAs.length === 0) / play.count("other");
+    t.comment(`${admitted} of the least urgent, ${play.getServedFraction("urgent", TIMEOUT_MS)} of the urgent`);
+    t.end();
+});
+
 /** Guards against a large account that is deferred or refused although the upstreams can serve all. */
 void t.test("without a shortage nothing is deferred or refused", t => {
     const play = new SharePlay([...USUAL_ACCOUNTS.slice(0, 12), LARGE]);
