--- a/test/platform/fairShares.test.ts
+++ b/test/platform/fairShares.test.ts
@@ -120,6 +120,12 @@
         t.ok(servedCount > LOAD_MS / PREFILL_MS * 0.25, `${servedCount} of the large account are served`);
     });
 
+    await t.test("a router does not start with the section but without admission", async t => {
+        await t.rejects(fleet.startRouter("r3", {}, "", { admission: undefined }), {
+            message: /settingsInvalid: fairShares: needs the section admission/,
+        });
+    });
+
     await t.test("without the section, nothing is deferred or refused for others", async t => {
         const { large, usual, deferred } = await playLoad("r2");
         t.same(deferred, []);
