--- a/src/domain/admissionPolicy.ts
+++ b/src/domain/admissionPolicy.ts
@@ -27,7 +27,7 @@
 /** Part of the Retry-After that is added at random at most, so that retries are spread out. */
 const RETRY_SPREAD_FRACTION = 0.5;
 /** Part of the latency goal that a request may wait before its prompt is processed, without a shortage. */
-const SHORTAGE_GOAL_FRACTION = 0.5;
+export const SHORTAGE_GOAL_FRACTION = 0.5;
 /**
  * Multiple of the remaining time at which confirmed estimates lead to a refusal. The rest is for what they leave out: the way to
  * the caller, and streams that slow down because others begin.
@@ -108,8 +108,11 @@
         return unconfirmedMargin + (CONFIRMED_MARGIN - unconfirmedMargin) * this.getConfidence();
     }
 
-    /** `waitMs`: time until the backlog has fallen enough. The base is bounded first, so that long waits are spread out too. */
-    private drawRetryAfterMs(waitMs: number): number {
+    /**
+     * Draws a Retry-After in milliseconds. `waitMs`: time until the backlog has fallen enough. The base is bounded first, so that
+     * long waits are spread out too.
+     */
+    drawRetryAfterMs(waitMs: number): number {
         const { minRetryAfterMs, maxRetryAfterMs } = this.options;
         const maxBaseMs = maxRetryAfterMs / (1 + RETRY_SPREAD_FRACTION);
         const baseMs = Math.max(Math.min(minRetryAfterMs, maxBaseMs), Math.min(maxBaseMs, waitMs));
--- a/src/domain/upstreamModel.ts
+++ b/src/domain/upstreamModel.ts
@@ -23,8 +23,12 @@
 });
 export type UpstreamModelOptions = z.infer<typeof upstreamModelSchema>;
 
-/** Upstreams slower than the fastest by up to this factor are treated as equal: a measurement varies with the batch. */
-export const SPEED_TOLERANCE_FACTOR = 1.25;
+/**
+ * Upstreams slower than the fastest by up to this factor are treated as equal. The time between two tokens of equal upstreams
+ * varies that much with their batch and the prompts that they process meanwhile, and choosing by it would move prompts away
+ * from upstreams that have them in their cache.
+ */
+export const SPEED_TOLERANCE_FACTOR = 2;
 /** Weight of one request in the learned duration. */
 const DURATION_SMOOTHING_FACTOR = 0.1;
 /** How often the median speed of a service is recomputed, in milliseconds. Single speeds change over seconds. */
