--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -2,6 +2,7 @@
 import { mkdir } from "node:fs/promises";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { formatRelayCounts } from "./relayCounter.js";
 import { runSoak } from "./soak.js";
 
 const options = await yargs(hideBin(process.argv))
@@ -29,6 +30,7 @@
         console.log(
             `seed ${seed}: ${verdict} ${result.story.length} faults, answers ${JSON.stringify(result.outcomes)}`,
         );
+        console.log(`  ${formatRelayCounts(result.relayCounts)}`);
         if (result.faults.length > 0) {
             failed += 1;
             [...result.faults.slice(0, 20), `logs: ${result.folder}`, ...result.story].forEach(line =>
--- a/test/soak/preload.ts
+++ b/test/soak/preload.ts
@@ -1,6 +1,7 @@
 /**
  * Loaded into each process of the soak before its program, which stays as it is: leads its connections to other processes
- * through relays, and lets its time of day and its disk misbehave as a file says, which is read anew at SIGUSR2.
+ * through relays, lets its time of day and its disk misbehave and keeps its event loop busy as a file says, which is read
+ * anew at SIGUSR2.
  */
 import { readFileSync } from "node:fs";
 import { type FileHandle, open } from "node:fs/promises";
@@ -13,15 +14,20 @@
     readonly clockMs: number;
     /** `stall`: writes and syncs wait; `refuse`: they fail. */
     readonly disk: "sound" | "stall" | "refuse";
+    /** Fraction of time in which the event loop is kept busy, from 0 to 1 (exclusive). */
+    readonly busyFraction: number;
 }
 
 /** Names of the variables that the soak sets for each process. */
 export const SoakVariables = { links: "SOAK_LINKS", faults: "SOAK_FAULTS" } as const;
 
 const STALL_TURN_MS = 20;
-const SOUND: BoxFaults = { clockMs: 0, disk: "sound" };
+/** Duration of one turn of the event loop that is kept busy. About the CPU time of seven requests. */
+const BUSY_SLICE_MS = 20;
+export const SOUND: BoxFaults = { clockMs: 0, disk: "sound", busyFraction: 0 };
 
 let faults = SOUND;
+let isKeptBusy = false;
 
 function readFaults(): void {
     faults = JSON.parse(readFileSync(process.env[SoakVariables.faults]!, "utf8")) as BoxFaults;
@@ -65,9 +71,31 @@
     }
 }
 
+/** Spends the given fraction of time in a busy loop, in slices. */
+function keepBusy(): void {
+    const { busyFraction } = faults;
+    if (busyFraction === 0) {
+        isKeptBusy = false;
+        return;
+    }
+    isKeptBusy = true;
+    const until = performance.now() + BUSY_SLICE_MS;
+    while (performance.now() < until) {
+        // The process does nothing else.
+    }
+    // Does not keep a process running that stops.
+    setTimeout(keepBusy, BUSY_SLICE_MS * (1 / busyFraction - 1)).unref();
+}
+
 if (process.env[SoakVariables.faults] !== undefined) {
     readFaults();
-    process.on("SIGUSR2", readFaults);
+    keepBusy();
+    process.on("SIGUSR2", () => {
+        readFaults();
+        if (!isKeptBusy) {
+            keepBusy();
+        }
+    });
     relayConnections(JSON.parse(process.env[SoakVariables.links]!) as Record<string, number>);
     stepTimeOfDay();
     await spoilDisk();
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,7 +7,8 @@
 import { join } from "node:path";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { wait, waitUntil } from "../tools/waiting.js";
-import { ADMIN_PORT, type BoxRole, PEER_PORT, SoakBox } from "./soakBox.js";
+import { RelayCounter, type RelayCounts } from "./relayCounter.js";
+import { ADMIN_PORT, type BoxRole, PEER_PORT, RELAY_PORT, SoakBox } from "./soakBox.js";
 import { findCallerFaults, SoakCallers } from "./soakCallers.js";
 import { RunBook, SLOW_LOOKUP_PATH, SoakEngine } from "./soakEngine.js";
 import { SoakFaults } from "./soakFaults.js";
@@ -30,6 +31,8 @@
     readonly story: readonly string[];
     /** Requests by status; "none" where the connection failed. */
     readonly outcomes: Readonly<Record<string, number>>;
+    /** What the routers did with connections while they were short of CPU time. */
+    readonly relayCounts: RelayCounts;
     readonly folder: string;
 }
 
@@ -54,11 +57,12 @@
     catch (error) {
         faults = [String(error)];
     }
+    const relayCounts = await soak.countRelayed();
     await soak.close();
     if (faults.length === 0) {
         await rm(soak.folder, { recursive: true });
     }
-    return { faults, story: soak.getStory(), outcomes: soak.countOutcomes(), folder: soak.folder };
+    return { faults, story: soak.getStory(), outcomes: soak.countOutcomes(), relayCounts, folder: soak.folder };
 }
 
 class Soak {
@@ -69,6 +73,7 @@
     private readonly routers: SoakBox[];
     private readonly engines: SoakEngine[];
     private readonly operator: SoakOperator;
+    private readonly relayCounter: RelayCounter;
     private faults: SoakFaults | undefined;
     private callers: SoakCallers | undefined;
 
@@ -78,6 +83,7 @@
         this.network = FIRST_NETWORK + options.seed % NETWORKS;
         this.controllers = this.createBoxes("controller", options.controllers);
         this.routers = this.createBoxes("router", options.routers);
+        this.relayCounter = new RelayCounter(this.routers);
         const admins = this.listAdminAddresses();
         this.engines = [["engines", "e1"], ["engines", "e2"], ["engines", "e3"], ["plain", "p1"], ["plain", "p2"]].map(
             ([service, name], i) => new SoakEngine(name!, service!, this.getIp(3, i + 1), this.book, admins),
@@ -98,6 +104,7 @@
             { routers: this.routers, controllers: this.controllers, engines: this.engines },
             this.random,
         );
+        this.relayCounter.start();
         this.operator.start();
         callers.start(this.options.callers);
         await this.faults.run(this.options.faultMs);
@@ -123,6 +130,10 @@
         return counts;
     }
 
+    countRelayed(): Promise<RelayCounts> {
+        return this.relayCounter.stop();
+    }
+
     async close(): Promise<void> {
         this.engines.forEach(engine => engine.stop());
         await Promise.all([...this.routers, ...this.controllers].map(box => box.stop()));
@@ -180,16 +191,17 @@
     }
 
     private createBoxes(role: BoxRole, count: number): SoakBox[] {
+        const routers = this.listIps(2, this.options.routers);
         const addresses = [
-            ...this.listIps(1, this.options.controllers),
-            ...this.listIps(2, this.options.routers),
-        ].map(ip => `${ip}:${PEER_PORT}`);
+            ...[...this.listIps(1, this.options.controllers), ...routers].map(ip => `${ip}:${PEER_PORT}`),
+            ...role === "router" ? routers.map(ip => `${ip}:${RELAY_PORT}`) : [],
+        ];
         return this.listIps(role === "controller" ? 1 : 2, count).map((ip, i) =>
             new SoakBox({
                 name: `${role}-${i + 1}`,
                 role,
                 ip,
-                others: addresses.filter(address => address !== `${ip}:${PEER_PORT}`),
+                others: addresses.filter(address => !address.startsWith(`${ip}:`)),
                 seeds: this.listAdminAddresses().slice(0, 3),
                 folder: this.folder,
                 toleratedLosses: 1,
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -5,9 +5,12 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { CutRelay } from "../tools/cutRelay.js";
-import { type BoxFaults, SoakVariables } from "./preload.js";
+import { type BoxFaults, SoakVariables, SOUND } from "./preload.js";
 
 export const PEER_PORT = 7340;
+/** Where a router accepts connections that other routers relay to it. */
+export const RELAY_PORT = PEER_PORT + 1;
+export const METRICS_PORT = 9464;
 export const ADMIN_PORT = 8229;
 export const CALLER_PORT = 8227;
 /** Pause before a process that has ended is started again. */
@@ -15,6 +18,13 @@
 /** The longest that a planned stop takes. */
 const GRACE_S = 8;
 const HEARTBEAT_MS = 400;
+/** A small box, which relays connections, reads streams at a pace and borrows tokens in advance while it is loaded. */
+const ROUTER_LIMITS = `
+            [limits]
+            cpu_quota = 0.3
+            cores = 1.2
+            memory_mb = 300
+`;
 
 const root = join(fileURLToPath(import.meta.url), "..", "..", "..");
 
@@ -24,7 +34,7 @@
     readonly name: string;
     readonly role: BoxRole;
     readonly ip: string;
-    /** Addresses of the other boxes' interfaces to each other. */
+    /** Addresses of the other boxes' interfaces to each other, including those for relayed connections. */
     readonly others: readonly string[];
     /** Addresses of the operators' interface on the controllers to begin with. */
     readonly seeds: readonly string[];
@@ -46,7 +56,7 @@
     readonly stopCodes: number[] = [];
     private readonly ports: Record<string, number> = {};
     private child: ChildProcess | undefined;
-    private faults: BoxFaults = { clockMs: 0, disk: "sound" };
+    private faults = SOUND;
     private isFirstStart = true;
     private isWanted = true;
     private isWiping = false;
@@ -90,6 +100,10 @@
         this.signal("SIGKILL");
     }
 
+    getLogPath(): string {
+        return join(this.options.folder, `${this.options.name}.log`);
+    }
+
     /** Ends the process for good. */
     async stop(): Promise<void> {
         this.isWanted = false;
@@ -130,7 +144,7 @@
                 [SoakVariables.faults]: this.getFaultsPath(),
             },
         });
-        const log = createWriteStream(join(folder, `${name}.log`), { flags: "a" });
+        const log = createWriteStream(this.getLogPath(), { flags: "a" });
         child.stdout.pipe(log, { end: false });
         child.stderr.pipe(log, { end: false });
         children.add(child);
@@ -157,7 +171,7 @@
     }
 
     private formatSettings(): string {
-        const { name, ip, seeds, toleratedLosses } = this.options;
+        const { name, role, ip, seeds, toleratedLosses } = this.options;
         return `
             node_name = "${name}"
             ip = "${ip}"
@@ -175,6 +189,7 @@
             machines = ${toleratedLosses}
             [bounds]
             grace_s = ${GRACE_S}
+            ${role === "router" ? ROUTER_LIMITS : ""}
         `;
     }
 }
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -1,4 +1,4 @@
-/** Callers of the soak: tasks that send one request after the other over connections that they keep. */
+/** Callers of the soak: tasks that send one request after the other, every second one over connections that it keeps. */
 import { Client, type Dispatcher } from "undici";
 import type { RunBook } from "./soakEngine.js";
 import { computeEventCount, formatEvent, TOKENS_PER_EVENT } from "./soakEngine.js";
@@ -46,7 +46,7 @@
 
     start(count: number): void {
         this.running = true;
-        this.tasks = Array.from({ length: count }, (_, i) => this.runCaller(`caller-${i}`));
+        this.tasks = Array.from({ length: count }, (_, i) => this.runCaller(`caller-${i}`, i % 2 === 0));
     }
 
     /** Resolves when every request has ended. */
@@ -59,9 +59,15 @@
         await Promise.all([...this.clients.values()].map(client => client.destroy()));
     }
 
-    /** Sends one request over the connection that `caller` keeps to a router. */
-    async send(caller: string, router: number, kind: RequestKind, path: string = paths[kind]): Promise<CallerOutcome> {
-        const outcome = await this.sendUnjudged(caller, router, kind, path);
+    /** Sends one request over the connection that `caller` has to a router; closes it afterwards unless it is kept. */
+    async send(
+        caller: string,
+        router: number,
+        kind: RequestKind,
+        path: string = paths[kind],
+        keepsConnection = true,
+    ): Promise<CallerOutcome> {
+        const outcome = await this.sendUnjudged(caller, router, kind, path, keepsConnection);
         this.outcomes.push(outcome);
         return outcome;
     }
@@ -77,6 +83,7 @@
         router: number,
         kind: RequestKind,
         path: string,
+        keepsConnection = true,
     ): Promise<CallerOutcome> {
         this.serial += 1;
         // A running number, with digits before it that spread over streams of all lengths.
@@ -87,6 +94,7 @@
         return this.exchange(caller, router, id, kind, {
             method: "POST",
             path,
+            reset: !keepsConnection,
             headers: {
                 "host": "api.example",
                 "attempt-id": id,
@@ -98,10 +106,12 @@
         });
     }
 
-    private async runCaller(name: string): Promise<void> {
+    /** `keepsConnections`: whether it opens a connection once for each router, or for each request. */
+    private async runCaller(name: string, keepsConnections: boolean): Promise<void> {
         while (this.running) {
             const router = Math.floor(this.random() * this.ports.length);
-            await this.send(name, router, kinds[Math.floor(this.random() * kinds.length)]!);
+            const kind = kinds[Math.floor(this.random() * kinds.length)]!;
+            await this.send(name, router, kind, paths[kind], keepsConnections);
             await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
         }
     }
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -1,4 +1,5 @@
 /** The faults of a soak: which come, where, for how long, as a seeded generator says. They overlap and repeat. */
+import { SOUND } from "./preload.js";
 import type { SoakBox } from "./soakBox.js";
 import type { SoakEngine } from "./soakEngine.js";
 
@@ -6,6 +7,13 @@
 const MOST_CONTROLLERS_AWAY = 1;
 /** A controller that comes back counts as away for so long, in milliseconds. */
 const CATCH_UP_MS = 6_000;
+/** How long a fault lasts at least and by how much longer at most, in milliseconds. */
+const MIN_FAULT_MS = 300;
+const FAULT_SPREAD_MS = 3_000;
+/** A router learns within a second that others have spare capacity, and relays most connections a second later. */
+const MIN_BUSY_MS = 3_000;
+/** Fractions of time in which a busy router does something else; routers relay above 0.6. */
+const BUSY_FRACTIONS = [0.7, 0.85, 0.95] as const;
 
 export interface SoakFaultTargets {
     readonly routers: readonly SoakBox[];
@@ -18,6 +26,8 @@
     readonly name: string;
     readonly begin: () => void;
     readonly end?: () => void;
+    /** How long it lasts at least, in milliseconds, unless `MIN_FAULT_MS`. */
+    readonly minMs?: number;
 }
 
 export class SoakFaults {
@@ -40,7 +50,7 @@
         const { routers, controllers, engines } = this.targets;
         [...routers, ...controllers].forEach(box => {
             box.signal("SIGCONT");
-            box.setFaults({ clockMs: 0, disk: "sound" });
+            box.setFaults(SOUND);
             [box.entrance, ...box.links.values()].forEach(link => link.heal());
         });
         engines.forEach(engine => {
@@ -54,7 +64,7 @@
         if (fault === undefined) {
             return;
         }
-        const { name, begin, end } = fault;
+        const { name, begin, end, minMs = MIN_FAULT_MS } = fault;
         this.story.push(`${Math.round(performance.now() - this.startedAt)} ms ${name}`);
         begin();
         if (end !== undefined) {
@@ -63,7 +73,7 @@
                 end();
             };
             this.ends.add(endOnce);
-            setTimeout(() => this.ends.has(endOnce) && endOnce(), 300 + this.random() * 3_000);
+            setTimeout(() => this.ends.has(endOnce) && endOnce(), minMs + this.random() * FAULT_SPREAD_MS);
         }
     }
 
@@ -72,10 +82,13 @@
         if (kind < 0.3) {
             return this.createEngineFault(this.pick(this.targets.engines));
         }
-        if (kind < 0.65) {
+        if (kind < 0.58) {
             return this.createBoxFault(this.pick(this.targets.routers));
         }
-        if (kind < 0.69) {
+        if (kind < 0.68) {
+            return this.createBusyFault(this.pick(this.targets.routers));
+        }
+        if (kind < 0.72) {
             return this.createKillAll();
         }
         const controller = this.pick(this.targets.controllers);
@@ -152,6 +165,17 @@
         ]);
     }
 
+    /** The router is short of CPU time. */
+    private createBusyFault(box: SoakBox): Fault {
+        const busyFraction = this.pick(BUSY_FRACTIONS);
+        return {
+            name: `${box.options.name} is busy for ${busyFraction} of the time`,
+            begin: () => box.setFaults({ busyFraction }),
+            end: () => box.setFaults({ busyFraction: 0 }),
+            minMs: MIN_BUSY_MS,
+        };
+    }
+
     /** Every process at once; the disks stay. */
     private createKillAll(): Fault {
         const { routers, controllers } = this.targets;
