--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -177,7 +177,7 @@
             utilization,
             isRelayExhausted,
             knownNeighbours: this.policy.countKnown(),
-            spareNeighbours: this.spareCount,
+            spareNeighbours: this.policy.countBelowTarget(),
         }, now);
         this.notifier.sendDue(now);
         this.metrics.setGauge("loop_utilization", utilization);
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -191,6 +191,11 @@
         return this.loads.size;
     }
 
+    /** Returns how many of them are below the target, whatever their configuration. */
+    countBelowTarget(): number {
+        return [...this.loads.values()].filter(({ load }) => load.utilization < this.options.targetUtilization).length;
+    }
+
     /** Whether fewer connections can be relayed than the utilization of this router requires. */
     isShortOfSpare(revision: number | undefined, now: number): boolean {
         return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
