--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -82,13 +82,13 @@
         if (kind < 0.3) {
             return this.createEngineFault(this.pick(this.targets.engines));
         }
-        if (kind < 0.58) {
+        if (kind < 0.55) {
             return this.createBoxFault(this.pick(this.targets.routers));
         }
-        if (kind < 0.68) {
+        if (kind < 0.7) {
             return this.createBusyFault(this.pick(this.targets.routers));
         }
-        if (kind < 0.72) {
+        if (kind < 0.74) {
             return this.createKillAll();
         }
         const controller = this.pick(this.targets.controllers);
