--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -220,8 +220,7 @@
 
     /** Whether load balancers should send requests to this router. */
     isReady(): boolean {
-        const ready = !this.isDraining && this.bundleIndex !== undefined && this.controllerFeeds.isReady()
-            && this.coordinator?.isReady() !== false;
+        const ready = !this.isDraining && this.bundleIndex !== undefined && this.controllerFeeds.isReady();
         if (ready !== this.wasReady) {
             this.wasReady = ready;
             this.log.info("ready_changed", { ready, revision: this.bundleIndex?.bundle.revision });
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -2,7 +2,6 @@
 import type { Bundle } from "../../domain/bundle.js";
 import { ConnectionRelayPolicy, type RouterLoad } from "../../domain/connectionRelayPolicy.js";
 import { LoadShedding } from "../../domain/loadShedding.js";
-import { OverloadReadiness } from "../../domain/overloadReadiness.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { Clock } from "../../ports/clock.js";
@@ -31,7 +30,6 @@
     private readonly policy: ConnectionRelayPolicy;
     private readonly notifier: RouterLoadNotifier;
     private readonly shedding = new LoadShedding();
-    private readonly readiness = new OverloadReadiness();
     /** Event loop lag above which requests are refused, in milliseconds; undefined if no route has a latency goal. */
     private maxLagMs: number | undefined;
     /** Number of routers with spare capacity at the last sample. */
@@ -103,11 +101,6 @@
         );
     }
 
-    /** Whether the router should get new connections. */
-    isReady(): boolean {
-        return this.readiness.isReady();
-    }
-
     /** Returns a refusal if the router cannot serve a request of this priority. */
     tryRefuse(priority: number): Refusal | undefined {
         const retryAfterMs = this.shedding.tryRefuse(priority, this.random);
@@ -164,21 +157,14 @@
         const revision = this.router.getBundleRevision();
         this.spareCount = this.policy.countSpare(revision, now);
         const isShortOfSpare = this.policy.isShortOfSpare(revision, now);
-        const isRelayExhausted = isShortOfSpare || this.policy.isAtMaxFraction();
         this.shedding.recordSample({
             utilization,
             lagMs: this.getLagMs(),
             maxLagMs: this.maxLagMs,
-            isRelayExhausted,
+            isRelayExhausted: isShortOfSpare || this.policy.isAtMaxFraction(),
             isShortOfSpare,
             relayedFraction: this.policy.getRelayedFraction(),
         }, now);
-        this.readiness.recordSample({
-            utilization,
-            isRelayExhausted,
-            knownNeighbours: this.policy.countKnown(),
-            spareNeighbours: this.policy.countBelowTarget(),
-        }, now);
         this.notifier.sendDue(now);
         this.metrics.setGauge("loop_utilization", utilization);
         this.metrics.setGauge("relay_fraction", this.isRelaying() ? this.policy.getFraction() : 0);
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -186,16 +186,6 @@
         return arrivedPerSecond > 0 ? Math.min(1, relayedPerSecond / arrivedPerSecond) : 0;
     }
 
-    /** Returns the number of routers whose load is known. */
-    countKnown(): number {
-        return this.loads.size;
-    }
-
-    /** Returns how many of them are below the target, whatever their configuration. */
-    countBelowTarget(): number {
-        return [...this.loads.values()].filter(({ load }) => load.utilization < this.options.targetUtilization).length;
-    }
-
     /** Whether fewer connections can be relayed than the utilization of this router requires. */
     isShortOfSpare(revision: number | undefined, now: number): boolean {
         return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
