--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -21,6 +21,9 @@
 /** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
 const UNPACED_READS = 2;
 
+/** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
+const FIRST_REQUEST_WINDOW_MS = 100;
+
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
 
@@ -36,7 +39,9 @@
     /** Whether the process of a router is known to run, by its peer address. */
     readonly isReachable: (address: string) => boolean;
     /** Whether a router serves the same configuration as this one, by its peer address. */
-    readonly isSameRevision: (address: string) => boolean;
+    readonly isSameRevision: (address: string, ownRevision: number | undefined) => boolean;
+    /** Revision of this router's configuration. */
+    readonly getRevision: () => number | undefined;
     /** Time after which a connection attempt to another router is given up, in milliseconds. */
     readonly connectTimeoutMs: number;
     /** Maximum number of concurrent relayed connections. */
@@ -44,7 +49,7 @@
 }
 
 /** Why a relayed connection was reset. */
-export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
+export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "otherRevision" | "stopping";
 
 export class ConnectionRelay {
     private readonly connections = new Set<RelayedConnection>();
@@ -90,7 +95,8 @@
     /** Resets the connections to routers that are not reachable any more: their callers would wait in vain. */
     resetUnreachable(): void {
         for (const connection of this.connections) {
-            if (!this.isReachable(connection.target.address)) {
+            // An answer that has arrived whole is still delivered to a slow caller.
+            if (!connection.hasNeighbourEnded && !this.isReachable(connection.target.address)) {
                 connection.reset("neighbourUnreachable");
             }
         }
@@ -98,10 +104,9 @@
 
     /** Returns the number of relayed connections that probably carry a request. */
     countActive(): number {
-        const since = performance.now() - ACTIVITY_WINDOW_MS;
         let count = 0;
         for (const connection of this.connections) {
-            if (connection.lastBytesAt >= since) {
+            if (!connection.isIdle()) {
                 count += 1;
             }
         }
@@ -112,8 +117,21 @@
         return this.options.isReachable(address);
     }
 
-    isSameRevision(address: string): boolean {
-        return this.options.isSameRevision(address);
+    isSameRevision(address: string, ownRevision: number | undefined): boolean {
+        return this.options.isSameRevision(address, ownRevision);
+    }
+
+    getRevision(): number | undefined {
+        return this.options.getRevision();
+    }
+
+    /** Closes the connections without a request whose next one would meet another configuration. */
+    closeOutdated(): void {
+        for (const connection of this.connections) {
+            if (connection.isIdle() && connection.isOutdated()) {
+                connection.close();
+            }
+        }
     }
 
     countOpen(): number {
@@ -122,9 +140,8 @@
 
     /** Closes all connections: idle ones regularly, the others by a reset. */
     close(): void {
-        const since = performance.now() - ACTIVITY_WINDOW_MS;
         for (const connection of this.connections) {
-            if (connection.lastBytesAt < since) {
+            if (connection.isIdle()) {
                 connection.close();
             }
             else {
@@ -157,8 +174,14 @@
 
 /** A caller's connection and its continuation to another router. Either buffers at most its high-water mark. */
 class RelayedConnection {
+    /** Whether the neighbour has sent everything. */
+    hasNeighbourEnded = false;
     /** When bytes were last passed on in either direction. Monotonic clock, milliseconds. */
-    lastBytesAt = performance.now();
+    private lastBytesAt = performance.now();
+    /** When the neighbour's connection was established. Monotonic clock, milliseconds. */
+    private openedAt = 0;
+    /** Revision of this router's configuration when the connection was accepted. */
+    private readonly revision: number | undefined;
     private readonly neighbour: Socket;
     private readonly acceptedAt = performance.now();
     private isPreambleSent = false;
@@ -177,6 +200,7 @@
         readBuffer: Buffer,
         private readonly serveLocally: (error: string) => void,
     ) {
+        this.revision = relay.getRevision();
         this.neighbour = connect({
             ...parseAddress(target.relayAddress),
             allowHalfOpen: true,
@@ -187,6 +211,18 @@
         this.neighbour.on("error", this.handleNeighbourError);
     }
 
+    /** Whether no request is probably in progress: none was sent, or an answer was passed on whole some time ago. */
+    isIdle(): boolean {
+        const isQuiet = performance.now() - this.lastBytesAt >= ACTIVITY_WINDOW_MS;
+        const hasAnswer = this.answerReads > 0 && this.caller.writableLength === 0;
+        return !this.isPreambleSent || (hasAnswer && isQuiet);
+    }
+
+    /** Whether the neighbour may serve another configuration than this router. */
+    isOutdated(): boolean {
+        return !this.relay.isSameRevision(this.target.address, this.revision);
+    }
+
     isConnecting(): boolean {
         return this.state === "connecting";
     }
@@ -235,6 +271,7 @@
         }
         const { caller, neighbour } = this;
         this.state = "open";
+        this.openedAt = performance.now();
         this.relay.recordConnected();
         caller.on("data", this.handleRequest);
         caller.on("end", () => neighbour.end());
@@ -249,8 +286,8 @@
 
     private readonly handleRequest = (chunk: Buffer): void => {
         // A further request on this connection. Its caller may have seen a newer configuration at this router meanwhile.
-        if (this.answerReads > 0 && !this.relay.isSameRevision(this.target.address)) {
-            this.close();
+        if (this.answerReads > 0 && this.isOutdated()) {
+            this.reset("otherRevision");
             return;
         }
         this.lastBytesAt = performance.now();
@@ -269,7 +306,10 @@
             return chunk;
         }
         this.isPreambleSent = true;
-        return Buffer.concat([encodeRelayPreamble(performance.now() - this.acceptedAt), chunk]);
+        // Callers may open connections ahead of requests. A request that was there already is read soon after.
+        const isWaiting = performance.now() - this.openedAt < FIRST_REQUEST_WINDOW_MS;
+        const ageMs = isWaiting ? performance.now() - this.acceptedAt : 0;
+        return Buffer.concat([encodeRelayPreamble(ageMs), chunk]);
     }
 
     /** Returns whether to continue reading. */
@@ -323,8 +363,9 @@
             this.reset("neighbourLost");
         }
         else if (this.state === "open") {
-            this.caller.end();
-            this.relay.addHalfClosed(this);
+            this.hasNeighbourEnded = true;
+            // A slow caller first gets the rest of the answer.
+            this.caller.end(() => this.relay.addHalfClosed(this));
         }
     }
 
--- a/src/adapters/http/relayPreamble.ts
+++ b/src/adapters/http/relayPreamble.ts
@@ -15,10 +15,12 @@
 
 /** Calls `handle` with the age in milliseconds once it has arrived; the bytes after it are left in the socket. */
 export function readRelayPreamble(socket: Socket, handle: (ageMs: number) => void): void {
+    const destroy = (): void => void socket.destroy();
     const tryRead = (): void => {
         const bytes = (socket.read(PREAMBLE_BYTES) ?? undefined) as Buffer | undefined;
         if (bytes?.length === PREAMBLE_BYTES) {
             socket.off("readable", tryRead);
+            socket.off("end", destroy);
             handle(bytes.readUInt32BE());
         }
         else if (bytes !== undefined) {
@@ -27,4 +29,5 @@
         }
     };
     socket.on("readable", tryRead);
+    socket.on("end", destroy);
 }
--- a/src/adapters/readPacer.ts
+++ b/src/adapters/readPacer.ts
@@ -10,7 +10,7 @@
     private pending: (() => void)[] = [];
 
     /** `getDelayMs`: how long a read may currently be delayed, in milliseconds; 0 if reads are not to be delayed. */
-    constructor(private readonly getDelayMs: () => number) {}
+    constructor(readonly getDelayMs: () => number) {}
 
     /** Whether reads should be paused at present. */
     isActive(): boolean {
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -100,6 +100,8 @@
     /** Whether a response head was received and accepted. */
     hasAcceptedHead = false;
     hasFirstByte = false;
+    /** Whether the caller has read too slowly at any time, so that the upstream may have sent much that was not read. */
+    hasBeenPaused = false;
     /** When the upstream last sent anything. Monotonic clock, milliseconds. */
     lastActivityAt = performance.now();
     private readonly splitter: EventSplitter | undefined;
@@ -206,6 +208,7 @@
         const canContinue = forwarded === undefined || sink.write(forwarded);
         this.isPaused = !canContinue;
         this.wasPaused ||= !canContinue;
+        this.hasBeenPaused ||= !canContinue;
         return canContinue;
     }
 
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -17,6 +17,8 @@
 /** Minimum time between log lines of the relay's state, and a change of the fraction that is logged. */
 const LOG_PERIOD_MS = 1_000;
 const MIN_LOGGED_CHANGE = 0.05;
+/** Time for which callers may see an older configuration after a newer one, and in which a new one reaches all routers. */
+const REVISION_TOLERANCE_MS = 250;
 /** Refusals should be sent within a quarter of the latency goal. */
 const MAX_LAG_GOAL_FRACTION = 0.25;
 
@@ -37,6 +39,9 @@
     /** Connections that other routers have relayed to this one, with the revision of the configuration at that time. */
     private readonly relayedIn = new WeakMap<object, number | undefined>();
     private loggedAt = -Infinity;
+    /** Monotonic clock, milliseconds. */
+    private revisionChangedAt = -Infinity;
+    private readonly revisionHandlers: (() => void)[] = [];
     private loggedFraction = 0;
     private loggedSpareCount = 0;
     private loggedAdmitted = 1;
@@ -83,7 +88,9 @@
     receiveBundle({ routes }: Pick<Bundle, "routes">): void {
         const goalsMs = routes.map(({ goalMs }) => goalMs).filter(goalMs => goalMs > 0);
         this.maxLagMs = goalsMs.length === 0 ? undefined : Math.min(...goalsMs) * MAX_LAG_GOAL_FRACTION;
+        this.revisionChangedAt = this.clock.getMonotonicMs();
         this.notifyStateChange();
+        void this.clock.wait(REVISION_TOLERANCE_MS).then(() => this.revisionHandlers.forEach(handler => handler()));
     }
 
     /** Sends a notice without waiting for the next sample, after a new configuration or the beginning of a stop. */
@@ -122,19 +129,37 @@
     /**
      * Whether a connection is closed after the answer. This applies to callers' connections while new ones are relayed, so
      * that they come back and may be relayed. A connection that was relayed to this router is kept, because the other router
-     * would have to set it up again, unless the configuration has changed or this router is out of CPU time too.
+     * would have to set it up again, unless the configuration has changed, this router is out of CPU time too, or the other
+     * one is stopping. `remoteIp`: where the connection comes from.
      */
-    shouldCloseAfterAnswer(connection: object): boolean {
-        return this.relayedIn.has(connection)
-            ? this.relayedIn.get(connection) !== this.router.getBundleRevision()
-                || this.utilization.get() > this.settings.targetUtilization
-            : this.isRelaying();
+    shouldCloseAfterAnswer(connection: object, remoteIp: string | undefined): boolean {
+        if (!this.relayedIn.has(connection)) {
+            return this.isRelaying();
+        }
+        return this.relayedIn.get(connection) !== this.router.getBundleRevision()
+            || this.utilization.get() > this.settings.targetUtilization
+            || this.policy.isStopping(remoteIp ?? "");
+    }
+
+    /**
+     * Whether a router serves the same configuration as this one, so that requests may go on over a connection that was
+     * relayed before. `ownRevision`: this router's at that time, from which it has not moved on if nothing is known of the other.
+     */
+    isSameRevision(address: string, ownRevision: number | undefined): boolean {
+        const now = this.clock.getMonotonicMs();
+        const current = this.router.getBundleRevision();
+        return now - this.revisionChangedAt < REVISION_TOLERANCE_MS
+            || (this.policy.tryGetLoad(address, now)?.revision ?? ownRevision) === current;
+    }
+
+    /** Returns the revision of this router's configuration. */
+    getRevision(): number | undefined {
+        return this.router.getBundleRevision();
     }
 
-    /** Whether a request may be sent to a router on a connection that was relayed before: it serves the same configuration. */
-    isSameRevision(address: string): boolean {
-        const revision = this.policy.tryGetLoad(address, this.clock.getMonotonicMs())?.revision;
-        return revision === undefined || revision === this.router.getBundleRevision();
+    /** Registers a handler that is called after a new configuration, when the other routers should have it too. */
+    onRevisionChange(handler: () => void): void {
+        this.revisionHandlers.push(handler);
     }
 
     recordConnectFailure(address: string): void {
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -121,7 +121,10 @@
                 return this.reserved;
             case "stopped": {
                 const isRecent = performance.now() - attempt.lastActivityAt < MAX_ESTIMATE_INACTIVITY_MS;
-                return isRecent ? observedTokens + MAX_UNRECEIVED_EVENTS * this.getTokensPerEvent() : this.reserved;
+                // While a slow caller pauses an answer, the engine goes on into the buffers between them.
+                return isRecent && !attempt.hasBeenPaused
+                    ? observedTokens + MAX_UNRECEIVED_EVENTS * this.getTokensPerEvent()
+                    : this.reserved;
             }
         }
     }
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -163,11 +163,6 @@
         return this.getFraction() >= this.options.maxFraction - MIN_FRACTION;
     }
 
-    /** Returns the utilization that was recorded last. */
-    getUtilization(): number {
-        return this.utilization;
-    }
-
     /** Returns the load that a router reported, if it has not expired. */
     tryGetLoad(address: string, now: number): RouterLoad | undefined {
         const known = this.loads.get(address);
@@ -186,6 +181,11 @@
         return arrivedPerSecond > 0 ? Math.min(1, relayedPerSecond / arrivedPerSecond) : 0;
     }
 
+    /** Whether the router at an IP address has reported that it is stopping. */
+    isStopping(ip: string): boolean {
+        return [...this.loads.values()].some(({ load }) => !load.isAccepting && load.address.startsWith(`${ip}:`));
+    }
+
     /** Whether fewer connections can be relayed than the utilization of this router requires. */
     isShortOfSpare(revision: number | undefined, now: number): boolean {
         return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
--- a/src/domain/loadShedding.ts
+++ b/src/domain/loadShedding.ts
@@ -24,6 +24,8 @@
 const MAX_REFUSED_FRACTION = 0.9;
 /** Half-life of the counts of requests by rank, in samples: about 1 s. */
 const COUNT_DECAY_PER_SAMPLE = 0.93;
+/** Ranks with lower counts have had no request for seconds; a rounding error could refuse their next one. */
+const MIN_COUNT = 0.01;
 /** Range of the time after which callers may retry. Spread, so that retries do not arrive together. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 1_200;
@@ -64,7 +66,15 @@
         this.relayedFraction = sample.relayedFraction;
         const next = this.admittedFraction * Math.exp(-GAIN_PER_SAMPLE * steps * this.computeError(sample));
         this.admittedFraction = Math.min(1, Math.max(1 - MAX_REFUSED_FRACTION, next));
-        this.counts.forEach((count, rank) => this.counts.set(rank, count * COUNT_DECAY_PER_SAMPLE ** steps));
+        for (const [rank, count] of this.counts) {
+            const decayed = count * COUNT_DECAY_PER_SAMPLE ** steps;
+            if (decayed < MIN_COUNT) {
+                this.counts.delete(rank);
+            }
+            else {
+                this.counts.set(rank, decayed);
+            }
+        }
         this.refusedFractions = this.computeRefusedFractions();
     }
 
--- a/src/domain/retryBudget.ts
+++ b/src/domain/retryBudget.ts
@@ -17,9 +17,9 @@
         this.tokens = Math.min(this.maxTokens, this.tokens + this.tokensPerRequest);
     }
 
-    /** Takes a token only if another one is left for a retry; false otherwise. */
+    /** Takes a token only if another one is left for a retry, or if no more than one can accumulate; false otherwise. */
     trySpendSurplus(): boolean {
-        return this.tokens >= 2 && this.trySpend();
+        return this.tokens >= Math.min(2, this.maxTokens) && this.trySpend();
     }
 
     /** Takes a token for a retry; false if none is left. */
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -245,7 +245,10 @@
 
 const routerLoadSchema = z.object({
     address: shortName,
-    relayAddress: z.string().max(128).regex(/^[^\s:]+:\d{1,5}$/, "HOST:PORT"),
+    relayAddress: z.string().max(128).regex(
+        /^[^\s:]+:(?:[0-5]?\d{1,4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$/,
+        "HOST:PORT",
+    ),
     revision: nonNegativeInt,
     utilization: z.number().min(0).max(1),
     cores: z.number().positive().max(1_024),
--- a/src/settings/connectionRelaySettings.ts
+++ b/src/settings/connectionRelaySettings.ts
@@ -5,7 +5,10 @@
 /** Times in milliseconds. */
 const connectionRelaySettings = z.strictObject({
     /** HOST:PORT at which this router accepts connections relayed by others. */
-    relayAddress: z.string().regex(/^[^\s:]+:\d{1,5}$/, "must be HOST:PORT"),
+    relayAddress: z.string().regex(
+        /^[^\s:]+:(?:[0-5]?\d{1,4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])$/,
+        "must be HOST:PORT",
+    ),
     /** CPU time available to this router, in cores. */
     cores: z.number().positive().max(1_024),
     /** Above 0.6 a turn of the event loop waits longer than it works, and latency grows fast. */
--- a/test/platform/connectionRelay.test.ts
+++ b/test/platform/connectionRelay.test.ts
@@ -21,6 +21,8 @@
 const SMALL_BOX = "[limits]\ncpu_quota = 0.4\ncores = 0.5";
 const EVENTS = 5;
 const EVENT_GAP_MS = 100;
+/** Of the bundle. */
+const HEADER_TIMEOUT_MS = 3_000;
 const fleet = new DirectFleet(NETWORK);
 
 interface Answer {
@@ -164,6 +166,24 @@
         daemon.getBundleRevision = () => 1;
     });
 
+    // Guards against callers that hold connections of a router with the relay for ever: its HTTP server does not listen itself.
+    await t.test("an incomplete head is rejected after the header timeout", async t => {
+        const socket = connect(8227, fleet.getIp("r3"));
+        const relaying = connect(8227, fleet.getIp("r2"));
+        relayAll("r2", "none", 1);
+        getCoordinator("r2").tryChooseRouter = () => undefined;
+        const startedAt = performance.now();
+        const ends = [socket, relaying].map(async connection => {
+            connection.on("error", () => undefined).write("GET / HTTP/1.1\r\nHost: ");
+            connection.resume();
+            await once(connection, "close");
+            return performance.now() - startedAt;
+        });
+        for (const tookMs of await Promise.all(ends)) {
+            t.ok(tookMs < HEADER_TIMEOUT_MS + 2_000, `closed after ${Math.round(tookMs)} ms`);
+        }
+    });
+
     await t.test("no connection to the other router: the request is served locally, and the router not used for a while", async t => {
         served.clear();
         relayAll("r1", "r2", RELAY_PORT + 1);
