--- a/test/platform/fairShares.test.ts
+++ b/test/platform/fairShares.test.ts
@@ -9,7 +9,8 @@
 import { waitUntil } from "../tools/waiting.js";
 import { createWireBundle } from "../tools/wireBundle.js";
 
-const NETWORK = 97;
+process.env["LOOMWINCH_UPSTREAM_MODEL"] = "on";
+const NETWORK = 181;
 const fleet = new DirectFleet(NETWORK);
 /** The engine processes one prompt after the other, urgent ones first, in the time that the router presumes for the tokens. */
 const PREFILL_MS = 100;
