--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -22,7 +22,13 @@
 const UNPACED_READS = 2;
 
 /** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
-const FIRST_REQUEST_WINDOW_MS = 100;
+const FIRST_REQUEST_WINDOW_MS = 250;
+
+/**
+ * Time after which the caller of a first request may have left. Data and the end of a connection are then read in different turns
+ * of a lagging event loop, so that the request is passed on only after another poll.
+ */
+const MIN_STALE_AGE_MS = 200;
 
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
@@ -185,6 +191,8 @@
     private readonly neighbour: Socket;
     private readonly acceptedAt = performance.now();
     private isPreambleSent = false;
+    /** First bytes of the caller that wait for another poll. */
+    private delayedBytes: Buffer[] | undefined;
     private state: "connecting" | "open" | "closed" = "connecting";
     /** Reads from the neighbour since the caller last sent something. */
     private answerReads = 0;
@@ -274,7 +282,11 @@
         this.openedAt = performance.now();
         this.relay.recordConnected();
         caller.on("data", this.handleRequest);
-        caller.on("end", () => neighbour.end());
+        caller.on("end", () => {
+            if (this.delayedBytes === undefined) {
+                neighbour.end();
+            }
+        });
         caller.on("drain", this.handleCallerDrain);
         caller.on("error", () => this.handleCallerClose());
         caller.on("close", () => this.handleCallerClose());
@@ -285,6 +297,34 @@
     };
 
     private readonly handleRequest = (chunk: Buffer): void => {
+        if (this.delayedBytes !== undefined) {
+            this.delayedBytes.push(chunk);
+        }
+        else if (!this.isPreambleSent && performance.now() - this.acceptedAt >= MIN_STALE_AGE_MS) {
+            this.delayedBytes = [chunk];
+            void this.forwardAfterPoll();
+        }
+        else {
+            this.forwardRequest(chunk);
+        }
+    };
+
+    /** Passes on the first bytes unless the caller has left meanwhile. */
+    private async forwardAfterPoll(): Promise<void> {
+        await waitForNextPoll();
+        const bytes = Buffer.concat(this.delayedBytes!);
+        this.delayedBytes = undefined;
+        if (this.state !== "open") {
+            return;
+        }
+        if (this.caller.readableEnded || this.caller.destroyed) {
+            this.close();
+            return;
+        }
+        this.forwardRequest(bytes);
+    }
+
+    private forwardRequest(chunk: Buffer): void {
         // A further request on this connection. Its caller may have seen a newer configuration at this router meanwhile.
         if (this.answerReads > 0 && this.isOutdated()) {
             this.reset("otherRevision");
@@ -298,7 +338,7 @@
         if (!this.neighbour.write(this.addPreamble(chunk))) {
             this.caller.pause();
         }
-    };
+    }
 
     /** Sends the preamble together with the first bytes, which saves a packet. */
     private addPreamble(chunk: Buffer): Buffer {
--- a/test/adapters/connectionRelay.test.ts
+++ b/test/adapters/connectionRelay.test.ts
@@ -186,6 +186,24 @@
     t.equal(received.length, 0);
 });
 
+// Guards against a saturated router that sends on requests whose callers have left.
+void t.test("a late first request is not passed on if its caller has left", async t => {
+    const setup = await createSetup(t);
+    const leaving = await setup.connectCaller();
+    await waitUntil("connected", () => setup.accepted.length === 1);
+    await wait(300);
+    const received: Buffer[] = [];
+    setup.accepted[0]!.on("data", (chunk: Buffer) => received.push(chunk));
+    leaving.end("request");
+    await waitUntil("removed", () => setup.relay.countOpen() === 0);
+    t.equal(received.length, 0);
+    const staying = await setup.connectCaller();
+    await waitUntil("connected", () => setup.accepted.length === 2);
+    await wait(300);
+    staying.write("request");
+    t.ok(String((await once(setup.accepted[1]!, "data"))[0]).endsWith("request"));
+});
+
 void t.test("the neighbour refuses the connection: the caller is served locally, and nothing was read", async t => {
     const setup = await createSetup(t);
     const unused = createServer();
