--- a/src/daemons/directRouter/prepaidBorrower.ts
+++ b/src/daemons/directRouter/prepaidBorrower.ts
@@ -5,7 +5,6 @@
  */
 import { type AdvanceLoan, AdvanceLoans, advanceLoanSettings } from "../../domain/advanceLoans.js";
 import type { LocalTokenBudget, UnusedLoan } from "../../domain/localTokenBudget.js";
-import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
@@ -16,6 +15,7 @@
     type LoanRequest,
     returnPrepaidMethod,
 } from "../../protocol/fleetMethods.js";
+import { parseSection } from "../../settings/checkSection.js";
 import type { RouterLinks } from "./routerLinks.js";
 
 /** Times in milliseconds. */
@@ -263,10 +263,5 @@
 
 /** Returns the checked duration of demand to borrow in advance, in milliseconds. */
 function readAheadMs({ aheadMs }: PrepaidBorrowerOptions): number {
-    const parsed = advanceLoanSettings.safeParse({ aheadMs });
-    if (!parsed.success) {
-        const issue = parsed.error.issues[0]!;
-        throw new RefusalError(createRefusal("settingsInvalid", `borrower.${issue.path.join(".")}: ${issue.message}`));
-    }
-    return parsed.data.aheadMs;
+    return parseSection("borrower", advanceLoanSettings, { aheadMs }).aheadMs;
 }
--- a/src/settings/connectionRelaySettings.ts
+++ b/src/settings/connectionRelaySettings.ts
@@ -1,6 +1,6 @@
 /** Settings of the relay of callers' connections to other routers. */
 import * as z from "zod";
-import { createRefusal, RefusalError } from "../domain/resultCodes.js";
+import { parseSection } from "./checkSection.js";
 
 /** Times in milliseconds. */
 const connectionRelaySettings = z.strictObject({
@@ -32,11 +32,5 @@
 
 /** Applies defaults. Throws settingsInvalid, which names the setting and its bound. */
 export function parseConnectionRelaySettings(input: ConnectionRelaySettingsInput): ConnectionRelaySettings {
-    const parsed = connectionRelaySettings.safeParse(input);
-    if (!parsed.success) {
-        const issue = parsed.error.issues[0]!;
-        const path = ["connectionRelay", ...issue.path].join(".");
-        throw new RefusalError(createRefusal("settingsInvalid", `${path}: ${issue.message}`));
-    }
-    return parsed.data;
+    return parseSection("connectionRelay", connectionRelaySettings, input);
 }
--- a/src/settings/readPacingSettings.ts
+++ b/src/settings/readPacingSettings.ts
@@ -1,6 +1,6 @@
 /** Settings section `readPacing` of a router: delayed reads of streams while the router is loaded. */
 import * as z from "zod";
-import { createRefusal, RefusalError } from "../domain/resultCodes.js";
+import { checkSection } from "./checkSection.js";
 
 /**
  * An event has to reach the caller within 200 ms. The rest is left for the transfer and for a turn of the loaded event loop.
@@ -23,14 +23,5 @@
 
 /** Throws settingsInvalid, naming the setting and its bound; accepts an absent section. */
 export function checkReadPacingSettings(settings: ReadPacingSettings | undefined): void {
-    if (settings === undefined) {
-        return;
-    }
-    const parsed = readPacingSchema.safeParse(settings);
-    if (!parsed.success) {
-        const issue = parsed.error.issues[0]!;
-        throw new RefusalError(
-            createRefusal("settingsInvalid", `${["readPacing", ...issue.path].join(".")}: ${issue.message}`),
-        );
-    }
+    checkSection("readPacing", readPacingSchema, settings);
 }
