Logs name the software version of an upstream and the stream that a request takes up

No log line told the versions of upstreams apart or a request that takes up a stream from a new one, so the three hypotheses on streams of two versions could not be told apart.

--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -147,6 +147,7 @@
             upstream: registration.id,
             service: registration.service,
             address: registration.address,
+            version: registration.version,
             state: registration.state,
             born_at: registration.bornAt,
             sequence: registration.sequence,
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -514,6 +514,7 @@
                     upstream: registration.id,
                     service: registration.service,
                     address: registration.address,
+                    version: registration.version,
                     state: registration.state,
                     born_at: registration.bornAt,
                     age_ms: ageMs,
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -45,6 +45,8 @@
     readonly sendCount: number;
     /** Id of the last upstream that the request was sent to. */
     readonly upstream: string;
+    /** Software version of this upstream; undefined if it reports none. */
+    readonly version: string | undefined;
     /** Prompt tokens that this upstream probably had to read. */
     readonly newTokens: number;
     /** Estimated time that this upstream needed to read prompts queued earlier. */
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -26,6 +26,8 @@
     readonly parts: readonly PromptPart[];
     /** Id of the event after which the caller resumes a stream. */
     readonly resumeAfter: string | undefined;
+    /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+    readonly resumedAttempt: string | undefined;
 }
 
 /** A request with its route, service and client account. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -328,18 +328,18 @@
         }
         this.lastFailureReason = "reason" in outcome ? outcome.reason : outcome.type;
         if (outcome.type !== "interrupted") {
-            this.logUnsuccessfulAttempt(upstream.id, outcome.type);
+            this.logUnsuccessfulAttempt(upstream, outcome.type);
             return;
         }
         const brokenRequest = { fingerprint: computeRequestFingerprint(this.resolved), hasBegun };
-        this.logUnsuccessfulAttempt(upstream.id, outcome.type, brokenRequest);
+        this.logUnsuccessfulAttempt(upstream, outcome.type, brokenRequest);
         if (outcome.cause === "connection") {
             this.context.quarantine.recordInterrupted(this.context.registry.getLatest(upstream), brokenRequest);
         }
     }
 
     private logUnsuccessfulAttempt(
-        upstream: string,
+        upstream: UpstreamRegistration,
         outcome: AttemptOutcome["type"],
         brokenRequest?: InterruptedRequest,
     ): void {
@@ -347,7 +347,8 @@
         this.context.log.info("attempt_ended", {
             request: request.forwarded.id,
             route: route.name,
-            upstream,
+            upstream: upstream.id,
+            version: upstream.version,
             attempt: this.sendCount,
             outcome,
             reason: this.lastFailureReason,
@@ -443,6 +444,7 @@
             longestPauseMs,
             sendCount: this.sendCount,
             upstream: upstream.id,
+            version: upstream.version,
             newTokens: uncachedTokens,
             aheadMs: queuedPrefillMs,
         };
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -5,6 +5,9 @@
  * its end expires.
  */
 
+/** Maximum length of the name of a software version, in characters. */
+export const MAX_VERSION_LENGTH = 128;
+
 /** An upstream's report of itself. */
 export interface UpstreamRegistration {
     readonly id: string;
@@ -17,6 +20,8 @@
     /** HOST:PORT; may be reused by another upstream later. */
     readonly address: string;
     readonly zone: string;
+    /** Version of its software; undefined if it reports none. */
+    readonly version?: string | undefined;
     /** Requests that it processes concurrently. */
     readonly slots: number;
     /** `leaving`: it accepts no new work. `gone`: this incarnation has ended. */
@@ -147,6 +152,7 @@
         const changed = known.registration.state !== registration.state
             || known.registration.address !== registration.address
             || known.registration.slots !== registration.slots
+            || known.registration.version !== registration.version
             || hasColdPeriodExtended(registration, known, heardAt);
         known.registration = registration;
         known.heardAt = Math.max(known.heardAt, heardAt);
@@ -187,6 +193,7 @@
             service: known?.service ?? "",
             address: known?.address ?? "",
             zone: known?.zone ?? "",
+            version: known?.version,
             slots: known?.slots ?? 0,
             state: "gone",
             sequence: known?.sequence ?? 0,
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -14,12 +14,13 @@
     lifeKeySchema,
     MAX_INTERRUPTED_REQUESTS,
 } from "../domain/upstreamEndCommands.js";
-import type { HeardRegistration, UpstreamRegistration } from "../domain/upstreamRegistry.js";
+import { type HeardRegistration, MAX_VERSION_LENGTH, type UpstreamRegistration } from "../domain/upstreamRegistry.js";
 import { createPeerMethod } from "../ports/peer.js";
 import type { EncodedBundle } from "./bundleTransfer.js";
 
 const shortName = z.string().max(128);
 const nonNegativeInt = z.int().min(0);
+const softwareVersion = z.string().max(MAX_VERSION_LENGTH);
 
 /** Maximum number of upstreams in one end report. */
 export const MAX_REPORTED_ENDS = 64;
@@ -30,6 +31,7 @@
     service: shortName,
     address: shortName,
     zone: shortName,
+    version: softwareVersion.optional(),
     slots: nonNegativeInt,
     state: z.enum(["ready", "leaving", "gone"]),
     sequence: nonNegativeInt,
