Streams go on only at the software version that began them

Cause: the version of an upstream was not known to any process, so a stream that broke off went to any upstream, within one answer and when its caller resumed it at the same or at another router.

A router now remembers which service and version began a stream and keeps the answer there. Controllers record the versions of a service in the replicated log before a router learns of an upstream that has one, and keep in memory the origins that routers report while a service has several versions. A router that a stream is resumed at goes by its own record, by a list of versions that a majority confirms to have one entry, or by the record of any controller; else it refuses at once (LW1314), as it does where no upstream of the version takes work (LW1315). Nothing is reported while a service has one version.

--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -17,7 +17,7 @@
 /** Fields that are constant within a process or that are printed first. */
 const OMITTED_FIELDS: ReadonlySet<string> = new Set(["time", "level", "role", "name", "zone", "event", "request"]);
 /** Events that may explain a refusal. */
-const CAUSE_EVENTS: ReadonlySet<string> = new Set(["tokens_not_reserved", "attempt_ended"]);
+const CAUSE_EVENTS: ReadonlySet<string> = new Set(["tokens_not_reserved", "attempt_ended", "stream_not_resumed"]);
 const REFUSAL_EVENT = "request_refused";
 const CAUSE_MARKER = "*";
 
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -22,11 +22,14 @@
     reportPrepaidMethod,
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
+import { findOriginMethod, originNoticeMethod, readVersionsMethod } from "../../protocol/streamMethods.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
 import { BundlePublisher } from "./bundlePublisher.js";
 import { EvacuationService } from "./evacuationService.js";
 import { PrepaidService } from "./prepaidService.js";
 import { RegistrationService } from "./registrationService.js";
+import { ServiceVersionService } from "./serviceVersionService.js";
+import { StreamOriginService } from "./streamOriginService.js";
 import { SubscribedRouters } from "./subscribedRouters.js";
 import { UpstreamEndService } from "./upstreamEndService.js";
 
@@ -42,6 +45,8 @@
     readonly evacuations: EvacuationService;
     private readonly prepaid: PrepaidService;
     private readonly upstreamEnds: UpstreamEndService;
+    private readonly serviceVersions: ServiceVersionService;
+    private readonly streamOrigins: StreamOriginService;
     private readonly subscribers = new SubscribedRouters(createRandomId());
     private readonly publisher = new BundlePublisher();
     private seeds: readonly string[];
@@ -62,6 +67,8 @@
         this.prepaid = new PrepaidService(replica, network, log);
         this.upstreamEnds = new UpstreamEndService(replica, this.subscribers, network, clock, log);
         this.evacuations = new EvacuationService(replica, this.subscribers, log);
+        this.serviceVersions = new ServiceVersionService(replica, this.subscribers, clock, log);
+        this.streamOrigins = new StreamOriginService(clock, log);
         this.registrations = new RegistrationService(
             this.subscribers,
             network,
@@ -69,6 +76,7 @@
             log,
             () => replica.replicas.getPeers().map(other => other.address),
             service => this.isServiceDeclared(service),
+            (service, version) => this.serviceVersions.requireRecorded(service, version),
         );
         replica.onApplied((entry, result) => {
             if (entry.command.type === "putBundle" && (result as BundleResult).changed) {
@@ -86,6 +94,11 @@
         handlers.add(getBundleMethod, async ({ held }) => ({ bundle: await this.publisher.tryGetEncoded(held) }));
         handlers.add(upstreamNoticeMethod, notice => this.registrations.recordForwarded(notice.upstreams));
         handlers.add(reportEndsMethod, ({ report }) => this.upstreamEnds.handleReport(report));
+        handlers.add(originNoticeMethod, ({ streams }) => this.streamOrigins.recordReports(streams));
+        handlers.add(findOriginMethod, ({ key }) => ({ origin: this.streamOrigins.tryFind(key) }));
+        handlers.add(readVersionsMethod, async ({ service }) => ({
+            versions: await this.serviceVersions.readVersions(service),
+        }));
         handlers.add(reportPrepaidMethod, ({ report }) => this.prepaid.handleReport(report));
     }
 
@@ -96,6 +109,8 @@
         void this.registrations.runHeartbeatBatches();
         void this.prepaid.runLogging(this.clock);
         void this.upstreamEnds.runEviction();
+        void this.serviceVersions.runEviction(() => this.registrations.list());
+        this.streamOrigins.start();
     }
 
     /** Replaces the seeds when the settings have changed. */
@@ -105,6 +120,7 @@
 
     async stop(): Promise<void> {
         this.registrations.stop();
+        this.streamOrigins.stop();
         await this.replica.stop();
     }
 
@@ -164,6 +180,7 @@
             hasMajority: this.replica.isConnectedToMajority(),
             suspects: this.upstreamEnds.createSuspectList(),
             evacuations: this.evacuations.createEvacuationList(),
+            serviceVersions: this.serviceVersions.createList(),
         };
     }
 
--- a/src/daemons/bundleController/registrationService.ts
+++ b/src/daemons/bundleController/registrationService.ts
@@ -28,6 +28,7 @@
         private readonly log: Log,
         private readonly getOtherControllers: () => readonly string[],
         private readonly isServiceDeclared: (service: string) => Promise<boolean>,
+        private readonly requireVersionRecorded: (service: string, version: string) => Promise<void>,
     ) {}
 
     /** Periodically forwards the collected heartbeats to the other controllers. */
@@ -48,13 +49,17 @@
 
     /**
      * Records a report of an upstream. Throws serviceUnknown if the bundle does not declare its service, unless the upstream
-     * already belongs to it. Such a report could otherwise claim the address of another upstream.
+     * already belongs to it. Such a report could otherwise claim the address of another upstream. Throws noMajority or
+     * changeUnknown if no majority knows its software version: no router may use a version that a majority does not know.
      */
     async register(registration: UpstreamRegistration): Promise<void> {
         const isKnown = this.registry.tryGet(registration.id)?.service === registration.service;
         if (!isKnown && !await this.isServiceDeclared(registration.service)) {
             throw new RefusalError(createRefusal("serviceUnknown", registration.service));
         }
+        if (registration.state === "ready") {
+            await this.requireVersionRecorded(registration.service, registration.version ?? "");
+        }
         const change = this.registry.record(registration, this.clock.getMonotonicMs());
         // The newest registration also includes what routers have learned about the upstream.
         const newest = this.registry.getLatest(registration);
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -82,6 +82,8 @@
     readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the response body begins. */
     readonly onFirstByte: () => void;
+    /** Called when the head is forwarded to the caller; not called for a continuation. */
+    readonly onHeadForwarded: (status: number) => void;
     /**
      * Called when complete events of a stream arrive, with their number. Monotonic clock, milliseconds. `wasPaused`: reading had
      * been paused for a slow caller, so that the gap before them says nothing about the upstream.
@@ -246,6 +248,7 @@
         progress.isHeadSent = true;
         progress.canResume = this.options.isResumable && head.status === 200 && head.isFramed
             && !head.headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
+        this.options.onHeadForwarded(head.status);
         sink.sendHead(head.status, head.headers, head.isFramed);
     }
 
--- a/src/daemons/directRouter/controllerFeed.ts
+++ b/src/daemons/directRouter/controllerFeed.ts
@@ -28,6 +28,8 @@
 export interface FeedListener {
     /** Handles the response to a poll. `routers`: the routers that follow the controller, from its latest list. */
     receiveFollowAnswer(answer: FollowAnswer, routers: readonly RouterContact[]): void;
+    /** Handles the first response over a new connection, after which the controller may have missed notifications. */
+    receiveReconnected(controller: string): void;
     /** Handles upstream changes. `heard`: upper bounds on the age of each known upstream's last report. */
     receiveUpstreamUpdate(news: UpstreamUpdate, heard: readonly UpstreamReportAge[]): void;
 }
@@ -93,6 +95,7 @@
         const { address, callTimeoutMs, pollIntervalMs } = this.options;
         // Changes may have been missed while disconnected, so the first poll requests them.
         let wantsUpstreams = true;
+        let isFirstAnswer = true;
         while (!this.isStopped) {
             if (wantsUpstreams) {
                 this.upstreamsPolledAt = this.clock.getMonotonicMs();
@@ -104,6 +107,10 @@
             this.lastAnsweredAt = this.clock.getMonotonicMs();
             this.hasMajority = answer.hasMajority;
             onAnswer();
+            if (isFirstAnswer) {
+                isFirstAnswer = false;
+                this.listener.receiveReconnected(this.address);
+            }
             this.routers = answer.routers ?? this.routers;
             this.routersCursor = answer.routersCursor;
             this.listener.receiveFollowAnswer(answer, this.routers);
--- a/src/daemons/directRouter/controllerFeeds.ts
+++ b/src/daemons/directRouter/controllerFeeds.ts
@@ -49,6 +49,11 @@
         return feeds.map(feed => feed.address);
     }
 
+    /** Lists the controllers that have responded within two poll intervals. */
+    getResponsiveAddresses(): string[] {
+        return this.listResponsive(this.clock.getMonotonicMs()).map(({ address }) => address);
+    }
+
     /** Fetches a bundle that a controller announced. Ignores controllers that are not followed. */
     async handleBundleNotice(address: string, revision: number): Promise<void> {
         if (this.feeds.has(address)) {
@@ -75,12 +80,16 @@
     private isUpstreamPollDue(feed: ControllerFeed): boolean {
         const now = this.clock.getMonotonicMs();
         const { pollIntervalMs } = this.options;
-        const responsive = [...this.feeds.values()].filter(other => now - other.lastAnsweredAt < 2 * pollIntervalMs);
+        const responsive = this.listResponsive(now);
         const lastPolledAt = Math.max(...responsive.map(other => other.upstreamsPolledAt));
         return now - lastPolledAt >= pollIntervalMs / 2
             && responsive.every(other => other.upstreamsPolledAt >= feed.upstreamsPolledAt);
     }
 
+    private listResponsive(now: number): ControllerFeed[] {
+        return [...this.feeds.values()].filter(feed => now - feed.lastAnsweredAt < 2 * this.options.pollIntervalMs);
+    }
+
     private follow(addresses: readonly string[]): void {
         for (const address of addresses) {
             if (!this.feeds.has(address)) {
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,7 +1,7 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
 import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
-import { BundleIndex, type BundleService, listPrepaidLimits, selectTarget } from "../../domain/bundle.js";
+import { BundleIndex, type BundleService, listPrepaidLimits } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
@@ -9,18 +9,14 @@
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
+import type { StreamOriginsOptions } from "../../domain/streamOrigins.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { UpstreamBackoffs } from "../../domain/upstreamBackoffs.js";
 import { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { UpstreamUpdate } from "../../domain/upstreamChanges.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import type { ReportedEstimates } from "../../domain/upstreamModel.js";
-import {
-    getIncarnationKey,
-    type HeardRegistration,
-    type UpstreamRegistration,
-    UpstreamRegistry,
-} from "../../domain/upstreamRegistry.js";
+import { getIncarnationKey, type UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { UpstreamSignals } from "../../domain/upstreamSignals.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type { BundleDecoder } from "../../ports/bundleDecoder.js";
@@ -51,8 +47,14 @@
 import { RelayRun } from "./relayRun.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
+import { resolveRequest } from "./requestResolution.js";
+import { relayResumption } from "./resumedRelay.js";
 import { type ServiceBudgetOptions, ServiceBudgets } from "./serviceBudgets.js";
+import { StreamContinuity } from "./streamContinuity.js";
+import type { StreamOriginReporter } from "./streamOriginReporter.js";
+import { isResumption } from "./streamResumer.js";
 import { UpstreamNotifier } from "./upstreamNotifier.js";
+import { UpstreamReceiver } from "./upstreamReceiver.js";
 import { UpstreamSignalRecorder } from "./upstreamSignalRecorder.js";
 import type { UpstreamReportAge } from "./upstreamUpdateTracker.js";
 
@@ -66,6 +68,7 @@
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
     readonly controllerGrantMs: number;
+    readonly streamOrigins: StreamOriginsOptions;
     /** Bounds the memory of request bodies; without it, it is not bounded. */
     readonly bodyMemory?: BodyMemoryOptions | undefined;
     /** Number of routers to assume until the controllers report it; also the lower bound when limits are divided. */
@@ -82,6 +85,8 @@
     override readonly registry = new UpstreamRegistry();
     override readonly candidates: UpstreamCandidates;
     override readonly bodyMemory: BodyMemory | undefined;
+    override readonly streamOrigins: StreamOriginReporter;
+    private readonly streamContinuity: StreamContinuity;
     private readonly evacuatedZones = new EvacuatedZones();
     private bundleIndex: BundleIndex | undefined;
     private readonly recorder: RequestRecorder;
@@ -89,6 +94,7 @@
     private readonly controllerFeeds: ControllerFeeds;
     private readonly upstreamNotifier: UpstreamNotifier;
     private readonly signalReceiver: UpstreamSignalRecorder;
+    private readonly upstreamReceiver: UpstreamReceiver;
     private readonly otherRouters: OtherRouters;
     private readonly serviceBudgets: ServiceBudgets;
     private activeRequestCount = 0;
@@ -149,6 +155,24 @@
             coldRateSharing,
             limitRateSharing,
         );
+        this.streamContinuity = new StreamContinuity(
+            { ...options.streamOrigins, address: options.address, retryAfterMs: options.retryAfterMs },
+            () => this.getControllerAddresses(),
+            network,
+            clock,
+            log,
+            metrics,
+        );
+        this.streamOrigins = this.streamContinuity.origins;
+        this.upstreamReceiver = new UpstreamReceiver(
+            this.registry,
+            load,
+            upstreams,
+            this.signalReceiver,
+            this.streamOrigins,
+            clock,
+            log,
+        );
         this.otherRouters = new OtherRouters(
             options.address,
             options.assumedRouterCount,
@@ -182,8 +206,9 @@
         );
         this.prepaidBorrower.addHandlers(handlers);
         this.placementSharer.addHandlers(handlers);
-        handlers.add(upstreamNoticeMethod, notice => this.receiveUpstreams(notice.upstreams));
+        handlers.add(upstreamNoticeMethod, notice => this.upstreamReceiver.receive(notice.upstreams));
         handlers.add(evacuationNoticeMethod, list => this.receiveEvacuations(list));
+        this.streamContinuity.addHandlers(handlers);
         this.quarantine.addHandlers(handlers);
     }
 
@@ -193,6 +218,7 @@
         this.quarantine.start();
         this.coordinator?.start();
         this.prepaidBorrower.start();
+        this.streamOrigins.start();
         this.cleanupTimer = setInterval(() => this.removeStaleUpstreams(), CLEANUP_PERIOD_MS);
         this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
         // Upstreams have probably closed idle connections; a non-repeatable request sent on one could not be retried.
@@ -251,6 +277,7 @@
         this.prepaidBorrower.stop();
         this.controllerFeeds.stop();
         this.quarantine.stop();
+        this.streamOrigins.stop();
         await this.prepaidReporter.stop();
         this.upstreams.close();
     }
@@ -272,7 +299,7 @@
         this.serviceBudgets.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
-            await new RelayRun(this, resolved, sink).run();
+            await this.relay(resolved, sink);
         }
         finally {
             this.activeRequestCount -= 1;
@@ -286,23 +313,17 @@
     }
 
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
-        const { bundleIndex } = this;
-        if (this.isRefusingRequests) {
-            return createRefusal("draining", undefined, "no", this.options.retryAfterMs);
-        }
-        if (bundleIndex === undefined) {
-            return createRefusal("notReady", "no bundle yet", "no", this.options.startRetryAfterMs);
-        }
-        const route = bundleIndex.tryGetRoute(request.host, request.forwarded.target);
-        if (route === undefined) {
-            return createRefusal("routeUnknown");
-        }
-        const account = request.apiKey === undefined ? undefined : bundleIndex.tryGetAccount(request.apiKey);
-        if (!route.isPublic && account === undefined && bundleIndex.hasAccounts()) {
-            return createRefusal(request.apiKey === undefined ? "keyMissing" : "keyWrong");
-        }
-        const service = bundleIndex.tryGetService(selectTarget(route, Math.random()).service)!;
-        return { request, route, service, account: route.isPublic ? undefined : account };
+        return this.isRefusingRequests
+            ? createRefusal("draining", undefined, "no", this.options.retryAfterMs)
+            : resolveRequest(request, this.bundleIndex, this.options.startRetryAfterMs);
+    }
+
+    /** Relays a request; one that resumes a stream only to the software that began it. */
+    private relay(resolved: ResolvedRequest, sink: PassThroughSink): Promise<void> {
+        const tryGetService = (name: string) => this.bundleIndex?.tryGetService(name);
+        return isResumption(resolved)
+            ? relayResumption(this, this.streamContinuity.resumer, tryGetService, resolved, sink)
+            : new RelayRun(this, resolved, sink).run();
     }
 
     // RelayContext
@@ -438,10 +459,13 @@
 
     receiveFollowAnswer(answer: FollowAnswer, routers: readonly RouterContact[]): void {
         const now = this.clock.getMonotonicMs();
-        this.receiveUpstreams(answer.upstreams);
+        this.upstreamReceiver.receive(answer.upstreams);
         if (answer.evacuations !== undefined) {
             this.receiveEvacuations(answer.evacuations);
         }
+        if (answer.serviceVersions !== undefined) {
+            this.streamContinuity.receiveVersions(answer.serviceVersions);
+        }
         if (answer.suspects !== undefined) {
             this.quarantine.receiveSuspects(answer.suspects);
         }
@@ -462,25 +486,16 @@
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
         }
+        this.streamOrigins.setControllers(this.controllerFeeds.getResponsiveAddresses());
     }
 
     receiveUpstreamUpdate(news: UpstreamUpdate, heard: readonly UpstreamReportAge[]): void {
         const now = this.clock.getMonotonicMs();
-        this.receiveUpstreams(news.changed);
+        this.upstreamReceiver.receive(news.changed);
         heard.forEach(({ id, ageMs }) => this.registry.recordHeard(id, now - ageMs));
         this.controllerContact.recordUpstreamUpdate(now);
     }
 
-    /** Discards connections to an earlier process of an upstream: a request sent on one may or may not run. */
-    private closeStaleConnections(
-        previous: UpstreamRegistration | undefined,
-        current: UpstreamRegistration | undefined,
-    ): void {
-        if (previous?.bornAt !== undefined && previous.bornAt !== current?.bornAt) {
-            this.upstreams.drain(previous.address);
-        }
-    }
-
     private setGauges(): void {
         this.signalReceiver.setGauges();
         this.admissionMonitor.update();
@@ -503,25 +518,7 @@
         }
     }
 
-    private receiveUpstreams(upstreams: readonly HeardRegistration[]): void {
-        const now = this.clock.getMonotonicMs();
-        for (const heard of upstreams) {
-            const { registration, ageMs } = heard;
-            const previous = this.registry.tryGet(registration.id);
-            if (this.registry.record(registration, now - ageMs) === "state") {
-                this.closeStaleConnections(previous, this.registry.tryGet(registration.id));
-                this.log.info("upstream_state", {
-                    upstream: registration.id,
-                    service: registration.service,
-                    address: registration.address,
-                    version: registration.version,
-                    state: registration.state,
-                    born_at: registration.bornAt,
-                    age_ms: ageMs,
-                });
-            }
-            this.signalReceiver.recordReportedLimit(heard);
-            this.load.recordRegistered(registration, now);
-        }
+    receiveReconnected(controller: string): void {
+        this.streamOrigins.recordReconnected(controller);
     }
 }
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -15,6 +15,7 @@
 import type { FairShareControl } from "./fairShareControl.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
+import type { StreamOriginReporter } from "./streamOriginReporter.js";
 
 /** Request timeouts and Retry-After values, in milliseconds. */
 export interface RelayOptions {
@@ -71,6 +72,7 @@
     abstract readonly tokenBudget: LocalTokenBudget;
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
+    abstract readonly streamOrigins: StreamOriginReporter;
     /** Undefined if the memory of request bodies is not bounded. */
     abstract readonly bodyMemory: BodyMemory | undefined;
     /** Undefined if requests are sent whatever their remaining time. */
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -4,15 +4,18 @@
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { hasTimeToSend } from "../../domain/sendingTime.js";
+import type { StreamOrigin } from "../../domain/streamOrigins.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
-import type { LoadOutcome, Placement, RequestDemand, StartedPlacement } from "../../domain/upstreamLoad.js";
+import type { Placement, RequestDemand, StartedPlacement } from "../../domain/upstreamLoad.js";
 import type { ReportedEstimates } from "../../domain/upstreamModel.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
+import { AnswerOrigin } from "./answerOrigin.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
 import type { FairShareRequest } from "./fairShareControl.js";
 import type { RelayContext, ResponseDetails } from "./relayContext.js";
+import { formatCauses, tryGetLoadOutcome } from "./relayOutcomes.js";
 import { computePriority, computeRequestFingerprint, type ResolvedRequest } from "./relayRequest.js";
 import { TokenReservation } from "./tokenReservation.js";
 
@@ -51,12 +54,16 @@
     private closedCauses: readonly UnavailableReason[] = [];
     /** Whether upstreams were passed over because they do not read the bodies of requests. */
     private hasSlowReaders = false;
+    private readonly origin: AnswerOrigin;
 
     constructor(
         private readonly context: RelayContext,
         private readonly resolved: ResolvedRequest,
         private readonly sink: PassThroughSink,
+        /** The software that began a stream that the caller resumes; undefined for a new request. */
+        origin?: StreamOrigin,
     ) {
+        this.origin = new AnswerOrigin(resolved, context.registry, context.streamOrigins, origin);
         const { request, route } = resolved;
         this.deadline = request.arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
         this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abortCause !== undefined);
@@ -135,6 +142,7 @@
             service,
             now,
             this.context.getMaxUpstreamAgeMs(),
+            this.origin.tryGetVersion(),
         );
         this.candidateWaitMs = waitMs;
         this.closedCauses = unavailableReasons;
@@ -269,16 +277,22 @@
                 // The request may have waited for a connection until little of its time is left.
                 mayStart: () =>
                     this.hasTimeToSend()
+                    && this.origin.canSend(placement.upstream)
                     && this.context.candidates.canSend(placement.upstream, isLimited, performance.now()),
             },
             sink: this.sink,
             progress: this.progress,
             isStream: route.kind === "stream",
-            isResumable: route.kind === "stream" && route.isResumable,
+            isResumable: this.origin.isResumable(),
             shouldRetryServerError: () => this.isRepeatable() && this.tryClaimRetry(),
             inactivityTimeoutMs: canRetryElsewhere
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
+            onHeadForwarded: status => {
+                if (isSuccess(status)) {
+                    this.origin.recordBegun(placement.upstream);
+                }
+            },
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
             onFirstByte: () => {
                 onAnswering?.();
@@ -359,8 +373,7 @@
     }
 
     private isRepeatable(): boolean {
-        const { kind, isResumable } = this.resolved.route;
-        return kind === "repeatable" || (kind === "stream" && isResumable);
+        return this.resolved.route.kind === "repeatable" || this.origin.isResumable();
     }
 
     /** Whether to send the request to another upstream after this outcome. May spend from the retry budget. */
@@ -393,7 +406,8 @@
     }
 
     private canResumeResponse(): boolean {
-        return !this.progress.isHeadSent || (this.progress.canResume && this.progress.lastEventId !== undefined);
+        const { isHeadSent, canResume, lastEventId } = this.progress;
+        return !isHeadSent || (canResume && lastEventId !== undefined && this.origin.isCertain());
     }
 
     private tryClaimRetry(): boolean {
@@ -459,7 +473,11 @@
         const reason = this.closedCauses.length > 0
             ? `upstreams are ${formatCauses(this.closedCauses)}`
             : this.lastFailureReason || "no upstream has reported in time";
-        return createRefusal("noUpstream", reason, "no", Math.max(retryAfterMs, this.candidateWaitMs ?? 0));
+        const waitMs = Math.max(retryAfterMs, this.candidateWaitMs ?? 0);
+        const version = this.origin.tryGetVersion();
+        return version === undefined
+            ? createRefusal("noUpstream", reason, "no", waitMs)
+            : createRefusal("versionUnavailable", `version ${version}: ${reason}`, "no", waitMs);
     }
 
     private createIncompleteRefusal(): Refusal {
@@ -495,25 +513,3 @@
         }
     }
 }
-
-/** Formats each cause with the number of upstreams that it affects. */
-function formatCauses(causes: readonly UnavailableReason[]): string {
-    const counts = new Map<string, number>();
-    causes.forEach(cause => counts.set(cause, 1 + (counts.get(cause) ?? 0)));
-    return [...counts].map(([cause, count]) => `${cause} (${count})`).join(", ");
-}
-
-/** Converts an attempt's outcome for load tracking; undefined if it tells nothing about the upstream's health. */
-function tryGetLoadOutcome(outcome: AttemptOutcome): LoadOutcome | undefined {
-    switch (outcome.type) {
-        case "answered":
-            return outcome.status >= 500 ? "failed" : "good";
-        case "failed":
-        case "interrupted":
-            return "failed";
-        case "notRun":
-            return outcome.cause === "replaced" || outcome.cause === "withheld" ? undefined : outcome.cause;
-        case "stopped":
-            return undefined;
-    }
-}
--- /dev/null
+++ b/src/daemons/directRouter/resumedRelay.ts
@@ -0,0 +1,45 @@
+/** Relays a request that resumes a stream, once it is known where the stream may go on. */
+import type { BundleService } from "../../domain/bundle.js";
+import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import type { PassThroughSink } from "../../ports/answerSink.js";
+import type { RelayContext } from "./relayContext.js";
+import type { ResolvedRequest } from "./relayRequest.js";
+import { RelayRun } from "./relayRun.js";
+import type { StreamResumer } from "./streamResumer.js";
+
+/** `tryGetService`: returns a service of the current bundle. */
+export async function relayResumption(
+    context: RelayContext,
+    resumer: StreamResumer,
+    tryGetService: (name: string) => BundleService | undefined,
+    resolved: ResolvedRequest,
+    sink: PassThroughSink,
+): Promise<void> {
+    let isGone = false;
+    sink.onDisconnect(() => isGone = true);
+    const outcome = await resumer.resolve(resolved);
+    if ("code" in outcome) {
+        refuse(context, resolved, outcome, sink, isGone);
+        return;
+    }
+    const service = tryGetService(outcome.service);
+    if (service === undefined || isGone) {
+        const refusal = createRefusal("versionUnavailable", "the service was removed", "no");
+        refuse(context, resolved, refusal, sink, isGone);
+        return;
+    }
+    await new RelayRun(context, { ...resolved, service }, sink, outcome).run();
+}
+
+function refuse(
+    context: RelayContext,
+    resolved: ResolvedRequest,
+    refusal: Refusal,
+    sink: PassThroughSink,
+    isGone: boolean,
+): void {
+    context.recordRefused(resolved, refusal, { abortCause: isGone ? "gone" : undefined, overdueMs: undefined });
+    if (!isGone) {
+        sink.sendRefusal(refusal);
+    }
+}
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -3,6 +3,7 @@
 import { prepaidReportCommand, putBundleCommand } from "./bundleCommands.js";
 import { setEvacuationCommand } from "./evacuationCommands.js";
 import { nameSchema, objectChangeRequest, topUpRequest } from "./objects.js";
+import { addServiceVersionCommand, removeServiceVersionCommand } from "./serviceVersionCommands.js";
 import { clearRequestsCommand, forgetUpstreamEndsCommand, recordUpstreamEndCommand } from "./upstreamEndCommands.js";
 
 const ledgerId = z.string().min(3).max(128);
@@ -82,6 +83,8 @@
     clearRequestsCommand,
     forgetUpstreamEndsCommand,
     setEvacuationCommand,
+    addServiceVersionCommand,
+    removeServiceVersionCommand,
     noopCommand,
 ]);
 export type Command = z.infer<typeof commandSchema>;
--- a/src/domain/declaredState.ts
+++ b/src/domain/declaredState.ts
@@ -6,9 +6,16 @@
 import { type EvacuationResult, type EvacuationSnapshot, EvacuationStore } from "./evacuationStore.js";
 import { type ChangeResult, ObjectStore, type ObjectStoreSnapshot } from "./objectStore.js";
 import { PrepaidLedger, type PrepaidResult, type PrepaidSnapshot } from "./prepaidLedger.js";
+import { type ServiceVersionResult, type ServiceVersionSnapshot, ServiceVersionStore } from "./serviceVersionStore.js";
 import { type UpstreamEndSnapshot, UpstreamEndStore } from "./upstreamEndStore.js";
 
-export type ApplyResult = ChangeResult | BudgetResult | BundleResult | PrepaidResult | EvacuationResult;
+export type ApplyResult =
+    | ChangeResult
+    | BudgetResult
+    | BundleResult
+    | PrepaidResult
+    | EvacuationResult
+    | ServiceVersionResult;
 
 /** Result of commands that have no specific result. */
 const ACCEPTED: BudgetResult = { type: "accepted", tokens: 0 };
@@ -21,6 +28,7 @@
     readonly prepaid?: PrepaidSnapshot;
     readonly upstreamEnds?: UpstreamEndSnapshot | undefined;
     readonly evacuations?: EvacuationSnapshot | undefined;
+    readonly serviceVersions?: ServiceVersionSnapshot | undefined;
 }
 
 /** Applies log entries in order. Deterministic. */
@@ -31,6 +39,7 @@
     readonly prepaid = new PrepaidLedger();
     readonly upstreamEnds = new UpstreamEndStore();
     readonly evacuations = new EvacuationStore();
+    readonly serviceVersions = new ServiceVersionStore();
 
     apply(entry: LogEntry): ApplyResult {
         const command = entry.command;
@@ -61,6 +70,10 @@
                 return ACCEPTED;
             case "setEvacuation":
                 return this.evacuations.applySet(command, entry.index);
+            case "addServiceVersion":
+                return this.serviceVersions.applyAdd(command, entry.index);
+            case "removeServiceVersion":
+                return this.serviceVersions.applyRemove(command, entry.index);
             case "setReplicas":
             case "noop":
                 return ACCEPTED;
@@ -75,6 +88,7 @@
             prepaid: this.prepaid.createSnapshot(),
             upstreamEnds: this.upstreamEnds.createSnapshot(),
             evacuations: this.evacuations.createSnapshot(),
+            serviceVersions: this.serviceVersions.createSnapshot(),
         };
     }
 
@@ -91,6 +105,9 @@
         if (snapshot.evacuations !== undefined) {
             this.evacuations.loadSnapshot(snapshot.evacuations);
         }
+        if (snapshot.serviceVersions !== undefined) {
+            this.serviceVersions.loadSnapshot(snapshot.serviceVersions);
+        }
     }
 
     private applyPutBundle(command: PutBundleCommand): BundleResult {
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -80,6 +80,18 @@
         503,
         "Upstreams are short, and the request is beyond its account's share or less urgent than refused ones.",
     ),
+    streamOriginUnknown: createCode(
+        1314,
+        "streamOriginUnknown",
+        503,
+        "It is not certain which software version began the stream.",
+    ),
+    versionUnavailable: createCode(
+        1315,
+        "versionUnavailable",
+        503,
+        "No upstream of the software version that began the stream takes new work.",
+    ),
     requestIdReused: createCode(1401, "requestIdReused", 422, "The idempotency key was used before with another body."),
     outcomeUnknown: createCode(1402, "outcomeUnknown", 503, "The request may have run; its outcome is not known here."),
     intentUnreachable: createCode(
--- a/src/domain/upstreamCandidates.ts
+++ b/src/domain/upstreamCandidates.ts
@@ -10,7 +10,7 @@
 import type { UpstreamRegistration, UpstreamRegistry } from "./upstreamRegistry.js";
 
 /** Why an upstream that accepts new work is unavailable to this router. */
-export type UnavailableReason = "cold" | "limited" | "resting";
+export type UnavailableReason = "cold" | "limited" | "resting" | "otherVersion";
 
 /** The upstreams available at one time. */
 export interface CandidateList {
@@ -30,6 +30,8 @@
     readonly availableAt: number;
 }
 
+const OTHER_VERSION: Unavailability = { reason: "otherVersion", availableAt: Infinity };
+
 /** Differences below this are rounding errors of the clock's floating-point values and must not add a millisecond. */
 const CLOCK_RESOLUTION_MS = 0.001;
 
@@ -43,8 +45,11 @@
         private readonly limits: DistributedRateLimiter,
     ) {}
 
-    /** `maxAgeMs`: time after the last report at which an upstream counts as lost. */
-    list(service: BundleService, now: number, maxAgeMs: number): CandidateList {
+    /**
+     * `maxAgeMs`: time after the last report at which an upstream counts as lost. `version`: the only software version that
+     * may be used; undefined for any.
+     */
+    list(service: BundleService, now: number, maxAgeMs: number, version?: string): CandidateList {
         const ready = this.registry.getReady(service.name, now, maxAgeMs);
         const upstreams: UpstreamRegistration[] = [];
         const unavailabilities: Unavailability[] = [];
@@ -52,7 +57,8 @@
             if (this.zones.isEvacuated(upstream.zone)) {
                 continue;
             }
-            const unavailability = this.tryGetUnavailability(upstream, service, now);
+            const isOtherVersion = version !== undefined && (upstream.version ?? "") !== version;
+            const unavailability = isOtherVersion ? OTHER_VERSION : this.tryGetUnavailability(upstream, service, now);
             if (unavailability === undefined) {
                 upstreams.push(upstream);
             }
--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -103,7 +103,7 @@
  */
 const MIN_COLD_EXTENSION_MS = 500;
 /** Maximum delay of an upstream's message, in milliseconds: a network partition may delay messages by up to 9 s. */
-const MAX_MESSAGE_DELAY_MS = 10_000;
+export const MAX_MESSAGE_DELAY_MS = 10_000;
 
 export class UpstreamRegistry {
     private readonly entries = new Map<string, Entry>();
@@ -340,6 +340,12 @@
         return entry !== undefined && entry.registration.bornAt === incarnation.bornAt ? entry : undefined;
     }
 
+    /** Whether an upstream has not been heard of with another software version since it was registered like this. */
+    isCurrentVersion({ id, version }: UpstreamRegistration): boolean {
+        const latest = this.entries.get(id)?.registration;
+        return latest === undefined || latest.version === version;
+    }
+
     /** Returns the latest registration of an upstream, even if it is gone. */
     tryGet(id: string): UpstreamRegistration | undefined {
         return this.entries.get(id)?.registration;
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -7,6 +7,7 @@
 import type { PrepaidResult } from "../domain/prepaidLedger.js";
 import { LOWEST_PRIORITY } from "../domain/priorityBacklog.js";
 import type { RouterContact } from "../domain/routerGroups.js";
+import type { ServiceVersionList } from "../domain/serviceVersionStore.js";
 import type { ChangeCursor, UpstreamUpdate } from "../domain/upstreamChanges.js";
 import {
     fingerprintSchema,
@@ -82,6 +83,8 @@
     readonly suspects?: SuspectList | undefined;
     /** Omitted by controllers of earlier versions. */
     readonly evacuations?: EvacuationList | undefined;
+    /** The services with several software versions. Omitted by controllers of earlier versions. */
+    readonly serviceVersions?: ServiceVersionList | undefined;
 }
 
 const cursorSchema = z.object({ epoch: shortName, number: nonNegativeInt }) satisfies z.ZodType<ChangeCursor>;
--- a/test/daemons/attemptEvents.test.ts
+++ b/test/daemons/attemptEvents.test.ts
@@ -45,6 +45,7 @@
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
             onSignals: () => undefined,
+            onHeadForwarded: () => undefined,
             onFirstByte: () => undefined,
             onEvents: (count, _now, wasPaused) => events.push([count, wasPaused]),
         });
--- a/test/daemons/bundleFetch.test.ts
+++ b/test/daemons/bundleFetch.test.ts
@@ -17,6 +17,7 @@
 const IGNORING_LISTENER: FeedListener & BundleListener = {
     receiveFollowAnswer: () => undefined,
     receiveUpstreamUpdate: () => undefined,
+    receiveReconnected: () => undefined,
     receiveBundle: () => undefined,
 };
 const OPTIONS: ControllerFeedsOptions = {
--- a/test/daemons/upstreamPolls.test.ts
+++ b/test/daemons/upstreamPolls.test.ts
@@ -81,6 +81,7 @@
     const listener = {
         receiveFollowAnswer: () => undefined,
         receiveUpstreamUpdate: () => undefined,
+        receiveReconnected: () => undefined,
         receiveBundle: () => undefined,
     };
     const feeds = new ControllerFeeds(network, clock, NO_LOG, listener, {
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -125,6 +125,7 @@
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
             onSignals: () => undefined,
+            onHeadForwarded: () => undefined,
             onFirstByte: () => undefined,
         });
         const receivedBefore = this.requestCount;
