--- a/test/tools/versionedEngine.ts
+++ b/test/tools/versionedEngine.ts
@@ -16,21 +16,30 @@
 export class VersionedEngine {
     /** Ids of the attempts that it ran. */
     readonly runs: string[] = [];
+    private address = "";
+    private born = 1_700_000_000_000;
 
     constructor(
         private readonly fleet: DirectFleet,
         readonly id: string,
         private readonly box: string,
-        private readonly version: string | undefined,
+        private version: string | undefined,
     ) {}
 
     /** Starts listening and reports to a controller until `leave` or the end of the fleet. */
     async start(controller: string): Promise<void> {
-        const address = await this.fleet.startEngine(
-            this.box,
-            (message, response) => void this.serve(message, response),
-        );
-        await this.fleet.startReporting(controller, this.id, this.createRegistration(address));
+        this.address = await this.fleet.startEngine(this.box, (message, response) => {
+            void this.serve(message, response);
+        });
+        await this.startReporting(controller);
+    }
+
+    /** Starts anew under the same id with another version; connections stay open. */
+    async changeVersion(controller: string, version: string): Promise<void> {
+        await this.fleet.stopReporting(this.id);
+        this.version = version;
+        this.born += 1;
+        await this.startReporting(controller);
     }
 
     /** Ends the reports and deregisters. */
@@ -42,9 +51,11 @@
         );
     }
 
-    private createRegistration(address: string) {
-        const known = { backend: "engines", address, zone: "z", slots: 16, state: "ready", cold_left_ms: 0 };
-        return this.version === undefined ? known : { ...known, config_rev: this.version };
+    private async startReporting(controller: string): Promise<void> {
+        const { address, version, born } = this;
+        const known = { backend: "engines", address, zone: "z", slots: 16, state: "ready", cold_left_ms: 0, born };
+        const registration = version === undefined ? known : { ...known, config_rev: version };
+        await this.fleet.startReporting(controller, this.id, registration);
     }
 
     private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
