Soak: engines of several versions, and callers that resume streams

Four engines serve two versions and are replaced by any of three; callers leave three of ten streams and resume those that did not end, at any router. Checked from what callers see: the events of a stream, over all attempts, come from one version without a gap (ORDER), and after the faults the streams that are resumed go on at least half as often as new ones begin (LOST).

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -47,6 +47,19 @@
 /** After this a router that is in touch sends nothing to an upstream that leaves, in milliseconds. */
 const LEAVE_MS = 3_000;
 const REQUESTS_AT_STOP = 8;
+/** Two engines of each version, so that a stream can go on when one has ended. */
+const ENGINES = [
+    { service: "engines", name: "e1", version: "v1" },
+    { service: "engines", name: "e2", version: "v1" },
+    { service: "engines", name: "e3", version: "v2" },
+    { service: "engines", name: "e4", version: "v2" },
+    { service: "plain", name: "p1", version: "v1" },
+    { service: "plain", name: "p2", version: "v1" },
+] as const;
+/** Streams that are left and resumed when the faults are over. */
+const RESUMED_STREAMS = 24;
+/** Of the streams that are resumed, the part that goes on is at least this part of that of new streams that begin. */
+const MIN_RESUMED_FRACTION = 0.5;
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const soak = new Soak(options, await mkdtemp(join(options.folder ?? tmpdir(), `soak-${options.seed}-`)));
@@ -85,8 +98,8 @@
         this.routers = this.createBoxes("router", options.routers);
         this.relayCounter = new RelayCounter(this.routers);
         const admins = this.listAdminAddresses();
-        this.engines = [["engines", "e1"], ["engines", "e2"], ["engines", "e3"], ["plain", "p1"], ["plain", "p2"]].map(
-            ([service, name], i) => new SoakEngine(name!, service!, this.getIp(3, i + 1), this.book, admins),
+        this.engines = ENGINES.map(({ service, name, version }, i) =>
+            new SoakEngine(name, service, this.getIp(3, i + 1), this.book, admins, version)
         );
         this.operator = new SoakOperator(admins, this.random);
     }
@@ -113,7 +126,11 @@
 
         await this.operator.putNext();
         await this.waitServing(callers);
-        const faults = [...await this.checkLeaving(callers), ...await this.checkPlannedStop(callers)];
+        const faults = [
+            ...await this.checkResumptions(callers),
+            ...await this.checkLeaving(callers),
+            ...await this.checkPlannedStop(callers),
+        ];
         return [...faults, ...this.operator.faults, ...findCallerFaults(callers, this.book)];
     }
 
@@ -156,6 +173,25 @@
         }
     }
 
+    /** Streams that their callers left go on at other routers about as often as new ones begin. */
+    private async checkResumptions(callers: SoakCallers): Promise<string[]> {
+        this.engines.forEach((engine, i) => engine.release(ENGINES[i]!.version));
+        await this.waitServing(callers);
+        const routerCount = this.routers.length;
+        const begun = await Promise.all(
+            Array.from({ length: RESUMED_STREAMS }, (_, i) => callers.beginStream(`begin-${i}`, i % routerCount)),
+        );
+        const left = begun.filter(({ body }) => body !== undefined && body !== "");
+        const resumed = await Promise.all(
+            left.map((stream, i) => callers.resumeStream(`resume-${i}`, (i + 1) % routerCount, stream)),
+        );
+        const beginFraction = left.length / begun.length;
+        const resumedFraction = resumed.filter(({ status }) => status === 200).length / Math.max(1, left.length);
+        return resumedFraction >= MIN_RESUMED_FRACTION * beginFraction
+            ? []
+            : [`${resumedFraction} of the streams went on that were resumed, and ${beginFraction} of the new ones began`];
+    }
+
     /** An upstream that leaves gets nothing new after some seconds. */
     private async checkLeaving(callers: SoakCallers): Promise<string[]> {
         const [engine] = this.engines;
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -1,7 +1,7 @@
 /** Callers of the soak: tasks that send one request after the other, every second one over connections that it keeps. */
 import { Client, type Dispatcher } from "undici";
 import type { RunBook } from "./soakEngine.js";
-import { computeEventCount, formatEvent, TOKENS_PER_EVENT } from "./soakEngine.js";
+import { computeEventCount, formatEvent, SOAK_VERSIONS, type SoakVersion, TOKENS_PER_EVENT } from "./soakEngine.js";
 
 /** What callers ask for: `change` may run once at the most. */
 export type RequestKind = "stream" | "lookup" | "change";
@@ -9,18 +9,36 @@
 /** How one request ended. */
 export interface CallerOutcome {
     readonly id: string;
+    /** The attempt that brought the first event of a stream; the request's own id for all others. */
+    readonly streamId: string;
     readonly kind: RequestKind;
     /** Undefined where the connection failed or the answer was cut off. */
     readonly status: number | undefined;
     readonly signature: string | undefined;
+    /** What the caller has; of a stream all whole events, also those of earlier attempts and of one that was cut off. */
     readonly body: string | undefined;
 }
 
+/** What a caller sends for one attempt. */
+interface Attempt {
+    readonly caller: string;
+    readonly router: number;
+    readonly kind: RequestKind;
+    readonly path: string;
+    readonly keepsConnection: boolean;
+    /** The stream that it resumes. */
+    readonly resumed?: CallerOutcome;
+    /** Leaves a stream after this many events. */
+    readonly maxEvents?: number;
+}
+
 /** Accounts and their keys. The first one's tokens run out in the course of a soak. */
 export const SoakAccounts = [
     { name: "small", key: "key-small", prepaid: 8_000 },
     { name: "large", key: "key-large", prepaid: 900_000 },
 ] as const;
+type SoakAccount = typeof SoakAccounts[number];
+const LARGE_ACCOUNT = SoakAccounts[1];
 
 export const PROMPT_TOKENS = 40;
 const OUTPUT_TOKENS = 10 * TOKENS_PER_EVENT;
@@ -29,6 +47,11 @@
 const TIMEOUT_MS = 4_000;
 const PAUSE_MS = 25;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** The part of streams that callers leave in the middle, to resume them elsewhere. */
+const LEAVE_FRACTION = 0.3;
+const EVENTS_BEFORE_LEAVING = 2;
+const MAX_RESUMPTIONS = 2;
+const EVENT_END = "\n\n";
 
 const paths = { stream: "/s/x", lookup: "/l/x", change: "/c/x" } as const;
 const kinds: readonly RequestKind[] = ["stream", "stream", "lookup", "change"];
@@ -67,31 +90,50 @@
         path: string = paths[kind],
         keepsConnection = true,
     ): Promise<CallerOutcome> {
-        const outcome = await this.sendUnjudged(caller, router, kind, path, keepsConnection);
-        this.outcomes.push(outcome);
-        return outcome;
+        return this.sendJudged({ caller, router, kind, path, keepsConnection });
+    }
+
+    /** Requests a stream of the account that does not run out, and leaves it after its first events. */
+    beginStream(caller: string, router: number): Promise<CallerOutcome> {
+        const maxEvents = EVENTS_BEFORE_LEAVING;
+        return this.sendJudged(
+            { caller, router, kind: "stream", path: paths.stream, keepsConnection: false, maxEvents },
+            LARGE_ACCOUNT,
+        );
+    }
+
+    /** Resumes a stream after the last event that the caller has. */
+    resumeStream(caller: string, router: number, resumed: CallerOutcome): Promise<CallerOutcome> {
+        return this.sendJudged(
+            { caller, router, kind: "stream", path: paths.stream, keepsConnection: false, resumed },
+            LARGE_ACCOUNT,
+        );
     }
 
     /** Asks a router for a path that it may not know yet; answers the status. */
     async probe(router: number, path: string): Promise<number | undefined> {
-        const { status } = await this.sendUnjudged("probe", router, "lookup", path);
-        return status;
+        const attempt: Attempt = { caller: "probe", router, kind: "lookup", path, keepsConnection: true };
+        return (await this.sendUnjudged(attempt, this.chooseAccount())).status;
     }
 
-    private async sendUnjudged(
-        caller: string,
-        router: number,
-        kind: RequestKind,
-        path: string,
-        keepsConnection = true,
-    ): Promise<CallerOutcome> {
+    private async sendJudged(attempt: Attempt, account = this.chooseAccount()): Promise<CallerOutcome> {
+        const outcome = await this.sendUnjudged(attempt, account);
+        this.outcomes.push(outcome);
+        return outcome;
+    }
+
+    private chooseAccount(): SoakAccount {
+        return SoakAccounts[this.serial % SoakAccounts.length]!;
+    }
+
+    private async sendUnjudged(attempt: Attempt, account: SoakAccount): Promise<CallerOutcome> {
         this.serial += 1;
         // A running number, with digits before it that spread over streams of all lengths.
         const spread = this.serial * 0x9e3779b1 >>> 0;
         const id = [spread, this.serial].map(part => part.toString(16).padStart(8, "0")).join("");
         this.ids.add(id);
-        const account = SoakAccounts[this.serial % SoakAccounts.length]!;
-        return this.exchange(caller, router, id, kind, {
+        const { kind, path, keepsConnection, resumed } = attempt;
+        return this.exchange(attempt, id, {
             method: "POST",
             path,
             reset: !keepsConnection,
@@ -101,36 +143,67 @@
                 "credential": account.key,
                 "deadline-ms": String(DEADLINE_MS),
                 ...kind === "stream" && { "token-usage": `${PROMPT_TOKENS},${OUTPUT_TOKENS}` },
+                ...resumed !== undefined && {
+                    "resumes": resumed.streamId,
+                    "last-event-id": String(countEvents(resumed.body!)),
+                },
             },
             body: "{}",
         });
     }
 
+    /** Requests a stream, leaves some in the middle, and resumes those that did not end. */
+    private async followStream(caller: string, keepsConnection: boolean): Promise<void> {
+        const maxEvents = this.random() < LEAVE_FRACTION ? EVENTS_BEFORE_LEAVING : Infinity;
+        const attempt = { caller, kind: "stream", path: paths.stream, keepsConnection } as const;
+        const account = this.chooseAccount();
+        let outcome = await this.sendJudged({ ...attempt, router: this.chooseRouter(), maxEvents }, account);
+        for (let i = 0; i < MAX_RESUMPTIONS && this.running && outcome.status !== 200 && outcome.body; i++) {
+            const resumed = outcome;
+            outcome = await this.sendJudged({ ...attempt, router: this.chooseRouter(), resumed }, account);
+        }
+    }
+
+    private chooseRouter(): number {
+        return Math.floor(this.random() * this.ports.length);
+    }
+
     /** `keepsConnections`: whether it opens a connection once for each router, or for each request. */
     private async runCaller(name: string, keepsConnections: boolean): Promise<void> {
         while (this.running) {
-            const router = Math.floor(this.random() * this.ports.length);
             const kind = kinds[Math.floor(this.random() * kinds.length)]!;
-            await this.send(name, router, kind, paths[kind], keepsConnections);
+            if (kind === "stream") {
+                await this.followStream(name, keepsConnections);
+            }
+            else {
+                await this.send(name, this.chooseRouter(), kind, paths[kind], keepsConnections);
+            }
             await new Promise(resolve => setTimeout(resolve, PAUSE_MS));
         }
     }
 
     private async exchange(
-        caller: string,
-        router: number,
+        { caller, router, kind, resumed, maxEvents = Infinity }: Attempt,
         id: string,
-        kind: RequestKind,
         options: Dispatcher.RequestOptions,
     ): Promise<CallerOutcome> {
+        const received = { text: resumed?.body ?? "" };
+        const streamId = resumed?.streamId ?? id;
+        let signature: string | undefined;
+        let status: number | undefined;
         try {
             const answer = await this.getClient(caller, router).request(options);
-            const signature = answer.headers["instance-signature"] as string | undefined;
-            return { id, kind, status: answer.statusCode, signature, body: await answer.body.text() };
+            signature = answer.headers["instance-signature"] as string | undefined;
+            if (kind !== "stream") {
+                return { id, streamId, kind, status: answer.statusCode, signature, body: await answer.body.text() };
+            }
+            status = await collectEvents(answer, received, maxEvents) ? answer.statusCode : undefined;
         }
         catch {
-            return { id, kind, status: undefined, signature: undefined, body: undefined };
+            // What arrived before the connection was lost counts.
         }
+        const body = kind === "stream" ? received.text : undefined;
+        return { id, streamId, kind, status, signature, body };
     }
 
     private getClient(caller: string, router: number): Client {
@@ -163,7 +236,8 @@
 /** Statuses for requests that the configuration does not allow. */
 const NOT_ALLOWED = new Set([401, 403, 404]);
 
-function findOutcomeFaults({ id, kind, status, signature, body }: CallerOutcome, book: RunBook): string[] {
+function findOutcomeFaults(outcome: CallerOutcome, book: RunBook): string[] {
+    const { id, streamId, kind, status, signature, body } = outcome;
     const runs = book.countRuns(id);
     const faults: string[] = [];
     if (kind === "change" && runs > 1) {
@@ -175,16 +249,52 @@
     if (status !== undefined && NOT_ALLOWED.has(status)) {
         faults.push(`${id} was refused with ${status}`);
     }
-    if (status === 200 && (signature === undefined || !isWhole(id, kind, body!, book))) {
+    if (status === 200 && (signature === undefined || !isWhole(outcome, book))) {
         faults.push(`${id} was answered with ${JSON.stringify(body)} signed ${signature}`);
     }
+    if (kind === "stream" && !SOAK_VERSIONS.some(version => formatWholeStream(streamId, version).startsWith(body!))) {
+        faults.push(`${id} of stream ${streamId} brought events that do not fit: ${JSON.stringify(body)}`);
+    }
     return faults;
 }
 
-function isWhole(id: string, kind: RequestKind, body: string, book: RunBook): boolean {
-    return kind === "stream" ? body === formatWholeStream(id) : book.answers.get(id)?.has(body) === true;
+function isWhole({ id, streamId, kind, body }: CallerOutcome, book: RunBook): boolean {
+    return kind === "stream"
+        ? SOAK_VERSIONS.some(version => body === formatWholeStream(streamId, version))
+        : book.answers.get(id)?.has(body!) === true;
+}
+
+function formatWholeStream(id: string, version: SoakVersion): string {
+    return Array.from({ length: computeEventCount(id) }, (_, i) => formatEvent(id, i + 1, version)).join("");
+}
+
+function countEvents(text: string): number {
+    return text.split(EVENT_END).length - 1;
 }
 
-function formatWholeStream(id: string): string {
-    return Array.from({ length: computeEventCount(id) }, (_, i) => formatEvent(id, i + 1)).join("");
+/** Appends the whole events of a successful answer. Returns whether the answer has ended; false if the caller left it. */
+async function collectEvents(
+    { statusCode, body }: Dispatcher.ResponseData,
+    received: { text: string; },
+    maxEvents: number,
+): Promise<boolean> {
+    if (statusCode !== 200) {
+        await body.dump();
+        return true;
+    }
+    const limit = countEvents(received.text) + maxEvents;
+    let rest = "";
+    for await (const bytes of body as AsyncIterable<Buffer>) {
+        rest += bytes.toString();
+        const end = rest.lastIndexOf(EVENT_END) + EVENT_END.length;
+        if (end >= EVENT_END.length) {
+            received.text += rest.slice(0, end);
+            rest = rest.slice(end);
+        }
+        if (countEvents(received.text) >= limit) {
+            // Leaving the loop closes the connection.
+            return false;
+        }
+    }
+    return true;
 }
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -50,11 +50,15 @@
     return 3 + Number.parseInt(id.slice(-2), 16) % 7;
 }
 
-/** One event of the answer to a request. */
-export function formatEvent(id: string, number: number): string {
-    return `id: ${number}\ndata: ${id} ${number}\n\n`;
+/** One event of a stream. `id`: the attempt that began it. */
+export function formatEvent(id: string, number: number, version: string): string {
+    return `id: ${number}\ndata: ${id} ${number} ${version}\n\n`;
 }
 
+/** Software versions of the engines; what two of them write does not fit together. */
+export const SOAK_VERSIONS = ["v1", "v2", "v3"] as const;
+export type SoakVersion = typeof SOAK_VERSIONS[number];
+
 export class SoakEngine {
     readonly relay: CutRelay;
     private readonly server: Server;
@@ -71,6 +75,7 @@
         private readonly ip: string,
         private readonly book: RunBook,
         private readonly controllers: readonly string[],
+        private version: SoakVersion,
     ) {
         this.relay = new CutRelay(ENGINE_PORT, ip);
         this.server = createServer((message, response) => void this.answer(message, response));
@@ -100,6 +105,13 @@
         }
     }
 
+    /** Ends without notice and comes back at once as a new incarnation with another software version. */
+    release(version: SoakVersion): void {
+        this.crash();
+        this.version = version;
+        this.restart();
+    }
+
     /** Says that it leaves; resolves once a controller has acknowledged it. */
     async leave(): Promise<void> {
         this.isLeaving = true;
@@ -138,7 +150,7 @@
             slots: 64,
             state: this.isLeaving ? "draining" : "ready",
             seqno: this.sequence,
-            config_rev: "v1",
+            config_rev: this.version,
         });
         for (const controller of this.controllers) {
             try {
@@ -191,18 +203,21 @@
         const [promptTokens] = String(message.headers["token-usage"]).split(",");
         this.book.addPrompt(account, id, Number(promptTokens));
         const from = Number(message.headers["last-event-id"] ?? 0);
+        const streamId = String(message.headers["resumes"] ?? id);
+        const { version } = this;
+        const upstream = this.getId();
         response.writeHead(200, {
             "Attempt-Id": id,
             "Instance-Signature": this.getId(),
             "Content-Type": "text/event-stream",
         });
-        for (let number = from + 1; number <= computeEventCount(id); number++) {
+        for (let number = from + 1; number <= computeEventCount(streamId); number++) {
             await new Promise(resolve => setTimeout(resolve, EVENT_MS));
-            if (response.destroyed || !this.isUp) {
+            if (response.destroyed || !this.isUp || this.getId() !== upstream) {
                 return;
             }
             this.book.addTokens(account, TOKENS_PER_EVENT);
-            response.write(formatEvent(id, number));
+            response.write(formatEvent(streamId, number, version));
         }
         response.end();
     }
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -1,7 +1,7 @@
 /** The faults of a soak: which come, where, for how long, as a seeded generator says. They overlap and repeat. */
 import { SOUND } from "./preload.js";
 import type { SoakBox } from "./soakBox.js";
-import type { SoakEngine } from "./soakEngine.js";
+import { SOAK_VERSIONS, type SoakEngine } from "./soakEngine.js";
 
 /** Most controllers that are killed, frozen, cut off or without a disk by chance at the same time. */
 const MOST_CONTROLLERS_AWAY = 1;
@@ -104,10 +104,16 @@
             { name: `${name} goes silent on open connections`, begin: () => relay.mute() },
             { name: `${name} is cut off`, begin: () => relay.cutSilently(), end: () => relay.heal() },
             { name: `${name} does not answer`, begin: () => relay.cutSilently("back"), end: () => relay.heal() },
+            this.createRelease(engine),
             { name: `${name} is far away`, begin: () => relay.delay(60), end: () => relay.delay(0) },
         ]);
     }
 
+    private createRelease(engine: SoakEngine): Fault {
+        const version = this.pick(SOAK_VERSIONS);
+        return { name: `${engine.getId()} is replaced by version ${version}`, begin: () => engine.release(version) };
+    }
+
     private createControllerFault(box: SoakBox): Fault {
         const { name } = box.options;
         this.lastAwayAt.set(box, performance.now());
