--- a/src/daemons/bundleController/streamOriginService.ts
+++ b/src/daemons/bundleController/streamOriginService.ts
@@ -6,8 +6,8 @@
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 
-/** About 200 bytes each. Beyond it, the oldest are forgotten and can no longer be resumed. */
-const MAX_STREAMS = 300_000;
+/** About 30 MB. Beyond it, the oldest are forgotten and can no longer be resumed. */
+const MAX_STREAMS = 100_000;
 const EVICTION_PERIOD_MS = 5_000;
 
 export class StreamOriginService {
