Answers of routers with sidecars go on only at the model version that began them

Three engines with three model versions, modelVersions.test before: all three wrote a part of each of 6 answers. Now the upstream that sent the first part determines which ones may continue; one engine each, and engines of one version still take over from each other.

--- a/src/daemons/router/progress.ts
+++ b/src/daemons/router/progress.ts
@@ -22,10 +22,20 @@
     /** Whether any run of the request is known to have executed. */
     ran: Ran;
     promptTokens: number | undefined;
+    /** The upstream that sent the first part of the answer, as declared then; undefined before. */
+    firstUpstream: Upstream | undefined;
 }
 
 export function createProgress(ran: Ran): RequestProgress {
-    return { position: 0, text: "", outputTokens: 0, resumable: true, ran, promptTokens: undefined };
+    return {
+        position: 0,
+        text: "",
+        outputTokens: 0,
+        resumable: true,
+        ran,
+        promptTokens: undefined,
+        firstUpstream: undefined,
+    };
 }
 
 export function createRunOutcome(end: RunEnd): RunOutcome & { end: RunEnd; } {
@@ -111,6 +121,32 @@
     }
 }
 
+/** Whether another attempt would end in the same way. */
+export function isFinalRefusal({ code }: Refusal): boolean {
+    return code === "upstreamRefused"
+        || code === "runCancelled"
+        || code === "deadlinePassed"
+        || code === "requestIdReused"
+        || code === "readerTooSlow";
+}
+
+/** Whether another attempt takes one of the service's retries. */
+export function spendsRetryBudget({ code, ran }: Refusal): boolean {
+    return code === "queueFull" || code === "deadlineTooClose" || ran !== "no";
+}
+
+/** Records a run that ended early. The first one that sent a part of the answer determines who may continue it. */
+export function recordBrokenRun(progress: RequestProgress, upstream: Upstream): void {
+    if (progress.position > 0) {
+        progress.firstUpstream ??= upstream;
+    }
+}
+
+/** Whether an upstream may send the rest of the answer: it has the model version that began it. */
+export function canContinueAt({ firstUpstream }: RequestProgress, upstream: Upstream): boolean {
+    return firstUpstream === undefined || upstream.model === firstUpstream.model;
+}
+
 /** Returns the one that allows fewer retries. */
 export function combineRan(a: Ran, b: Ran): Ran {
     const increasing: readonly Ran[] = ["no", "unknown", "yes"];
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -23,16 +23,20 @@
 import type { AnswerSink, Job } from "./job.js";
 import type { LedgerClient } from "./ledgerClient.js";
 import {
+    canContinueAt,
     combineRan,
     computeTokenBounds,
     createProgress,
     createRunOutcome,
     createRunParams,
     getResumePosition,
+    isFinalRefusal,
+    recordBrokenRun,
     recordPieces,
     replaceCancellation,
     type RequestProgress,
     type RunOutcome,
+    spendsRetryBudget,
 } from "./progress.js";
 import type { RelayedUsageReporter } from "./relayedUsageReporter.js";
 import type { RunClient, RunStream } from "./runClient.js";
@@ -191,7 +195,7 @@
         let lastRefusal: Refusal | undefined;
         this.getRetryBudget(job.service).recordRequest();
         for (let attempt = 0; attempt < MAX_ATTEMPTS;) {
-            const upstream = this.tryChooseUpstream(job, triedUpstreams, lastRefusal);
+            const upstream = this.tryChooseUpstream(job, progress, triedUpstreams, lastRefusal);
             if (upstream === undefined) {
                 reservation?.settle(0);
                 throw new RefusalError(lastRefusal ?? createRefusal("noUpstream", job.service, "no", 1000));
@@ -214,6 +218,7 @@
                 };
             }
             lastRefusal = outcome.refusal;
+            recordBrokenRun(progress, upstream);
             // An upstream that could not be reached does not count as an attempt.
             attempt += lastRefusal.code === "peerGone" && lastRefusal.ran === "no" ? 0 : 1;
             triedUpstreams.add(upstream.name);
@@ -226,21 +231,14 @@
     private checkRetryAllowed(job: Job, sink: AnswerSink, progress: RequestProgress, refusal: Refusal): void {
         const previousRan = progress.ran;
         progress.ran = combineRan(previousRan, refusal.ran);
-        const isFinal = refusal.code === "upstreamRefused"
-            || refusal.code === "runCancelled"
-            || refusal.code === "deadlinePassed"
-            || refusal.code === "requestIdReused"
-            || refusal.code === "readerTooSlow";
         const now = this.deps.clock.getMonotonicMs();
         const mayRunAgain = refusal.ran === "no" || (job.repeatable && (progress.resumable || !sink.hasStarted()));
-        if (isFinal || sink.isDisconnected() || now >= job.deadline || !mayRunAgain) {
+        if (isFinalRefusal(refusal) || sink.isDisconnected() || now >= job.deadline || !mayRunAgain) {
             throw new RefusalError(
                 refusal.ran === "unknown" && !job.repeatable ? { ...refusal, code: "outcomeUnknown" } : refusal,
             );
         }
-        const spendsRetryBudget = refusal.code === "queueFull" || refusal.code === "deadlineTooClose"
-            || refusal.ran !== "no";
-        if (spendsRetryBudget && !this.getRetryBudget(job.service).trySpend()) {
+        if (spendsRetryBudget(refusal) && !this.getRetryBudget(job.service).trySpend()) {
             throw new RefusalError(refusal);
         }
         this.deps.metrics.addCount("router.retries");
@@ -248,12 +246,14 @@
 
     private tryChooseUpstream(
         job: Job,
+        progress: RequestProgress,
         triedUpstreams: Set<string>,
         lastRefusal: Refusal | undefined,
     ): Upstream | undefined {
         const now = this.deps.clock.getMonotonicMs();
         const { view } = this.deps;
-        const inService = view.getUpstreams(job.service).filter(upstream => view.isInService(upstream));
+        const upstreams = view.getUpstreams(job.service).filter(upstream => canContinueAt(progress, upstream));
+        const inService = upstreams.filter(upstream => view.isInService(upstream));
         const untried = inService.filter(upstream => !triedUpstreams.has(upstream.name));
         if (untried.length > 0) {
             return this.deps.chooser.tryChoose(untried, job.prompt, now);
