Origins of streams: checked settings; a look-up allows for the lag of the event loop

The section streamOrigins was not checked at the start of a router. On a box whose event loop is late, the timers of a look-up fired before the answers that had arrived were read, so that streams which could go on were refused.

--- a/bench/streamOriginsBench.ts
+++ b/bench/streamOriginsBench.ts
@@ -108,7 +108,7 @@
             options,
         );
         reporter.setControllers(CONTROLLERS);
-        const reader = new ServiceVersionReader(network, () => CONTROLLERS, options.lookupTimeoutMs);
+        const reader = new ServiceVersionReader(network, () => CONTROLLERS);
         const resumer = new StreamResumer(
             reporter,
             reader,
@@ -118,7 +118,7 @@
             clock,
             log,
             new NoMetrics(),
-            { lookupTimeoutMs: options.lookupTimeoutMs, retryAfterMs: 300 },
+            { lookupTimeoutMs: options.lookupTimeoutMs, retryAfterMs: 300, getEventLoopLagMs: () => 0 },
         );
         return { reporter, resumer };
     });
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -25,6 +25,7 @@
 import { LocalTokenBudget } from "./domain/localTokenBudget.js";
 import type { LocalTokenBudgetOptions } from "./domain/localTokenBudgetOptions.js";
 import { createRefusal, RefusalError } from "./domain/resultCodes.js";
+import { streamOriginsSchema } from "./domain/streamOrigins.js";
 import { TokenHolders } from "./domain/tokenHolders.js";
 import { UpstreamLoad, type UpstreamLoadOptions } from "./domain/upstreamLoad.js";
 import { UpstreamModel, type UpstreamModelOptions, upstreamModelSchema } from "./domain/upstreamModel.js";
@@ -33,7 +34,7 @@
 import type { Log } from "./ports/log.js";
 import type { Metrics } from "./ports/metrics.js";
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
-import { checkSection } from "./settings/checkSection.js";
+import { checkSection, parseSection } from "./settings/checkSection.js";
 import { type ConnectionRelaySettingsInput, parseConnectionRelaySettings } from "./settings/connectionRelaySettings.js";
 import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 
@@ -183,6 +184,7 @@
     if (settings.router.bodyMemory !== undefined) {
         checkBodyMemoryOptions(settings.router.bodyMemory);
     }
+    parseSection("streamOrigins", streamOriginsSchema, settings.router.streamOrigins);
     const relaySettings = settings.connectionRelay && parseConnectionRelaySettings(settings.connectionRelay);
     checkReadPacingSettings(settings.readPacing);
     const model = createUpstreamModel(settings);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -156,7 +156,7 @@
             limitRateSharing,
         );
         this.streamContinuity = new StreamContinuity(
-            { ...options.streamOrigins, address: options.address, retryAfterMs: options.retryAfterMs },
+            { ...options, ...options.streamOrigins, getEventLoopLagMs: () => this.getEventLoopLagMs() },
             () => this.getControllerAddresses(),
             network,
             clock,
--- a/src/daemons/directRouter/serviceVersionReader.ts
+++ b/src/daemons/directRouter/serviceVersionReader.ts
@@ -22,21 +22,20 @@
     constructor(
         private readonly network: PeerNetwork,
         private readonly getControllers: () => readonly string[],
-        private readonly timeoutMs: number,
     ) {}
 
-    /** Resolves to undefined if no controller confirmed the versions in time. Never rejects. */
-    read(service: string): Promise<Versions> {
+    /** Resolves to undefined if no controller confirmed the versions within `timeoutMs`. Never rejects. */
+    read(service: string, timeoutMs: number): Promise<Versions> {
         const reads = this.reads.get(service);
         if (reads === undefined) {
-            return this.startRead(service);
+            return this.startRead(service, timeoutMs);
         }
-        reads.next ??= reads.current.then(() => this.startRead(service));
+        reads.next ??= reads.current.then(() => this.startRead(service, timeoutMs));
         return reads.next;
     }
 
-    private startRead(service: string): Promise<Versions> {
-        const current = this.fetch(service);
+    private startRead(service: string, timeoutMs: number): Promise<Versions> {
+        const current = this.fetch(service, timeoutMs);
         const reads: ServiceReads = { current, next: undefined };
         this.reads.set(service, reads);
         void current.then(() => {
@@ -47,8 +46,7 @@
         return current;
     }
 
-    private async fetch(service: string): Promise<Versions> {
-        const { timeoutMs } = this;
+    private async fetch(service: string, timeoutMs: number): Promise<Versions> {
         const calls = this.getControllers().slice(0, ASKED_CONTROLLERS).map(address =>
             this.network.call(address, readVersionsMethod, { service }, timeoutMs)
         );
--- a/src/daemons/directRouter/streamContinuity.ts
+++ b/src/daemons/directRouter/streamContinuity.ts
@@ -18,6 +18,7 @@
     readonly address: string;
     /** Retry-After of a refused resumption, in milliseconds. */
     readonly retryAfterMs: number;
+    readonly getEventLoopLagMs: () => number;
 }
 
 export class StreamContinuity {
@@ -38,7 +39,7 @@
     ) {
         const isMixed = (service: string): boolean => this.mixedServices.has(service);
         this.origins = new StreamOriginReporter(options.address, isMixed, network, clock, log, metrics, options);
-        const reader = new ServiceVersionReader(network, getControllers, options.lookupTimeoutMs);
+        const reader = new ServiceVersionReader(network, getControllers);
         this.resumer = new StreamResumer(
             this.origins,
             reader,
--- a/src/daemons/directRouter/streamResumer.ts
+++ b/src/daemons/directRouter/streamResumer.ts
@@ -19,6 +19,8 @@
 /** Times in milliseconds. */
 export interface StreamResumerOptions {
     readonly lookupTimeoutMs: number;
+    /** Returns the current lag of the event loop, by which answers are read late. */
+    readonly getEventLoopLagMs: () => number;
     /** Retry-After of a refused resumption. */
     readonly retryAfterMs: number;
 }
@@ -32,6 +34,8 @@
     readonly answeredCount: number;
 }
 
+/** Delayed event loop turns of a call: one to send it, one to read the answer. */
+const EVENT_LOOP_TURNS = 2;
 const NOBODY_ASKED: FoundOrigins = { origins: [], askedCount: 0, answeredCount: 0 };
 
 /** Whether a request continues a stream that an earlier attempt of its caller began. */
@@ -66,12 +70,14 @@
             const decision = decideResumption({ services, origins: [own], versions: undefined, isComplete: true });
             return this.finish(resolved, decision, "router", found, startedAt);
         }
-        const versions = await this.readVersions(services);
+        const timeoutMs = this.options.lookupTimeoutMs + EVENT_LOOP_TURNS * this.options.getEventLoopLagMs();
+        // The other half is left to ask for the origin.
+        const versions = await this.readVersions(services, timeoutMs / 2);
         if (versions !== undefined && versions.length <= 1) {
             const decision = decideResumption({ services, origins: [], versions, isComplete: true });
             return this.finish(resolved, decision, "onlyVersion", NOBODY_ASKED, startedAt);
         }
-        const remainingMs = startedAt + this.options.lookupTimeoutMs - performance.now();
+        const remainingMs = startedAt + timeoutMs - performance.now();
         const found = await this.findOrigins(resolved, Math.max(1, Math.floor(remainingMs)));
         const isComplete = found.askedCount > 0 && found.answeredCount === found.askedCount;
         const decision = decideResumption({ services, origins: found.origins, versions, isComplete });
@@ -79,14 +85,16 @@
     }
 
     /** Resolves to undefined if the versions are unknown, or if streams can have begun at several in any case. */
-    private async readVersions(services: readonly string[]): Promise<readonly string[] | undefined> {
+    private async readVersions(
+        services: readonly string[],
+        timeoutMs: number,
+    ): Promise<readonly string[] | undefined> {
         const [service] = services;
         if (services.length !== 1 || this.isMixed(service!)) {
             return undefined;
         }
-        // The other half is left to ask for the origin.
-        const timeout = this.clock.wait(this.options.lookupTimeoutMs / 2).then(() => undefined);
-        return Promise.race([this.reader.read(service!), timeout]);
+        const timeout = this.clock.wait(timeoutMs).then(() => undefined);
+        return Promise.race([this.reader.read(service!, timeoutMs), timeout]);
     }
 
     /** Asks all controllers; resolves when one knows the stream or all have answered or failed. */
--- a/test/daemons/streamResumer.test.ts
+++ b/test/daemons/streamResumer.test.ts
@@ -41,14 +41,14 @@
     const reporter = new StreamOriginReporter("r1:1", isMixed, network, clock, log, new NoMetrics(), STREAM_ORIGINS);
     const resumer = new StreamResumer(
         reporter,
-        new ServiceVersionReader(network, () => CONTROLLERS, STREAM_ORIGINS.lookupTimeoutMs),
+        new ServiceVersionReader(network, () => CONTROLLERS),
         isMixed,
         () => CONTROLLERS,
         network,
         clock,
         log,
         new NoMetrics(),
-        { lookupTimeoutMs: STREAM_ORIGINS.lookupTimeoutMs, retryAfterMs: 300 },
+        { lookupTimeoutMs: STREAM_ORIGINS.lookupTimeoutMs, retryAfterMs: 300, getEventLoopLagMs: () => 0 },
     );
     return { network, log, reporter, resumer };
 }
