A report does not revoke a 421 that may be newer than it

For 3 s after a 421 a report of the same incarnation counts as older than it; an upstream that has really returned goes on reporting.

--- a/src/domain/upstreamRegistry.ts
+++ b/src/domain/upstreamRegistry.ts
@@ -84,6 +84,8 @@
     limitPerSecond: number | undefined;
     /** When it last reported its limit or the absence of one; -Infinity if it has never named one. */
     limitSaidAt: number;
+    /** When another upstream last answered at its address; -Infinity if none has. */
+    replacedAt: number;
 }
 
 /** How long an upstream that is gone is kept, so that a late report does not revive it. Milliseconds. */
@@ -95,6 +97,11 @@
  * sent about every second, so that a longer silence suggests that the owner has ended.
  */
 const MIN_OWNER_SILENCE_MS = 3_000;
+/**
+ * How long after another upstream has answered at its address an upstream's reports may have been made before that. Longer
+ * than reports are usually delayed; an upstream that has returned goes on reporting. Milliseconds.
+ */
+const REPLACEMENT_MARGIN_MS = 3_000;
 /** Minimum relative change of a limit that is forwarded, so that a fluctuating limit is not sent each time. */
 const MIN_RELATIVE_LIMIT_CHANGE = 0.1;
 /**
@@ -130,6 +137,7 @@
                 hasEarlierLife: hasEarlierIncarnation,
                 limitPerSecond: undefined,
                 limitSaidAt: -Infinity,
+                replacedAt: getReplacedAt(registration, heardAt),
             });
             this.tryClaimAddress(registration, heardAt, 0);
             return "state";
@@ -145,9 +153,10 @@
         report: UpstreamRegistration,
         heardAt: number,
     ): "state" | "beat" | undefined {
-        if (!isNewInformation(report, known.registration)) {
+        if (!isNewInformation(report, known.registration) || mayPrecedeReplacement(report, known, heardAt)) {
             return undefined;
         }
+        known.replacedAt = Math.max(known.replacedAt, getReplacedAt(report, heardAt));
         const registration = mergeReports(report, known.registration);
         const changed = known.registration.state !== registration.state
             || known.registration.address !== registration.address
@@ -255,8 +264,8 @@
     }
 
     /**
-     * Marks an incarnation as gone because another upstream answered at its address. Only a report newer than all
-     * received ones revokes that. Returns the registration to forward; undefined if it was known to be gone.
+     * Marks an incarnation as gone because another upstream answered at its address. Only a report that is newer than all
+     * received ones and was certainly made later revokes that. Returns the registration to forward; undefined if it was known to be gone.
      */
     recordReplaced(registration: UpstreamRegistration, heardAt: number): UpstreamRegistration | undefined {
         const gone: UpstreamRegistration = {
@@ -427,6 +436,16 @@
     return hasBegunLeaving || report.sequence > known.sequence;
 }
 
+function getReplacedAt({ isReplaced }: UpstreamRegistration, heardAt: number): number {
+    return isReplaced === true ? heardAt : -Infinity;
+}
+
+/** Returns whether a report may have been made before another upstream answered at the address. */
+function mayPrecedeReplacement(report: UpstreamRegistration, known: Entry, heardAt: number): boolean {
+    return known.registration.isReplaced === true && report.state !== "gone"
+        && heardAt < known.replacedAt + REPLACEMENT_MARGIN_MS;
+}
+
 /** Returns whether an end that names no incarnation may be that of an earlier one. */
 function isEndAmbiguous(
     { registration, lifeHeardAt, hasEarlierLife }: Entry,
