--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -48,7 +48,7 @@
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import { RequestRecorder } from "./requestRecorder.js";
 import { resolveRequest } from "./requestResolution.js";
-import { relayResumption } from "./resumedRelay.js";
+import { runResumption } from "./resumptionRun.js";
 import { type ServiceBudgetOptions, ServiceBudgets } from "./serviceBudgets.js";
 import { StreamContinuity } from "./streamContinuity.js";
 import type { StreamOriginReporter } from "./streamOriginReporter.js";
@@ -299,7 +299,7 @@
         this.serviceBudgets.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
         this.activeRequestCount += 1;
         try {
-            await this.relay(resolved, sink);
+            await this.runRequest(resolved, sink);
         }
         finally {
             this.activeRequestCount -= 1;
@@ -318,11 +318,11 @@
             : resolveRequest(request, this.bundleIndex, this.options.startRetryAfterMs);
     }
 
-    /** Relays a request; one that resumes a stream only to the software that began it. */
-    private relay(resolved: ResolvedRequest, sink: PassThroughSink): Promise<void> {
+    /** Runs a request; one that resumes a stream only at the software that began it. */
+    private runRequest(resolved: ResolvedRequest, sink: PassThroughSink): Promise<void> {
         const tryGetService = (name: string) => this.bundleIndex?.tryGetService(name);
         return isResumption(resolved)
-            ? relayResumption(this, this.streamContinuity.resumer, tryGetService, resolved, sink)
+            ? runResumption(this, this.streamContinuity.resumer, tryGetService, resolved, sink)
             : new RelayRun(this, resolved, sink).run();
     }
 
--- a/src/daemons/directRouter/resumedRelay.ts
+++ b/src/daemons/directRouter/resumptionRun.ts
@@ -1,4 +1,4 @@
-/** Relays a request that resumes a stream, once it is known where the stream may go on. */
+/** Runs a request that resumes a stream, once it is known where the stream may go on. */
 import type { BundleService } from "../../domain/bundle.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
@@ -8,7 +8,7 @@
 import type { StreamResumer } from "./streamResumer.js";
 
 /** `tryGetService`: returns a service of the current bundle. */
-export async function relayResumption(
+export async function runResumption(
     context: RelayContext,
     resumer: StreamResumer,
     tryGetService: (name: string) => BundleService | undefined,
@@ -24,7 +24,8 @@
     }
     const service = tryGetService(outcome.service);
     if (service === undefined || isGone) {
-        const refusal = createRefusal("versionUnavailable", "the service was removed", "no");
+        const detail = isGone ? "the caller disconnected" : "the service was removed";
+        const refusal = createRefusal("versionUnavailable", detail, "no", context.options.retryAfterMs);
         refuse(context, resolved, refusal, sink, isGone);
         return;
     }
--- a/src/daemons/directRouter/streamResumer.ts
+++ b/src/daemons/directRouter/streamResumer.ts
@@ -1,6 +1,6 @@
 /** Finds out where a stream that its caller resumes may go on. */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
-import { decideResumption, type ResumptionDecision, type ResumptionRefusalCause } from "../../domain/resumption.js";
+import { resolveResumption, type ResumptionDecision, type ResumptionRefusalCause } from "../../domain/resumption.js";
 import type { KnownOrigin, StreamOrigin } from "../../domain/streamOrigins.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -67,20 +67,20 @@
             : this.reporter.tryGet(resolved, request.resumedAttempt);
         if (own !== undefined) {
             const found = { origins: [own], askedCount: 0, answeredCount: 0 };
-            const decision = decideResumption({ services, origins: [own], versions: undefined, isComplete: true });
+            const decision = resolveResumption({ services, origins: [own], versions: undefined, isComplete: true });
             return this.finish(resolved, decision, "router", found, startedAt);
         }
         const timeoutMs = this.options.lookupTimeoutMs + EVENT_LOOP_TURNS * this.options.getEventLoopLagMs();
         // The other half is left to ask for the origin.
         const versions = await this.readVersions(services, timeoutMs / 2);
         if (versions !== undefined && versions.length <= 1) {
-            const decision = decideResumption({ services, origins: [], versions, isComplete: true });
+            const decision = resolveResumption({ services, origins: [], versions, isComplete: true });
             return this.finish(resolved, decision, "onlyVersion", NOBODY_ASKED, startedAt);
         }
         const remainingMs = startedAt + timeoutMs - performance.now();
         const found = await this.findOrigins(resolved, Math.max(1, Math.floor(remainingMs)));
         const isComplete = found.askedCount > 0 && found.answeredCount === found.askedCount;
-        const decision = decideResumption({ services, origins: found.origins, versions, isComplete });
+        const decision = resolveResumption({ services, origins: found.origins, versions, isComplete });
         return this.finish(resolved, decision, "controllers", found, startedAt);
     }
 
--- a/src/daemons/router/progress.ts
+++ b/src/daemons/router/progress.ts
@@ -131,7 +131,7 @@
 }
 
 /** Whether another attempt takes one of the service's retries. */
-export function spendsRetryBudget({ code, ran }: Refusal): boolean {
+export function shouldSpendRetryBudget({ code, ran }: Refusal): boolean {
     return code === "queueFull" || code === "deadlineTooClose" || ran !== "no";
 }
 
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -36,7 +36,7 @@
     replaceCancellation,
     type RequestProgress,
     type RunOutcome,
-    spendsRetryBudget,
+    shouldSpendRetryBudget,
 } from "./progress.js";
 import type { RelayedUsageReporter } from "./relayedUsageReporter.js";
 import type { RunClient, RunStream } from "./runClient.js";
@@ -238,7 +238,7 @@
                 refusal.ran === "unknown" && !job.repeatable ? { ...refusal, code: "outcomeUnknown" } : refusal,
             );
         }
-        if (spendsRetryBudget(refusal) && !this.getRetryBudget(job.service).trySpend()) {
+        if (shouldSpendRetryBudget(refusal) && !this.getRetryBudget(job.service).trySpend()) {
             throw new RefusalError(refusal);
         }
         this.deps.metrics.addCount("router.retries");
--- a/src/domain/resumption.ts
+++ b/src/domain/resumption.ts
@@ -34,7 +34,7 @@
     readonly isComplete: boolean;
 }
 
-export function decideResumption({ services, origins, versions, isComplete }: ResumptionEvidence): ResumptionDecision {
+export function resolveResumption({ services, origins, versions, isComplete }: ResumptionEvidence): ResumptionDecision {
     const [origin, ...others] = origins;
     if (origin !== undefined) {
         if (origin === "ambiguous" || others.some(other => !isSameOrigin(origin, other))) {
--- a/test/domain/resumption.test.ts
+++ b/test/domain/resumption.test.ts
@@ -1,13 +1,13 @@
 /** Guards against a stream that goes on at another software version, and against one refused that could go on. */
 import t from "tap";
-import { decideResumption, type ResumptionEvidence } from "../../src/domain/resumption.js";
+import { resolveResumption, type ResumptionEvidence } from "../../src/domain/resumption.js";
 
 const V1 = { service: "s", version: "v1" };
 const V2 = { service: "s", version: "v2" };
 const NOTHING_KNOWN: ResumptionEvidence = { services: ["s"], origins: [], versions: undefined, isComplete: true };
 
 function decide(evidence: Partial<ResumptionEvidence>) {
-    return decideResumption({ ...NOTHING_KNOWN, ...evidence });
+    return resolveResumption({ ...NOTHING_KNOWN, ...evidence });
 }
 
 void t.test("a stream goes on at its origin, whatever other versions there are", async t => {
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -179,7 +179,7 @@
         await this.waitServing(callers);
         const routerCount = this.routers.length;
         const begun = await Promise.all(
-            Array.from({ length: RESUMED_STREAMS }, (_, i) => callers.beginStream(`begin-${i}`, i % routerCount)),
+            Array.from({ length: RESUMED_STREAMS }, (_, i) => callers.startStream(`begin-${i}`, i % routerCount)),
         );
         const left = begun.filter(({ body }) => body !== undefined && body !== "");
         const resumed = await Promise.all(
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -94,7 +94,7 @@
     }
 
     /** Requests a stream of the account that does not run out, and leaves it after its first events. */
-    beginStream(caller: string, router: number): Promise<CallerOutcome> {
+    startStream(caller: string, router: number): Promise<CallerOutcome> {
         const maxEvents = EVENTS_BEFORE_LEAVING;
         return this.sendJudged(
             { caller, router, kind: "stream", path: paths.stream, keepsConnection: false, maxEvents },
