--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -211,7 +211,7 @@
         return confirmed.index;
     }
 
-    /** Waits until this replica has applied `index`. Refuses with `noMajority` after `timeoutMs`. */
+    /** Waits until this replica has applied `index`. Refuses with `noMajority` after `timeoutMs`, and once it stops. */
     async waitApplied(index: number, timeoutMs: number): Promise<void> {
         const deadline = this.clock.getMonotonicMs() + timeoutMs;
         while (this.applier.getAppliedIndex() < index && !this.stopped) {
@@ -221,6 +221,9 @@
             }
             await this.applier.appliedSignal.wait(remainingMs);
         }
+        if (this.applier.getAppliedIndex() < index) {
+            throw new RefusalError(createRefusal("noMajority", `stopped before index ${index} was applied`));
+        }
     }
 
     private async appendProposal(command: Command): Promise<ProposeAnswer> {
