--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -214,16 +214,13 @@
     /** Waits until this replica has applied `index`. Refuses with `noMajority` after `timeoutMs`, and once it stops. */
     async waitApplied(index: number, timeoutMs: number): Promise<void> {
         const deadline = this.clock.getMonotonicMs() + timeoutMs;
-        while (this.applier.getAppliedIndex() < index && !this.stopped) {
-            const remainingMs = deadline - this.clock.getMonotonicMs();
+        while (this.applier.getAppliedIndex() < index) {
+            const remainingMs = this.stopped ? 0 : deadline - this.clock.getMonotonicMs();
             if (remainingMs <= 0) {
-                throw new RefusalError(createRefusal("noMajority", `timeout before index ${index} was applied`));
+                throw new RefusalError(createRefusal("noMajority", `index ${index} was not applied in time`));
             }
             await this.applier.appliedSignal.wait(remainingMs);
         }
-        if (this.applier.getAppliedIndex() < index) {
-            throw new RefusalError(createRefusal("noMajority", `stopped before index ${index} was applied`));
-        }
     }
 
     private async appendProposal(command: Command): Promise<ProposeAnswer> {
