--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -24,6 +24,17 @@
     t.end();
 });
 
+void t.test("the cause of a stream that could not be resumed is marked", t => {
+    const cause = "request=q1 resumes=q0 cause=originUnreachable asked=3 answered=1";
+    const notResumed = createLine(1, "r1", "stream_not_resumed", cause);
+    const refused = createLine(1, "r1", "request_refused", "request=q1 refusal=\"LW1314 streamOriginUnknown\" ran=no");
+    t.match(formatTimeline([notResumed, refused].map(text => tryParseLogLine(text)!)), [
+        /^\* .* stream_not_resumed resumes=q0 cause=originUnreachable asked=3 answered=1$/,
+        /^ {2}.* request_refused /,
+    ]);
+    t.end();
+});
+
 void t.test("a refusal without a preceding cause is marked itself; an answer is not marked", t => {
     t.match(formatTimeline([tryParseLogLine(REFUSED)!])[0], /^\* .* request_refused /);
     t.match(formatTimeline([tryParseLogLine(OTHER)!])[0], /^ {2}.* request_answered /);
