--- a/src/daemons/bundleController/serviceVersionService.ts
+++ b/src/daemons/bundleController/serviceVersionService.ts
@@ -4,7 +4,11 @@
  */
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import { createRefusal, RefusalError } from "../../domain/resultCodes.js";
-import type { ServiceVersionList, ServiceVersionResult } from "../../domain/serviceVersionStore.js";
+import {
+    formatServiceVersions,
+    type ServiceVersionList,
+    type ServiceVersionResult,
+} from "../../domain/serviceVersionStore.js";
 import type { HeardRegistration } from "../../domain/upstreamRegistry.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -120,7 +124,7 @@
             this.subscribers.notifyAll(versionNoticeMethod, list);
             this.log.info("service_versions_changed", {
                 index: list.index,
-                services: list.services.map(({ service, versions }) => `${service}:${versions.join("+")}`).join(","),
+                services: formatServiceVersions(list),
             });
         }
     }
--- a/src/daemons/directRouter/streamContinuity.ts
+++ b/src/daemons/directRouter/streamContinuity.ts
@@ -2,7 +2,7 @@
  * Keeps streams at the software version that began them, whichever router they are resumed at. Composes what a router
  * remembers and reports of its own streams with what it finds out about those of others.
  */
-import type { ServiceVersionList } from "../../domain/serviceVersionStore.js";
+import { formatServiceVersions, type ServiceVersionList } from "../../domain/serviceVersionStore.js";
 import type { StreamOriginsOptions } from "../../domain/streamOrigins.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
@@ -58,7 +58,8 @@
     }
 
     /** Applies the services with several software versions; an older list is ignored. */
-    receiveVersions({ index, services }: ServiceVersionList): void {
+    receiveVersions(list: ServiceVersionList): void {
+        const { index, services } = list;
         if (index <= this.index) {
             return;
         }
@@ -66,7 +67,7 @@
         this.mixedServices = new Set(services.map(({ service }) => service));
         this.log.info("service_versions_in_force", {
             index,
-            services: services.map(({ service, versions }) => `${service}:${versions.join("+")}`).join(","),
+            services: formatServiceVersions(list),
         });
         this.origins.reportMixedServices();
     }
--- a/src/domain/serviceVersionStore.ts
+++ b/src/domain/serviceVersionStore.ts
@@ -27,6 +27,11 @@
     readonly isAccepted: boolean;
 }
 
+/** Formats the list for a log line. */
+export function formatServiceVersions({ services }: ServiceVersionList): string {
+    return services.map(({ service, versions }) => `${service}:${versions.join("+")}`).join(",");
+}
+
 /** Bounds what wrong registrations can add. Versions that are no longer in use are removed. */
 export const MAX_SERVICE_VERSIONS = 64;
 const MAX_SERVICES = 5_000;
