--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,13 +5,13 @@
 import { setMaxListeners } from "node:events";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { captionRoute, createConfig, createHeaders, TENANT, TOKENS_PER_EVENT } from "../config.mjs";
+import { balanceRoute, createConfig, createHeaders, TENANT, TOKENS_PER_EVENT } from "../config.mjs";
 import { CONTACT_MS, runCase } from "../fleet.mjs";
 import { createId, Engine, formatEvent, Link, now, SetupError, wait } from "../standIns.mjs";
 
 const PREPAID = 300_000;
-/** A long answer of the kind of request `tile-caption`: 191 events are the most of the site. */
-const LONG = { prompt: 826, events: 191 };
+/** A long answer of the kind of request `consulta-saldo`: 159 events are the most of the site. */
+const LONG = { prompt: 826, events: 159 };
 /** A short one, of which many are sent until the account has nothing left. */
 const SHORT = { prompt: 2_000, events: 5 };
 const STREAMS = 60;
@@ -74,10 +74,10 @@
     const id = createId();
     const answer = await fleet.request(router, {
         method: "POST",
-        path: `${captionRoute.path_prefix}2f`,
+        path: `${balanceRoute.path_prefix}2f`,
         headers: createHeaders(id, size),
         body: "x".repeat(size.prompt),
-        timeoutMs: 16_000,
+        timeoutMs: 13_000,
         ...options,
     });
     const { status, isComplete, error } = answer;
@@ -114,7 +114,7 @@
     const link = new Link(fleet.getHost("side-2"), fleet.getHost("side-1"));
     const engine = new Engine({
         host: fleet.getHost("side-1"),
-        service: captionRoute.backend,
+        service: balanceRoute.backend,
         controllers: fleet.getControllerHosts(),
         handle: model.handle,
         address: `${link.host}:8228`,
--- a/review/config.mjs
+++ b/review/config.mjs
@@ -5,15 +5,15 @@
 export const TENANT = "hule930";
 export const MODEL_SERVICE = "huvo11a";
 /** Most tokens in one event of a stream. */
-export const TOKENS_PER_EVENT = 5;
+export const TOKENS_PER_EVENT = 6;
 
-/** The kind of request `tile-caption`: a stream that may not be repeated. */
-export const captionRoute = {
+/** The kind of request `consulta-saldo`: a stream that may not be repeated. */
+export const balanceRoute = {
     name: "r-6y7z5k6",
     host: HOST,
     path_prefix: "/pufi791/",
     type: "stream",
-    timeout_ms: 15_000,
+    timeout_ms: 12_000,
     goal_ms: 800,
     prio: 1,
     backend: MODEL_SERVICE,
@@ -27,16 +27,16 @@
 export function createConfig({ prepaid }) {
     return {
         config_rev: 7,
-        routes: [captionRoute],
+        routes: [balanceRoute],
         backends: [{
             name: MODEL_SERVICE,
             health_path: "/healthz",
-            max_conns: 360,
+            max_conns: 370,
             protocol: "h1",
             tls: false,
             engine: {
                 slots: 64,
-                kv_capacity: 562_615,
+                kv_capacity: 552_156,
                 kv_bytes: 18_432,
                 stride: TOKENS_PER_EVENT,
                 models: [{ name: "m" }],
@@ -46,7 +46,7 @@
             max_header_bytes: 16_384,
             max_body_bytes: 4_194_304,
             header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
+            idle_timeout_ms: 12_000,
         },
         tenants: [{ name: TENANT, api_keys: [KEY], prio: 1, prepaid }],
     };
@@ -60,7 +60,7 @@
         Model: "m",
         "Token-Usage": `${prompt},${events * TOKENS_PER_EVENT}`,
         "Prefix-Hash": `5c1e07a2:119,${id.slice(0, 8)}:${prompt - 119}`,
-        "Deadline-Ms": "15000",
+        "Deadline-Ms": "12000",
         Credential: KEY,
     };
 }
--- a/review/fleet.mjs
+++ b/review/fleet.mjs
@@ -1,6 +1,7 @@
 /**
  * Starts controllers and routers with the commands of the deploy file, as separate processes on loopback addresses and on the
- * real clock. The settings are those of the small site `vorka-loom`, with one availability zone.
+ * real clock. The settings are those of the small site `srp-lima`; all machines are in its zone `lima-miraflores`,
+ * which has two routers.
  */
 import { spawn } from "node:child_process";
 import { appendFileSync, existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
@@ -201,8 +202,8 @@
 machine_class = "${isController ? "core" : "edge"}"
 serves = ["${isController ? "control" : "edge"}"]
 ip = "${host}"
-zone = "halle-wien"
-region = "ostalpen"
+zone = "lima-miraflores"
+region = "lima"
 port_range = [7340,7355]
 seeds = [${seeds.join(",")}]
 bootstrap = ${this.isFirstStart}
@@ -214,7 +215,10 @@
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants"]
 config_mode = "highest"
 [zones]
-halle-wien = "ostalpen"
+lima-miraflores = "lima"
+lima-surco = "lima"
+lima-callao = "lima"
+lima-ate = "lima"
 [listen]
 ${
             isController
@@ -223,13 +227,13 @@
         }
 [limits]
 cpu_quota = ${isController ? 0.81 : 0.513}
-cores = 1
+cores = ${isController ? 2 : 1}
 memory_mb = ${isController ? 346 : 350}
-max_fds = ${isController ? 4096 : 4200}
-link_mbps = ${isController ? "170.0" : "1000.0"}
+max_fds = ${isController ? 4096 : 4100}
+link_mbps = 1000.0
 disk_mb = ${isController ? 128 : 0}
 [fault_budget]
-machines = ${this.controllers.length < 5 ? 1 : 2}
+machines = 2
 zones = 0
 regions = 0
 [bounds]
@@ -248,7 +252,7 @@
 revoke_ms = 5000
 retry_ratio = 0.2
 retry_window_s = 10
-retry_slack = 52
+retry_slack = 56
 recover_s = 12
 iter_ms = 120
 retry_after_s = 10
--- a/review/standIns.mjs
+++ b/review/standIns.mjs
@@ -105,7 +105,7 @@
         const body = JSON.stringify({
             backend: this.service,
             address: this.address,
-            zone: "halle-wien",
+            zone: "lima-miraflores",
             config_rev: "v1",
             slots: 64,
             state: "ready",
@@ -156,7 +156,7 @@
 
 /** Returns an event of a stream, of about the mean length in the site file. */
 export function formatEvent(number) {
-    return `id: ${number}\ndata: ${"x".repeat(40)}\n\n`;
+    return `id: ${number}\ndata: ${"x".repeat(45)}\n\n`;
 }
 
 /** A proxy that stands for the network between the routers and one engine. A cut loses nothing and says nothing. */
