--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,6 +1,6 @@
 /**
- * BUDGET: clients leave their streams shortly after the router was cut off from the engine. The engine does not learn of it and
- * goes on; the router settles the requests by what it has received and gives the rest of their tokens to others.
+ * BUDGET: clients leave their streams shortly after the engine was cut off from all machines. It does not learn of that and goes
+ * on; the routers settle the requests by what they have received and give the rest of their tokens to others.
  */
 import { setMaxListeners } from "node:events";
 import { dirname } from "node:path";
@@ -21,11 +21,14 @@
 const STREAM_MS = 1_000;
 /** How long after the cut the clients leave. */
 const LEAVE_AFTER_MS = 150;
-/** Cuts of single machines last up to 8.9 s on the days of the site. */
-const CUT_MS = 5_000;
+/** Cuts last up to 8.9 s on the days of the site. */
+const CUT_MS = 4_000;
+/** After the cut, the engine has to be heard of again. */
+const RETURN_MS = 2_000;
 const MAX_SHORT_REQUESTS = 400;
-/** The account is used up when so many requests have been refused. */
+/** The account is used up when so many requests have been refused with 402. */
 const MIN_REFUSALS = 8;
+const PREPAID_EXHAUSTED = 402;
 const SHORT_BATCH = 4;
 
 /** A model engine: counts the tokens that a tenant gets, tokens in once a request and tokens handed out. */
@@ -94,7 +97,7 @@
             { length: SHORT_BATCH },
             (_, i) => send(fleet, fleet.routers[i % fleet.routers.length], SHORT),
         );
-        const refusals = (await Promise.all(batch)).filter(({ status }) => status !== 200).length;
+        const refusals = (await Promise.all(batch)).filter(({ status }) => status === PREPAID_EXHAUSTED).length;
         sent += SHORT_BATCH;
         refused += refusals;
         if (refusals > 0) {
@@ -136,6 +139,7 @@
     await wait(STREAM_MS);
     if (hasTrouble) {
         link.cut();
+        engine.isCutOff = true;
         recorder.add("cut");
     }
     await wait(LEAVE_AFTER_MS);
@@ -144,9 +148,11 @@
     await wait(CUT_MS);
     if (hasTrouble) {
         link.heal();
+        engine.isCutOff = false;
         recorder.add("healed");
     }
     await Promise.all(streams);
+    await wait(RETURN_MS);
     await useUp(fleet);
     // Runs whose callers have left have ended by now.
     await wait(1_000);
--- a/review/standIns.mjs
+++ b/review/standIns.mjs
@@ -68,6 +68,8 @@
         this.address = address;
         this.sequence = 0;
         this.isBeating = false;
+        /** Whether no controller can be reached. */
+        this.isCutOff = false;
         this.server = http.createServer((request, response) => void this.serve(request, response));
     }
 
@@ -95,7 +97,9 @@
     async runBeats() {
         while (this.isBeating) {
             await wait(HEARTBEAT_MS);
-            await this.beat();
+            if (!this.isCutOff) {
+                await this.beat();
+            }
         }
     }
 
