--- a/review/fleet.mjs
+++ b/review/fleet.mjs
@@ -274,10 +274,14 @@
         await fleet?.close();
         process.exit(exitCode);
     };
-    const guard = setTimeout(() => {
-        recorder.add("case_timed_out");
+    const endEarly = reason => {
+        recorder.add("case_ended_early", { reason });
         void end(2);
-    }, CASE_TIMEOUT_MS);
+    };
+    const guard = setTimeout(() => endEarly("timeout"), CASE_TIMEOUT_MS);
+    process.once("SIGTERM", endEarly);
+    process.once("SIGINT", endEarly);
+    process.once("uncaughtException", error => endEarly(String(error)));
     try {
         const createFleet = async size => {
             fleet = await Fleet.create(recorder, size);
