Observability: what lifts a quarantine, and which request cleared a suspect

quarantine_lifted said neither why nor after which log entry, so that the hypotheses of the incident could not be told apart. It now names the kind and index of the entry and how many retained ends the content was present at; routers log the request whose answer clears an attribute (suspect_cleared). The decision is unchanged.

--- a/bench/crashSuspectsBench.ts
+++ b/bench/crashSuspectsBench.ts
@@ -96,7 +96,7 @@
             const startedAt = performance.now();
             const list = suspectNoticeMethod.params.parse(JSON.parse(text));
             suspects.update(list, now);
-            survivors.record(["route:r", "account:a", "model:m", "part:first"], now + 1);
+            survivors.record(["route:r", "account:a", "model:m", "part:first"], "r1", now + 1);
             const cleared = list.suspects.flatMap(suspect => survivors.listCleared(suspect, now + 2));
             this.routerMs += performance.now() - startedAt;
             if (cleared.length > 0) {
--- a/src/daemons/bundleController/upstreamEndService.ts
+++ b/src/daemons/bundleController/upstreamEndService.ts
@@ -187,6 +187,10 @@
         const now = this.clock.getMonotonicMs();
         const indexes = this.replica.state.upstreamEnds.listEndIndexes();
         this.receivedAtByIndex = new Map(indexes.map(index => [index, this.receivedAtByIndex.get(index) ?? now]));
+        for (const { attributes, reason, index, presentEnds } of this.replica.state.upstreamEnds.takeLifted()) {
+            const quarantine = attributes.join(",");
+            this.log.info("quarantine_lifted", { quarantine, reason, index, present_ends: presentEnds });
+        }
         const list = this.createSuspectList();
         const text = JSON.stringify(this.replica.state.upstreamEnds.getSuspects().map(formatNoticed));
         if (text !== this.lastNotifiedSuspects) {
@@ -207,11 +211,6 @@
                 this.log.warn("request_quarantined", { quarantine, provisional: isProvisional, upstreams });
             }
         }
-        for (const quarantine of this.loggedCulprits.keys()) {
-            if (!culprits.has(quarantine)) {
-                this.log.info("quarantine_lifted", { quarantine });
-            }
-        }
         this.loggedCulprits = culprits;
         this.metrics.setGauge("quarantines", culprits.size);
         this.metrics.setGauge("crash_suspects", suspects.length);
--- a/src/daemons/directRouter/requestQuarantine.ts
+++ b/src/daemons/directRouter/requestQuarantine.ts
@@ -71,7 +71,11 @@
 
     /** Records a complete response. Attributes of a request that got one are no longer suspect. */
     recordCompleteResponse(resolved: ResolvedRequest): void {
-        this.survivors.record(listSharedRequestAttributes(resolved), this.clock.getMonotonicMs());
+        this.survivors.record(
+            listSharedRequestAttributes(resolved),
+            resolved.request.forwarded.id,
+            this.clock.getMonotonicMs(),
+        );
         if (!this.suspects.isEmpty()) {
             this.clearSuspect(resolved);
         }
@@ -93,8 +97,9 @@
 
     private clearSuspect(resolved: ResolvedRequest): void {
         const upTo = this.suspects.getIndex();
+        const request = resolved.request.forwarded.id;
         this.suspects.filterSuspect(this.listRelevantAttributes(resolved)).forEach(attribute =>
-            this.endReporter.addClearedAttribute({ attribute, upTo })
+            this.endReporter.addClearedAttribute({ attribute, upTo, request })
         );
     }
 
--- a/src/daemons/directRouter/upstreamEndReporter.ts
+++ b/src/daemons/directRouter/upstreamEndReporter.ts
@@ -5,6 +5,7 @@
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
 import { type EndReport, MAX_REPORTED_ENDS, reportEndsMethod } from "../../protocol/fleetMethods.js";
+import type { SurvivorEvidence } from "./survivors.js";
 import type { EndedUpstream } from "./upstreamEndWatch.js";
 
 /** Times in milliseconds. */
@@ -64,10 +65,14 @@
     }
 
     /** Queues an attribute of a request that survived, unless the same has been reported. */
-    addClearedAttribute({ attribute, upTo }: ClearedAttribute): void {
-        const isReported = (this.reportedCleared.get(attribute) ?? -1) >= upTo;
-        if (!isReported && (this.pendingCleared.has(attribute) || this.pendingCleared.size < MAX_CLEARED_ATTRIBUTES)) {
+    addClearedAttribute({ attribute, upTo, request }: SurvivorEvidence): void {
+        const reportedUpTo = this.pendingCleared.get(attribute) ?? this.reportedCleared.get(attribute) ?? -1;
+        if (
+            reportedUpTo < upTo
+            && (this.pendingCleared.has(attribute) || this.pendingCleared.size < MAX_CLEARED_ATTRIBUTES)
+        ) {
             this.pendingCleared.set(attribute, upTo);
+            this.log.info("suspect_cleared", { request, attribute, up_to: upTo });
             this.pendingAdded.notifyAll();
         }
     }
--- a/src/domain/upstreamEndStore.ts
+++ b/src/domain/upstreamEndStore.ts
@@ -4,6 +4,7 @@
     type CrashSuspect,
     findCrashSuspects,
     type InterruptedRun,
+    isSubset,
     listPresencesAt,
     mergeKnownCulprits,
     MIN_SUSPECT_MOMENTS,
@@ -32,6 +33,8 @@
 const MAX_RETAINED_CULPRIT_ENDS = 8;
 /** Known culprits; the oldest are evicted. */
 const MAX_KNOWN_CULPRITS = 64;
+/** Lifted culprits that nobody has taken yet; the oldest are evicted. */
+const MAX_LIFTED = 256;
 
 interface RecordedEnd extends UpstreamEnd {
     /** Log index of the entry that first recorded the end. */
@@ -39,6 +42,19 @@
     runs: InterruptedRun[];
 }
 
+/** Kind of the log entry after which a culprit is none any more. */
+export type LiftReason = "upstreamEnd" | "survivor" | "expired" | "snapshot";
+
+/** A culprit whose requests may run again. */
+export interface LiftedCulprit {
+    readonly attributes: readonly string[];
+    readonly reason: LiftReason;
+    /** Log index of the entry. */
+    readonly index: number;
+    /** Number of retained ends at which a request with all the attributes was interrupted. */
+    readonly presentEnds: number;
+}
+
 type RunSnapshot = readonly [attributes: readonly string[], answerMs?: number];
 
 export interface UpstreamEndSnapshot {
@@ -66,6 +82,7 @@
     private lastMoment = 0;
     private lastIndex = 0;
     private suspects: readonly CrashSuspect[] = [];
+    private lifted: readonly LiftedCulprit[] = [];
 
     applyRecord({ life, togetherWith, requests }: RecordUpstreamEndCommand, index: number): void {
         const end = this.ends.get(life) ?? this.addEnd(life, togetherWith, index);
@@ -76,25 +93,25 @@
         while (this.ends.size > MAX_ENDS || (this.ends.size > 1 && this.countRuns() > MAX_RUNS)) {
             this.removeEnd(this.findEvicted());
         }
-        this.recordChange(index);
+        this.recordChange(index, "upstreamEnd");
     }
 
     applyClear({ cleared }: ClearAttributesCommand, index: number): void {
         for (const { attribute, upTo } of cleared) {
             this.clearAttribute(attribute, upTo);
         }
-        this.recordChange(index);
+        this.recordChange(index, "survivor");
     }
 
     /** Applies a command of earlier versions. */
     applyClearRequests({ fingerprints }: ClearRequestsCommand, index: number): void {
         fingerprints.forEach(fingerprint => this.clearAttribute(createContentAttribute(fingerprint), index));
-        this.recordChange(index);
+        this.recordChange(index, "survivor");
     }
 
     applyForget({ upTo }: ForgetUpstreamEndsCommand, index: number): void {
         [...this.ends.values()].filter(end => end.index <= upTo).forEach(end => this.removeEnd(end));
-        this.recordChange(index);
+        this.recordChange(index, "expired");
     }
 
     /** Log index of the last entry applied; 0 before the first. */
@@ -106,6 +123,13 @@
         return this.suspects;
     }
 
+    /** Returns the culprits that were lifted since the last call, oldest first. */
+    takeLifted(): readonly LiftedCulprit[] {
+        const taken = this.lifted;
+        this.lifted = [];
+        return taken;
+    }
+
     /** Whether any end up to a log index was recorded with the attribute, so that clearing it changes something. */
     canClear(attribute: string, upTo: number): boolean {
         const ends = this.byAttribute.get(attribute);
@@ -148,7 +172,7 @@
         }));
         this.byAttribute = new Map();
         this.ends.forEach(end => this.updateIndex(end));
-        this.recordChange(lastIndex);
+        this.recordChange(lastIndex, "snapshot");
     }
 
     private addEnd(life: string, togetherWith: string | undefined, index: number): RecordedEnd {
@@ -213,8 +237,9 @@
         return ends.find(({ life }) => !needed.has(life)) ?? ends[0]!;
     }
 
-    private recordChange(index: number): void {
+    private recordChange(index: number, reason: LiftReason): void {
         this.lastIndex = index;
+        const previous = this.suspects.filter(({ isCulprit }) => isCulprit);
         // Most attributes were present at one end, and need no further work.
         const knownAttributes = new Set(this.knownCulprits.flat());
         const attributes = new Map<string, readonly Presence[]>();
@@ -229,6 +254,17 @@
         const replaced = new Set(this.knownCulprits.filter(culprit => !merged.includes(culprit)));
         this.suspects = found.filter(suspect => !replaced.has(suspect.attributes));
         this.knownCulprits = merged.slice(-MAX_KNOWN_CULPRITS);
+        const culprits = this.suspects.filter(({ isCulprit }) => isCulprit);
+        const lifted = previous.filter(({ attributes }) =>
+            !culprits.some(other => isSubset(other.attributes, attributes))
+        )
+            .map(({ attributes }) => ({ attributes, reason, index, presentEnds: this.countPresentEnds(attributes) }));
+        this.lifted = [...this.lifted, ...lifted].slice(-MAX_LIFTED);
+    }
+
+    private countPresentEnds(attributes: readonly string[]): number {
+        return [...this.ends.values()].filter(({ runs }) => runs.some(run => isSubset(attributes, run.attributes)))
+            .length;
     }
 }
 
--- a/test/daemons/upstreamEndReporter.test.ts
+++ b/test/daemons/upstreamEndReporter.test.ts
@@ -41,8 +41,8 @@
     for (let i = 0; i < MAX_REPORTED_ENDS + 1; i++) {
         reporter.addEnd({ life: `u@${i}`, interruptedAt: performance.now(), requests });
     }
-    reporter.addClearedAttribute({ attribute: "part:x", upTo: 4 });
-    reporter.addClearedAttribute({ attribute: "part:x", upTo: 7 });
+    reporter.addClearedAttribute({ attribute: "part:x", upTo: 4, request: "r1" });
+    reporter.addClearedAttribute({ attribute: "part:x", upTo: 7, request: "r1" });
     t.match(log.warnings, [{ event: "upstream_end_not_reported", life: `u@${MAX_REPORTED_ENDS}` }]);
     await waitUntil("both controllers were called again", () => network.callCount > 2 * CONTROLLERS.length);
     network.isAccepting = true;
@@ -50,12 +50,12 @@
     t.equal(network.acceptedReports[0]!.ends.length, MAX_REPORTED_ENDS);
     t.match(network.acceptedReports[0]!.ends[0], { life: "u@0", requests });
     t.same(network.acceptedReports[0]!.clearedAttributes, [{ attribute: "part:x", upTo: 7 }]);
-    reporter.addClearedAttribute({ attribute: "part:x", upTo: 7 });
+    reporter.addClearedAttribute({ attribute: "part:x", upTo: 7, request: "r1" });
     reporter.addEnd({ life: "later", interruptedAt: performance.now(), requests });
     await waitUntil("the next report", () => network.acceptedReports.length > 1);
     t.same(network.acceptedReports[1]!.ends.map(({ life }) => life), ["later"]);
     t.same(network.acceptedReports[1]!.clearedAttributes, []);
-    reporter.addClearedAttribute({ attribute: "part:x", upTo: 8 });
+    reporter.addClearedAttribute({ attribute: "part:x", upTo: 8, request: "r1" });
     await waitUntil("a report on newer ends", () => network.acceptedReports.length > 2);
     t.same(network.acceptedReports[2]!.clearedAttributes, [{ attribute: "part:x", upTo: 8 }]);
     reporter.stop();
