Fix: a culprit is kept by the evidence that convicted it, and only a survivor or time lifts it

Cause: convicting counted interrupted requests whether or not their answers had begun, and keeping a known culprit only those that had. A plain service sends no part of an answer before its end, so the next log entry of any kind, such as a second router's report of the same end, lifted the verdict. As the culprit remained known, it was never looked at as a new one again.

Ruled out: a survivor of the content (none), ends that fall into one moment (three moments).

Requests share more while they wait, so what they share needs five moments where no answer had begun. A request whose ends a known culprit explains is its retry's companion, and a culprit all of whose ends another explains is blocked for 3 s. Ends that convict culprits are no longer evicted last: 42 of them would fill the store, so that no further culprit could be found.

upstreamEndStore.test expected that a culprit whose answers had not begun is lifted when one of its three ends expires, which was the fault itself: it now expects that it stays, and that it is lifted with its reason when all have. Requests in crashSuspects.test are written as contents, as the store has them, since contents and shared attributes differ now; what is expected of them is unchanged.

--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -2,7 +2,7 @@
 import { createReadStream } from "node:fs";
 import { createInterface } from "node:readline";
 import { formatValue } from "../adapters/keyValueLog.js";
-import { isSubset } from "../domain/crashSuspects.js";
+import { isSubset } from "../domain/crashEvidence.js";
 import { createRefusal, RefusalError } from "../domain/resultCodes.js";
 
 /** A parsed log line. */
--- a/src/daemons/bundleController/upstreamEndService.ts
+++ b/src/daemons/bundleController/upstreamEndService.ts
@@ -5,6 +5,7 @@
 import { getLeaderAddress } from "../../consensus/leaderAddress.js";
 import type { ReplicatedLog } from "../../consensus/replicatedLog.js";
 import { computeBlockMs, type CrashSuspect } from "../../domain/crashSuspects.js";
+import type { LiftReason } from "../../domain/crashVerdicts.js";
 import { isContentAttribute } from "../../domain/requestAttributes.js";
 import type { ClearedAttribute } from "../../domain/upstreamEndCommands.js";
 import type { Clock } from "../../ports/clock.js";
@@ -32,6 +33,15 @@
 /** Maximum number of ended incarnations that are compared to find simultaneous ends: more than one cause ends in seconds. */
 const MAX_RECENT_ENDS = 1_000;
 
+/** Fields of a log line. */
+interface LiftedQuarantine {
+    readonly quarantine: string;
+    /** `snapshotLoaded`: the culprit is not in the state that the leader sent. */
+    readonly reason: LiftReason | "snapshotLoaded";
+    readonly by: string | undefined;
+    readonly index: number | undefined;
+}
+
 export class UpstreamEndService {
     /** When each retained entry was first seen by this process, keyed by its log index. Monotonic clock, milliseconds. */
     private receivedAtByIndex = new Map<number, number>();
@@ -40,7 +50,8 @@
     /** The suspects that routers were last notified of, as JSON. */
     private lastNotifiedSuspects = "[]";
     private isNoticeScheduled = false;
-    private loggedCulprits: ReadonlyMap<string, CrashSuspect> = new Map();
+    /** The culprits that are blocked as far as was logged, by their attributes. */
+    private blocked: ReadonlyMap<string, CrashSuspect> = new Map();
 
     constructor(
         private readonly replica: ReplicatedLog,
@@ -63,10 +74,11 @@
         this.notifyIfChanged();
     }
 
-    /** Periodically evicts expired ends, on the leader. */
+    /** Periodically records blocks that are over, and on the leader evicts expired ends. */
     async runEviction(): Promise<void> {
         while (!this.replica.isStopped()) {
             await this.clock.wait(EVICTION_PERIOD_MS);
+            this.recordBlocked(this.clock.getMonotonicMs());
             const upTo = this.findLastExpiredIndex();
             if (this.replica.isLeader() && upTo !== undefined) {
                 await this.replica.propose({ type: "forgetUpstreamEnds", upTo }).catch(error =>
@@ -187,34 +199,47 @@
         const now = this.clock.getMonotonicMs();
         const indexes = this.replica.state.upstreamEnds.listEndIndexes();
         this.receivedAtByIndex = new Map(indexes.map(index => [index, this.receivedAtByIndex.get(index) ?? now]));
-        for (const { attributes, reason, index, presentEnds } of this.replica.state.upstreamEnds.takeLifted()) {
-            const quarantine = attributes.join(",");
-            this.log.info("quarantine_lifted", { quarantine, reason, index, present_ends: presentEnds });
-        }
         const list = this.createSuspectList();
         const text = JSON.stringify(this.replica.state.upstreamEnds.getSuspects().map(formatNoticed));
         if (text !== this.lastNotifiedSuspects) {
             this.lastNotifiedSuspects = text;
             this.subscribers.notifyAll(suspectNoticeMethod, list);
-            this.logCulprits();
         }
+        this.recordBlocked(now);
     }
 
-    private logCulprits(): void {
-        const suspects = this.replica.state.upstreamEnds.getSuspects();
-        const culprits = new Map(
-            suspects.filter(({ isCulprit }) => isCulprit).map(suspect => [suspect.attributes.join(","), suspect]),
+    /** Logs which culprits are newly blocked and which no longer are. */
+    private recordBlocked(now: number): void {
+        const store = this.replica.state.upstreamEnds;
+        const suspects = store.getSuspects();
+        const blocked = new Map(
+            suspects.filter(suspect => suspect.isCulprit && this.computeLeftMs(suspect, now) > 0)
+                .map(suspect => [suspect.attributes.join(","), suspect]),
         );
-        for (const [quarantine, { ends, isProvisional }] of culprits) {
-            if (!this.loggedCulprits.has(quarantine)) {
+        for (const [quarantine, { ends, isProvisional }] of blocked) {
+            if (!this.blocked.has(quarantine)) {
                 const upstreams = ends.map(({ life }) => life).join(",");
                 this.log.warn("request_quarantined", { quarantine, provisional: isProvisional, upstreams });
             }
         }
-        this.loggedCulprits = culprits;
-        this.metrics.setGauge("quarantines", culprits.size);
+        const known = new Set(suspects.map(({ attributes }) => attributes.join(",")));
+        const lifted = new Map(store.takeLifted().map(culprit => [culprit.attributes.join(","), culprit]));
+        for (const quarantine of this.blocked.keys()) {
+            if (!blocked.has(quarantine)) {
+                const { reason, by = [], index } = lifted.get(quarantine)
+                    ?? { reason: known.has(quarantine) ? "expired" : "snapshotLoaded" };
+                this.recordLifted({ quarantine, reason, by: by.join(",") || undefined, index });
+            }
+        }
+        this.blocked = blocked;
+        this.metrics.setGauge("quarantines", blocked.size);
         this.metrics.setGauge("crash_suspects", suspects.length);
     }
+
+    private recordLifted(fields: LiftedQuarantine): void {
+        this.log.info("quarantine_lifted", { ...fields });
+        this.metrics.addCount(`quarantines_lifted_${fields.reason}`);
+    }
 }
 
 /** For routers of earlier versions, which know whole requests only. */
@@ -224,6 +249,7 @@
 }
 
 /** Formats what routers have to be notified of. Each end renews a block. */
-function formatNoticed({ attributes, isCulprit, ends }: CrashSuspect): unknown[] {
-    return [attributes, isCulprit, isCulprit ? ends.length : 0];
+function formatNoticed(suspect: CrashSuspect): unknown[] {
+    const { attributes, isCulprit, ends } = suspect;
+    return isCulprit ? [attributes, ends.at(-1)!.life, computeBlockMs(suspect)] : [attributes];
 }
--- a/src/daemons/directRouter/knownSuspects.ts
+++ b/src/daemons/directRouter/knownSuspects.ts
@@ -1,5 +1,5 @@
 /** The newest list from the controllers of what the requests that ended upstreams have in common. */
-import { isSubset } from "../../domain/crashSuspects.js";
+import { isSubset } from "../../domain/crashEvidence.js";
 import { createContentAttribute, isContentAttribute } from "../../domain/requestAttributes.js";
 import type { SuspectList } from "../../protocol/fleetMethods.js";
 
--- a/src/daemons/directRouter/requestQuarantine.ts
+++ b/src/daemons/directRouter/requestQuarantine.ts
@@ -2,7 +2,7 @@
  * Blocks requests that crash the upstreams which run them. The controllers decide which requests to block (see
  * crashSuspects.ts), based on the crashes and the survivors that routers report.
  */
-import { SURVIVAL_MS } from "../../domain/crashSuspects.js";
+import { SURVIVAL_MS } from "../../domain/crashEvidence.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
 import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { Clock } from "../../ports/clock.js";
--- a/src/domain/crashSuspects.ts
+++ b/src/domain/crashSuspects.ts
@@ -13,40 +13,24 @@
  * ends are indistinguishable. They are one suspect, and only requests that have all of them are blocked, until a request that
  * has some of them survives or is interrupted.
  *
- * Depends only on the recorded ends and the known culprits, so every replica computes the same result.
+ * Depends only on the recorded ends and the known culprits, so every replica computes the same result. What counts against an
+ * attribute is defined in crashEvidence.ts, and for how long a culprit remains one in crashVerdicts.ts.
  */
 
+import {
+    computeScore,
+    countMoments,
+    type EndReference,
+    type Evidence,
+    type InterruptedRun,
+    isSubset,
+    listEvidenceAt,
+    type UpstreamEnd,
+} from "./crashEvidence.js";
 import { isContentAttribute, isRouteAttribute } from "./requestAttributes.js";
 
-/** A request that was interrupted when its upstream ended. */
-export interface InterruptedRun {
-    /** The first one identifies the content, see requestAttributes.ts. */
-    readonly attributes: readonly string[];
-    /** How long its answer had run, in milliseconds; undefined if it had not begun. */
-    readonly answerMs: number | undefined;
-}
-
-/** An upstream incarnation that ended. */
-export interface UpstreamEnd {
-    readonly life: string;
-    /** Shared by all ends that are attributed to one cause. */
-    readonly moment: number;
-    readonly runs: readonly InterruptedRun[];
-}
-
-/** How requests with one attribute were present when an upstream ended. */
-export interface Presence<E extends UpstreamEnd = UpstreamEnd> {
-    readonly end: E;
-    /** The request whose answer had run for the longest time. */
-    readonly oldest: InterruptedRun;
-    /** Number of requests of different content whose answers had begun. */
-    readonly begunCount: number;
-}
-
-type AttributePresences = readonly [attribute: string, presences: readonly Presence[]];
-
 /** Attributes that were present at several moments and that cannot be told apart. */
-export interface CrashSuspect {
+export interface CrashSuspect<E extends EndReference = EndReference> {
     /** In alphabetical order. */
     readonly attributes: readonly string[];
     /** Whether the attributes together are considered the cause of the ends. */
@@ -56,12 +40,21 @@
      * suspect is blocked only for a short time then.
      */
     readonly isProvisional: boolean;
-    /** The ends at which the attributes were present, in recording order; of a culprit those that nothing else explains. */
-    readonly ends: readonly UpstreamEnd[];
-    /** Strength of the evidence: number of moments, weighted by how soon after the beginning of an answer they came. */
+    /** The ends that count against the attributes, in recording order. */
+    readonly ends: readonly E[];
+    /**
+     * Strength of the evidence: number of moments, weighted by how soon after the beginning of an answer they came. Of a culprit
+     * without those that another one explains.
+     */
     readonly score: number;
 }
 
+/** A suspect as the recorded ends show it. */
+export interface FoundSuspect<E extends EndReference = EndReference> extends CrashSuspect<E> {
+    /** Strength of the evidence that no other culprit explains; 0 if the suspect is none. */
+    readonly unexplainedScore: number;
+}
+
 /** Moments from which an attribute is tracked, so that a survivor can clear it before it becomes a culprit. */
 export const MIN_SUSPECT_MOMENTS = 2;
 /**
@@ -76,29 +69,35 @@
 const MIN_CROWDED_CULPRIT_MOMENTS = 5;
 /** Threshold while no other request of the route has survived. */
 const MIN_PROVISIONAL_CULPRIT_MOMENTS = 8;
-/** A suspect is crowded if more requests of different content than this had begun at an end on average. */
-const MAX_UNCROWDED_BEGUN = 2;
+/** A suspect is crowded if more requests of different content than this count at an end on average. */
+const MAX_UNCROWDED_CONTENTS = 2;
+/** Block of a culprit all of whose ends another one explains: time in which a further end may tell them apart. */
+const EXPLAINED_BLOCK_MS = 3_000;
 const MIN_BLOCK_MS = 30_000;
 const MAX_BLOCK_MS = 1_800_000;
 /** A score up to this one blocks for `MIN_BLOCK_MS`, and each point more for so many times longer. */
 const MIN_BLOCK_SCORE = 2.5;
 const BLOCK_GROWTH_FACTOR = 6;
-/** Duration of an answer that halves the weight of its interruption, in milliseconds. */
-const HALF_WEIGHT_MS = 500;
-/** Weight of a request whose answer had not begun. */
-const UNBEGUN_WEIGHT = 0.5;
 /** Candidates of one rank are told apart if their scores differ by more than this factor. */
 const MIN_SCORE_RATIO = 1.5;
-/** Duration of an answer after which its request cannot have been the cause of the end, in milliseconds. */
-export const SURVIVAL_MS = 3_000;
+/** A culprit that was found before. */
+export interface KnownCulprit<E extends UpstreamEnd = UpstreamEnd> {
+    /** In alphabetical order. */
+    readonly attributes: readonly string[];
+    /** How the recorded ends count against requests with all the attributes. */
+    readonly evidence: readonly Evidence<E>[];
+}
 
-interface Candidate {
+type Scored = Pick<CrashSuspect, "attributes" | "score">;
+
+interface Candidate<E extends UpstreamEnd> {
     readonly attributes: readonly string[];
-    readonly ends: readonly UpstreamEnd[];
+    readonly ends: readonly E[];
     readonly isCrowded: boolean;
     readonly isProvisional: boolean;
     /** Whether the attributes were those of a culprit before. */
     readonly isKnown: boolean;
+    readonly moments: number;
     /** Equal for candidates that the number of ends and of begun answers does not tell apart. */
     readonly rank: number;
     /** Moments, weighted by how soon after the beginning of an answer the upstream ended. */
@@ -106,35 +105,46 @@
 }
 
 /**
- * Returns the suspects that count for at least `MIN_SUSPECT_MOMENTS` moments, highest rank first. `knownCulprits`: attributes of
- * earlier culprits that were not cleared; one end that nothing else explains is enough for them. `culpritMoments` is overridden
- * only by tests.
+ * Returns the known culprits, and the suspects that count for at least `MIN_SUSPECT_MOMENTS` moments, highest rank first. One end
+ * that nothing else explains is enough for a known culprit. `evidence`: by attribute.
  */
-export function findCrashSuspects(
-    attributes: ReadonlyMap<string, readonly Presence[]>,
+export function findCrashSuspects<E extends UpstreamEnd>(
+    evidence: ReadonlyMap<string, readonly Evidence<E>[]>,
     endCounts: ReadonlyMap<number, number>,
-    knownCulprits: readonly (readonly string[])[] = [],
-    culpritMoments = MIN_CULPRIT_MOMENTS,
-): CrashSuspect[] {
-    const known = knownCulprits.map(culprit => createKnownCandidate(culprit, attributes, endCounts));
-    const knownKeys = new Set(knownCulprits.map(formatKey));
-    const repeated = [...attributes].filter(([, presences]) => presences.length >= MIN_SUSPECT_MOMENTS);
-    const others = groupIndistinguishable(repeated, endCounts).filter(candidate =>
-        !knownKeys.has(formatKey(candidate.attributes))
+    knownCulprits: readonly KnownCulprit<E>[] = [],
+): FoundSuspect<E>[] {
+    const knownKeys = new Set(knownCulprits.map(({ attributes }) => formatKey(attributes)));
+    const known = knownCulprits.map(culprit => createCandidate(culprit.attributes, culprit.evidence, endCounts, true));
+    const others = groupIndistinguishable(evidence, endCounts).filter(({ attributes }) =>
+        !knownKeys.has(formatKey(attributes))
     );
-    const candidates = [...known, ...others].sort((a, b) => b.score - a.score);
-    const culprits = selectCulprits(candidates, endCounts, culpritMoments);
-    return candidates.map(candidate => {
-        const { attributes, isProvisional, ends, score } = candidate;
-        const own = culprits.get(candidate);
-        return {
-            attributes,
-            isCulprit: own !== undefined,
-            isProvisional,
-            ends: own ?? ends,
-            score: own === undefined ? score : score * countMoments(own, endCounts) / countMoments(ends, endCounts),
-        };
-    });
+    const candidates = [...known, ...others].sort(compareByScore);
+    const culprits = selectCulprits(candidates, endCounts);
+    return candidates.map(candidate => createSuspect(candidate, culprits.get(candidate), endCounts));
+}
+
+/** Sorts by descending score; equal ones by their attributes, so that the order does not depend on that of the reports. */
+export function compareByScore(a: Scored, b: Scored): number {
+    return b.score - a.score || (formatKey(a.attributes) < formatKey(b.attributes) ? -1 : 1);
+}
+
+/** `unexplained`: of a culprit, its ends that no other explains. */
+function createSuspect<E extends UpstreamEnd>(
+    { attributes, isProvisional, ends, score }: Candidate<E>,
+    unexplained: readonly E[] | undefined,
+    endCounts: ReadonlyMap<number, number>,
+): FoundSuspect<E> {
+    const unexplainedFraction = unexplained === undefined
+        ? 0
+        : countMoments(unexplained, endCounts) / countMoments(ends, endCounts);
+    return {
+        attributes,
+        isCulprit: unexplained !== undefined,
+        isProvisional,
+        ends,
+        score,
+        unexplainedScore: score * unexplainedFraction,
+    };
 }
 
 /**
@@ -142,7 +152,12 @@
  * milliseconds. Grows with the evidence, so that an innocent attribute is blocked for seconds; a single content blocks nothing
  * else.
  */
-export function computeBlockMs({ attributes, score, isProvisional }: CrashSuspect): number {
+export function computeBlockMs(
+    { attributes, score, isProvisional }: Pick<CrashSuspect, "attributes" | "score" | "isProvisional">,
+): number {
+    if (score === 0) {
+        return EXPLAINED_BLOCK_MS;
+    }
     if (attributes.some(isContentAttribute)) {
         return MAX_BLOCK_MS;
     }
@@ -150,32 +165,22 @@
     return isProvisional ? MIN_BLOCK_MS : Math.min(MAX_BLOCK_MS, MIN_BLOCK_MS * growth);
 }
 
-/** Adds new culprits to the known ones. One with fewer attributes replaces those that include them. */
-export function mergeKnownCulprits(
-    known: readonly (readonly string[])[],
-    suspects: readonly CrashSuspect[],
-): (readonly string[])[] {
-    const knownKeys = new Set(known.map(formatKey));
-    const added = suspects
-        .filter(suspect => suspect.isCulprit && !suspect.isProvisional && !knownKeys.has(formatKey(suspect.attributes)))
-        .map(suspect => suspect.attributes);
-    const isReplaced = (culprit: readonly string[]) => added.some(other => isSubset(other, culprit));
-    return [...known.filter(culprit => !isReplaced(culprit)), ...added];
-}
-
 /**
  * Selects the culprits among candidates that are sorted by score. Returns the ends of each that no higher ranked one explains. Ends
- * that a culprit explains still count for a candidate with fewer attributes, which would explain them as well as others.
+ * that a culprit explains still count for a candidate with fewer attributes that explains others as well.
  */
-function selectCulprits(
-    candidates: readonly Candidate[],
+function selectCulprits<E extends UpstreamEnd>(
+    candidates: readonly Candidate<E>[],
     endCounts: ReadonlyMap<number, number>,
-    culpritMoments: number,
-): Map<Candidate, readonly UpstreamEnd[]> {
-    const culprits = new Map<Candidate, readonly UpstreamEnd[]>();
-    const explainedBy = new Map<string, Candidate[]>();
-    const isExplained = (end: UpstreamEnd, candidate: Candidate): boolean =>
-        explainedBy.get(end.life)?.some(culprit => !isSubset(candidate.attributes, culprit.attributes)) === true;
+): Map<Candidate<E>, readonly E[]> {
+    const culprits = new Map<Candidate<E>, readonly E[]>();
+    const explainedBy = new Map<string, Candidate<E>[]>();
+    const known = candidates.filter(({ isKnown }) => isKnown);
+    const isExplained = (end: E, candidate: Candidate<E>): boolean =>
+        explainedBy.get(end.life)?.some(culprit =>
+                !explainsMore(candidate, culprit) && !(culprit.isKnown && supersedes(candidate, culprit))
+            ) === true
+        || (!candidate.isKnown && known.some(culprit => explainsFirst(culprit, candidate, end)));
     for (const group of groupByRank(candidates)) {
         const unexplained = group.map(candidate => ({
             candidate,
@@ -184,10 +189,10 @@
         const plausible = unexplained.filter(({ candidate, ends }) =>
             candidate.isKnown
                 ? ends.length > 0
-                : countMoments(ends, endCounts) >= getThreshold(candidate, culpritMoments)
+                : countMoments(ends, endCounts) >= getThreshold(candidate)
         );
         const newCulprits = plausible.filter(({ candidate, ends }) =>
-            candidate.isKnown || countMoments(ends, endCounts) >= Math.max(culpritMoments, MIN_TIED_CULPRIT_MOMENTS)
+            candidate.isKnown || countMoments(ends, endCounts) >= MIN_TIED_CULPRIT_MOMENTS
             || !plausible.some(other => other.candidate !== candidate && hasSharedEnd(ends, other.ends))
         );
         for (const { candidate, ends } of newCulprits) {
@@ -195,80 +200,53 @@
             ends.forEach(({ life }) => explainedBy.set(life, [...explainedBy.get(life) ?? [], candidate]));
         }
     }
-    return culprits;
-}
-
-/** Returns the number of ends of each moment. */
-export function countEndsByMoment(ends: Iterable<UpstreamEnd>): Map<number, number> {
-    const counts = new Map<number, number>();
-    for (const { moment } of ends) {
-        counts.set(moment, (counts.get(moment) ?? 0) + 1);
-    }
-    return counts;
-}
-
-/** Lists how each attribute was present at the ends. */
-export function listPresences<E extends UpstreamEnd>(ends: Iterable<E>): Map<string, Presence<E>[]> {
-    const byAttribute = new Map<string, Presence<E>[]>();
-    for (const end of ends) {
-        for (const [attribute, presence] of listPresencesAt(end)) {
-            const presences = byAttribute.get(attribute);
-            if (presences === undefined) {
-                byAttribute.set(attribute, [presence]);
-            }
-            else {
-                presences.push(presence);
-            }
+    for (const candidate of known) {
+        if (culprits.has(candidate) && [...culprits.keys()].some(other => supersedes(other, candidate))) {
+            culprits.set(candidate, []);
         }
     }
-    return byAttribute;
+    return culprits;
 }
 
-/** Lists how each attribute was present at one end. */
-export function listPresencesAt<E extends UpstreamEnd>(end: E): Map<string, Presence<E>> {
-    const contents = new Map<string, Set<string>>();
-    const byAttribute = new Map<string, Presence<E>>();
-    for (const run of end.runs) {
-        for (const attribute of run.attributes) {
-            const begun = contents.get(attribute) ?? new Set();
-            contents.set(attribute, begun);
-            if (run.answerMs !== undefined) {
-                begun.add(run.attributes[0]!);
+/** Lists how the ends count against each attribute. */
+export function listEvidence<E extends UpstreamEnd>(ends: Iterable<E>): Map<string, Evidence<E>[]> {
+    const byAttribute = new Map<string, Evidence<E>[]>();
+    for (const end of ends) {
+        for (const [attribute, evidence] of listEvidenceAt(end)) {
+            if (evidence !== undefined) {
+                byAttribute.set(attribute, [...byAttribute.get(attribute) ?? [], evidence]);
             }
-            const previous = byAttribute.get(attribute)?.oldest;
-            const oldest = previous === undefined || isOlder(run, previous) ? run : previous;
-            byAttribute.set(attribute, { end, oldest, begunCount: begun.size });
         }
     }
     return byAttribute;
 }
 
-function isOlder(run: InterruptedRun, other: InterruptedRun): boolean {
-    return (run.answerMs ?? -1) > (other.answerMs ?? -1);
-}
-
 /** Groups the attributes that the same requests had at the same ends, and omits those of too few moments. */
-function groupIndistinguishable(
-    attributes: Iterable<AttributePresences>,
+function groupIndistinguishable<E extends UpstreamEnd>(
+    evidenceByAttribute: ReadonlyMap<string, readonly Evidence<E>[]>,
     endCounts: ReadonlyMap<number, number>,
-): Candidate[] {
+): Candidate<E>[] {
     const runNumbers = new Map<InterruptedRun, number>();
-    const groups = new Map<string, { readonly attributes: string[]; readonly presences: readonly Presence[]; }>();
-    for (const [attribute, allPresences] of attributes) {
-        const presences = allPresences.filter(({ oldest }) => (oldest.answerMs ?? 0) < SURVIVAL_MS);
-        if (countMoments(presences.map(({ end }) => end), endCounts) < MIN_SUSPECT_MOMENTS) {
+    const groups = new Map<string, { readonly attributes: string[]; readonly evidence: readonly Evidence<E>[]; }>();
+    for (const [attribute, evidence] of evidenceByAttribute) {
+        if (
+            evidence.length < MIN_SUSPECT_MOMENTS
+            || countMoments(evidence.map(({ end }) => end), endCounts) < MIN_SUSPECT_MOMENTS
+        ) {
             continue;
         }
-        const key = presences.map(({ oldest }) => getNumber(runNumbers, oldest)).sort((a, b) => a - b).join(" ");
+        const key = evidence.map(({ oldest }) => getNumber(runNumbers, oldest)).sort((a, b) => a - b).join(" ");
         const group = groups.get(key);
         if (group === undefined) {
-            groups.set(key, { attributes: [attribute], presences });
+            groups.set(key, { attributes: [attribute], evidence });
         }
         else {
             group.attributes.push(attribute);
         }
     }
-    return [...groups.values()].map(group => createCandidate(group.attributes, group.presences, endCounts));
+    return [...groups.values()].map(group =>
+        createCandidate(group.attributes.sort(), group.evidence, endCounts, false)
+    );
 }
 
 function getNumber(numbers: Map<InterruptedRun, number>, run: InterruptedRun): number {
@@ -277,94 +255,81 @@
     return number;
 }
 
-/** `attributes` may include any others. */
-function createKnownCandidate(
-    known: readonly string[],
-    attributes: ReadonlyMap<string, readonly Presence[]>,
+function createCandidate<E extends UpstreamEnd>(
+    attributes: readonly string[],
+    evidence: readonly Evidence<E>[],
     endCounts: ReadonlyMap<number, number>,
-): Candidate {
-    const ends = (attributes.get(known[0]!) ?? []).map(({ end }) => end)
-        .filter(({ runs }) => runs.some(run => hasCrashed(run, known)));
-    const runs = ends.flatMap(end => end.runs.filter(run => hasCrashed(run, known)));
+    isKnown: boolean,
+): Candidate<E> {
+    const ends = evidence.map(({ end }) => end);
     const moments = countMoments(ends, endCounts);
+    const contentCount = evidence.reduce((sum, entry) => sum + entry.contentCount, 0);
+    const startedCount = evidence.filter(({ oldest }) => oldest.answerMs !== undefined).length;
     return {
-        attributes: known,
+        attributes,
         ends,
-        isCrowded: false,
-        isProvisional: false,
-        isKnown: true,
-        rank: moments,
-        score: computeScore(moments, runs),
-    };
-}
-
-/** Whether an answer of a request with all the attributes had begun, and the end may be due to it. */
-function hasCrashed({ attributes, answerMs }: InterruptedRun, expected: readonly string[]): boolean {
-    return answerMs !== undefined && answerMs < SURVIVAL_MS
-        && isSubset(expected, attributes);
-}
-
-function createCandidate(
-    attributes: string[],
-    presences: readonly Presence[],
-    endCounts: ReadonlyMap<number, number>,
-): Candidate {
-    const moments = countMoments(presences.map(({ end }) => end), endCounts);
-    const ends = presences.map(({ end }) => end);
-    const begunCount = presences.reduce((sum, presence) => sum + presence.begunCount, 0);
-    const startedCount = presences.filter(({ oldest }) => oldest.answerMs !== undefined).length;
-    return {
-        attributes: attributes.sort(),
-        ends,
-        isKnown: false,
-        isCrowded: begunCount > MAX_UNCROWDED_BEGUN * ends.length,
-        isProvisional: attributes.some(isRouteAttribute) && !attributes.some(isContentAttribute),
+        moments,
+        isKnown,
+        isCrowded: contentCount > MAX_UNCROWDED_CONTENTS * ends.length
+            || (startedCount === 0 && !attributes.some(isContentAttribute)),
+        isProvisional: isRouteWide(attributes),
         // By number of moments, then by the fraction of ends at which an answer had certainly begun.
         rank: moments + startedCount / (ends.length + 1),
-        score: computeScore(moments, presences.map(({ oldest }) => oldest)),
+        score: computeScore(moments, evidence),
     };
 }
 
-/** What crashes an upstream usually does so soon after its answer has begun. */
-function computeScore(moments: number, runs: readonly InterruptedRun[]): number {
-    const weights = runs.map(({ answerMs }) =>
-        answerMs === undefined ? UNBEGUN_WEIGHT : 1 / (1 + answerMs / HALF_WEIGHT_MS)
-    );
-    const sum = weights.reduce((total, weight) => total + weight, 0);
-    return weights.length === 0 ? 0 : moments * sum / weights.length;
-}
-
-/** Whether all attributes are among the others. */
-export function isSubset(attributes: readonly string[], others: readonly string[]): boolean {
-    return attributes.every(attribute => others.includes(attribute));
+/** Whether the attributes may be those of all requests of a route. */
+export function isRouteWide(attributes: readonly string[]): boolean {
+    return attributes.some(isRouteAttribute) && !attributes.some(isContentAttribute);
 }
 
-function formatKey(attributes: readonly string[]): string {
+/** Identifies a set of attributes in alphabetical order. */
+export function formatKey(attributes: readonly string[]): string {
     return attributes.join(" ");
 }
 
-function getThreshold({ isCrowded, isProvisional }: Candidate, culpritMoments: number): number {
+function getThreshold({ isCrowded, isProvisional }: Candidate<UpstreamEnd>): number {
     if (isProvisional) {
         return MIN_PROVISIONAL_CULPRIT_MOMENTS;
     }
-    return isCrowded ? MIN_CROWDED_CULPRIT_MOMENTS : culpritMoments;
+    return isCrowded ? MIN_CROWDED_CULPRIT_MOMENTS : MIN_CULPRIT_MOMENTS;
+}
+
+/** Whether a part of a culprit's attributes explains ends that the culprit does not. */
+function explainsMore<E extends UpstreamEnd>(part: Candidate<E>, culprit: Candidate<E>): boolean {
+    return isSubset(part.attributes, culprit.attributes) && part.ends.some(end => !culprit.ends.includes(end));
+}
+
+/**
+ * Whether a known culprit explains an end before a new candidate that was present at no more moments. Retries make a single request
+ * meet a culprit at one upstream after the other, so that it has the same ends.
+ */
+function explainsFirst<E extends UpstreamEnd>(known: Candidate<E>, candidate: Candidate<E>, end: E): boolean {
+    return candidate.attributes.some(isContentAttribute) && known.moments >= candidate.moments
+        && known.ends.includes(end) && !explainsMore(candidate, known);
 }
 
-/** Counts the moments of the ends, each as the fraction of its ends that are among them. */
-function countMoments(ends: readonly UpstreamEnd[], endCounts: ReadonlyMap<number, number>): number {
-    return ends.reduce((sum, { moment }) => sum + 1 / (endCounts.get(moment) ?? 1), 0);
+/** Whether a candidate explains all ends that a known culprit does, and others that came without it. */
+function supersedes<E extends UpstreamEnd>(candidate: Candidate<E>, known: Candidate<E>): boolean {
+    return candidate.ends.length > known.ends.length && known.ends.every(end => candidate.ends.includes(end));
 }
 
-function hasSharedEnd(a: readonly UpstreamEnd[], b: readonly UpstreamEnd[]): boolean {
+function hasSharedEnd(a: readonly EndReference[], b: readonly EndReference[]): boolean {
     return a.some(end => b.includes(end));
 }
 
-function groupByRank(sorted: readonly Candidate[]): Candidate[][] {
-    const groups: Candidate[][] = [];
+/** Groups the new candidates that nothing tells apart. A known culprit is no longer compared. */
+function groupByRank<E extends UpstreamEnd>(sorted: readonly Candidate<E>[]): Candidate<E>[][] {
+    const groups: Candidate<E>[][] = [];
     for (const entry of sorted) {
         const last = groups.at(-1);
-        if (last?.[0]?.rank === entry.rank && last[0].score <= entry.score * MIN_SCORE_RATIO) {
-            last.push(entry);
+        const first = last?.[0];
+        if (
+            first?.rank === entry.rank && !first.isKnown && !entry.isKnown
+            && first.score <= entry.score * MIN_SCORE_RATIO
+        ) {
+            last!.push(entry);
         }
         else {
             groups.push([entry]);
--- a/src/domain/upstreamEndStore.ts
+++ b/src/domain/upstreamEndStore.ts
@@ -1,16 +1,22 @@
 /** Recent upstream ends and the requests they interrupted, as replicated through the log. */
 import {
     countEndsByMoment,
+    type Evidence,
+    type InterruptedRun,
+    listEvidenceAt,
+    tryGetEvidence,
+    type UpstreamEnd,
+} from "./crashEvidence.js";
+import {
+    compareByScore,
     type CrashSuspect,
     findCrashSuspects,
-    type InterruptedRun,
-    isSubset,
-    listPresencesAt,
-    mergeKnownCulprits,
+    formatKey,
+    type FoundSuspect,
+    isRouteWide,
     MIN_SUSPECT_MOMENTS,
-    type Presence,
-    type UpstreamEnd,
 } from "./crashSuspects.js";
+import { type CountedEnd, type CrashVerdict, CrashVerdicts, type LiftedCulprit } from "./crashVerdicts.js";
 import { createContentAttribute } from "./requestAttributes.js";
 import type {
     ClearAttributesCommand,
@@ -21,20 +27,17 @@
 } from "./upstreamEndCommands.js";
 
 /**
- * Retained ends; the oldest are evicted, those that convict a culprit last. Ten times as many as one poison request causes within
- * seconds on a small deployment.
+ * Retained ends; the oldest are evicted. Ten times as many as one poison request causes within seconds on a small deployment.
+ * Verdicts keep their own.
  */
 const MAX_ENDS = 128;
 /** Retained requests of one end, over the reports of all routers. */
 const MAX_RUNS_PER_END = 256;
 /** Retained requests of all ends. With 200 bytes each, bounds a snapshot to about 1.6 MB. */
 const MAX_RUNS = 8_192;
-/** Ends that are retained for each culprit; enough to convict it again without any other. */
-const MAX_RETAINED_CULPRIT_ENDS = 8;
-/** Known culprits; the oldest are evicted. */
-const MAX_KNOWN_CULPRITS = 64;
-/** Lifted culprits that nobody has taken yet; the oldest are evicted. */
-const MAX_LIFTED = 256;
+
+/** Times that the ends are judged after one entry: a new culprit explains ends of others. */
+const MAX_ROUNDS = 4;
 
 interface RecordedEnd extends UpstreamEnd {
     /** Log index of the entry that first recorded the end. */
@@ -42,19 +45,6 @@
     runs: InterruptedRun[];
 }
 
-/** Kind of the log entry after which a culprit is none any more. */
-export type LiftReason = "upstreamEnd" | "survivor" | "expired" | "snapshot";
-
-/** A culprit whose requests may run again. */
-export interface LiftedCulprit {
-    readonly attributes: readonly string[];
-    readonly reason: LiftReason;
-    /** Log index of the entry. */
-    readonly index: number;
-    /** Number of retained ends at which a request with all the attributes was interrupted. */
-    readonly presentEnds: number;
-}
-
 type RunSnapshot = readonly [attributes: readonly string[], answerMs?: number];
 
 export interface UpstreamEndSnapshot {
@@ -69,6 +59,8 @@
         readonly requests?: readonly (readonly [string, boolean])[];
     }[];
     /** Omitted by earlier versions. */
+    readonly verdicts?: readonly CrashVerdict[];
+    /** Attributes of the verdicts, for earlier versions. */
     readonly knownCulprits?: readonly (readonly string[])[];
 }
 
@@ -76,13 +68,11 @@
     /** Keyed by the incarnation of the upstream, oldest first. */
     private ends = new Map<string, RecordedEnd>();
     /** Inverted index, so that applying an entry does not scan all ends. */
-    private byAttribute = new Map<string, Map<RecordedEnd, Presence<RecordedEnd>>>();
-    /** Attributes of culprits that were not cleared since, also if their ends have expired. Oldest first. */
-    private knownCulprits: (readonly string[])[] = [];
+    private byAttribute = new Map<string, Map<RecordedEnd, Evidence<RecordedEnd> | undefined>>();
+    private readonly verdicts = new CrashVerdicts();
     private lastMoment = 0;
     private lastIndex = 0;
     private suspects: readonly CrashSuspect[] = [];
-    private lifted: readonly LiftedCulprit[] = [];
 
     applyRecord({ life, togetherWith, requests }: RecordUpstreamEndCommand, index: number): void {
         const end = this.ends.get(life) ?? this.addEnd(life, togetherWith, index);
@@ -91,27 +81,30 @@
         end.runs.push(...added.slice(0, MAX_RUNS_PER_END - end.runs.length));
         this.updateIndex(end);
         while (this.ends.size > MAX_ENDS || (this.ends.size > 1 && this.countRuns() > MAX_RUNS)) {
-            this.removeEnd(this.findEvicted());
+            this.removeEnd(this.ends.values().next().value!);
         }
-        this.recordChange(index, "upstreamEnd");
+        this.recordChange(index);
     }
 
     applyClear({ cleared }: ClearAttributesCommand, index: number): void {
-        for (const { attribute, upTo } of cleared) {
-            this.clearAttribute(attribute, upTo);
-        }
-        this.recordChange(index, "survivor");
+        cleared.forEach(({ attribute, upTo }) => this.clearAttribute(attribute, upTo));
+        this.verdicts.applySurvivors(cleared, countEndsByMoment(this.ends.values()), index);
+        this.recordChange(index);
     }
 
     /** Applies a command of earlier versions. */
     applyClearRequests({ fingerprints }: ClearRequestsCommand, index: number): void {
-        fingerprints.forEach(fingerprint => this.clearAttribute(createContentAttribute(fingerprint), index));
-        this.recordChange(index, "survivor");
+        const cleared = fingerprints.map(fingerprint => ({
+            attribute: createContentAttribute(fingerprint),
+            upTo: index,
+        }));
+        this.applyClear({ type: "clearAttributes", cleared }, index);
     }
 
     applyForget({ upTo }: ForgetUpstreamEndsCommand, index: number): void {
         [...this.ends.values()].filter(end => end.index <= upTo).forEach(end => this.removeEnd(end));
-        this.recordChange(index, "expired");
+        this.verdicts.applyExpiry(upTo, index);
+        this.recordChange(index);
     }
 
     /** Log index of the last entry applied; 0 before the first. */
@@ -125,25 +118,25 @@
 
     /** Returns the culprits that were lifted since the last call, oldest first. */
     takeLifted(): readonly LiftedCulprit[] {
-        const taken = this.lifted;
-        this.lifted = [];
-        return taken;
+        return this.verdicts.takeLifted();
     }
 
-    /** Whether any end up to a log index was recorded with the attribute, so that clearing it changes something. */
+    /** Whether clearing the attribute at the ends up to a log index changes something. */
     canClear(attribute: string, upTo: number): boolean {
         const ends = this.byAttribute.get(attribute);
-        return ends !== undefined && [...ends.keys()].some(end => end.index <= upTo);
+        return (ends !== undefined && [...ends.keys()].some(end => end.index <= upTo))
+            || this.verdicts.canClear(attribute, upTo);
     }
 
     /** Log index of the entry that first recorded the end of `life`; undefined if it is not retained. */
     getEndIndex(life: string): number | undefined {
-        return this.ends.get(life)?.index;
+        return this.ends.get(life)?.index ?? this.listCountedEnds().find(end => end.life === life)?.index;
     }
 
-    /** Log indexes of the entries that recorded the retained ends, oldest first. */
+    /** Log indexes of the entries that recorded the retained ends. */
     listEndIndexes(): number[] {
-        return [...this.ends.values()].map(({ index }) => index);
+        const ends = [...this.ends.values(), ...this.listCountedEnds()];
+        return [...new Set(ends.map(({ index }) => index))];
     }
 
     createSnapshot(): UpstreamEndSnapshot {
@@ -158,13 +151,13 @@
                     answerMs === undefined ? [attributes] : [attributes, answerMs]
                 ),
             })),
-            knownCulprits: this.knownCulprits,
+            verdicts: this.verdicts.list(),
+            knownCulprits: this.verdicts.list().map(({ attributes }) => attributes),
         };
     }
 
-    loadSnapshot({ lastIndex, lastMoment, ends, knownCulprits }: UpstreamEndSnapshot): void {
+    loadSnapshot({ lastIndex, lastMoment, ends, verdicts, knownCulprits = [] }: UpstreamEndSnapshot): void {
         this.lastMoment = lastMoment;
-        this.knownCulprits = [...knownCulprits ?? []];
         this.ends = new Map(ends.map(({ life, index, moment, runs, requests }) => {
             const restored = runs?.map(([attributes, answerMs]) => ({ attributes, answerMs }))
                 ?? requests?.map(([fingerprint, hasBegun]) => createRun({ fingerprint, hasBegun })) ?? [];
@@ -172,7 +165,14 @@
         }));
         this.byAttribute = new Map();
         this.ends.forEach(end => this.updateIndex(end));
-        this.recordChange(lastIndex, "snapshot");
+        this.lastIndex = lastIndex;
+        this.verdicts.load(verdicts ?? knownCulprits.map(createExpiredVerdict));
+        if (verdicts === undefined) {
+            this.recordChange(lastIndex);
+        }
+        else {
+            this.updateSuspects(this.findSuspects());
+        }
     }
 
     private addEnd(life: string, togetherWith: string | undefined, index: number): RecordedEnd {
@@ -187,37 +187,34 @@
     }
 
     private updateIndex(end: RecordedEnd): void {
-        for (const [attribute, presence] of listPresencesAt(end)) {
-            const presences = this.byAttribute.get(attribute) ?? new Map<RecordedEnd, Presence<RecordedEnd>>();
-            presences.set(end, presence);
-            this.byAttribute.set(attribute, presences);
+        for (const [attribute, evidence] of listEvidenceAt(end)) {
+            const ends = this.byAttribute.get(attribute) ?? new Map<RecordedEnd, Evidence<RecordedEnd> | undefined>();
+            ends.set(end, evidence);
+            this.byAttribute.set(attribute, ends);
         }
     }
 
     private clearAttribute(attribute: string, upTo: number): void {
-        const presences = this.byAttribute.get(attribute);
-        for (const end of [...presences?.keys() ?? []].filter(({ index }) => index <= upTo)) {
-            presences!.delete(end);
+        const present = this.byAttribute.get(attribute);
+        for (const end of [...present?.keys() ?? []].filter(({ index }) => index <= upTo)) {
+            present!.delete(end);
             end.runs = end.runs.map(run => ({
                 ...run,
                 attributes: run.attributes.filter(other => other !== attribute),
             })).filter(({ attributes }) => attributes.length > 0);
             this.updateIndex(end);
         }
-        if (presences === undefined || presences.size === 0) {
+        if (present?.size === 0) {
             this.byAttribute.delete(attribute);
-            this.knownCulprits = this.knownCulprits
-                .map(attributes => attributes.filter(other => other !== attribute))
-                .filter(attributes => attributes.length > 0);
         }
     }
 
     private removeEnd(end: RecordedEnd): void {
         this.ends.delete(end.life);
         for (const attribute of new Set(end.runs.flatMap(({ attributes }) => attributes))) {
-            const presences = this.byAttribute.get(attribute);
-            presences?.delete(end);
-            if (presences?.size === 0) {
+            const present = this.byAttribute.get(attribute);
+            present?.delete(end);
+            if (present?.size === 0) {
                 this.byAttribute.delete(attribute);
             }
         }
@@ -227,45 +224,72 @@
         return [...this.ends.values()].reduce((sum, { runs }) => sum + runs.length, 0);
     }
 
-    /** Returns the oldest end that no culprit needs, or the oldest of all. */
-    private findEvicted(): RecordedEnd {
-        const needed = new Set(
-            this.suspects.filter(({ isCulprit }) => isCulprit)
-                .flatMap(({ ends }) => ends.slice(-MAX_RETAINED_CULPRIT_ENDS).map(({ life }) => life)),
-        );
-        const ends = [...this.ends.values()];
-        return ends.find(({ life }) => !needed.has(life)) ?? ends[0]!;
+    private listCountedEnds(): readonly CountedEnd[] {
+        return this.verdicts.list().flatMap(({ ends }) => ends);
     }
 
-    private recordChange(index: number, reason: LiftReason): void {
+    private recordChange(index: number): void {
         this.lastIndex = index;
-        const previous = this.suspects.filter(({ isCulprit }) => isCulprit);
-        // Most attributes were present at one end, and need no further work.
-        const knownAttributes = new Set(this.knownCulprits.flat());
-        const attributes = new Map<string, readonly Presence[]>();
-        for (const [attribute, presences] of this.byAttribute) {
-            if (presences.size >= MIN_SUSPECT_MOMENTS || knownAttributes.has(attribute)) {
-                attributes.set(attribute, [...presences.values()]);
+        let found = this.findSuspects();
+        for (let round = 0; round < MAX_ROUNDS; round++) {
+            const listEvidence = (attributes: readonly string[]) => this.listEvidenceAgainst(attributes);
+            if (!this.verdicts.applySuspects(found, listEvidence, index)) {
+                break;
             }
+            found = this.findSuspects();
         }
-        const endCounts = countEndsByMoment(this.ends.values());
-        const found = findCrashSuspects(attributes, endCounts, this.knownCulprits);
-        const merged = mergeKnownCulprits(this.knownCulprits, found);
-        const replaced = new Set(this.knownCulprits.filter(culprit => !merged.includes(culprit)));
-        this.suspects = found.filter(suspect => !replaced.has(suspect.attributes));
-        this.knownCulprits = merged.slice(-MAX_KNOWN_CULPRITS);
-        const culprits = this.suspects.filter(({ isCulprit }) => isCulprit);
-        const lifted = previous.filter(({ attributes }) =>
-            !culprits.some(other => isSubset(other.attributes, attributes))
-        )
-            .map(({ attributes }) => ({ attributes, reason, index, presentEnds: this.countPresentEnds(attributes) }));
-        this.lifted = [...this.lifted, ...lifted].slice(-MAX_LIFTED);
+        this.updateSuspects(found);
     }
 
-    private countPresentEnds(attributes: readonly string[]): number {
-        return [...this.ends.values()].filter(({ runs }) => runs.some(run => isSubset(attributes, run.attributes)))
-            .length;
+    private findSuspects(): FoundSuspect<RecordedEnd>[] {
+        const known = this.verdicts.list().map(({ attributes }) => ({
+            attributes,
+            evidence: this.listEvidenceAgainst(attributes),
+        }));
+        return findCrashSuspects(this.listEvidence(), countEndsByMoment(this.ends.values()), known);
     }
+
+    private updateSuspects(found: readonly FoundSuspect[]): void {
+        const culprits = this.verdicts.list().map(createSuspect);
+        const keys = new Set(culprits.map(({ attributes }) => formatKey(attributes)));
+        const others = found.filter(({ attributes }) => !keys.has(formatKey(attributes)));
+        const suspects = [...culprits, ...others.map(createUnconvicted)];
+        this.suspects = suspects.sort(compareByScore);
+    }
+
+    /** Lists the evidence against each attribute that may be suspect. Most were present at one end, and need no further work. */
+    private listEvidence(): Map<string, readonly Evidence<RecordedEnd>[]> {
+        const evidence = new Map<string, readonly Evidence<RecordedEnd>[]>();
+        for (const [attribute, ends] of this.byAttribute) {
+            if (ends.size >= MIN_SUSPECT_MOMENTS) {
+                evidence.set(attribute, [...ends.values()].filter(entry => entry !== undefined).sort(compareByIndex));
+            }
+        }
+        return evidence;
+    }
+
+    private listEvidenceAgainst(attributes: readonly string[]): Evidence<RecordedEnd>[] {
+        const ends = [...this.byAttribute.get(attributes[0]!)?.keys() ?? []];
+        const evidence = ends.map(end => tryGetEvidence(end, attributes)).filter(entry => entry !== undefined);
+        return evidence.sort(compareByIndex);
+    }
+}
+
+function compareByIndex(a: Evidence<RecordedEnd>, b: Evidence<RecordedEnd>): number {
+    return a.end.index - b.end.index;
+}
+
+function createSuspect({ attributes, ends, score }: CrashVerdict): CrashSuspect {
+    return { attributes, isCulprit: ends.length > 0, isProvisional: isRouteWide(attributes), ends, score };
+}
+
+function createUnconvicted({ attributes, isProvisional, ends, score }: FoundSuspect): CrashSuspect {
+    return { attributes, isCulprit: false, isProvisional, ends, score };
+}
+
+/** Creates the verdict of a culprit of which an earlier version recorded only the attributes. */
+function createExpiredVerdict(attributes: readonly string[]): CrashVerdict {
+    return { attributes, ends: [], lastIndex: 0, score: 0 };
 }
 
 function createRun({ fingerprint, hasBegun, answerMs, shared }: InterruptedRequest): InterruptedRun {
--- a/test/domain/crashSuspects.test.ts
+++ b/test/domain/crashSuspects.test.ts
@@ -2,13 +2,12 @@
 import t from "tap";
 import {
     countEndsByMoment,
-    type CrashSuspect,
-    findCrashSuspects,
     type InterruptedRun,
-    listPresences,
     SURVIVAL_MS,
     type UpstreamEnd,
-} from "../../src/domain/crashSuspects.js";
+} from "../../src/domain/crashEvidence.js";
+import { type CrashSuspect, findCrashSuspects, listEvidence } from "../../src/domain/crashSuspects.js";
+import { createContentAttribute } from "../../src/domain/requestAttributes.js";
 import {
     simulateUpstreamEnds,
     type UpstreamEndSimulationOptions,
@@ -35,26 +34,25 @@
         life,
         moment: Number(life.split(":")[1] ?? i + 100),
         runs: names.split("").map(name => ({
-            attributes: [name],
+            attributes: [createContentAttribute(name)],
             answerMs: startedRequests.includes(name) ? 0 : undefined,
         })),
     }));
 }
 
 function listSuspects(ends: UpstreamEnd[]): CrashSuspect[] {
-    return findCrashSuspects(listPresences(ends), countEndsByMoment(ends));
+    return findCrashSuspects(listEvidence(ends), countEndsByMoment(ends));
 }
 
 function findCulprits(ends: UpstreamEnd[]): string {
-    return listSuspects(ends).filter(({ isCulprit }) => isCulprit).flatMap(({ attributes }) => attributes).sort().join(
-        "",
-    );
+    const culprits = listSuspects(ends).filter(({ isCulprit }) => isCulprit);
+    return culprits.flatMap(({ attributes }) => attributes).map(attribute => attribute.at(-1)).sort().join("");
 }
 
 void t.test("a request that is present at three moments is a culprit, at two moments a suspect", async t => {
     t.equal(findCulprits(createEnds({ a: "px", b: "py", c: "pz" })), "p");
     t.equal(findCulprits(createEnds({ a: "px", b: "py" })), "");
-    t.same(listSuspects(createEnds({ a: "px", b: "py" })).map(({ attributes }) => attributes), [["p"]]);
+    t.same(listSuspects(createEnds({ a: "px", b: "py" })).map(({ attributes }) => attributes), [["content:p"]]);
 });
 
 void t.test("a request that is present by chance is not a culprit", async t => {
--- a/test/domain/upstreamEndStore.test.ts
+++ b/test/domain/upstreamEndStore.test.ts
@@ -41,9 +41,12 @@
     store.applyClearRequests({ type: "clearRequests", fingerprints: ["i"] }, 4);
     t.same(listSuspects(store), ["p!"]);
     store.applyForget({ type: "forgetUpstreamEnds", upTo: 1 }, 5);
-    t.same(listSuspects(store), ["p"]);
+    t.same(listSuspects(store), ["p!"], "two ends remain");
     t.equal(store.getEndIndex("a"), undefined);
     t.equal(store.getLastIndex(), 5);
+    store.applyForget({ type: "forgetUpstreamEnds", upTo: 3 }, 6);
+    t.same(listSuspects(store), ["p"]);
+    t.same(store.takeLifted(), [{ attributes: ["content:p"], reason: "expired", index: 6, by: [] }]);
 });
 
 void t.test("a snapshot restores the whole state", async t => {
--- a/test/tools/upstreamEndSimulation.ts
+++ b/test/tools/upstreamEndSimulation.ts
@@ -4,7 +4,8 @@
  * the same request each time, or different ones that share a part of their prompts.
  */
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { computeBlockMs, SURVIVAL_MS } from "../../src/domain/crashSuspects.js";
+import { SURVIVAL_MS } from "../../src/domain/crashEvidence.js";
+import { computeBlockMs } from "../../src/domain/crashSuspects.js";
 import { UpstreamEndStore } from "../../src/domain/upstreamEndStore.js";
 
 export interface UpstreamEndSimulationOptions {
