explain: a quarantine's lifting and the requests whose answers cleared it

From a refused id on-call gets the decision, the requests that ended upstreams, and now also what lifted the quarantine and why. The test failed before: the two lines were not printed.

--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -33,11 +33,11 @@
  * upstreams. Throws notFound if there are no such lines.
  */
 export async function explainRequest(request: string, paths: readonly string[]): Promise<void> {
-    const ownLines = await readLinesOfFiles(paths, request, line => line.fields.get("request") === request);
+    const ownLines = await readLinesOfFiles(paths, [request], line => line.fields.get("request") === request);
     const quarantine = ownLines.map(tryGetQuarantine).find(attributes => attributes !== undefined);
     const evidence = quarantine === undefined
         ? []
-        : await readLinesOfFiles(paths, quarantine[0]!, line => isEvidence(line, quarantine));
+        : await readLinesOfFiles(paths, quarantine.map(getValue), line => isEvidence(line, quarantine));
     const lines = [...ownLines, ...evidence.filter(line => line.fields.get("request") !== request)];
     if (lines.length === 0) {
         throw new RefusalError(
@@ -83,31 +83,46 @@
     return refusal === undefined ? undefined : QUARANTINE_PATTERN.exec(refusal)?.[1]!.split(",");
 }
 
-/** Whether a line shows a request with all the attributes that was interrupted, or the decision to block them. */
+/**
+ * Whether a line shows a request with all the attributes that was interrupted, the decision to block them or to block them no longer,
+ * or a request whose answer clears one of them.
+ */
 function isEvidence({ event, fields }: LogLine, attributes: readonly string[]): boolean {
-    if (event === "request_quarantined") {
+    if (event === "request_quarantined" || event === "quarantine_lifted") {
         return fields.get("quarantine") === attributes.join(",");
     }
+    if (event === "suspect_cleared") {
+        return attributes.includes(fields.get("attribute") ?? "");
+    }
     const shared = [...fields.get("shared")?.split(",") ?? [], `content:${fields.get("fingerprint")}`];
     return event === "attempt_ended" && isSubset(attributes, shared);
 }
 
+/** Returns the value of an attribute, which a line may name without its kind. */
+function getValue(attribute: string): string {
+    return attribute.slice(attribute.indexOf(":") + 1);
+}
+
 async function readLinesOfFiles(
     paths: readonly string[],
-    text: string,
+    texts: readonly string[],
     isSelected: (line: LogLine) => boolean,
 ): Promise<LogLine[]> {
-    return (await Promise.all(paths.map(path => readLines(path, text, isSelected)))).flat();
+    return (await Promise.all(paths.map(path => readLines(path, texts, isSelected)))).flat();
 }
 
-/** `text`: part of each selected line. */
-async function readLines(path: string, text: string, isSelected: (line: LogLine) => boolean): Promise<LogLine[]> {
+/** `texts`: each selected line contains one of them. */
+async function readLines(
+    path: string,
+    texts: readonly string[],
+    isSelected: (line: LogLine) => boolean,
+): Promise<LogLine[]> {
     const lines: LogLine[] = [];
     const file = createReadStream(path, "utf8");
     try {
         for await (const row of createInterface({ input: file, crlfDelay: Infinity })) {
             // The substring check avoids parsing all other lines.
-            const line = row.includes(text.slice(text.indexOf(":") + 1)) ? tryParseLogLine(row) : undefined;
+            const line = texts.some(text => row.includes(text)) ? tryParseLogLine(row) : undefined;
             if (line !== undefined && isSelected(line)) {
                 lines.push(line);
             }
--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -90,3 +90,27 @@
         /^ {2}.* request_refused /,
     ]);
 });
+
+void t.test("a lifted quarantine is explained by the requests whose answers cleared it", async t => {
+    const folder = await mkdtemp(join(tmpdir(), "loomwinch-explain-"));
+    t.teardown(() => rm(folder, { recursive: true }));
+    const path = join(folder, "r1.log");
+    const refusal = "LW1506 requestQuarantined: account:a,part:x";
+    const lines = [
+        createLine(1, "c1", "request_quarantined", "quarantine=account:a,part:x upstreams=e1,e2,e3"),
+        createLine(2, "r1", "request_refused", `request=q1 refusal="${refusal}" ran=no`),
+        createLine(3, "r2", "suspect_cleared", "request=q8 attribute=part:y up_to=9"),
+        createLine(3, "r2", "suspect_cleared", "request=q9 attribute=part:x up_to=9"),
+        createLine(4, "c1", "quarantine_lifted", "quarantine=account:a,part:x reason=survivor by=part:x index=10"),
+        createLine(4, "c1", "quarantine_lifted", "quarantine=part:x reason=expired"),
+    ];
+    await writeFile(path, lines.join("\n"));
+    const written = t.capture(process.stdout, "write", () => true);
+    await explainRequest("q1", [path]);
+    t.match(written().map(call => String(call.args[0])), [
+        /^\* .* request_quarantined /,
+        /^ {2}.* request_refused /,
+        /^ {2}.* suspect_cleared request=q9 attribute=part:x/,
+        /^ {2}.* quarantine_lifted quarantine=account:a,part:x reason=survivor by=part:x/,
+    ]);
+});
