--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -7,6 +7,7 @@
 import { join } from "node:path";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { wait, waitUntil } from "../tools/waiting.js";
+import { checkDeadlyLookup } from "./deadlyLookup.js";
 import { checkDeadlyPart } from "./deadlyPart.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
 import { ADMIN_PORT, type BoxRole, PEER_PORT, RELAY_PORT, SoakBox } from "./soakBox.js";
@@ -130,6 +131,7 @@
         const faults = [
             ...await this.checkResumptions(callers),
             ...await checkDeadlyPart(callers, this.book, this.routers.length),
+            ...await checkDeadlyLookup(callers, this.book, this.routers.length),
             ...await this.checkLeaving(callers),
             ...await this.checkPlannedStop(callers),
         ];
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -112,6 +112,11 @@
         );
     }
 
+    /** Requests a lookup of the account that does not run out. */
+    sendLookup(caller: string, router: number, path: string): Promise<CallerOutcome> {
+        return this.sendJudged({ caller, router, kind: "lookup", path, keepsConnection: false }, LARGE_ACCOUNT);
+    }
+
     /** Resumes a stream after the last event that the caller has. */
     resumeStream(caller: string, router: number, resumed: CallerOutcome): Promise<CallerOutcome> {
         return this.sendJudged(
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -9,6 +9,8 @@
 /** A lookup of this path takes a while. */
 export const SLOW_LOOKUP_PATH = "/l/slow";
 const SLOW_LOOKUP_MS = 1_000;
+/** A lookup of this path ends its upstream before an answer begins. */
+export const DEADLY_LOOKUP_PATH = "/l/deadly";
 /** Part of prompts that crashes an engine which begins to answer a request with it. */
 export const DEADLY_PART = "dead01";
 const CRASHED_MS = 700;
@@ -22,6 +24,8 @@
     readonly runs: { readonly id: string; readonly upstream: string; readonly at: number; }[] = [];
     /** When engines began to answer requests with the deadly part. Monotonic clock, milliseconds. */
     readonly deadlyRuns: number[] = [];
+    /** Runs of the lookup that ends its upstreams. */
+    deadlyLookups = 0;
     /** Bodies of answers that were made whole, by request. */
     readonly answers = new Map<string, Set<string>>();
     /** Tokens that each client account was handed. */
@@ -204,6 +208,10 @@
         if (message.url!.startsWith("/s/")) {
             await this.answerStream(id, message, response);
         }
+        else if (message.url === DEADLY_LOOKUP_PATH) {
+            this.book.deadlyLookups += 1;
+            setTimeout(() => this.endProcess(), EVENT_MS);
+        }
         else {
             this.answerLookup(id, message.url === SLOW_LOOKUP_PATH ? SLOW_LOOKUP_MS : EVENT_MS, response);
         }
