Fix: two expired culprits that become equal ended every controller

Two culprits whose ends have expired and of which survivors leave the same attributes stayed as two; the next end with these looked the second one up after the first had taken its result, a TypeError while an entry is applied, at every controller. Found by reading the diff; the test failed with that error before. Equal culprits are one now, the blocked one if one is.

--- a/src/domain/crashVerdicts.ts
+++ b/src/domain/crashVerdicts.ts
@@ -110,7 +110,7 @@
     }
 
     /**
-     * Applies what `findFoundSuspects` found in the recorded ends. `listEvidence`: returns how they count against requests with all
+     * Applies what `findCrashSuspects` found in the recorded ends. `listEvidence`: returns how they count against requests with all
      * of some attributes, oldest first. Returns whether there are other verdicts now.
      */
     applySuspects(
@@ -132,7 +132,7 @@
         return added.length > 0 || this.verdicts.length < confirmed.length;
     }
 
-    /** Removes the culprits of which another one has a part of the attributes, so that it blocks the same requests. */
+    /** Removes the culprits of which another one has a part of the attributes, so that it blocks the same requests, and copies. */
     private removeReplaced(index: number): void {
         const kept: CrashVerdict[] = [];
         this.verdicts.forEach((verdict, i) => {
@@ -239,7 +239,12 @@
 
 /** `isEarlier`: whether `other` comes first, which decides between equal ones. */
 function isReplacedBy(verdict: CrashVerdict, other: CrashVerdict, isEarlier: boolean): boolean {
-    const isNarrower = other.attributes.length < verdict.attributes.length
-        || (other.attributes.length === verdict.attributes.length && isEarlier);
-    return isNarrower && other.ends.length > 0 && isSubset(other.attributes, verdict.attributes);
+    if (!isSubset(other.attributes, verdict.attributes)) {
+        return false;
+    }
+    const isOtherBlocked = other.ends.length > 0;
+    if (other.attributes.length < verdict.attributes.length) {
+        return isOtherBlocked;
+    }
+    return isOtherBlocked === verdict.ends.length > 0 ? isEarlier : isOtherBlocked;
 }
--- a/test/domain/crashVerdicts.test.ts
+++ b/test/domain/crashVerdicts.test.ts
@@ -141,3 +141,15 @@
     t.equal(play.listBlocked().length, MAX_CULPRITS);
     t.same(play.takeLifted(), ["part:0, evicted, "]);
 });
+
+void t.test("two expired culprits of which the same remains are one", async t => {
+    const play = playEnds(3, ["account:a", "part:x"], { answerMs: 50 });
+    play.expire();
+    for (let i = 0; i < 3; i++) {
+        play.end(["account:b", "part:x"], { answerMs: 50 });
+    }
+    play.expire();
+    play.survive(["account:a", "account:b"]);
+    play.end(["part:x"], { answerMs: 50 });
+    t.same(play.listBlocked(), ["part:x"]);
+});
--- a/test/domain/upstreamEndOrders.test.ts
+++ b/test/domain/upstreamEndOrders.test.ts
@@ -6,7 +6,7 @@
 import { UpstreamEndStore } from "../../src/domain/upstreamEndStore.js";
 
 const RUNS = 2_000;
-const MAX_ENTRIES = 24;
+const MAX_ENTRIES = 40;
 const SURVIVAL_MS = 3_000;
 /** Ends at which a request alone was interrupted, after which it must be blocked whatever happened before. */
 const SUFFICIENT_ENDS = 4;
@@ -53,7 +53,7 @@
             age: fc.nat(3),
         }),
     },
-    { weight: 1, arbitrary: fc.record({ type: fc.constant("expiry" as const), age: fc.nat(8) }) },
+    { weight: 2, arbitrary: fc.record({ type: fc.constant("expiry" as const), age: fc.nat(8) }) },
 );
 const entriesArbitrary = fc.array(entryArbitrary, { maxLength: MAX_ENTRIES });
 
