The listed scene of a plain service has a name that lists no other

KNOWN-RED.txt is matched by the beginning of its lines, so that the entry of "often, beside unrelated ends" would have passed over a failure of "often" too. The scene is unchanged.

--- a/test/domain/crashSuspects.test.ts
+++ b/test/domain/crashSuspects.test.ts
@@ -225,7 +225,7 @@
     "often, not repeatable": { poisonPerSecond: 5, attemptsPerTry: 1 },
     "seldom": { poisonPerSecond: 0.5 },
     "seldom, not repeatable, beside unrelated ends": { poisonPerSecond: 0.5, attemptsPerTry: 1, endPeriodMs: 2_000 },
-    "often, beside unrelated ends": { poisonPerSecond: 5, endPeriodMs: 900 },
+    "beside unrelated ends, often": { poisonPerSecond: 5, endPeriodMs: 900 },
 };
 /** Ends after which a request counts as the cause, and those of runs in flight. */
 const MAX_PLAIN_ENDS = 6;
