--- /dev/null
+++ b/test/tools/processFleet.ts
@@ -0,0 +1,201 @@
+/** Controllers and routers as separate processes of the real programs, each box at a loopback address of its own. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { mkdir, mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { waitUntil } from "./waiting.js";
+
+const PEER_PORT = 7340;
+const ADMIN_PORT = 8229;
+const CALLER_PORT = 8227;
+const READINESS_PORT = 8220;
+const CALL_TIMEOUT_MS = 2_000;
+const START_TIMEOUT_MS = 90_000;
+export const ENGINE_REPORT_MS = 400;
+/** Build whose programs run; another one can be named to compare it. */
+const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
+const programRoot = process.env[PROGRAM_ROOT_VARIABLE]
+    ?? join(dirname(fileURLToPath(import.meta.url)), "..", "..", "..");
+
+export interface ProcessFleetOptions {
+    /** Second part of the addresses; unique for each test file. */
+    readonly network: number;
+    readonly controllers: number;
+    readonly routers: number;
+    readonly retryRatio: number;
+    readonly retrySlack: number;
+}
+
+/** Nothing that a run started survives it. */
+const children = new Set<ChildProcess>();
+process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
+
+function spawnNode(args: readonly string[], env: NodeJS.ProcessEnv, logPath?: string): ChildProcess {
+    const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"], env });
+    children.add(child);
+    child.once("exit", () => children.delete(child));
+    if (logPath === undefined) {
+        child.stdout.resume();
+        child.stderr.resume();
+    }
+    else {
+        const log = createWriteStream(logPath, { flags: "a" });
+        child.stdout.pipe(log, { end: false });
+        child.stderr.pipe(log, { end: false });
+    }
+    return child;
+}
+
+async function endProcess(child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
+    if (child.exitCode === null && child.signalCode === null) {
+        const hasEnded = new Promise(resolve => child.once("exit", resolve));
+        child.kill(signal);
+        await hasEnded;
+    }
+}
+
+/** Processes that use all CPU time they get. */
+export class BusyProcesses {
+    private readonly processes: readonly ChildProcess[];
+
+    constructor(count: number) {
+        this.processes = Array.from({ length: count }, () => spawnNode(["-e", "for (;;);"], {}));
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.processes.map(child => endProcess(child, "SIGKILL")));
+    }
+}
+
+export class ProcessFleet {
+    folder = "";
+    private readonly processes = new Map<string, ChildProcess>();
+    private readonly startedBoxes = new Set<string>();
+
+    constructor(readonly options: ProcessFleetOptions) {}
+
+    /** Starts all boxes and puts the bundle; resolves when every router is ready. */
+    async start(bundle: object): Promise<void> {
+        this.folder = await mkdtemp(join(tmpdir(), "loomwinch-processes-"));
+        await Promise.all(this.listControllers().map(box => mkdir(join(this.folder, box))));
+        this.listControllers().forEach(box => this.startBox(box));
+        await waitUntil("the bundle", () => this.putBundle(bundle), START_TIMEOUT_MS);
+        this.listRouters().forEach(box => this.startBox(box));
+        await waitUntil(
+            "the routers",
+            async () => (await Promise.all(this.listRouters().map(box => this.isReady(box)))).every(Boolean),
+            START_TIMEOUT_MS,
+        );
+    }
+
+    async close(keepsLogs = false): Promise<void> {
+        await Promise.all([...this.processes.values()].map(child => endProcess(child, "SIGKILL")));
+        if (!keepsLogs) {
+            await rm(this.folder, { recursive: true });
+        }
+    }
+
+    startBox(box: string): void {
+        const role = box.startsWith("c") ? "controller" : "router";
+        const settingsPath = join(this.folder, `${box}.toml`);
+        writeFileSync(settingsPath, this.formatSettings(box));
+        this.startedBoxes.add(box);
+        const env = {
+            PATH: process.env["PATH"],
+            LOOMWINCH_NODE_FILE: settingsPath,
+            LOOMWINCH_FLEET_SECRET: "process-fleet-secret",
+        };
+        const args = [join(programRoot, "dist", "platform", "main.js"), role];
+        this.processes.set(box, spawnNode(args, env, join(this.folder, `${box}.log`)));
+    }
+
+    async endBox(box: string, signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
+        await endProcess(this.processes.get(box)!, signal);
+    }
+
+    async restartBox(box: string, signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
+        await this.endBox(box, signal);
+        this.startBox(box);
+    }
+
+    signalBox(box: string, signal: NodeJS.Signals): void {
+        this.processes.get(box)!.kill(signal);
+    }
+
+    async isReady(box: string): Promise<boolean> {
+        try {
+            const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+            const answer = await request(`http://${this.getIp(box)}:${READINESS_PORT}/loomwinch/readyz`, { signal });
+            await answer.body.dump();
+            return answer.statusCode === 200;
+        }
+        catch {
+            return false;
+        }
+    }
+
+    /** Returns whether a controller has acknowledged the bundle. */
+    async putBundle(bundle: object): Promise<boolean> {
+        for (const box of this.listControllers()) {
+            const answer = await request(`${this.getControlUrl(box)}/loomwinch/config`, {
+                method: "PUT",
+                body: JSON.stringify(bundle),
+                signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+            }).catch(() => undefined);
+            await answer?.body.dump();
+            if (answer?.statusCode === 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    listControllers(): string[] {
+        return Array.from({ length: this.options.controllers }, (_, i) => `c${i + 1}`);
+    }
+
+    listRouters(): string[] {
+        return Array.from({ length: this.options.routers }, (_, i) => `r${i + 1}`);
+    }
+
+    getControlUrl(box: string): string {
+        return `http://${this.getIp(box)}:${ADMIN_PORT}`;
+    }
+
+    getCallerUrl(box: string): string {
+        return `http://${this.getIp(box)}:${CALLER_PORT}`;
+    }
+
+    /** `box`: its kind (`c`, `r` or `e` for an engine) and number. */
+    getIp(box: string): string {
+        const group = { c: 1, r: 2, e: 3 }[box[0]!];
+        return `127.${this.options.network}.${group}.${box.slice(1)}`;
+    }
+
+    private formatSettings(box: string): string {
+        const ip = this.getIp(box);
+        const seeds = this.listControllers().slice(0, 3).map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
+        return `
+            node_name = "${box}"
+            ip = "${ip}"
+            zone = "z"
+            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
+            seeds = [${seeds.join(",")}]
+            bootstrap = ${!this.startedBoxes.has(box)}
+            data_dir = "${join(this.folder, box)}"
+            heartbeat_ms = ${ENGINE_REPORT_MS}
+            [listen]
+            admin = "${ip}:${ADMIN_PORT}"
+            http = "${ip}:${CALLER_PORT}"
+            readiness = "${ip}:${READINESS_PORT}"
+            [fault_budget]
+            machines = 1
+            [bounds]
+            retry_ratio = ${this.options.retryRatio}
+            retry_slack = ${this.options.retrySlack}
+        `;
+    }
+}
