Observability: what is sent again, what time it is given, and what this router has sent before

A router logs request_repeated as the bytes leave, with the time that the upstream is given and the time that is left, its own repeats and requests of the last 10 s and the number of routers that it divides limits by; loomwinch_repeats_sent counts them. The two budgets of a service and their counters are one object, so that RelayContext names no budgets. Decisions are unchanged.

--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -7,7 +7,6 @@
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
-import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { StreamOriginsOptions } from "../../domain/streamOrigins.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
@@ -96,7 +95,7 @@
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly upstreamReceiver: UpstreamReceiver;
     private readonly otherRouters: OtherRouters;
-    private readonly serviceBudgets: ServiceBudgets;
+    override readonly serviceBudgets: ServiceBudgets;
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
@@ -126,7 +125,7 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
-        this.serviceBudgets = new ServiceBudgets(options, () => this.getSharingRouterCount());
+        this.serviceBudgets = new ServiceBudgets(options, () => this.getSharingRouterCount(), this.recorder, clock);
         this.bodyMemory = options.bodyMemory === undefined
             ? undefined
             : new BodyMemory(options.bodyMemory, Math.random);
@@ -295,8 +294,7 @@
             sink.sendRefusal(overloadRefusal);
             return;
         }
-        this.getRetryBudget(resolved.service.name).recordRequest();
-        this.serviceBudgets.getRepeatBudget(resolved.service.name).recordRequest(this.clock.getMonotonicMs());
+        this.serviceBudgets.recordRequest(resolved.service.name);
         this.activeRequestCount += 1;
         try {
             await this.runRequest(resolved, sink);
@@ -371,18 +369,6 @@
         this.recorder.recordRateLimitedSend();
     }
 
-    override getRetryBudget(service: string): RetryBudget {
-        return this.serviceBudgets.getRetryBudget(service);
-    }
-
-    override tryClaimRepeat(service: string): boolean {
-        // Beyond the bound on repeats, retries are used as long as one is left for a request that an upstream rejects.
-        const isClaimed = this.serviceBudgets.getRepeatBudget(service).trySpend(this.clock.getMonotonicMs())
-            || this.getRetryBudget(service).trySpendSurplus();
-        this.recorder.recordRepeat(isClaimed);
-        return isClaimed;
-    }
-
     /** Number of routers among which fleet-wide limits are divided. */
     private getSharingRouterCount(): number {
         return Math.max(this.otherRouters.getCount(), this.options.assumedRouterCount);
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -4,7 +4,6 @@
 import type { BundleService } from "../../domain/bundle.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import type { Refusal } from "../../domain/resultCodes.js";
-import type { RetryBudget } from "../../domain/retryBudget.js";
 import type { UpstreamCandidates } from "../../domain/upstreamCandidates.js";
 import type { Placement, UpstreamLoad } from "../../domain/upstreamLoad.js";
 import type { ReportedEstimates } from "../../domain/upstreamModel.js";
@@ -15,6 +14,7 @@
 import type { FairShareControl } from "./fairShareControl.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
+import type { ServiceBudgets } from "./serviceBudgets.js";
 import type { StreamOriginReporter } from "./streamOriginReporter.js";
 
 /** Request timeouts and Retry-After values, in milliseconds. */
@@ -73,6 +73,7 @@
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
     abstract readonly streamOrigins: StreamOriginReporter;
+    abstract readonly serviceBudgets: ServiceBudgets;
     /** Undefined if the memory of request bodies is not bounded. */
     abstract readonly bodyMemory: BodyMemory | undefined;
     /** Undefined if requests are sent whatever their remaining time. */
@@ -100,10 +101,6 @@
     abstract recordRateLimitedSend(): void;
     /** Maximum number of connections of this router to one upstream of a service. */
     abstract getMaxConnections(service: BundleService): number;
-    /** Returns the retry budget shared by all requests to a service. */
-    abstract getRetryBudget(service: string): RetryBudget;
-    /** Claims that a request is sent again because its upstream had been replaced; false if that is not allowed now. */
-    abstract tryClaimRepeat(service: string): boolean;
     /** Records that a request wants to reserve tokens of an account, so that they are borrowed in advance. */
     abstract recordTokenDemand(account: string, tokens: number, rank: number): void;
     /** Whether a controller has responded recently. */
--- a/src/daemons/directRouter/relayOutcomes.ts
+++ b/src/daemons/directRouter/relayOutcomes.ts
@@ -2,9 +2,10 @@
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
-import type { LoadOutcome } from "../../domain/upstreamLoad.js";
-import type { AttemptOutcome } from "./attempt.js";
+import type { LoadOutcome, Placement } from "../../domain/upstreamLoad.js";
+import type { AttemptOutcome, ResponseProgress } from "./attempt.js";
 import type { Quarantine } from "./knownSuspects.js";
+import type { ResponseDetails } from "./relayContext.js";
 import { computeRequestFingerprint, listSharedRequestAttributes, type ResolvedRequest } from "./relayRequest.js";
 
 /** `answerMs`: how long the answer had run, in milliseconds; undefined if it had not begun. */
@@ -57,3 +58,24 @@
             return undefined;
     }
 }
+
+/** Creates the details of a complete response. Times are of the monotonic clock, in milliseconds. */
+export function createResponseDetails(
+    status: number,
+    { request: { arrivedAt } }: ResolvedRequest,
+    { firstByteAt, longestPauseMs }: ResponseProgress,
+    last: { readonly placement: Placement; readonly reservedAt: number; readonly sendCount: number; },
+): ResponseDetails {
+    const { upstream, uncachedTokens, queuedPrefillMs } = last.placement;
+    return {
+        status,
+        reservedAgeMs: last.reservedAt - arrivedAt,
+        firstByteAgeMs: firstByteAt === undefined ? undefined : firstByteAt - arrivedAt,
+        longestPauseMs,
+        sendCount: last.sendCount,
+        upstream: upstream.id,
+        version: upstream.version,
+        newTokens: uncachedTokens,
+        aheadMs: queuedPrefillMs,
+    };
+}
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -14,17 +14,19 @@
 import { AnswerOrigin } from "./answerOrigin.js";
 import { Attempt, type AttemptOutcome, isSuccess, ResponseProgress } from "./attempt.js";
 import type { FairShareRequest } from "./fairShareControl.js";
-import type { RelayContext, ResponseDetails } from "./relayContext.js";
+import type { RelayContext } from "./relayContext.js";
 import {
     createInterruptedRefusal,
     createInterruption,
     createQuarantineRefusal,
+    createResponseDetails,
     createUnsentRefusal,
     formatCauses,
     formatInterruption,
     tryGetLoadOutcome,
 } from "./relayOutcomes.js";
 import { computePriority, type ResolvedRequest } from "./relayRequest.js";
+import { RequestRepeats } from "./requestRepeats.js";
 import { TokenReservation } from "./tokenReservation.js";
 
 /**
@@ -64,6 +66,7 @@
     /** Whether upstreams were passed over because they do not read the bodies of requests. */
     private hasSlowReaders = false;
     private readonly origin: AnswerOrigin;
+    private readonly repeats: RequestRepeats;
 
     constructor(
         private readonly context: RelayContext,
@@ -75,6 +78,7 @@
         this.origin = new AnswerOrigin(resolved, context.registry, context.streamOrigins, origin);
         const { request, route } = resolved;
         this.deadline = request.arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
+        this.repeats = new RequestRepeats(context.serviceBudgets, resolved, this.deadline);
         this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abortCause !== undefined);
         this.share = context.fairShares?.createRequest(
             resolved,
@@ -277,12 +281,13 @@
         const { options } = this.context;
         const sentAt = performance.now();
         const canRetryElsewhere = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
+        const remainingMs = Math.max(1, Math.floor(this.deadline - performance.now()));
         return new Attempt(this.context.upstreams, {
             call: {
                 upstream: placement.upstream,
                 request: request.forwarded,
                 account: account?.name,
-                remainingMs: Math.max(1, Math.floor(this.deadline - performance.now())),
+                remainingMs,
                 priority: this.getPriority(),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
@@ -307,6 +312,14 @@
                     this.origin.recordBegun(placement.upstream);
                 }
             },
+            onStart: () =>
+                this.repeats.recordSent({
+                    upstream: placement.upstream.id,
+                    attempt: this.sendCount,
+                    reason: this.lastFailureReason,
+                    dispatchedAt: sentAt,
+                    givenMs: remainingMs,
+                }),
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
             onFirstByte: () => {
                 onAnswering?.();
@@ -415,7 +428,7 @@
                 return this.tryClaimRetry();
             case "replaced":
                 return this.replacedSends <= MAX_REPLACED_SENDS && this.hasTimeToSend()
-                    && this.context.tryClaimRepeat(this.resolved.service.name);
+                    && this.repeats.tryClaimReplaced();
         }
     }
 
@@ -425,9 +438,8 @@
     }
 
     private tryClaimRetry(): boolean {
-        const { route, service } = this.resolved;
-        return this.countAttempts() < route.maxAttempts && this.hasTimeToSend()
-            && this.context.getRetryBudget(service.name).trySpend();
+        return this.countAttempts() < this.resolved.route.maxAttempts && this.hasTimeToSend()
+            && this.repeats.tryClaim();
     }
 
     private countAttempts(): number {
@@ -447,7 +459,14 @@
             if (outcome.isFramed && isSuccess(outcome.status)) {
                 this.context.quarantine.recordCompleteResponse(this.resolved);
             }
-            this.context.recordAnswered(this.resolved, this.createResponseDetails(outcome.status));
+            this.context.recordAnswered(
+                this.resolved,
+                createResponseDetails(outcome.status, this.resolved, this.progress, {
+                    placement: this.placement!,
+                    reservedAt: this.reservedAt,
+                    sendCount: this.sendCount,
+                }),
+            );
             return;
         }
         // A withheld request is not retried only if too little time is left.
@@ -461,23 +480,6 @@
         );
     }
 
-    private createResponseDetails(status: number): ResponseDetails {
-        const { arrivedAt } = this.resolved.request;
-        const { firstByteAt, longestPauseMs } = this.progress;
-        const { upstream, uncachedTokens, queuedPrefillMs } = this.placement!;
-        return {
-            status,
-            reservedAgeMs: this.reservedAt - arrivedAt,
-            firstByteAgeMs: firstByteAt === undefined ? undefined : firstByteAt - arrivedAt,
-            longestPauseMs,
-            sendCount: this.sendCount,
-            upstream: upstream.id,
-            version: upstream.version,
-            newTokens: uncachedTokens,
-            aheadMs: queuedPrefillMs,
-        };
-    }
-
     /** Creates the refusal for when no upstream can be used; Retry-After covers the time until one may be. */
     private createNoUpstreamRefusal(): Refusal {
         const { options: { retryAfterMs }, bodyMemory } = this.context;
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -55,6 +55,12 @@
         this.metrics.addCount(isSentAgain ? "requests_repeated" : "repeats_refused");
     }
 
+    /** Records that a request is being sent to a service again. */
+    recordRepeatSent(service: string, details: LogFields): void {
+        this.metrics.addCount("repeats_sent");
+        this.log.info("request_repeated", { service, ...details });
+    }
+
     /** Records a refusal or an incomplete response. */
     recordRefused(request: RelayRequest, refusal: Refusal, details: RefusalLogDetails): void {
         this.metrics.addCount("requests_refused");
--- a/test/daemons/replacedRepeats.test.ts
+++ b/test/daemons/replacedRepeats.test.ts
@@ -80,10 +80,13 @@
         recordSignals: () => undefined,
         recordAnswered: () => undefined,
         recordRefused: () => undefined,
-        getRetryBudget: () => retryBudget,
-        tryClaimRepeat: () => {
-            repeatCount += 1;
-            return mayRepeat(repeatCount);
+        serviceBudgets: {
+            tryClaimRetry: () => retryBudget.trySpend(),
+            tryClaimRepeat: () => {
+                repeatCount += 1;
+                return mayRepeat(repeatCount);
+            },
+            recordRepeatSent: () => undefined,
         },
     } as unknown as RelayContext;
     return { context, sentTo, retryBudget };
--- a/test/tools/limitScenes.ts
+++ b/test/tools/limitScenes.ts
@@ -195,7 +195,7 @@
     const statuses: Record<string, number> = {};
     failingAnswers.forEach(({ status }) => statuses[status ?? "none"] = (statuses[status ?? "none"] ?? 0) + 1);
     return [
-        `repeats ${repeats} of ${Math.floor(allowed)}`,
+        `repeats ${repeats} of ${Math.floor(allowed)}, ${audit.countRepeats(service)} in all`,
         `deadlines ${JSON.stringify(audit.findDeadlineOverruns())}`,
         `too many upstreams ${audit.countAtTooManyUpstreams()}`,
         `in a backoff ${audit.findMostInBackoff()}`,
--- a/test/tools/upstreamAudit.ts
+++ b/test/tools/upstreamAudit.ts
@@ -112,6 +112,10 @@
         return peak;
     }
 
+    countRepeats(service: string): number {
+        return this.listRepeats(service).length;
+    }
+
     findDeadlineOverruns(): DeadlineOverruns {
         const firstById = new Map<string, Arrival>();
         const counts = { first: 0, resent: 0, lateResends: 0 };
