Fix: repeats of all routers together stay within the limit that they share

Cause: a limit of all routers was kept by shares. Each start brought a full share of the slack, a router that knows no other took the fleet for four routers, and a share was one retry at least; shares add up past the limit (61 process lives sent up to 7 each).

Now a router may repeat a fraction of the requests that it received itself in the window and in the one before, which adds up to the limit whatever others do or know. Beyond that it asks the leader of the controllers for permits, which are recorded in the replicated log before they are used, so that they hold through elections and restarts; while there are none a router does not ask. One claim serves retries, sends past replaced upstreams (421) and continued streams, and is checked again as the bytes leave.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -44,6 +44,7 @@
     upstreamEndsSchema,
 } from "./settings/crashSuspectSettings.js";
 import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
+import { type RepeatPermitsOptions, repeatPermitsSchema, repeatsSchema } from "./settings/repeatSettings.js";
 
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
@@ -78,6 +79,7 @@
     /** Number of voters that must be reachable before an unreachable one is removed. */
     readonly minimumLiveReplicas: number;
     readonly upstreamEnds: UpstreamEndsOptions;
+    readonly repeatPermits: RepeatPermitsOptions;
 }
 
 /** Settings of a router that connects to its upstreams directly, grouped by component. */
@@ -118,6 +120,7 @@
     settings: BundleControllerSettings,
 ): Promise<RunningBundleRole<BundleControllerDaemon>> {
     parseSection("upstreamEnds", upstreamEndsSchema, settings.upstreamEnds);
+    parseSection("repeatPermits", repeatPermitsSchema, settings.repeatPermits);
     await mkdir(settings.dataFolder, { recursive: true });
     const base = await createRoleBase({ ...settings, role: "controller", listen: settings.peerAddress });
     const { clock, log, metrics, network, handlers, loop, peerAddress } = base;
@@ -133,6 +136,7 @@
         address: peerAddress,
         seeds,
         upstreamEnds: settings.upstreamEnds,
+        repeatPermits: settings.repeatPermits,
     });
     daemon.addHandlers(handlers);
     daemon.start();
@@ -196,6 +200,7 @@
         checkBodyMemoryOptions(settings.router.bodyMemory);
     }
     parseSection("survivors", survivorsSchema, settings.survivors);
+    parseSection("repeats", repeatsSchema, settings.router.repeats);
     parseSection("streamOrigins", streamOriginsSchema, settings.router.streamOrigins);
     const relaySettings = settings.connectionRelay && parseConnectionRelaySettings(settings.connectionRelay);
     checkReadPacingSettings(settings.readPacing);
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -23,13 +23,16 @@
     reportPrepaidMethod,
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
+import { claimPermitsMethod } from "../../protocol/repeatMethods.js";
 import { findOriginMethod, originNoticeMethod, readVersionsMethod } from "../../protocol/streamMethods.js";
 import type { UpstreamEndsOptions } from "../../settings/crashSuspectSettings.js";
+import type { RepeatPermitsOptions } from "../../settings/repeatSettings.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
 import { BundlePublisher } from "./bundlePublisher.js";
 import { EvacuationService } from "./evacuationService.js";
 import { PrepaidService } from "./prepaidService.js";
 import { RegistrationService } from "./registrationService.js";
+import { RepeatPermitService } from "./repeatPermitService.js";
 import { ServiceVersionService } from "./serviceVersionService.js";
 import { StreamOriginService } from "./streamOriginService.js";
 import { SubscribedRouters } from "./subscribedRouters.js";
@@ -37,6 +40,7 @@
 
 export interface BundleControllerOptions {
     readonly upstreamEnds: UpstreamEndsOptions;
+    readonly repeatPermits: RepeatPermitsOptions;
     /** Address at which other controllers and routers reach this one. */
     readonly address: string;
     /** Addresses of the controllers that are asked to add this one to the replica set. */
@@ -47,6 +51,7 @@
     readonly registrations: RegistrationService;
     readonly evacuations: EvacuationService;
     private readonly prepaid: PrepaidService;
+    private readonly repeatPermits: RepeatPermitService;
     private readonly upstreamEnds: UpstreamEndService;
     private readonly serviceVersions: ServiceVersionService;
     private readonly streamOrigins: StreamOriginService;
@@ -69,6 +74,7 @@
     ) {
         this.seeds = options.seeds;
         this.prepaid = new PrepaidService(replica, network, log);
+        this.repeatPermits = new RepeatPermitService(replica, network, clock, log, metrics, options.repeatPermits);
         this.upstreamEnds = new UpstreamEndService(
             replica,
             this.subscribers,
@@ -111,6 +117,7 @@
         handlers.add(readVersionsMethod, async ({ service }) => ({
             versions: await this.serviceVersions.readVersions(service),
         }));
+        handlers.add(claimPermitsMethod, claim => this.repeatPermits.handleClaim(claim));
         handlers.add(reportPrepaidMethod, ({ report }) => this.prepaid.handleReport(report));
     }
 
@@ -120,6 +127,7 @@
         void this.reconciler.runJoinRequests(() => this.seeds);
         void this.registrations.runHeartbeatBatches();
         void this.prepaid.runLogging(this.clock);
+        void this.repeatPermits.runEviction();
         void this.upstreamEnds.runEviction();
         void this.serviceVersions.runEviction(() => this.registrations.list());
         this.streamOrigins.start();
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -74,8 +74,8 @@
     readonly isStream: boolean;
     /** Whether only complete events are forwarded, so that another upstream can resume the stream. */
     readonly isResumable: boolean;
-    /** Whether to retry after a server error. Called at most once, before anything is forwarded. */
-    readonly shouldRetryServerError: () => boolean;
+    /** Whether to retry after a server error. Called at most once, before anything is forwarded; the response is held back. */
+    readonly shouldRetryServerError: () => boolean | Promise<boolean>;
     /** The attempt is aborted if nothing arrives for this long; undefined for no limit. */
     readonly inactivityTimeoutMs: number | undefined;
     /** Called with the upstream's signals once the response is known to come from that upstream. */
@@ -93,6 +93,13 @@
     readonly onEvents?: ((count: number, now: number, wasPaused: boolean) => void) | undefined;
 }
 
+/** A response that is held back until it is known whether the request is sent again. */
+interface HeldResponse {
+    readonly head: UpstreamHead;
+    readonly data: Buffer[];
+    hasEnded: boolean;
+}
+
 /** `headers`: names and values by turns. */
 function isEventStream(headers: readonly string[]): boolean {
     return headers.some((name, i) =>
@@ -129,6 +136,7 @@
     private isFramed = false;
     private isEventStream = false;
     private inactivityTimer: NodeJS.Timeout | undefined;
+    private held: HeldResponse | undefined;
 
     constructor(private readonly upstreams: DirectUpstreams, private readonly options: AttemptOptions) {
         this.splitter = options.isStream ? new EventSplitter() : undefined;
@@ -206,14 +214,47 @@
         if (!isSuccess(head.status) && this.options.progress.isHeadSent) {
             return this.rejectResponse(`status ${head.status} instead of the continuation of a stream`);
         }
-        if (head.status >= 500 && this.options.shouldRetryServerError()) {
+        const isRetried = head.status >= 500 && this.options.shouldRetryServerError();
+        if (isRetried === true) {
             return this.reject({ type: "failed", status: head.status });
         }
-        this.forwardHead(head);
+        if (isRetried === false) {
+            this.forwardHead(head);
+        }
+        else {
+            this.held = { head, data: [], hasEnded: false };
+            void isRetried.then(isClaimed => this.releaseHeld(isClaimed));
+        }
         return true;
     }
 
+    /** Discards a response that was held back, because the request is sent again, or forwards it. */
+    private releaseHeld(isRetried: boolean): void {
+        const { held } = this;
+        this.held = undefined;
+        if (held === undefined || this.isSettled) {
+            return;
+        }
+        if (isRetried) {
+            this.abort({ type: "failed", status: held.head.status });
+            return;
+        }
+        this.forwardHead(held.head);
+        held.data.forEach(bytes => this.onData(bytes));
+        if (held.hasEnded) {
+            this.onEnd();
+        }
+        else {
+            this.exchange?.resume();
+        }
+    }
+
     onData(bytes: Buffer): boolean {
+        if (this.held !== undefined) {
+            // Pauses reading, so that only what was read together with the head is held.
+            this.held.data.push(bytes);
+            return false;
+        }
         this.lastActivityAt = performance.now();
         this.recordFirstByte();
         const { sink, progress, isResumable } = this.options;
@@ -241,6 +282,10 @@
         if (this.isSettled) {
             return;
         }
+        if (this.held !== undefined) {
+            this.held.hasEnded = true;
+            return;
+        }
         this.recordFirstByte();
         const rest = this.splitter?.takePartialEvent();
         if (this.isEventStream && !this.isFramed && rest !== undefined && rest.length > 0) {
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -30,6 +30,7 @@
     type FollowAnswer,
     upstreamNoticeMethod,
 } from "../../protocol/fleetMethods.js";
+import type { RepeatsOptions } from "../../settings/repeatSettings.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
 import { AdmissionMonitor } from "./admissionMonitor.js";
 import type { BundleListener } from "./bundleFetcher.js";
@@ -48,7 +49,7 @@
 import { RequestRecorder } from "./requestRecorder.js";
 import { resolveRequest } from "./requestResolution.js";
 import { runResumption } from "./resumptionRun.js";
-import { type ServiceBudgetOptions, ServiceBudgets } from "./serviceBudgets.js";
+import { ServiceRepeats } from "./serviceRepeats.js";
 import { StreamContinuity } from "./streamContinuity.js";
 import type { StreamOriginReporter } from "./streamOriginReporter.js";
 import { isResumption } from "./streamResumer.js";
@@ -58,7 +59,7 @@
 import type { UpstreamReportAge } from "./upstreamUpdateTracker.js";
 
 /** Times in milliseconds. */
-export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions, ServiceBudgetOptions {
+export interface DirectRouterOptions extends RelayOptions, ControllerFeedsOptions {
     /** Addresses of the controllers to contact first. */
     readonly seeds: readonly string[];
     /** An upstream without a report for this long counts as lost, as long as controllers can be reached. */
@@ -67,6 +68,7 @@
     readonly connectionFraction: number;
     /** How long a request waits for a grant from the controllers before it asks other routers. */
     readonly controllerGrantMs: number;
+    readonly repeats: RepeatsOptions;
     readonly streamOrigins: StreamOriginsOptions;
     /** Bounds the memory of request bodies; without it, it is not bounded. */
     readonly bodyMemory?: BodyMemoryOptions | undefined;
@@ -95,7 +97,7 @@
     private readonly signalReceiver: UpstreamSignalRecorder;
     private readonly upstreamReceiver: UpstreamReceiver;
     private readonly otherRouters: OtherRouters;
-    override readonly serviceBudgets: ServiceBudgets;
+    override readonly repeats: ServiceRepeats;
     private activeRequestCount = 0;
     private isDraining = false;
     private cleanupTimer: NodeJS.Timeout | undefined;
@@ -125,7 +127,15 @@
     ) {
         super();
         this.recorder = new RequestRecorder(log, metrics);
-        this.serviceBudgets = new ServiceBudgets(options, () => this.getSharingRouterCount(), this.recorder, clock);
+        this.repeats = new ServiceRepeats(
+            options.repeats,
+            this.recorder,
+            network,
+            clock,
+            log,
+            Math.random,
+            () => this.getControllerAddresses(),
+        );
         this.bodyMemory = options.bodyMemory === undefined
             ? undefined
             : new BodyMemory(options.bodyMemory, Math.random);
@@ -222,6 +232,7 @@
         this.gaugeTimer = setInterval(() => this.setGauges(), GAUGE_PERIOD_MS);
         // Upstreams have probably closed idle connections; a non-repeatable request sent on one could not be retried.
         this.loopMonitor.onSuspension(() => this.upstreams.drainExcept(new Set()));
+        this.loopMonitor.onSuspension(() => this.repeats.reset());
     }
 
     setSeeds(seeds: readonly string[]): void {
@@ -294,7 +305,7 @@
             sink.sendRefusal(overloadRefusal);
             return;
         }
-        this.serviceBudgets.recordRequest(resolved.service.name);
+        this.repeats.recordRequest(resolved.service.name);
         this.activeRequestCount += 1;
         try {
             await this.runRequest(resolved, sink);
@@ -435,6 +446,7 @@
         }
         this.bundleIndex = new BundleIndex(bundle);
         this.coordinator?.receiveBundle(bundle);
+        this.repeats.retainOnly(new Set(bundle.services.map(({ name }) => name)));
         const durationMs = Math.round(performance.now() - startedAt);
         this.log.info("bundle_in_force", { revision, routes: bundle.routes.length, took_ms: durationMs });
         // Report only changed limits: a report per router and bundle would load the leader.
@@ -459,16 +471,12 @@
         if (answer.upstreams.length > 0) {
             this.controllerContact.recordUpstreamUpdate(now);
         }
-        if (
-            this.otherRouters.recordListed(
-                routers,
-                this.controllerContact.getReachableSince(),
-                this.prepaidReporter.routerCount,
-                now,
-            )
-        ) {
-            this.serviceBudgets.updateShares();
-        }
+        this.otherRouters.recordListed(
+            routers,
+            this.controllerContact.getReachableSince(),
+            this.prepaidReporter.routerCount,
+            now,
+        );
         if (answer.hasMajority) {
             this.controllerFeeds.setMembers(answer.controllers);
         }
--- a/src/daemons/directRouter/otherRouters.ts
+++ b/src/daemons/directRouter/otherRouters.ts
@@ -42,14 +42,14 @@
 
     /**
      * Records the routers that a controller lists. `inContactSince`: start of uninterrupted contact with controllers.
-     * `reportingCount`: number of routers that report prepaid tokens. Returns whether the number of routers changed.
+     * `reportingCount`: number of routers that report prepaid tokens.
      */
     recordListed(
         listed: readonly RouterContact[],
         inContactSince: number,
         reportingCount: number,
         now: number,
-    ): boolean {
+    ): void {
         this.knownRouters.record(listed, inContactSince, now);
         const others = this.knownRouters.list();
         const newCount = Math.max(1 + others.length, reportingCount);
@@ -72,7 +72,6 @@
             this.updateHoldings();
         }
         this.sharer.reconcileLinks();
-        return hasCountChanged;
     }
 
     /** If every router is a holder, routers that report but are not listed count as holders too. */
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -14,7 +14,7 @@
 import type { FairShareControl } from "./fairShareControl.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
-import type { ServiceBudgets } from "./serviceBudgets.js";
+import type { ServiceRepeats } from "./serviceRepeats.js";
 import type { StreamOriginReporter } from "./streamOriginReporter.js";
 
 /** Request timeouts and Retry-After values, in milliseconds. */
@@ -73,7 +73,7 @@
     abstract readonly upstreams: DirectUpstreams;
     abstract readonly quarantine: RequestQuarantine;
     abstract readonly streamOrigins: StreamOriginReporter;
-    abstract readonly serviceBudgets: ServiceBudgets;
+    abstract readonly repeats: ServiceRepeats;
     /** Undefined if the memory of request bodies is not bounded. */
     abstract readonly bodyMemory: BodyMemory | undefined;
     /** Undefined if requests are sent whatever their remaining time. */
--- a/src/daemons/directRouter/relayOutcomes.ts
+++ b/src/daemons/directRouter/relayOutcomes.ts
@@ -3,6 +3,7 @@
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
 import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
 import type { LoadOutcome, Placement } from "../../domain/upstreamLoad.js";
+import type { ServiceOutlook } from "../../domain/upstreamSelection.js";
 import type { AttemptOutcome, ResponseProgress } from "./attempt.js";
 import type { Quarantine } from "./knownSuspects.js";
 import type { ResponseDetails } from "./relayContext.js";
@@ -27,6 +28,17 @@
     return createRefusal("requestQuarantined", attributes.join(","), "no", remainingMs);
 }
 
+/** For a request that no upstream can serve by its deadline. Times in milliseconds. */
+export function createNoTimeRefusal(
+    { firstTokenMs, endMs }: ServiceOutlook,
+    remainingMs: number,
+    retryAfterMs: number,
+): Refusal {
+    const detail = `first token expected in ${Math.round(firstTokenMs)} ms, the end in ${Math.round(endMs)} ms, `
+        + `${Math.round(remainingMs)} ms are left`;
+    return createRefusal("noTimeLeft", detail, "no", retryAfterMs);
+}
+
 /** For a request whose deadline passed before it could run. */
 export function createUnsentRefusal(retryAfterMs: number): Refusal {
     return createRefusal("noUpstream", "deadline passed before the request could run", "no", retryAfterMs);
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -18,6 +18,7 @@
 import {
     createInterruptedRefusal,
     createInterruption,
+    createNoTimeRefusal,
     createQuarantineRefusal,
     createResponseDetails,
     createUnsentRefusal,
@@ -78,7 +79,7 @@
         this.origin = new AnswerOrigin(resolved, context.registry, context.streamOrigins, origin);
         const { request, route } = resolved;
         this.deadline = request.arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
-        this.repeats = new RequestRepeats(context.serviceBudgets, resolved, this.deadline);
+        this.repeats = new RequestRepeats(context.repeats, resolved, this.deadline);
         this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abortCause !== undefined);
         this.share = context.fairShares?.createRequest(
             resolved,
@@ -96,6 +97,7 @@
         }
         finally {
             clearTimeout(timer);
+            this.repeats.end();
         }
     }
 
@@ -137,7 +139,7 @@
                 return;
             }
             const outcome = await this.runAttempt(placement);
-            if (!this.shouldRetry(outcome)) {
+            if (!await this.shouldRetry(outcome)) {
                 this.finishWithOutcome(outcome);
                 return;
             }
@@ -216,20 +218,17 @@
     /** Returns a refusal if no upstream can serve the request within its remaining time, or others have precedence. */
     private tryRefuseForTime(placement: Placement | undefined): Refusal | undefined {
         const outlook = placement?.outlook;
-        const now = performance.now();
-        const remainingMs = this.deadline - now;
         if (!this.isAdmissionChecked()) {
             return undefined;
         }
+        const now = performance.now();
+        const remainingMs = this.deadline - now;
         const retryAfterMs = this.context.admission!.tryGetRetryAfterMs(outlook, remainingMs);
         if (retryAfterMs === undefined || outlook === undefined) {
             return this.share?.tryRefuse(outlook, now);
         }
         this.share?.recordNoTimeLeft(outlook, now);
-        const { firstTokenMs, endMs } = outlook;
-        const detail = `first token expected in ${Math.round(firstTokenMs)} ms, the end in ${Math.round(endMs)} ms, `
-            + `${Math.round(remainingMs)} ms are left`;
-        return createRefusal("noTimeLeft", detail, "no", retryAfterMs);
+        return createNoTimeRefusal(outlook, remainingMs, retryAfterMs);
     }
 
     private async runAttempt(placement: Placement): Promise<AttemptOutcome> {
@@ -297,13 +296,14 @@
                     this.hasTimeToSend()
                     && this.tryGetQuarantine() === undefined
                     && this.origin.canSend(placement.upstream)
-                    && this.context.candidates.canSend(placement.upstream, isLimited, performance.now()),
+                    && this.context.candidates.canSend(placement.upstream, isLimited, performance.now())
+                    && this.repeats.mayStart(),
             },
             sink: this.sink,
             progress: this.progress,
             isStream: route.kind === "stream",
             isResumable: this.origin.isResumable(),
-            shouldRetryServerError: () => this.isRepeatable() && this.tryClaimRetry(),
+            shouldRetryServerError: () => this.isRepeatable() && this.mayAttempt() && this.repeats.claim(),
             inactivityTimeoutMs: canRetryElsewhere
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
@@ -357,14 +357,12 @@
         if (loadOutcome !== undefined) {
             this.context.load.recordOutcome(upstream, loadOutcome, performance.now());
         }
-        if (outcome.type === "notRun" && outcome.cause === "replaced") {
-            this.uncountedSends += 1;
+        const notRunCause = outcome.type === "notRun" ? outcome.cause : undefined;
+        this.uncountedSends += notRunCause === "replaced" || notRunCause === "withheld" ? 1 : 0;
+        if (notRunCause === "replaced") {
             this.replacedSends += 1;
             this.context.recordReplaced(upstream);
         }
-        if (outcome.type === "notRun" && outcome.cause === "withheld") {
-            this.uncountedSends += 1;
-        }
         if (outcome.type === "answered") {
             return;
         }
@@ -403,32 +401,36 @@
         return this.resolved.route.kind === "repeatable" || this.origin.isResumable();
     }
 
-    /** Whether to send the request to another upstream after this outcome. May spend from the retry budget. */
-    private shouldRetry(outcome: AttemptOutcome): boolean {
+    /** Whether to send the request to another upstream after this outcome. May claim a repeat. */
+    private async shouldRetry(outcome: AttemptOutcome): Promise<boolean> {
         switch (outcome.type) {
             case "answered":
             case "stopped":
                 return false;
             case "failed":
-                // `shouldRetryServerError` has already spent the retry.
+                // `shouldRetryServerError` has already claimed the repeat.
                 return true;
             case "notRun":
                 return this.shouldRetryNotRun(outcome.cause);
             case "interrupted":
-                return this.isRepeatable() && this.canResumeResponse() && this.tryClaimRetry();
+                return this.isRepeatable() && this.canResumeResponse() && this.mayAttempt()
+                    && this.repeats.waitForClaim();
         }
     }
 
-    private shouldRetryNotRun(cause: "unreachable" | "full" | "replaced" | "withheld"): boolean {
+    private async shouldRetryNotRun(cause: "unreachable" | "full" | "replaced" | "withheld"): Promise<boolean> {
+        if (!this.hasTimeToSend()) {
+            return false;
+        }
         switch (cause) {
             case "unreachable":
             case "withheld":
-                return this.hasTimeToSend();
+                // Nothing was sent, so that a claim is left unless it was void.
+                return !this.repeats.needsClaim() || this.repeats.waitForClaim();
             case "full":
-                return this.tryClaimRetry();
+                return this.mayAttempt() && this.repeats.waitForClaim();
             case "replaced":
-                return this.replacedSends <= MAX_REPLACED_SENDS && this.hasTimeToSend()
-                    && this.repeats.tryClaimReplaced();
+                return this.replacedSends <= MAX_REPLACED_SENDS && this.repeats.waitForClaimAfterReplacement();
         }
     }
 
@@ -437,9 +439,8 @@
         return !isHeadSent || (canResume && lastEventId !== undefined && this.origin.isCertain());
     }
 
-    private tryClaimRetry(): boolean {
-        return this.countAttempts() < this.resolved.route.maxAttempts && this.hasTimeToSend()
-            && this.repeats.tryClaim();
+    private mayAttempt(): boolean {
+        return this.countAttempts() < this.resolved.route.maxAttempts && this.hasTimeToSend();
     }
 
     private countAttempts(): number {
@@ -447,8 +448,8 @@
     }
 
     private hasTimeToSend(): boolean {
-        const remainingMs = this.deadline - performance.now();
-        return this.abortCause === undefined && hasTimeToSend(remainingMs, this.context.getEventLoopLagMs());
+        return this.abortCause === undefined
+            && hasTimeToSend(this.deadline - performance.now(), this.context.getEventLoopLagMs());
     }
 
     // Final responses
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -50,9 +50,9 @@
         this.metrics.setGauge("body_bytes", bytes);
     }
 
-    /** Counts a request that found another upstream in place of its own. `isSentAgain`: to another upstream. */
-    recordRepeat(isSentAgain: boolean): void {
-        this.metrics.addCount(isSentAgain ? "requests_repeated" : "repeats_refused");
+    /** Counts a request that is sent to another upstream because it found another one in place of its own. */
+    recordSentPastReplaced(): void {
+        this.metrics.addCount("requests_repeated");
     }
 
     /** Records that a request is being sent to a service again. */
@@ -61,6 +61,12 @@
         this.log.info("request_repeated", { service, ...details });
     }
 
+    /** Records that a request is not sent to a service again because that is not allowed now. */
+    recordRepeatRefused(service: string, details: LogFields): void {
+        this.metrics.addCount("repeats_refused");
+        this.log.info("repeat_refused", { service, ...details });
+    }
+
     /** Records a refusal or an incomplete response. */
     recordRefused(request: RelayRequest, refusal: Refusal, details: RefusalLogDetails): void {
         this.metrics.addCount("requests_refused");
--- a/src/daemons/directRouter/requestRepeats.ts
+++ b/src/daemons/directRouter/requestRepeats.ts
@@ -1,6 +1,6 @@
-/** The sends of one request after its first one. */
+/** The sends of one request after its first one, each of which needs a claim. */
 import type { ResolvedRequest } from "./relayRequest.js";
-import type { ServiceBudgets } from "./serviceBudgets.js";
+import type { RepeatClaim, ServiceRepeats } from "./serviceRepeats.js";
 
 export interface SentAttempt {
     readonly upstream: string;
@@ -14,34 +14,67 @@
     readonly givenMs: number;
 }
 
+/** Repeats that a request whose upstream had been replaced leaves to others: status 421 says nothing about load. */
+const KEPT_FOR_OTHERS = 1;
+
 export class RequestRepeats {
     private hasBeenSent = false;
+    private isRepeat = false;
+    /** Until it is used. */
+    private held: RepeatClaim | undefined;
+    private hasEnded = false;
 
     /** `deadline`: of the request. */
     constructor(
-        private readonly budgets: ServiceBudgets,
+        private readonly repeats: ServiceRepeats,
         private readonly resolved: ResolvedRequest,
         private readonly deadline: number,
     ) {}
 
-    /** Claims that the request is sent again; false if that is not allowed now. */
-    tryClaim(): boolean {
-        return this.budgets.tryClaimRetry(this.resolved.service.name);
+    /** Claims that the request is sent again; resolves after a short wait if that is not decided at once. */
+    claim(): boolean | Promise<boolean> {
+        this.held ??= this.repeats.tryClaim(this.resolved.service.name, 0);
+        return this.held !== undefined || this.waitForClaim();
+    }
+
+    /** The same, where a wait does no harm. */
+    async waitForClaim(): Promise<boolean> {
+        return this.hold(await this.repeats.waitForClaim(this.resolved.service.name, 0));
     }
 
     /** The same after its upstream had been replaced. */
-    tryClaimReplaced(): boolean {
-        return this.budgets.tryClaimRepeat(this.resolved.service.name);
+    async waitForClaimAfterReplacement(): Promise<boolean> {
+        const isClaimed = this.hold(await this.repeats.waitForClaim(this.resolved.service.name, KEPT_FOR_OTHERS));
+        if (isClaimed) {
+            this.repeats.recordSentPastReplaced();
+        }
+        return isClaimed;
     }
 
-    /** Records that the request is being sent. */
-    recordSent({ upstream, attempt, reason, dispatchedAt, givenMs }: SentAttempt): void {
+    /** Whether the next send would be a repeat for which nothing is claimed. */
+    needsClaim(): boolean {
+        return this.hasBeenSent && this.held === undefined;
+    }
+
+    /** Uses the claim, if one is needed, as a connection is available; false if the request may not be sent. */
+    mayStart(): boolean {
+        this.isRepeat = this.hasBeenSent;
         if (!this.hasBeenSent) {
             this.hasBeenSent = true;
+            return true;
+        }
+        const { held } = this;
+        this.held = undefined;
+        return held?.trySend(performance.now()) ?? false;
+    }
+
+    /** Records that the request is being sent. */
+    recordSent({ upstream, attempt, reason, dispatchedAt, givenMs }: SentAttempt): void {
+        if (!this.isRepeat) {
             return;
         }
         const now = performance.now();
-        this.budgets.recordRepeatSent(this.resolved.service.name, {
+        this.repeats.recordSent(this.resolved.service.name, {
             request: this.resolved.request.forwarded.id,
             upstream,
             attempt,
@@ -51,4 +84,24 @@
             left_ms: Math.round(this.deadline - now),
         });
     }
+
+    /** Releases a claim that was not used, and one that a wait brings later. */
+    end(): void {
+        this.hasEnded = true;
+        this.held?.release();
+        this.held = undefined;
+    }
+
+    private hold(claim: RepeatClaim | undefined): boolean {
+        if (this.hasEnded || this.held !== undefined) {
+            claim?.release();
+            return this.held !== undefined;
+        }
+        this.held = claim;
+        if (claim === undefined) {
+            const { service, request } = this.resolved;
+            this.repeats.recordRefused(service.name, { request: request.forwarded.id });
+        }
+        return claim !== undefined;
+    }
 }
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -3,6 +3,7 @@
 import { prepaidReportCommand, putBundleCommand } from "./bundleCommands.js";
 import { setEvacuationCommand } from "./evacuationCommands.js";
 import { nameSchema, objectChangeRequest, topUpRequest } from "./objects.js";
+import { releaseRepeatPermitsCommand, reserveRepeatPermitsCommand } from "./repeatPermitCommands.js";
 import { addServiceVersionCommand, removeServiceVersionCommand } from "./serviceVersionCommands.js";
 import {
     clearAttributesCommand,
@@ -91,6 +92,8 @@
     setEvacuationCommand,
     addServiceVersionCommand,
     removeServiceVersionCommand,
+    reserveRepeatPermitsCommand,
+    releaseRepeatPermitsCommand,
     noopCommand,
 ]);
 export type Command = z.infer<typeof commandSchema>;
--- a/src/domain/declaredState.ts
+++ b/src/domain/declaredState.ts
@@ -6,6 +6,7 @@
 import { type EvacuationResult, type EvacuationSnapshot, EvacuationStore } from "./evacuationStore.js";
 import { type ChangeResult, ObjectStore, type ObjectStoreSnapshot } from "./objectStore.js";
 import { PrepaidLedger, type PrepaidResult, type PrepaidSnapshot } from "./prepaidLedger.js";
+import { type PermitReservationResult, type RepeatPermitSnapshot, RepeatPermitStore } from "./repeatPermitStore.js";
 import { type ServiceVersionResult, type ServiceVersionSnapshot, ServiceVersionStore } from "./serviceVersionStore.js";
 import { type UpstreamEndSnapshot, UpstreamEndStore } from "./upstreamEndStore.js";
 
@@ -15,7 +16,8 @@
     | BundleResult
     | PrepaidResult
     | EvacuationResult
-    | ServiceVersionResult;
+    | ServiceVersionResult
+    | PermitReservationResult;
 
 /** Result of commands that have no specific result. */
 const ACCEPTED: BudgetResult = { type: "accepted", tokens: 0 };
@@ -29,6 +31,7 @@
     readonly upstreamEnds?: UpstreamEndSnapshot | undefined;
     readonly evacuations?: EvacuationSnapshot | undefined;
     readonly serviceVersions?: ServiceVersionSnapshot | undefined;
+    readonly repeatPermits?: RepeatPermitSnapshot | undefined;
 }
 
 /** Applies log entries in order. Deterministic. */
@@ -40,6 +43,7 @@
     readonly upstreamEnds = new UpstreamEndStore();
     readonly evacuations = new EvacuationStore();
     readonly serviceVersions = new ServiceVersionStore();
+    readonly repeatPermits = new RepeatPermitStore();
 
     apply(entry: LogEntry): ApplyResult {
         const command = entry.command;
@@ -77,6 +81,10 @@
                 return this.serviceVersions.applyAdd(command, entry.index);
             case "removeServiceVersion":
                 return this.serviceVersions.applyRemove(command, entry.index);
+            case "reserveRepeatPermits":
+                return this.repeatPermits.applyReserve(command, entry.index, entry.term);
+            case "releaseRepeatPermits":
+                return this.repeatPermits.applyRelease(command);
             case "setReplicas":
             case "noop":
                 return ACCEPTED;
@@ -92,6 +100,7 @@
             upstreamEnds: this.upstreamEnds.createSnapshot(),
             evacuations: this.evacuations.createSnapshot(),
             serviceVersions: this.serviceVersions.createSnapshot(),
+            repeatPermits: this.repeatPermits.createSnapshot(),
         };
     }
 
@@ -111,6 +120,9 @@
         if (snapshot.serviceVersions !== undefined) {
             this.serviceVersions.loadSnapshot(snapshot.serviceVersions);
         }
+        if (snapshot.repeatPermits !== undefined) {
+            this.repeatPermits.loadSnapshot(snapshot.repeatPermits);
+        }
     }
 
     private applyPutBundle(command: PutBundleCommand): BundleResult {
--- a/test/daemons/replacedRepeats.test.ts
+++ b/test/daemons/replacedRepeats.test.ts
@@ -9,7 +9,6 @@
 import { DistributedRateLimiter } from "../../src/domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../src/domain/evacuatedZones.js";
 import type { Refusal } from "../../src/domain/resultCodes.js";
-import { RetryBudget } from "../../src/domain/retryBudget.js";
 import { UpstreamBackoffs } from "../../src/domain/upstreamBackoffs.js";
 import { UpstreamCandidates } from "../../src/domain/upstreamCandidates.js";
 import type { UpstreamLoad } from "../../src/domain/upstreamLoad.js";
@@ -19,8 +18,34 @@
 import type { DirectUpstreams, UpstreamCall, UpstreamListener } from "../../src/ports/directUpstream.js";
 import { NoLog } from "../../src/ports/log.js";
 
+const CLAIM = { trySend: () => true, release: () => undefined };
 const SERVICE = { name: "s", maxConnections: 8, coldStartMs: 0 };
 
+/** One retry, and repeats past replaced upstreams as `mayRepeat` says for their number. */
+class FakeRepeats {
+    retryCount = 1;
+    private repeatCount = 0;
+
+    constructor(private readonly mayRepeat: (count: number) => boolean) {}
+
+    tryClaim(_service: string, keptCount: number) {
+        if (keptCount > 0) {
+            this.repeatCount += 1;
+            return this.mayRepeat(this.repeatCount) ? CLAIM : undefined;
+        }
+        this.retryCount -= 1;
+        return this.retryCount >= 0 ? CLAIM : undefined;
+    }
+
+    waitForClaim(service: string, keptCount: number) {
+        return Promise.resolve(this.tryClaim(service, keptCount));
+    }
+
+    recordSent(): void {}
+    recordRefused(): void {}
+    recordSentPastReplaced(): void {}
+}
+
 /** `statuses`: what the upstreams answer to the sends, in order; the last one repeatedly. */
 function createFixture(statuses: readonly number[], mayRepeat: (count: number) => boolean) {
     const registry = new UpstreamRegistry();
@@ -29,10 +54,13 @@
     }
     const sentTo: string[] = [];
     const createLimiter = () => new DistributedRateLimiter("r1", () => 0, 0);
-    const retryBudget = new RetryBudget(0, 1);
-    let repeatCount = 0;
+    const repeats = new FakeRepeats(mayRepeat);
     const upstreams = {
         send: (call: UpstreamCall, listener: UpstreamListener) => {
+            if (!call.mayStart()) {
+                queueMicrotask(() => listener.onFailure({ wasSent: false, isWithheld: true, reason: "withheld" }));
+                return { resume: () => undefined, cancel: () => undefined };
+            }
             sentTo.push(call.upstream.id);
             queueMicrotask(() => answer(listener, statuses[Math.min(sentTo.length, statuses.length) - 1]!));
             return { resume: () => undefined, cancel: () => undefined };
@@ -80,16 +108,9 @@
         recordSignals: () => undefined,
         recordAnswered: () => undefined,
         recordRefused: () => undefined,
-        serviceBudgets: {
-            tryClaimRetry: () => retryBudget.trySpend(),
-            tryClaimRepeat: () => {
-                repeatCount += 1;
-                return mayRepeat(repeatCount);
-            },
-            recordRepeatSent: () => undefined,
-        },
+        repeats,
     } as unknown as RelayContext;
-    return { context, sentTo, retryBudget };
+    return { context, sentTo, repeats };
 }
 
 function createRegistration(id: string): UpstreamRegistration {
@@ -136,24 +157,24 @@
 }
 
 void t.test("a request passes over replaced upstreams, each once, without an attempt or a retry", async t => {
-    const { context, sentTo, retryBudget } = createFixture([421, 421, 421, 200], () => true);
+    const { context, sentTo, repeats } = createFixture([421, 421, 421, 200], () => true);
     t.equal(await run(context), 200);
     t.equal(new Set(sentTo).size, 4);
-    t.ok(retryBudget.trySpend(), "the retry is still there");
+    t.equal(repeats.retryCount, 1, "the retry is still there");
 });
 
 void t.test("the fourth replaced upstream ends it with status 503, not run, and the time to come back", async t => {
-    const { context, sentTo, retryBudget } = createFixture([421], () => true);
+    const { context, sentTo, repeats } = createFixture([421], () => true);
     t.match(await run(context), { code: "queueFull", ran: "no", retryAfterMs: 300 });
     t.equal(sentTo.length, 4);
-    t.ok(retryBudget.trySpend());
+    t.equal(repeats.retryCount, 1);
 });
 
 void t.test("no repeat without leave: all requests together stay within the bound of the service", async t => {
-    const { context, sentTo, retryBudget } = createFixture([421], count => count < 2);
+    const { context, sentTo, repeats } = createFixture([421], count => count < 2);
     t.match(await run(context), { code: "queueFull", ran: "no", retryAfterMs: 300 });
     t.equal(sentTo.length, 2);
-    t.ok(retryBudget.trySpend());
+    t.equal(repeats.retryCount, 1);
 });
 
 void t.test("a full upstream still takes an attempt", async t => {
--- a/test/platform/streamVersions.test.ts
+++ b/test/platform/streamVersions.test.ts
@@ -15,7 +15,15 @@
 /** Events that a caller has when it leaves a stream. */
 const EVENTS_BEFORE_LEAVING = 2;
 /** Enough for every stream to go on. */
-const RETRIES = { retryRatio: 2, maxSavedRetries: 1_000 };
+const RETRIES = {
+    repeats: {
+        windowMs: 10_000,
+        ratio: 1_000,
+        permitWaitMs: 100,
+        claimTimeoutMs: 500,
+        minClaimIntervalMs: 1_000,
+    },
+};
 const fleet = new DirectFleet(NETWORK);
 const caller = new StreamCaller(fleet);
 const engines = VERSIONS.flatMap((version, v) =>
--- a/test/tools/failingEngines.ts
+++ b/test/tools/failingEngines.ts
@@ -17,7 +17,9 @@
     | { readonly type: "serve" | "fail"; readonly afterMs: number; }
     /** Rejects without running; `backoffMs`: sent as Retry-After. */
     | { readonly type: "shed"; readonly backoffMs?: number; }
-    | { readonly type: "misdirect" | "reset" | "hang" | "end"; };
+    | { readonly type: "misdirect" | "reset" | "hang"; }
+    /** `isByRequest`: whether the request ends every upstream that runs it. */
+    | { readonly type: "end"; readonly isByRequest: boolean; };
 
 export type ChooseBehaviour = (engine: number, count: number, message: IncomingMessage) => Behaviour;
 
@@ -187,7 +189,9 @@
                 return;
             case "end":
                 arrival.isCutOff = true;
-                this.audit.recordEnd(performance.now());
+                if (behaviour.isByRequest) {
+                    this.audit.recordEnd(performance.now());
+                }
                 this.end();
         }
     }
--- a/test/tools/limitScenes.ts
+++ b/test/tools/limitScenes.ts
@@ -78,6 +78,8 @@
     behave: () => FAIL_AT_ONCE,
 };
 
+const FEW_REQUESTS: Omit<LimitScene, "name"> = { ...PLAIN, routers: 30, perSecond: 15, calmMs: 12_000 };
+
 export const LIMIT_SCENES: readonly LimitScene[] = [
     { ...PLAIN, name: "fail" },
     { ...PLAIN, name: "shed", behave: () => ({ type: "shed" }) },
@@ -96,12 +98,33 @@
         name: "one in ten fails",
         behave: (_, count) => count % 10 === 0 ? FAIL_AT_ONCE : { type: "serve", afterMs: 5 },
     },
+    {
+        ...FEW_REQUESTS,
+        name: "one in ten fails, few requests at each router",
+        behave: (_, count) => count % 10 === 0 ? FAIL_AT_ONCE : { type: "serve", afterMs: 5 },
+    },
+    {
+        ...FEW_REQUESTS,
+        name: "one in ten is reset, few requests at each router",
+        behave: (_, count) => count % 10 === 0 ? { type: "reset" } : { type: "serve", afterMs: 5 },
+    },
+    {
+        ...FEW_REQUESTS,
+        name: "one in ten is shed, few requests at each router",
+        behave: (_, count) => count % 10 === 0 ? { type: "shed" } : { type: "serve", afterMs: 5 },
+    },
+    {
+        ...PLAIN,
+        name: "upstreams end",
+        behave: (_, count) => count % 80 === 0 ? { type: "end", isByRequest: false } : { type: "serve", afterMs: 50 },
+    },
     {
         ...PLAIN,
         name: "a request ends upstreams",
         engines: 3,
         deadlyPerSecond: 4,
-        behave: (_engine, _count, { url }) => url === DEADLY_PATH ? { type: "end" } : { type: "serve", afterMs: 10 },
+        behave: (_engine, _count, { url }) =>
+            url === DEADLY_PATH ? { type: "end", isByRequest: true } : { type: "serve", afterMs: 10 },
     },
     { ...PLAIN, name: "fail, routers restart in series", routers: 4, disturb: restartInSeries(250) },
     { ...PLAIN, name: "fail, routers restart in slow series", disturb: restartInSeries(1_200) },
