Fix: an upstream is given the time that is left as the request is sent

Cause: the header was written when the request was handed to the connection pool. Where all connections to the upstream were in use it was sent later, with what had been left before the wait (request_repeated: given_ms - left_ms = waited_ms in all 464 lines).

First sends too give no more than what is left.

The new test of engineClient fails with the header written at dispatch (999 ms for the second and third of three requests that share one connection).

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -80,8 +80,8 @@
     readonly inactivityTimeoutMs: number | undefined;
     /** Called with the upstream's signals once the response is known to come from that upstream. */
     readonly onSignals: (signals: UpstreamSignals) => void;
-    /** Called once, when the request is being sent: it may arrive at the upstream from now on. */
-    readonly onStart?: () => void;
+    /** Called once, when the request is being sent: it may arrive at the upstream from now on. See `UpstreamListener`. */
+    readonly onStart?: (givenMs: number) => void;
     /** Called once, when the response body begins. */
     readonly onFirstByte: () => void;
     /** Called when the head is forwarded to the caller; not called for a continuation. */
@@ -185,11 +185,11 @@
         }
     }
 
-    onStart(): void {
+    onStart(givenMs: number): void {
         this.isStarted = true;
         // Waiting for a connection does not count as upstream inactivity.
         this.lastActivityAt = performance.now();
-        this.options.onStart?.();
+        this.options.onStart?.(givenMs);
     }
 
     onHead(head: UpstreamHead): boolean {
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -280,13 +280,12 @@
         const { options } = this.context;
         const sentAt = performance.now();
         const canRetryElsewhere = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
-        const remainingMs = Math.max(1, Math.floor(this.deadline - performance.now()));
         return new Attempt(this.context.upstreams, {
             call: {
                 upstream: placement.upstream,
                 request: request.forwarded,
                 account: account?.name,
-                remainingMs,
+                getRemainingMs: () => Math.max(1, Math.floor(this.deadline - performance.now())),
                 priority: this.getPriority(),
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
@@ -312,13 +311,13 @@
                     this.origin.recordBegun(placement.upstream);
                 }
             },
-            onStart: () =>
+            onStart: givenMs =>
                 this.repeats.recordSent({
                     upstream: placement.upstream.id,
                     attempt: this.sendCount,
                     reason: this.lastFailureReason,
                     dispatchedAt: sentAt,
-                    givenMs: remainingMs,
+                    givenMs,
                 }),
             onSignals: signals => this.context.recordSignals(placement.upstream, signals, sentAt),
             onFirstByte: () => {
--- a/src/ports/directUpstream.ts
+++ b/src/ports/directUpstream.ts
@@ -20,8 +20,8 @@
     readonly request: ForwardedRequest;
     /** Client account that the request runs for; undefined on public routes. */
     readonly account: string | undefined;
-    /** Time left until the deadline, in milliseconds. */
-    readonly remainingMs: number;
+    /** Returns the time left until the deadline, in milliseconds. Called as the request is being sent, after `mayStart`. */
+    readonly getRemainingMs: () => number;
     /** From 0, the most urgent, to 9, the least. */
     readonly priority: number;
     /** Position after which an interrupted stream resumes; undefined for the caller's original request. */
@@ -64,8 +64,11 @@
 
 /** Receives a response as it arrives. `onEnd` or `onFailure` is the last call. */
 export interface UpstreamListener {
-    /** A connection is available and the request is being sent. Before this call it cannot have run. */
-    onStart(): void;
+    /**
+     * A connection is available and the request is being sent. Before this call it cannot have run. `givenMs`: the time that the
+     * upstream is given.
+     */
+    onStart(givenMs: number): void;
     /** Returns false to discard the response; no further calls follow. */
     onHead(head: UpstreamHead): boolean;
     /** Returns false to pause reading until `resume`. */
--- a/test/daemons/replacedRepeats.test.ts
+++ b/test/daemons/replacedRepeats.test.ts
@@ -118,7 +118,7 @@
 }
 
 function answer(listener: UpstreamListener, status: number): void {
-    listener.onStart();
+    listener.onStart(1_000);
     const isAccepted = listener.onHead({
         status,
         headers: [],
--- a/test/platform/engineClient.test.ts
+++ b/test/platform/engineClient.test.ts
@@ -36,7 +36,7 @@
             body: Buffer.from("b"),
         },
         account: "acc",
-        remainingMs: 1_000,
+        getRemainingMs: () => 1_000,
         priority: 2,
         resumeAfter: undefined,
         maxConnections: 1,
@@ -219,3 +219,25 @@
     t.match((await runExchange(client, createCall(address))).end, { wasSent: false });
     client.close();
 });
+
+void t.test("a request that waited for a connection gives an engine the time that is left when it is sent", async t => {
+    const waitMs = 150;
+    const deadlineMs = 1_000;
+    const given: number[] = [];
+    await withEngine(
+        (socket, text) => {
+            given.push(Number(/Deadline-Ms: (\d+)/.exec(text)![1]));
+            setTimeout(() => socket.write(`${HEAD}Content-Length: 0\r\n\r\n`), waitMs);
+        },
+        async (client, address) => {
+            const startedAt = performance.now();
+            const getRemainingMs = (): number => Math.floor(startedAt + deadlineMs - performance.now());
+            const call = createCall(address, { getRemainingMs, maxConnections: 1 });
+            await Promise.all([1, 2, 3].map(() => runExchange(client, call)));
+        },
+    );
+    t.equal(given.length, 3);
+    t.ok(given[0]! > deadlineMs - waitMs, `${given[0]} ms for the first`);
+    t.ok(given[1]! <= deadlineMs - waitMs, `${given[1]} ms for the second`);
+    t.ok(given[2]! <= deadlineMs - 2 * waitMs, `${given[2]} ms for the third`);
+});
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -111,7 +111,7 @@
                 },
                 request: { id: "a1", method: "GET", target: "/s", headers: [], body: Buffer.alloc(0) },
                 account: undefined,
-                remainingMs: 9_000,
+                getRemainingMs: () => 9_000,
                 priority: 0,
                 resumeAfter: undefined,
                 maxConnections: 1,
