Soak: upstreams fail, shed, hang, reset and are slow, and the limits of all routers are judged

Arrivals at upstreams and what callers sent are compared through the whole run: repeats in any 10 s, upstreams a request.

Reading of the diff: permits are reserved and allotted in the names too; a failed read of the log forgets only its own leadership.

--- a/src/daemons/bundleController/repeatPermitService.ts
+++ b/src/daemons/bundleController/repeatPermitService.ts
@@ -39,7 +39,7 @@
 
 export class RepeatPermitService {
     private leadership: Leadership | undefined;
-    /** When this controller knew of recorded permits, by log index: they were counted before. Monotonic clock, milliseconds. */
+    /** When this controller knew of recorded permits, by log index: they were reserved before. Monotonic clock, milliseconds. */
     private readonly knownAt = new Map<number, number>();
 
     constructor(
@@ -84,7 +84,7 @@
                 return;
             }
             leadership.waiting.set(claim.service, [waitingClaim]);
-            void this.answerWaiting(leadership, claim.service);
+            void this.handleWaiting(leadership, claim.service);
         });
     }
 
@@ -97,7 +97,7 @@
     }
 
     /** Answers the claims of a service in rounds until none waits. */
-    private async answerWaiting({ term, book, waiting }: Leadership, service: string): Promise<void> {
+    private async handleWaiting({ term, book, waiting }: Leadership, service: string): Promise<void> {
         for (;;) {
             const claims = waiting.get(service)!;
             if (claims.length === 0) {
@@ -106,7 +106,7 @@
             }
             waiting.set(service, []);
             try {
-                this.grant(claims, await this.recordPermits(term, await book, service, claims));
+                this.allotPermits(claims, await this.recordPermits(term, await book, service, claims));
             }
             catch (error) {
                 claims.forEach(({ reject }) => reject(error));
@@ -123,23 +123,23 @@
     ): Promise<{ readonly permits: number; readonly retryAfterMs: number; }> {
         const now = this.clock.getMonotonicMs();
         const asked = claims.reduce((sum, { count }) => sum + count, 0);
-        const counted = book.tryCount(service, asked, now);
-        if (counted === undefined) {
+        const reserved = book.tryReserve(service, asked, now);
+        if (reserved === undefined) {
             return { permits: 0, retryAfterMs: book.getRetryAfterMs(service, now) };
         }
-        const { permits } = counted;
+        const { permits } = reserved;
         const command = { type: "reserveRepeatPermits", service, permits, term } as const;
         const { index, result } = await this.replica.propose(command);
         if (!(result as PermitReservationResult).isAccepted) {
             throw new RefusalError(createRefusal("noMajority", "another controller leads", "no"));
         }
-        counted.index = index;
+        reserved.index = index;
         this.metrics.addCount("repeat_permits_granted", permits);
         return { permits, retryAfterMs: book.getRetryAfterMs(service, now) };
     }
 
     /** Divides permits among claims, earlier ones first. */
-    private grant(
+    private allotPermits(
         claims: readonly WaitingClaim[],
         { permits, retryAfterMs }: { readonly permits: number; readonly retryAfterMs: number; },
     ): void {
@@ -158,10 +158,10 @@
             this.leadership = undefined;
         }
         else if (this.leadership?.term !== term) {
-            const book = this.createBook();
-            // Whoever claims is told; without a claim it is tried again in the next term.
-            book.catch(() => this.leadership = undefined);
-            this.leadership = { term, book, waiting: new Map() };
+            const leadership = { term, book: this.createBook(), waiting: new Map<string, WaitingClaim[]>() };
+            // Claims that wait are told. The next one tries again.
+            leadership.book.catch(() => this.leadership = this.leadership === leadership ? undefined : this.leadership);
+            this.leadership = leadership;
         }
         return this.leadership;
     }
@@ -171,13 +171,13 @@
         await this.replica.confirmReadIndex();
         const now = this.clock.getMonotonicMs();
         const recorded = this.replica.state.repeatPermits.list();
-        // Those of a snapshot are known since now.
         return new PermitBook(
             this.options,
             recorded.map(permits => ({ ...permits, at: this.getKnownAt(permits, now) })),
         );
     }
 
+    /** Permits that came with a snapshot are known from the first call on. */
     private getKnownAt({ index }: PermitReservation, now: number): number {
         const knownAt = this.knownAt.get(index) ?? now;
         this.knownAt.set(index, knownAt);
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -425,7 +425,7 @@
             case "unreachable":
             case "withheld":
                 // Nothing was sent, so that a claim is left unless it was void.
-                return !this.repeats.needsClaim() || this.repeats.waitForClaim();
+                return !this.repeats.isClaimMissing() || this.repeats.waitForClaim();
             case "full":
                 return this.mayAttempt() && this.repeats.waitForClaim();
             case "replaced":
--- a/src/daemons/directRouter/requestRepeats.ts
+++ b/src/daemons/directRouter/requestRepeats.ts
@@ -39,12 +39,14 @@
 
     /** The same, where a wait does no harm. */
     async waitForClaim(): Promise<boolean> {
-        return this.hold(await this.repeats.waitForClaim(this.resolved.service.name, 0));
+        return this.retainClaim(await this.repeats.waitForClaim(this.resolved.service.name, 0));
     }
 
     /** The same after its upstream had been replaced. */
     async waitForClaimAfterReplacement(): Promise<boolean> {
-        const isClaimed = this.hold(await this.repeats.waitForClaim(this.resolved.service.name, KEPT_FOR_OTHERS));
+        const isClaimed = this.retainClaim(
+            await this.repeats.waitForClaim(this.resolved.service.name, KEPT_FOR_OTHERS),
+        );
         if (isClaimed) {
             this.repeats.recordSentPastReplaced();
         }
@@ -52,7 +54,7 @@
     }
 
     /** Whether the next send would be a repeat for which nothing is claimed. */
-    needsClaim(): boolean {
+    isClaimMissing(): boolean {
         return this.hasBeenSent && this.held === undefined;
     }
 
@@ -92,7 +94,7 @@
         this.held = undefined;
     }
 
-    private hold(claim: RepeatClaim | undefined): boolean {
+    private retainClaim(claim: RepeatClaim | undefined): boolean {
         if (this.hasEnded || this.held !== undefined) {
             claim?.release();
             return this.held !== undefined;
--- a/src/daemons/directRouter/serviceRepeats.ts
+++ b/src/daemons/directRouter/serviceRepeats.ts
@@ -92,7 +92,7 @@
         const service = this.getService(name);
         const claim = this.tryClaimHeld(service, keptCount);
         if (claim === undefined) {
-            this.startAsking(name, service);
+            this.startRequest(name, service);
         }
         return claim;
     }
@@ -158,19 +158,19 @@
         if (allowance.tryClaim(now, keptCount)) {
             return new AllowedRepeat(allowance);
         }
-        const expiry = permits.tryTake(now);
+        const expiry = permits.tryDraw(now);
         return expiry === undefined ? undefined : new PermittedRepeat(permits, expiry);
     }
 
     /** Asks for permits, once at a time and not soon after a call that brought none. */
-    private startAsking(name: string, service: Service): void {
+    private startRequest(name: string, service: Service): void {
         if (!service.isAsking && service.permits.mayAsk(this.clock.getMonotonicMs())) {
             service.isAsking = true;
-            void this.askForPermits(name, service);
+            void this.requestPermits(name, service);
         }
     }
 
-    private async askForPermits(name: string, service: Service): Promise<void> {
+    private async requestPermits(name: string, service: Service): Promise<void> {
         const askedAt = this.clock.getMonotonicMs();
         const controllers = this.getControllers();
         const controller = controllers[this.controllerIndex % Math.max(1, controllers.length)];
@@ -194,7 +194,7 @@
         if (waitMs !== undefined) {
             // Spread, because all routers that were told the same time would ask at once.
             const spreadMs = Math.max(waitMs, this.options.minClaimIntervalMs) * (1 + this.random() / 2);
-            service.permits.postpone(this.clock.getMonotonicMs() + spreadMs);
+            service.permits.setNextClaimAt(this.clock.getMonotonicMs() + spreadMs);
         }
         service.isAsking = false;
         service.permitsChanged.notifyAll();
--- a/src/domain/repeatAllowance.ts
+++ b/src/domain/repeatAllowance.ts
@@ -27,7 +27,7 @@
     private newest = -Infinity;
 
     record(index: number): void {
-        this.advance(index);
+        this.clearUpTo(index);
         this.counts[index % KEPT_BUCKETS]! += 1;
     }
 
@@ -41,7 +41,7 @@
         this.newest = -Infinity;
     }
 
-    private advance(index: number): void {
+    private clearUpTo(index: number): void {
         const firstNew = Math.max(this.newest + 1, index - KEPT_BUCKETS + 1, 0);
         for (let cleared = firstNew; cleared <= index; cleared++) {
             this.counts[cleared % KEPT_BUCKETS] = 0;
--- a/src/domain/repeatPermitCommands.ts
+++ b/src/domain/repeatPermitCommands.ts
@@ -6,7 +6,7 @@
     type: z.literal("reserveRepeatPermits"),
     service: z.string().min(1).max(128),
     permits: z.int().min(1).max(100_000),
-    /** Term of the leader that counted the permits; without effect in a later term. */
+    /** Term of the leader that reserved the permits; without effect in a later term. */
     term: z.int().min(0),
 });
 export type ReserveRepeatPermitsCommand = z.infer<typeof reserveRepeatPermitsCommand>;
--- a/src/domain/repeatPermitStore.ts
+++ b/src/domain/repeatPermitStore.ts
@@ -17,7 +17,7 @@
 
 export interface PermitReservationResult {
     readonly type: "repeatPermits";
-    /** False if the leader that counted the permits leads no more, or too many are recorded. */
+    /** False if the leader that reserved the permits leads no more, or too many are recorded. */
     readonly isAccepted: boolean;
 }
 
--- a/src/domain/repeatPermits.ts
+++ b/src/domain/repeatPermits.ts
@@ -29,7 +29,7 @@
 }
 
 /** Permits that count towards the maximum. */
-export interface CountedPermits {
+export interface ReservedPermits {
     readonly service: string;
     readonly permits: number;
     /** Before the permits were recorded, and after they were asked for. Monotonic clock, milliseconds, as all times here. */
@@ -39,33 +39,33 @@
 }
 
 /**
- * What a leader has counted. Permits are used from when they are counted until `lifetimeMs` later, so those used in one window
- * were counted within `windowMs` + `lifetimeMs`.
+ * What a leader has reserved. Permits are used from when they are reserved until `lifetimeMs` later, so those used in one window
+ * were reserved within `windowMs` + `lifetimeMs`.
  */
 export class PermitBook {
     /** Ascending by time. */
-    private counted: readonly CountedPermits[];
+    private reserved: readonly ReservedPermits[];
     private readonly retentionMs: number;
 
-    /** `recorded`: all permits of earlier leaders, ascending, with a time at which they had certainly been counted. */
+    /** `recorded`: all permits of earlier leaders, ascending, with a time by which they had certainly been reserved. */
     constructor(
         private readonly options: PermitBookOptions,
-        recorded: readonly (PermitReservation & CountedPermits)[],
+        recorded: readonly (PermitReservation & ReservedPermits)[],
     ) {
         this.retentionMs = options.windowMs + options.lifetimeMs;
-        this.counted = recorded;
+        this.reserved = recorded;
     }
 
-    /** Counts up to `count` permits, which may be granted once they are recorded; undefined if there are none. */
-    tryCount(service: string, count: number, now: number): CountedPermits | undefined {
+    /** Reserves up to `count` permits, which may be granted once they are recorded; undefined if there are none. */
+    tryReserve(service: string, count: number, now: number): ReservedPermits | undefined {
         const sum = this.listCurrent(service, now).reduce((total, { permits }) => total + permits, 0);
         const permits = Math.min(count, Math.floor(this.options.maxPermits - sum));
         if (permits < 1) {
             return undefined;
         }
-        const counted = { service, permits, at: now, index: undefined };
-        this.counted = [...this.counted, counted];
-        return counted;
+        const reserved = { service, permits, at: now, index: undefined };
+        this.reserved = [...this.reserved, reserved];
+        return reserved;
     }
 
     /** Returns when permits of a service may be had at the earliest, as the time from now. */
@@ -76,17 +76,17 @@
 
     /** Forgets permits that count no longer; returns the last log index at which they are recorded, if there is one. */
     evictExpired(now: number): number | undefined {
-        const isCurrent = ({ at }: CountedPermits): boolean => at > now - this.retentionMs;
-        const expired = this.counted.filter(permits => !isCurrent(permits));
-        this.counted = this.counted.filter(isCurrent);
+        const isCurrent = ({ at }: ReservedPermits): boolean => at > now - this.retentionMs;
+        const expired = this.reserved.filter(permits => !isCurrent(permits));
+        this.reserved = this.reserved.filter(isCurrent);
         return expired.reduce<number | undefined>(
             (last, { index }) => index === undefined ? last : Math.max(index, last ?? 0),
             undefined,
         );
     }
 
-    private listCurrent(service: string, now: number): CountedPermits[] {
-        return this.counted.filter(other => other.service === service && other.at > now - this.retentionMs);
+    private listCurrent(service: string, now: number): ReservedPermits[] {
+        return this.reserved.filter(other => other.service === service && other.at > now - this.retentionMs);
     }
 }
 
@@ -114,12 +114,12 @@
     }
 
     /** Nothing is asked for until `at`. */
-    postpone(at: number): void {
+    setNextClaimAt(at: number): void {
         this.nextClaimAt = at;
     }
 
     /** Takes the permit that becomes void first, and returns when that is; undefined if there is none. */
-    tryTake(now: number): number | undefined {
+    tryDraw(now: number): number | undefined {
         this.expiries = this.expiries.filter(expiry => expiry > now);
         return this.expiries.shift();
     }
--- a/test/daemons/serviceRepeats.test.ts
+++ b/test/daemons/serviceRepeats.test.ts
@@ -92,7 +92,7 @@
     const { repeats } = createFixture(() => undefined);
     const request = new RequestRepeats(repeats, RESOLVED, performance.now() + 1_000);
     t.equal(request.mayStart(), true);
-    t.equal(request.needsClaim(), true);
+    t.equal(request.isClaimMissing(), true);
     t.equal(request.mayStart(), false);
     for (let i = 0; i < 10; i++) {
         repeats.recordRequest("s");
--- a/test/domain/repeatAllowance.test.ts
+++ b/test/domain/repeatAllowance.test.ts
@@ -89,25 +89,25 @@
 
 void t.test("a new leader counts the permits of earlier ones, which may be used until they are void", t => {
     const book = new PermitBook(BOOK_OPTIONS, [{ index: 7, service: "s", permits: 5, at: 0 }]);
-    t.equal(book.tryCount("s", 3, 0)?.permits, 1);
-    t.equal(book.tryCount("s", 1, RETENTION_MS - 1), undefined);
-    t.equal(book.tryCount("other", 3, 0)?.permits, 3);
-    t.equal(book.tryCount("s", 6, RETENTION_MS)?.permits, 6);
+    t.equal(book.tryReserve("s", 3, 0)?.permits, 1);
+    t.equal(book.tryReserve("s", 1, RETENTION_MS - 1), undefined);
+    t.equal(book.tryReserve("other", 3, 0)?.permits, 3);
+    t.equal(book.tryReserve("s", 6, RETENTION_MS)?.permits, 6);
     t.end();
 });
 
 void t.test("permits count until those used have left the window, and are then removed from the log", t => {
     const book = new PermitBook(BOOK_OPTIONS, []);
     t.equal(book.evictExpired(0), undefined);
-    const counted = book.tryCount("s", 4, 0)!;
+    const counted = book.tryReserve("s", 4, 0)!;
     counted.index = 9;
-    t.equal(book.tryCount("s", 4, 100)?.permits, 2);
-    t.equal(book.tryCount("s", 1, 200), undefined);
+    t.equal(book.tryReserve("s", 4, 100)?.permits, 2);
+    t.equal(book.tryReserve("s", 1, 200), undefined);
     t.equal(book.getRetryAfterMs("s", 200), RETENTION_MS - 200);
     t.equal(book.evictExpired(RETENTION_MS - 1), undefined);
     t.equal(book.evictExpired(RETENTION_MS), 9);
     t.equal(book.evictExpired(RETENTION_MS + 100), undefined, "not known to be recorded");
-    t.equal(book.tryCount("s", 100, RETENTION_MS + 100)?.permits, 6);
+    t.equal(book.tryReserve("s", 100, RETENTION_MS + 100)?.permits, 6);
     t.end();
 });
 
@@ -128,8 +128,8 @@
 void t.test("a permit is void after its lifetime, which begins when it was asked for", t => {
     const held = new HeldPermits();
     held.receive({ permits: 2, lifetimeMs: LIFETIME_MS, retryAfterMs: 0 }, 1_000);
-    t.equal(held.tryTake(1_000 + LIFETIME_MS - 1), 1_000 + LIFETIME_MS);
-    t.equal(held.tryTake(1_000 + LIFETIME_MS), undefined);
+    t.equal(held.tryDraw(1_000 + LIFETIME_MS - 1), 1_000 + LIFETIME_MS);
+    t.equal(held.tryDraw(1_000 + LIFETIME_MS), undefined);
     t.end();
 });
 
@@ -154,7 +154,7 @@
             if (at > 2 * WINDOW_MS && random() < 0.5) {
                 const isAllowed = allowance.tryClaim(at, 1)
                     ? allowance.trySend(at)
-                    : book.tryCount("s", 1, at) !== undefined;
+                    : book.tryReserve("s", 1, at) !== undefined;
                 if (isAllowed) {
                     audit.recordArrival({ ...arrival, id: `q${i}` });
                 }
--- a/test/domain/sharedRepeats.test.ts
+++ b/test/domain/sharedRepeats.test.ts
@@ -5,7 +5,7 @@
 import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
 import { RequestRecorder } from "../../src/daemons/directRouter/requestRecorder.js";
 import { type RepeatClaim, ServiceRepeats } from "../../src/daemons/directRouter/serviceRepeats.js";
-import { type CountedPermits, PermitBook, type PermitBookOptions } from "../../src/domain/repeatPermits.js";
+import { PermitBook, type PermitBookOptions, type ReservedPermits } from "../../src/domain/repeatPermits.js";
 import type { PermitReservation } from "../../src/domain/repeatPermitStore.js";
 import type { DirectUpstreams } from "../../src/ports/directUpstream.js";
 import { NoLog } from "../../src/ports/log.js";
@@ -112,7 +112,7 @@
 class ControllersModel extends PeerNetwork {
     answerDelayMs = 0;
     /** With the time at which each controller has learned of them. */
-    private recorded: readonly (PermitReservation & CountedPermits)[] = [];
+    private recorded: readonly (PermitReservation & ReservedPermits)[] = [];
     private leader: PermitBook;
     private formerLeader: PermitBook;
     private callCount = 0;
@@ -135,7 +135,7 @@
         this.callCount += 1;
         const book = this.callCount % 8 === 0 ? this.formerLeader : this.leader;
         const now = this.timeline.clock.getMonotonicMs();
-        const counted = book.tryCount(service, count, now);
+        const counted = book.tryReserve(service, count, now);
         const answer = {
             permits: counted?.permits ?? 0,
             lifetimeMs: BOOK_OPTIONS.lifetimeMs,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,7 @@
 import { checkDeadlyLookup } from "./deadlyLookup.js";
 import { checkDeadlyPart } from "./deadlyPart.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
+import { checkSharedLimits } from "./sharedLimits.js";
 import { ADMIN_PORT, type BoxRole, PEER_PORT, RELAY_PORT, SoakBox } from "./soakBox.js";
 import { findCallerFaults, SoakCallers } from "./soakCallers.js";
 import { RunBook, SLOW_LOOKUP_PATH, SoakEngine } from "./soakEngine.js";
@@ -58,6 +59,7 @@
     { service: "plain", name: "p1", version: "v1" },
     { service: "plain", name: "p2", version: "v1" },
 ] as const;
+const SERVICES = ["engines", "plain"] as const;
 /** Streams that are left and resumed when the faults are over. */
 const RESUMED_STREAMS = 24;
 /** Of the streams that are resumed, the part that goes on is at least this part of that of new streams that begin. */
@@ -111,7 +113,7 @@
         await Promise.all(this.controllers.map(box => box.start()));
         const ports = await Promise.all(this.routers.map(box => box.start()));
         await Promise.all(this.engines.map(engine => engine.start()));
-        const callers = new SoakCallers(ports, this.random);
+        const callers = new SoakCallers(ports, this.random, this.book);
         this.callers = callers;
         await this.operator.putNext();
         await this.waitServing(callers);
@@ -126,9 +128,12 @@
         await this.operator.stop();
         await callers.stop();
 
+        const brokenCounts = this.book.audit.listBrokenCounts(SERVICES);
         await this.operator.putNext();
         await this.waitServing(callers);
         const faults = [
+            ...brokenCounts,
+            ...await this.checkSharedLimits(callers),
             ...await this.checkResumptions(callers),
             ...await checkDeadlyPart(callers, this.book, this.routers.length),
             ...await checkDeadlyLookup(callers, this.book, this.routers.length),
@@ -177,6 +182,14 @@
         }
     }
 
+    /** Routers together keep their limits while upstreams misbehave and routers restart. */
+    private async checkSharedLimits(callers: SoakCallers): Promise<string[]> {
+        const plain = this.engines.filter((_, i) => ENGINES[i]!.service === "plain");
+        const broken = await checkSharedLimits(callers, this.book, this.routers, plain);
+        await this.waitServing(callers);
+        return broken;
+    }
+
     /** Streams that their callers left go on at other routers about as often as new ones begin. */
     private async checkResumptions(callers: SoakCallers): Promise<string[]> {
         this.engines.forEach((engine, i) => engine.release(ENGINES[i]!.version));
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -6,6 +6,7 @@
 import { fileURLToPath } from "node:url";
 import { CutRelay } from "../tools/cutRelay.js";
 import { type BoxFaults, SoakVariables, SOUND } from "./preload.js";
+import { SOAK_LIMITS } from "./soakEngine.js";
 
 export const PEER_PORT = 7340;
 /** Where a router accepts connections that other routers relay to it. */
@@ -189,6 +190,8 @@
             machines = ${toleratedLosses}
             [bounds]
             grace_s = ${GRACE_S}
+            retry_ratio = ${SOAK_LIMITS.retryRatio}
+            retry_slack = ${SOAK_LIMITS.retrySlack}
             ${role === "router" ? ROUTER_LIMITS : ""}
         `;
     }
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -45,6 +45,8 @@
 export const PROMPT_TOKENS = 40;
 const OUTPUT_TOKENS = 10 * TOKENS_PER_EVENT;
 const DEADLINE_MS = 3_000;
+/** Upstreams that may run one request of a route that may be repeated. */
+const MAX_ATTEMPTS = 2;
 /** A caller waits a little longer than it says, so that it sees the answer to a request that was given up. */
 const TIMEOUT_MS = 4_000;
 const PAUSE_MS = 25;
@@ -67,7 +69,11 @@
     private tasks: Promise<void>[] = [];
 
     /** `ports`: where callers reach each router. */
-    constructor(private readonly ports: readonly number[], private readonly random: () => number) {}
+    constructor(
+        private readonly ports: readonly number[],
+        private readonly random: () => number,
+        private readonly book: RunBook,
+    ) {}
 
     start(count: number): void {
         this.running = true;
@@ -148,6 +154,14 @@
         const id = [spread, this.serial].map(part => part.toString(16).padStart(8, "0")).join("");
         this.ids.add(id);
         const { kind, path, keepsConnection, resumed, parts } = attempt;
+        this.book.audit.recordSent({
+            id,
+            service: kind === "stream" ? "engines" : "plain",
+            router: String(attempt.router),
+            at: performance.now(),
+            deadlineMs: DEADLINE_MS,
+            maxAttempts: MAX_ATTEMPTS,
+        });
         return this.exchange(attempt, id, {
             method: "POST",
             path,
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { request } from "undici";
 import { CutRelay } from "../tools/cutRelay.js";
+import { UpstreamAudit } from "../tools/upstreamAudit.js";
 
 /** Tokens of one event of a stream. */
 export const TOKENS_PER_EVENT = 5;
@@ -18,8 +19,22 @@
 const REGISTER_TIMEOUT_MS = 1_000;
 const ENGINE_PORT = 8028;
 
+/** What all routers together may send; `SoakBox` writes it to their settings. */
+export const SOAK_LIMITS = { retryRatio: 0.2, retrySlack: 52, windowMs: 10_000 } as const;
+
+/** How the upstreams of a plain service misbehave. */
+export const MISBEHAVIOURS = ["fail", "shed", "hang", "reset", "slow"] as const;
+export type Misbehaviour = typeof MISBEHAVIOURS[number];
+/** Time for which an upstream that sheds wants nothing. */
+const BACKOFF_MS = 1_500;
+const SLOW_FAILURE_MS = 700;
+const SLOW_ANSWER_MS = 1_500;
+/** Of ten requests that a slow upstream runs, how many fail. */
+const SLOW_FAILURES_OF_TEN = 6;
+
 /** What the upstreams of a soak saw, together. */
 export class RunBook {
+    audit = new UpstreamAudit(SOAK_LIMITS);
     /** Ids of the requests of each run, in order. */
     readonly runs: { readonly id: string; readonly upstream: string; readonly at: number; }[] = [];
     /** When engines began to answer requests with the deadly part. Monotonic clock, milliseconds. */
@@ -32,6 +47,12 @@
     readonly tokens = new Map<string, number>();
     private readonly prompts = new Set<string>();
 
+    /** Judges what is sent from now on by itself. */
+    startAudit(): UpstreamAudit {
+        this.audit = new UpstreamAudit(SOAK_LIMITS);
+        return this.audit;
+    }
+
     countRuns(id: string): number {
         return this.runs.filter(run => run.id === id).length;
     }
@@ -77,6 +98,8 @@
     private isUp = true;
     private isLeaving = false;
     private stopped = false;
+    private misbehaviour: Misbehaviour | undefined;
+    private lookupCount = 0;
 
     constructor(
         private readonly name: string,
@@ -143,6 +166,11 @@
         }
     }
 
+    /** Does so until the next call. `misbehaviour`: undefined to serve; for lookups and changes alone. */
+    setMisbehaviour(misbehaviour: Misbehaviour | undefined): void {
+        this.misbehaviour = misbehaviour;
+    }
+
     getId(): string {
         return `${this.name}-${this.incarnation}`;
     }
@@ -199,12 +227,35 @@
             message.socket.destroy();
             return;
         }
-        if (expected !== undefined && expected !== this.getId()) {
+        const isMisdirected = expected !== undefined && expected !== this.getId();
+        const isPlain = !message.url!.startsWith("/s/");
+        const isShed = isPlain && this.misbehaviour === "shed";
+        const deadline = message.headers["deadline-ms"];
+        this.book.audit.recordArrival({
+            id,
+            service: this.service,
+            upstream: this.getId(),
+            at: performance.now(),
+            deadlineMs: deadline === undefined ? undefined : Number(deadline),
+            isNotRun: isMisdirected || isShed,
+            isCutOff: false,
+            ...isShed && !isMisdirected && { backoffMs: BACKOFF_MS },
+        });
+        if (isMisdirected) {
             response.writeHead(421, { "Not-Executed": "1", "Attempt-Id": id }).end();
             return;
         }
+        if (isShed) {
+            const retryAfter = String(BACKOFF_MS / 1_000);
+            response.writeHead(503, { "Not-Executed": "1", "Attempt-Id": id, "Retry-After": retryAfter }).end();
+            return;
+        }
         this.book.runs.push({ id, upstream: this.getId(), at: performance.now() });
         response.on("error", () => undefined);
+        if (isPlain && this.misbehaviour !== undefined) {
+            this.misbehave(this.misbehaviour, id, message, response);
+            return;
+        }
         if (message.url!.startsWith("/s/")) {
             await this.answerStream(id, message, response);
         }
@@ -217,6 +268,28 @@
         }
     }
 
+    private misbehave(
+        misbehaviour: Misbehaviour,
+        id: string,
+        message: IncomingMessage,
+        response: ServerResponse,
+    ): void {
+        const head = { "Attempt-Id": id, "Instance-Signature": this.getId() };
+        this.lookupCount += 1;
+        if (misbehaviour === "reset") {
+            message.socket.resetAndDestroy();
+        }
+        else if (misbehaviour === "fail") {
+            response.writeHead(500, head).end("failed");
+        }
+        else if (misbehaviour === "slow" && this.lookupCount % 10 < SLOW_FAILURES_OF_TEN) {
+            setTimeout(() => response.writeHead(500, head).end("failed"), SLOW_FAILURE_MS);
+        }
+        else if (misbehaviour === "slow") {
+            this.answerLookup(id, SLOW_ANSWER_MS, response);
+        }
+    }
+
     private answerLookup(id: string, ms: number, response: ServerResponse): void {
         const body = `${id} from ${this.getId()}`;
         this.book.addAnswer(id, body);
--- a/test/soak/soakFaults.ts
+++ b/test/soak/soakFaults.ts
@@ -1,7 +1,7 @@
 /** The faults of a soak: which come, where, for how long, as a seeded generator says. They overlap and repeat. */
 import { SOUND } from "./preload.js";
 import type { SoakBox } from "./soakBox.js";
-import { SOAK_VERSIONS, type SoakEngine } from "./soakEngine.js";
+import { MISBEHAVIOURS, SOAK_VERSIONS, type SoakEngine } from "./soakEngine.js";
 
 /** Most controllers that are killed, frozen, cut off or without a disk by chance at the same time. */
 const MOST_CONTROLLERS_AWAY = 1;
@@ -105,6 +105,8 @@
             { name: `${name} is cut off`, begin: () => relay.cutSilently(), end: () => relay.heal() },
             { name: `${name} does not answer`, begin: () => relay.cutSilently("back"), end: () => relay.heal() },
             this.createRelease(engine),
+            this.createMisbehaviour(engine),
+            this.createMisbehaviour(engine),
             { name: `${name} is far away`, begin: () => relay.delay(60), end: () => relay.delay(0) },
         ]);
     }
@@ -114,6 +116,15 @@
         return { name: `${engine.getId()} is replaced by version ${version}`, begin: () => engine.release(version) };
     }
 
+    private createMisbehaviour(engine: SoakEngine): Fault {
+        const misbehaviour = this.pick(MISBEHAVIOURS);
+        return {
+            name: `${engine.getId()} misbehaves: ${misbehaviour}`,
+            begin: () => engine.setMisbehaviour(misbehaviour),
+            end: () => engine.setMisbehaviour(undefined),
+        };
+    }
+
     private createControllerFault(box: SoakBox): Fault {
         const { name } = box.options;
         this.lastAwayAt.set(box, performance.now());
--- a/test/tools/upstreamAudit.ts
+++ b/test/tools/upstreamAudit.ts
@@ -167,20 +167,27 @@
         return Math.max(0, ...counts);
     }
 
-    /** What breaks a limit, one line each. */
-    listBroken(services: readonly string[]): string[] {
-        const overruns = this.findDeadlineOverruns();
+    /** What breaks a limit that holds whatever happens to routers and links, one line each. */
+    listBrokenCounts(services: readonly string[]): string[] {
         const tooMany = this.countAtTooManyUpstreams();
-        const inBackoff = this.findMostInBackoff();
-        const lateEnds = this.countLateEnds();
         return [
             ...services.map(service => ({ service, ...this.findRepeatPeak(service) }))
                 .filter(({ repeats, allowed }) => repeats > allowed)
                 .map(({ service, repeats, allowed }) =>
                     `${repeats} repeats of ${service} in a window, ${Math.floor(allowed)} allowed`
                 ),
-            ...overruns.isBroken ? [`more time than is left was given: ${JSON.stringify(overruns)}`] : [],
             ...tooMany > MAX_REQUESTS_AT_TOO_MANY ? [`${tooMany} requests ran at too many upstreams`] : [],
+        ];
+    }
+
+    /** What breaks a limit, one line each, if no link was cut or slow. */
+    listBroken(services: readonly string[]): string[] {
+        const overruns = this.findDeadlineOverruns();
+        const inBackoff = this.findMostInBackoff();
+        const lateEnds = this.countLateEnds();
+        return [
+            ...this.listBrokenCounts(services),
+            ...overruns.isBroken ? [`more time than is left was given: ${JSON.stringify(overruns)}`] : [],
             ...lateEnds > MAX_LATER_DEADLY ? [`${lateEnds} late ends by a request that ends upstreams`] : [],
             ...inBackoff > MAX_ARRIVALS_IN_BACKOFF ? [`${inBackoff} arrivals while an upstream asked for none`] : [],
         ];
