One piece of code for what test tools did twice: box settings, child processes, registrations, in-memory replicas

The settings text of a box stood in DirectFleet, SoakBox and ProcessFleet, starting and ending a tracked process in the latter two, the registration of an upstream in SoakEngine and FailingEngine, the replica of an in-memory network in replicatedLog.test and repeatPermitService.test, and box settings in testBoxSettings and sharedRepeats.test. ServiceRepeats counted its last window in two places, members that nobody used are gone, and a comment on withheld requests names the second reason. Assertions and the program's behaviour are unchanged.

--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -469,7 +469,7 @@
             );
             return;
         }
-        // A withheld request is not retried only if too little time is left.
+        // A withheld request is not retried if too little time is left, or if it would be a repeat that is not allowed now.
         const isOutOfTime = this.abortCause === "late" || (outcome.type === "notRun" && outcome.cause === "withheld");
         if (isOutOfTime || this.mayHaveRun) {
             this.finishWithRefusal(this.createIncompleteRefusal());
--- a/src/daemons/directRouter/serviceRepeats.ts
+++ b/src/daemons/directRouter/serviceRepeats.ts
@@ -119,11 +119,7 @@
 
     /** Records that a request is being sent to a service again. */
     recordSent(service: string, details: LogFields): void {
-        const { allowance } = this.getService(service);
-        this.recorder.recordRepeatSent(service, {
-            ...details,
-            ...allowance.countLastWindow(this.clock.getMonotonicMs()),
-        });
+        this.recorder.recordRepeatSent(service, { ...details, ...this.countLastWindow(service) });
     }
 
     /** Counts a request that is sent to another upstream because its own had been replaced. */
@@ -133,11 +129,7 @@
 
     /** Records that a request is not sent again because nothing could be claimed. */
     recordRefused(service: string, details: LogFields): void {
-        const { allowance } = this.getService(service);
-        this.recorder.recordRepeatRefused(service, {
-            ...details,
-            ...allowance.countLastWindow(this.clock.getMonotonicMs()),
-        });
+        this.recorder.recordRepeatRefused(service, { ...details, ...this.countLastWindow(service) });
     }
 
     /** Voids all that could be repeated: the clock missed an unknown time. */
@@ -153,6 +145,11 @@
         [...this.services.keys()].filter(name => !declared.has(name)).forEach(name => this.services.delete(name));
     }
 
+    /** Returns the requests and repeats of this router that a log line names. */
+    private countLastWindow(service: string) {
+        return this.getService(service).allowance.countLastWindow(this.clock.getMonotonicMs());
+    }
+
     private tryClaimHeld({ allowance, permits }: Service, keptCount: number): RepeatClaim | undefined {
         const now = this.clock.getMonotonicMs();
         if (allowance.tryClaim(now, keptCount)) {
--- a/test/consensus/replicatedLog.test.ts
+++ b/test/consensus/replicatedLog.test.ts
@@ -5,15 +5,15 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import t from "tap";
 import { LogStorage } from "../../src/consensus/logStorage.js";
-import { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
+import type { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
 import { isBudgetConserved } from "../../src/domain/budgetStore.js";
 import { formatCanonicalJson } from "../../src/domain/identifiers.js";
 import { type Clock, SystemClock } from "../../src/ports/clock.js";
 import { Journal } from "../../src/ports/journal.js";
-import { NoLog } from "../../src/ports/log.js";
 import { PeerHandlers } from "../../src/ports/peer.js";
 import { FakeJournal } from "../tools/fakes.js";
 import { MemoryNetwork, type MemoryProcesses, type NetworkFaults } from "../tools/memoryNetwork.js";
+import { createMemoryReplica } from "../tools/memoryReplica.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
 const NAMES = ["a", "b", "c"];
@@ -62,14 +62,16 @@
         }, clock);
         const handlers = new PeerHandlers();
         const network = new MemoryNetwork(name, this.processes, this.faults, this.random);
-        const replica = new ReplicatedLog(storage, network, clock, new NoLog(), {
+        const { random } = this;
+        const replica = createMemoryReplica({
             name,
-            others: NAMES.filter(other => other !== name).map(other => ({ name: other, address: other })),
-            electionTimeoutMs: 60,
-            heartbeatMs: 12,
+            replicas: NAMES,
+            storage,
+            network,
+            clock,
             proposeTimeoutMs: 400,
             snapshotEvery: SNAPSHOT_EVERY,
-            random: this.random,
+            random,
         });
         replica.addHandlers(handlers);
         this.processes.set(name, handlers);
--- a/test/daemons/repeatPermitService.test.ts
+++ b/test/daemons/repeatPermitService.test.ts
@@ -2,7 +2,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import t from "tap";
 import { LogStorage } from "../../src/consensus/logStorage.js";
-import { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
+import type { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
 import { RepeatPermitService } from "../../src/daemons/bundleController/repeatPermitService.js";
 import { SystemClock } from "../../src/ports/clock.js";
 import { NoLog } from "../../src/ports/log.js";
@@ -11,6 +11,7 @@
 import { claimPermitsMethod } from "../../src/protocol/repeatMethods.js";
 import { FakeJournal } from "../tools/fakes.js";
 import { MemoryNetwork, type MemoryProcesses, type NetworkFaults } from "../tools/memoryNetwork.js";
+import { createMemoryReplica } from "../tools/memoryReplica.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
 const NAMES = ["a", "b", "c"];
@@ -43,14 +44,16 @@
         const clock = new SystemClock();
         const storage = new LogStorage({ journal, records: journal.crash(), tornBytes: 0 }, clock);
         const network = new MemoryNetwork(name, this.processes, this.faults, this.random);
-        const replica = new ReplicatedLog(storage, network, clock, new NoLog(), {
+        const { random } = this;
+        const replica = createMemoryReplica({
             name,
-            others: NAMES.filter(other => other !== name).map(other => ({ name: other, address: other })),
-            electionTimeoutMs: 60,
-            heartbeatMs: 12,
+            replicas: NAMES,
+            storage,
+            network,
+            clock,
             proposeTimeoutMs: 200,
             snapshotEvery: 20,
-            random: this.random,
+            random,
         });
         const permits = new RepeatPermitService(replica, network, clock, new NoLog(), new NoMetrics(), OPTIONS);
         const handlers = new PeerHandlers();
--- a/test/domain/sharedRepeats.test.ts
+++ b/test/domain/sharedRepeats.test.ts
@@ -1,7 +1,6 @@
 /** Guards against repeats of all routers that add up past the limit they share, however many routers there are and start. */
 import fc from "fast-check";
 import t from "tap";
-import { parseBoxSettings } from "../../platform/boxSettings.js";
 import { createControllerSettings, createRouterSettings } from "../../platform/roleSettings.js";
 import { RequestRecorder } from "../../src/daemons/directRouter/requestRecorder.js";
 import { type RepeatClaim, ServiceRepeats } from "../../src/daemons/directRouter/serviceRepeats.js";
@@ -13,6 +12,7 @@
 import { type Peer, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
 import type { PermitClaim } from "../../src/protocol/repeatMethods.js";
 import { FakeClock } from "../tools/fakes.js";
+import { createTestBoxSettings } from "../tools/testBoxSettings.js";
 import { UpstreamAudit } from "../tools/upstreamAudit.js";
 
 const SERVICE = "s";
@@ -25,14 +25,7 @@
 const MAX_ROUTERS = 300;
 
 process.env["LOOMWINCH_FLEET_SECRET"] = "test-fleet-secret";
-const boxSettings = parseBoxSettings(`
-    node_name = "r1"
-    ip = "127.0.0.1"
-    zone = "z"
-    port_range = [7340, 7345]
-    seeds = []
-    data_dir = "unused"
-    [listen]
+const boxSettings = createTestBoxSettings(`
     [bounds]
     retry_ratio = ${LIMITS.retryRatio}
     retry_slack = ${LIMITS.retrySlack}
--- a/test/platform/sharedLimits.test.ts
+++ b/test/platform/sharedLimits.test.ts
@@ -2,7 +2,7 @@
 import t from "tap";
 import { formatSceneResult, getScene, playLimitScene } from "../tools/limitScenes.js";
 
-const NETWORK = 160;
+const NETWORK = 210;
 const SCENES = ["fail, routers restart in series", "fail, all routers restart", "hang", "slow"] as const;
 
 for (const [i, name] of SCENES.entries()) {
--- a/test/soak/limitScenesMain.ts
+++ b/test/soak/limitScenesMain.ts
@@ -3,7 +3,7 @@
 import { hideBin } from "yargs/helpers";
 import { formatSceneResult, getScene, LIMIT_SCENES, playLimitScene } from "../tools/limitScenes.js";
 
-const NETWORK = 90;
+const NETWORK = 200;
 
 const options = await yargs(hideBin(process.argv))
     .option("scene", { type: "string", array: true, default: LIMIT_SCENES.map(({ name }) => name) })
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -1,19 +1,18 @@
 /** One box of the soak: a real program in a process of its own, with relays on its links to the other boxes. */
-import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream, writeFileSync } from "node:fs";
+import type { ChildProcess } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { mkdir, rm } from "node:fs/promises";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { CALLER_PORT, formatBoxSettings, PEER_PORT } from "../tools/boxSettingsText.js";
+import { endProcess, isRunning, spawnNode } from "../tools/childProcesses.js";
 import { CutRelay } from "../tools/cutRelay.js";
 import { type BoxFaults, SoakVariables, SOUND } from "./preload.js";
 import { SOAK_LIMITS } from "./soakEngine.js";
 
-export const PEER_PORT = 7340;
 /** Where a router accepts connections that other routers relay to it. */
 export const RELAY_PORT = PEER_PORT + 1;
 export const METRICS_PORT = 9464;
-export const ADMIN_PORT = 8229;
-export const CALLER_PORT = 8227;
 /** Pause before a process that has ended is started again. */
 const RESTART_MS = 250;
 /** The longest that a planned stop takes. */
@@ -44,10 +43,6 @@
     readonly toleratedLosses: number;
 }
 
-/** Also where the soak itself breaks off, nothing that it started goes on. */
-const children = new Set<ChildProcess>();
-process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
-
 export class SoakBox {
     /** Relays on the way from this box to each other one, by its address. */
     readonly links = new Map<string, CutRelay>();
@@ -81,7 +76,7 @@
     }
 
     isRunning(): boolean {
-        return this.child !== undefined && this.child.exitCode === null && this.child.signalCode === null;
+        return this.child !== undefined && isRunning(this.child);
     }
 
     /** Sends a signal to the process, if it runs. A process that ends is started again. */
@@ -108,11 +103,8 @@
     /** Ends the process for good. */
     async stop(): Promise<void> {
         this.isWanted = false;
-        const { child } = this;
-        if (child !== undefined && this.isRunning()) {
-            const ended = new Promise(resolve => child.once("exit", resolve));
-            child.kill("SIGKILL");
-            await ended;
+        if (this.child !== undefined) {
+            await endProcess(this.child);
         }
         this.links.forEach(link => link.stop());
         this.entrance.stop();
@@ -135,21 +127,15 @@
         const settingsPath = join(folder, `${name}.toml`);
         writeFileSync(settingsPath, this.formatSettings());
         const preload = join(root, "test", "soak", "preload.js");
-        const child = spawn(process.execPath, ["--import", preload, join(root, "platform", "main.js"), role], {
-            stdio: ["ignore", "pipe", "pipe"],
-            env: {
-                PATH: process.env["PATH"],
-                LOOMWINCH_NODE_FILE: settingsPath,
-                LOOMWINCH_FLEET_SECRET: "soak-fleet-secret",
-                [SoakVariables.links]: JSON.stringify(this.ports),
-                [SoakVariables.faults]: this.getFaultsPath(),
-            },
-        });
-        const log = createWriteStream(this.getLogPath(), { flags: "a" });
-        child.stdout.pipe(log, { end: false });
-        child.stderr.pipe(log, { end: false });
-        children.add(child);
-        child.once("exit", () => children.delete(child));
+        const env = {
+            PATH: process.env["PATH"],
+            LOOMWINCH_NODE_FILE: settingsPath,
+            LOOMWINCH_FLEET_SECRET: "soak-fleet-secret",
+            [SoakVariables.links]: JSON.stringify(this.ports),
+            [SoakVariables.faults]: this.getFaultsPath(),
+        };
+        const args = ["--import", preload, join(root, "platform", "main.js"), role];
+        const child = spawnNode(args, env, this.getLogPath());
         child.once("exit", code => void this.handleExit(code ?? undefined));
         this.child = child;
         this.isFirstStart = false;
@@ -173,26 +159,21 @@
 
     private formatSettings(): string {
         const { name, role, ip, seeds, toleratedLosses } = this.options;
-        return `
-            node_name = "${name}"
-            ip = "${ip}"
-            zone = "z"
-            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
-            seeds = [${seeds.map(seed => `"${seed}"`).join(",")}]
-            bootstrap = ${this.isFirstStart}
-            data_dir = "${this.getDataFolder()}"
-            heartbeat_ms = ${HEARTBEAT_MS}
-            [listen]
-            admin = "${ip}:${ADMIN_PORT}"
-            http = "${ip}:${CALLER_PORT}"
-            readiness = "${ip}:8220"
-            [fault_budget]
-            machines = ${toleratedLosses}
-            [bounds]
-            grace_s = ${GRACE_S}
-            retry_ratio = ${SOAK_LIMITS.retryRatio}
-            retry_slack = ${SOAK_LIMITS.retrySlack}
-            ${role === "router" ? ROUTER_LIMITS : ""}
-        `;
+        return formatBoxSettings({
+            name,
+            ip,
+            seeds,
+            isFirstStart: this.isFirstStart,
+            dataFolder: this.getDataFolder(),
+            toleratedLosses,
+            heartbeatMs: HEARTBEAT_MS,
+            sections: `
+                [bounds]
+                grace_s = ${GRACE_S}
+                retry_ratio = ${SOAK_LIMITS.retryRatio}
+                retry_slack = ${SOAK_LIMITS.retrySlack}
+                ${role === "router" ? ROUTER_LIMITS : ""}
+            `,
+        });
     }
 }
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -1,7 +1,7 @@
 /** An engine or plain service of the soak: notes each run and each token, registers itself, and fails when told. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { request } from "undici";
 import { CutRelay } from "../tools/cutRelay.js";
+import { registerUpstream } from "../tools/registerUpstream.js";
 import { UpstreamAudit } from "../tools/upstreamAudit.js";
 
 /** Tokens of one event of a stream. */
@@ -16,7 +16,6 @@
 export const DEADLY_PART = "dead01";
 const CRASHED_MS = 700;
 const REGISTER_MS = 400;
-const REGISTER_TIMEOUT_MS = 1_000;
 const ENGINE_PORT = 8028;
 
 /** What all routers together may send; `SoakBox` writes it to their settings. */
@@ -191,10 +190,10 @@
         }
     }
 
-    /** Tells the first controller that answers; whether one did. */
-    private async register(): Promise<boolean> {
+    /** Returns whether a controller has acknowledged it. */
+    private register(): Promise<boolean> {
         this.sequence += 1;
-        const body = JSON.stringify({
+        return registerUpstream(this.controllers.map(address => `http://${address}`), this.getId(), {
             backend: this.service,
             address: this.address,
             zone: "z",
@@ -203,21 +202,6 @@
             seqno: this.sequence,
             config_rev: this.version,
         });
-        for (const controller of this.controllers) {
-            try {
-                const url = `http://${controller}/loomwinch/instances/${this.getId()}`;
-                const signal = AbortSignal.timeout(REGISTER_TIMEOUT_MS);
-                const answer = await request(url, { method: "PUT", body, signal });
-                await answer.body.dump();
-                if (answer.statusCode === 200) {
-                    return true;
-                }
-            }
-            catch {
-                // The next controller is asked.
-            }
-        }
-        return false;
     }
 
     private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/test/tools/directFleet.ts
+++ b/test/tools/directFleet.ts
@@ -21,11 +21,9 @@
 import type { BundleControllerDaemon } from "../../src/daemons/bundleController/bundleControllerDaemon.js";
 import type { DirectRouterDaemon, DirectRouterOptions } from "../../src/daemons/directRouter/directRouterDaemon.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
+import { ADMIN_PORT, CALLER_PORT, formatBoxSettings } from "./boxSettingsText.js";
 import { tryOpenLogOutput } from "./testLogs.js";
 
-const PEER_PORT = 7340;
-const ADMIN_PORT = 8229;
-const CALLER_PORT = 8227;
 const ENGINE_PORT = 8028;
 
 interface RunningBox<T> {
@@ -191,23 +189,15 @@
     }
 
     private createSettings(box: string, isFirstStart: boolean, disk: string, limits = ""): BoxSettings {
-        const ip = this.getIp(box);
-        const seeds = ["c1", "c2", "c3"].map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
-        return parseBoxSettings(`
-            node_name = "${box}"
-            ip = "${ip}"
-            zone = "z"
-            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
-            seeds = [${seeds.join(",")}]
-            bootstrap = ${isFirstStart}
-            data_dir = "${join(this.folder, disk)}"
-            [listen]
-            admin = "${ip}:${ADMIN_PORT}"
-            http = "${ip}:${CALLER_PORT}"
-            [fault_budget]
-            machines = 1
-            ${limits}
-        `);
+        const seeds = ["c1", "c2", "c3"].map(seed => `${this.getIp(seed)}:${ADMIN_PORT}`);
+        return parseBoxSettings(formatBoxSettings({
+            name: box,
+            ip: this.getIp(box),
+            seeds,
+            isFirstStart,
+            dataFolder: join(this.folder, disk),
+            sections: limits,
+        }));
     }
 }
 
--- a/test/tools/failingEngines.ts
+++ b/test/tools/failingEngines.ts
@@ -3,11 +3,11 @@
 import type { Socket } from "node:net";
 import { Agent, request } from "undici";
 import { ENGINE_REPORT_MS, type ProcessFleet } from "./processFleet.js";
+import { registerUpstream } from "./registerUpstream.js";
 import type { Arrival, UpstreamAudit } from "./upstreamAudit.js";
 import { wait } from "./waiting.js";
 
 const ENGINE_PORT = 8028;
-const REPORT_TIMEOUT_MS = 1_000;
 const HOST = "api.example";
 /** Callers wait a little longer than they say, so that they see late answers. */
 const CALLER_PATIENCE_MS = 500;
@@ -92,7 +92,8 @@
 
     private async report(): Promise<void> {
         this.sequence += 1;
-        const body = JSON.stringify({
+        const controllers = this.fleet.listControllers().map(box => this.fleet.getControlUrl(box));
+        await registerUpstream(controllers, this.getId(), {
             backend: this.service,
             address: `${this.fleet.getIp(`e${this.number}`)}:${ENGINE_PORT}`,
             zone: "z",
@@ -101,17 +102,6 @@
             seqno: this.sequence,
             config_rev: "v1",
         });
-        for (const box of this.fleet.listControllers()) {
-            const answer = await request(`${this.fleet.getControlUrl(box)}/loomwinch/instances/${this.getId()}`, {
-                method: "PUT",
-                body,
-                signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
-            }).catch(() => undefined);
-            await answer?.body.dump().catch(() => undefined);
-            if (answer?.statusCode === 200) {
-                return;
-            }
-        }
     }
 
     /** Ends as a process does, and comes back as a new incarnation. */
@@ -198,11 +188,9 @@
 }
 
 export interface CallerAnswer {
-    readonly id: string;
     /** Undefined if the connection failed. */
     readonly status: number | undefined;
     readonly sentAt: number;
-    readonly tookMs: number;
 }
 
 export interface CallerLoad {
@@ -278,6 +266,6 @@
         catch {
             // The connection failed or the caller gave up.
         }
-        this.answers.push({ id, status, sentAt, tookMs: performance.now() - sentAt });
+        this.answers.push({ status, sentAt });
     }
 }
--- a/test/tools/limitScenes.ts
+++ b/test/tools/limitScenes.ts
@@ -37,7 +37,6 @@
 export interface SceneResult {
     readonly audit: UpstreamAudit;
     readonly service: string;
-    readonly answers: readonly CallerAnswer[];
     /** Answers to requests that were sent while upstreams misbehaved. */
     readonly failingAnswers: readonly CallerAnswer[];
     readonly broken: readonly string[];
@@ -198,7 +197,6 @@
         return {
             audit,
             service: SERVICE,
-            answers: callers.answers,
             failingAnswers: callers.answers.filter(({ sentAt }) => sentAt >= failingFrom),
             broken: audit.listBroken([SERVICE]),
             logFolder: fleet.folder,
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -1,17 +1,15 @@
 /** Controllers and routers as separate processes of the real programs, each box at a loopback address of its own. */
-import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream, writeFileSync } from "node:fs";
+import type { ChildProcess } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { mkdir, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import { ADMIN_PORT, CALLER_PORT, formatBoxSettings, READINESS_PORT } from "./boxSettingsText.js";
+import { endProcess, spawnNode } from "./childProcesses.js";
 import { waitUntil } from "./waiting.js";
 
-const PEER_PORT = 7340;
-const ADMIN_PORT = 8229;
-const CALLER_PORT = 8227;
-const READINESS_PORT = 8220;
 const CALL_TIMEOUT_MS = 2_000;
 const START_TIMEOUT_MS = 90_000;
 export const ENGINE_REPORT_MS = 400;
@@ -29,34 +27,6 @@
     readonly retrySlack: number;
 }
 
-/** Nothing that a run started survives it. */
-const children = new Set<ChildProcess>();
-process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
-
-function spawnNode(args: readonly string[], env: NodeJS.ProcessEnv, logPath?: string): ChildProcess {
-    const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"], env });
-    children.add(child);
-    child.once("exit", () => children.delete(child));
-    if (logPath === undefined) {
-        child.stdout.resume();
-        child.stderr.resume();
-    }
-    else {
-        const log = createWriteStream(logPath, { flags: "a" });
-        child.stdout.pipe(log, { end: false });
-        child.stderr.pipe(log, { end: false });
-    }
-    return child;
-}
-
-async function endProcess(child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
-    if (child.exitCode === null && child.signalCode === null) {
-        const hasEnded = new Promise(resolve => child.once("exit", resolve));
-        child.kill(signal);
-        await hasEnded;
-    }
-}
-
 /** Processes that use all CPU time they get. */
 export class BusyProcesses {
     private readonly processes: readonly ChildProcess[];
@@ -66,7 +36,7 @@
     }
 
     async stop(): Promise<void> {
-        await Promise.all(this.processes.map(child => endProcess(child, "SIGKILL")));
+        await Promise.all(this.processes.map(child => endProcess(child)));
     }
 }
 
@@ -92,7 +62,7 @@
     }
 
     async close(keepsLogs = false): Promise<void> {
-        await Promise.all([...this.processes.values()].map(child => endProcess(child, "SIGKILL")));
+        await Promise.all([...this.processes.values()].map(child => endProcess(child)));
         if (!keepsLogs) {
             await rm(this.folder, { recursive: true });
         }
@@ -112,19 +82,11 @@
         this.processes.set(box, spawnNode(args, env, join(this.folder, `${box}.log`)));
     }
 
-    async endBox(box: string, signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
+    async restartBox(box: string, signal?: NodeJS.Signals): Promise<void> {
         await endProcess(this.processes.get(box)!, signal);
-    }
-
-    async restartBox(box: string, signal: NodeJS.Signals = "SIGKILL"): Promise<void> {
-        await this.endBox(box, signal);
         this.startBox(box);
     }
 
-    signalBox(box: string, signal: NodeJS.Signals): void {
-        this.processes.get(box)!.kill(signal);
-    }
-
     async isReady(box: string): Promise<boolean> {
         try {
             const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
@@ -176,26 +138,19 @@
     }
 
     private formatSettings(box: string): string {
-        const ip = this.getIp(box);
-        const seeds = this.listControllers().slice(0, 3).map(seed => `"${this.getIp(seed)}:${ADMIN_PORT}"`);
-        return `
-            node_name = "${box}"
-            ip = "${ip}"
-            zone = "z"
-            port_range = [${PEER_PORT}, ${PEER_PORT + 5}]
-            seeds = [${seeds.join(",")}]
-            bootstrap = ${!this.startedBoxes.has(box)}
-            data_dir = "${join(this.folder, box)}"
-            heartbeat_ms = ${ENGINE_REPORT_MS}
-            [listen]
-            admin = "${ip}:${ADMIN_PORT}"
-            http = "${ip}:${CALLER_PORT}"
-            readiness = "${ip}:${READINESS_PORT}"
-            [fault_budget]
-            machines = 1
-            [bounds]
-            retry_ratio = ${this.options.retryRatio}
-            retry_slack = ${this.options.retrySlack}
-        `;
+        const { retryRatio, retrySlack } = this.options;
+        return formatBoxSettings({
+            name: box,
+            ip: this.getIp(box),
+            seeds: this.listControllers().slice(0, 3).map(seed => `${this.getIp(seed)}:${ADMIN_PORT}`),
+            isFirstStart: !this.startedBoxes.has(box),
+            dataFolder: join(this.folder, box),
+            heartbeatMs: ENGINE_REPORT_MS,
+            sections: `
+                [bounds]
+                retry_ratio = ${retryRatio}
+                retry_slack = ${retrySlack}
+            `,
+        });
     }
 }
--- a/test/tools/testBoxSettings.ts
+++ b/test/tools/testBoxSettings.ts
@@ -1,7 +1,8 @@
 /** Settings of a box for tests of how settings are checked; nothing is started with them. */
 import { type BoxSettings, parseBoxSettings } from "../../platform/boxSettings.js";
 
-export function createTestBoxSettings(): BoxSettings {
+/** `sections`: further sections of the settings file. */
+export function createTestBoxSettings(sections = ""): BoxSettings {
     return parseBoxSettings(`
         node_name = "r1"
         ip = "127.0.0.1"
@@ -11,5 +12,6 @@
         data_dir = "unused"
         [listen]
         admin = "127.0.0.1:3"
+        ${sections}
     `);
 }
