--- /dev/null
+++ b/review/6/case.mjs
@@ -0,0 +1,151 @@
+/**
+ * A valid configuration with a very high limit is sent while one of three controllers is down. Checks that it and the ones after it
+ * are acknowledged.
+ */
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { call, Engine, Fleet, Recorder, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
+
+const HERE = dirname(fileURLToPath(import.meta.url));
+const IS_TROUBLE = process.env.TROUBLE !== "0";
+const HOST = "a.example";
+const KEY = "n2ctnfzs989anu6wsjnb";
+/** Bound of the pages for an acknowledgement, and the 3 ms for each route. */
+const ACK_MS = 4_000 + 3;
+/** The core is stable three seconds after a kill (`contact_ms`), and twice that is more than enough. */
+const CALM_MS = 6_000;
+const PAUSE_MS = 200;
+const BETWEEN_MS = 2_000;
+const USUAL_LIMIT = "2000000";
+/** The highest 64-bit number, as operators write a limit that is not to be reached. */
+const HIGH_LIMIT = "9223372036854775807";
+const PROMPT_TOKENS = 400;
+const MAX_OUTPUT_TOKENS = 100;
+
+const record = new Recorder(join(HERE, "record.txt"));
+const fleet = new Fleet({ controllers: 3, routers: 1 });
+
+function formatConfig(revision, limit) {
+    const config = {
+        config_rev: revision,
+        routes: [{
+            name: "tile-caption",
+            host: HOST,
+            path_prefix: "/s/",
+            type: "stream",
+            timeout_ms: 15_000,
+            goal_ms: 800,
+            prio: 1,
+            backend: "wetterwort",
+            attempts: 1,
+            public: false,
+            sticky: true,
+            resumable: false,
+            itl_target_ms: 400,
+        }],
+        backends: [{
+            name: "wetterwort",
+            health_path: "/healthz",
+            max_conns: 360,
+            protocol: "h1",
+            tls: false,
+            engine: { slots: 64, kv_capacity: 562_615, stride: 5, models: [{ name: "m" }] },
+        }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4_194_304,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: [{ name: "hule930", api_keys: [KEY], prio: 1, prepaid: 0 }],
+    };
+    return JSON.stringify(config).replace("\"prepaid\":0", `"prepaid":${limit}`);
+}
+
+/** Number of calls so far: each goes to the next controller. */
+let callCount = 0;
+
+/** Sends a configuration to one controller after the other, as the operator does. Returns whether it is acknowledged in time. */
+async function putConfig(revision, limit) {
+    const body = formatConfig(revision, limit);
+    const startedAt = performance.now();
+    let answer;
+    while (performance.now() - startedAt < ACK_MS) {
+        callCount += 1;
+        const url = `${fleet.getControlUrl(fleet.controllers[callCount % fleet.controllers.length])}/loomwinch/config`;
+        const headers = { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) };
+        answer = await call(url, { method: "PUT", headers, body });
+        if (answer.status === 200 || (answer.status >= 400 && answer.status < 500)) {
+            break;
+        }
+        await wait(PAUSE_MS);
+    }
+    const tookMs = Math.round(performance.now() - startedAt);
+    const outcome = answer.status === 200 ? "acknowledged" : "not acknowledged";
+    record.write(
+        `operator: revision ${revision}, prepaid ${limit}: ${outcome} after ${tookMs} ms (${answer.status} ${answer.text})`,
+    );
+    return answer.status === 200;
+}
+
+function serve(message, response, _body, engine) {
+    response.writeHead(200, {
+        "Attempt-Id": message.headers["attempt-id"],
+        "Instance-Signature": `sig-${engine.id}`,
+        "Content-Type": "text/event-stream",
+    });
+    response.end("id: 1\ndata: piece 1\n\n");
+}
+
+async function sendRequest(id) {
+    const headers = {
+        "Host": HOST,
+        "Attempt-Id": id,
+        "Credential": KEY,
+        "Deadline-Ms": "3000",
+        "Model": "m",
+        "Token-Usage": `${PROMPT_TOKENS},${MAX_OUTPUT_TOKENS}`,
+        "Prefix-Hash": "5c1e07a2:198,91bd3f06:202",
+    };
+    const url = `http://${fleet.getIp("edge-1")}:${fleet.ports.http}/s/x`;
+    return (await call(url, { method: "POST", headers, timeoutMs: 3_000 })).status;
+}
+
+async function main() {
+    await fleet.start(JSON.parse(formatConfig(1, USUAL_LIMIT)));
+    await fleet.startEngine(new Engine(1, "wetterwort", serve));
+    await waitUntil("a request", async () => await sendRequest(`first-${Math.random()}`) === 200);
+    record.write("SIGKILL to core-1; the other two of three controllers run on");
+    fleet.signal("core-1", "SIGKILL");
+    await wait(CALM_MS);
+    if (!await putConfig(2, USUAL_LIMIT)) {
+        record.write("the fleet does not work with two of three controllers");
+        return 2;
+    }
+    // A controller that does not lead may refuse it, so it is sent twice: the second call begins at the next controller.
+    await putConfig(3, IS_TROUBLE ? HIGH_LIMIT : "3000000");
+    await putConfig(4, IS_TROUBLE ? HIGH_LIMIT : "3000000");
+    const acknowledged = [];
+    for (let revision = 5; revision <= 7; revision++) {
+        acknowledged.push(await putConfig(revision, "4000000"));
+        await wait(BETWEEN_MS);
+    }
+    for (let i = 1; i <= 3; i++) {
+        record.write(`client: request ${i} of the tenant gets ${await sendRequest(`last-${i}`)}`);
+    }
+    const missing = acknowledged.filter(isAcknowledged => !isAcknowledged).length;
+    record.write(`${missing} of ${acknowledged.length} usual configurations after it are not acknowledged`);
+    return missing > 0 ? 1 : 0;
+}
+
+let exitCode = 2;
+try {
+    exitCode = await main();
+}
+catch (error) {
+    record.write(`could not run: ${error.stack}`);
+}
+finally {
+    await fleet.close();
+}
+process.exit(exitCode);
