--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -5,7 +5,7 @@
 import { spawn } from "node:child_process";
 import { appendFileSync, mkdirSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, createServer, request } from "node:http";
-import { connect, createServer as createTcpServer } from "node:net";
+import { createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -267,32 +267,6 @@
     };
 }
 
-/** An engine of a plain service in a process of its own, for loads that one process could not serve. */
-export class LookupEngine {
-    constructor(number, service, slots = 6) {
-        this.id = `i-${service}-${number}`;
-        this.number = number;
-        this.service = service;
-        this.slots = slots;
-        this.isRegistered = false;
-        this.isStopped = false;
-    }
-
-    async start(fleet) {
-        const host = fleet.getIp(`side-${this.number}`);
-        this.child = spawn(process.execPath, [join(HERE, "lookupEngine.mjs"), host, this.id], {
-            stdio: ["ignore", "pipe", "ignore"],
-        });
-        const port = await new Promise(resolve => this.child.stdout.once("data", bytes => resolve(Number(bytes))));
-        this.registration = createRegistration(this.service, host, port, this.slots);
-    }
-
-    async stop() {
-        this.isStopped = true;
-        this.child.kill("SIGKILL");
-    }
-}
-
 /** An engine that answers by `serve(message, response, body, engine)`. */
 export class Engine {
     constructor(number, service, serve, slots = 64) {
@@ -333,4 +307,4 @@
     }
 }
 
-export { Agent, connect, createTcpServer };
+export { Agent };
