--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -5,7 +5,7 @@
 import { readFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { call, Fleet, Recorder, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
+import { call, Fleet, GrowingPause, Recorder, runCase, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
 
 const HERE = dirname(fileURLToPath(import.meta.url));
 const IS_TROUBLE = process.env.TROUBLE !== "0";
@@ -17,6 +17,7 @@
 const LAST_ROUND_BEGINS_MS = 95_000;
 /** Eight orders may be in progress at once. */
 const ORDERS = 8;
+const BETWEEN_ORDERS_MS = 20;
 const RESENDING_MS = 1_500;
 const RESTART_DELAY_MS = 20;
 const CALM_MS = 2_500;
@@ -88,25 +89,39 @@
     return body;
 }
 
-/** Sends the order again and again to the controllers that run on; returns the refusals. */
+/** Sends the order once more, to one controller after the other until one answers it; returns a refusal if there is one. */
+async function sendAgain(names, first, revision, body, until, statuses) {
+    const pause = new GrowingPause();
+    for (let i = first; performance.now() < until; i++) {
+        const name = names[i % names.length];
+        const { status, text } = await putConfig(name, body);
+        statuses.set(status, (statuses.get(status) ?? 0) + 1);
+        if (status === 200) {
+            return undefined;
+        }
+        if (status >= 400 && status < 500 && status !== 408 && status !== 429) {
+            return `${name} answers revision ${revision} with ${status} ${text}`;
+        }
+        await pause.wait();
+    }
+    return undefined;
+}
+
+/** Sends the order again to the controllers that run on, eight times at once, until `until`; returns the refusals. */
 async function resend(names, revision, body, until) {
     const statuses = new Map();
     const refusals = [];
     const sendOrders = async index => {
-        for (let i = index; performance.now() < until; i++) {
-            const name = names[i % names.length];
-            const { status, text } = await putConfig(name, body);
-            statuses.set(status, (statuses.get(status) ?? 0) + 1);
-            if (status >= 400 && status < 500 && status !== 408 && status !== 429) {
-                refusals.push(`${name} answers revision ${revision} with ${status} ${text}`);
+        for (let order = index; performance.now() < until; order++) {
+            const refusal = await sendAgain(names, order, revision, body, until, statuses);
+            if (refusal !== undefined) {
+                refusals.push(refusal);
             }
-            await wait(5);
+            await wait(BETWEEN_ORDERS_MS);
         }
     };
     await Promise.all(Array.from({ length: ORDERS }, (_, i) => sendOrders(i)));
-    const counts = [...statuses].map(([status, count]) => `${status === 0 ? "no answer" : status}: ${count}`).join(
-        ", ",
-    );
+    const counts = [...statuses].map(([status, count]) => `${status === 0 ? "no answer" : status}: ${count}`).join(", ");
     record.write(`operator: revision ${revision} sent again: ${counts}`);
     return refusals;
 }
@@ -141,17 +156,7 @@
         body = await acknowledge(revision);
     }
     record.write(`an acknowledged configuration was refused in ${refusedRounds} of ${rounds} rounds`);
-    return refusedRounds > 0 ? 1 : 0;
+    return refusedRounds > 0;
 }
 
-let exitCode = 2;
-try {
-    exitCode = await main();
-}
-catch (error) {
-    record.write(`could not run: ${error.stack}`);
-}
-finally {
-    await fleet.close();
-}
-process.exit(exitCode);
+await runCase(record, fleet, main);
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -4,7 +4,7 @@
  */
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { call, Engine, Fleet, Recorder, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
+import { call, Engine, Fleet, GrowingPause, Recorder, runCase, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
 
 const HERE = dirname(fileURLToPath(import.meta.url));
 const IS_TROUBLE = process.env.TROUBLE !== "0";
@@ -14,7 +14,6 @@
 const ACK_MS = 4_000 + 3;
 /** The core is stable three seconds after a kill (`contact_ms`), and twice that is more than enough. */
 const CALM_MS = 6_000;
-const PAUSE_MS = 200;
 const BETWEEN_MS = 2_000;
 const USUAL_LIMIT = "2000000";
 /** The highest 64-bit number, as operators write a limit that is not to be reached. */
@@ -69,6 +68,7 @@
 async function putConfig(revision, limit) {
     const body = formatConfig(revision, limit);
     const startedAt = performance.now();
+    const pause = new GrowingPause();
     let answer;
     while (performance.now() - startedAt < ACK_MS) {
         callCount += 1;
@@ -78,7 +78,7 @@
         if (answer.status === 200 || (answer.status >= 400 && answer.status < 500)) {
             break;
         }
-        await wait(PAUSE_MS);
+        await pause.wait();
     }
     const tookMs = Math.round(performance.now() - startedAt);
     const outcome = answer.status === 200 ? "acknowledged" : "not acknowledged";
@@ -120,7 +120,7 @@
     await wait(CALM_MS);
     if (!await putConfig(2, USUAL_LIMIT)) {
         record.write("the fleet does not work with two of three controllers");
-        return 2;
+        return undefined;
     }
     // A controller that does not lead may refuse it, so it is sent twice: the second call begins at the next controller.
     await putConfig(3, IS_TROUBLE ? HIGH_LIMIT : "3000000");
@@ -135,17 +135,7 @@
     }
     const missing = acknowledged.filter(isAcknowledged => !isAcknowledged).length;
     record.write(`${missing} of ${acknowledged.length} usual configurations after it are not acknowledged`);
-    return missing > 0 ? 1 : 0;
+    return missing > 0;
 }
 
-let exitCode = 2;
-try {
-    exitCode = await main();
-}
-catch (error) {
-    record.write(`could not run: ${error.stack}`);
-}
-finally {
-    await fleet.close();
-}
-process.exit(exitCode);
+await runCase(record, fleet, main);
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -239,18 +239,22 @@
         }
     }
 
-    async close() {
+    /** Ends all processes that were started, and waits for it. */
+    close() {
+        this.closing ??= this.endAll();
+        return this.closing;
+    }
+
+    async endAll() {
         this.isClosing = true;
         const running = [...this.processes].filter(([name]) => this.isRunning(name));
         running.forEach(([, child]) => child.kill("SIGCONT"));
         running.forEach(([, child]) => child.kill("SIGTERM"));
-        const deadline = performance.now() + CLOSE_GRACE_MS;
-        while (running.some(([name]) => this.isRunning(name)) && performance.now() < deadline) {
-            await wait(50);
-        }
+        const areAllEnded = () => running.every(([name]) => !this.isRunning(name));
+        await waitUntil("the stop", areAllEnded, CLOSE_GRACE_MS).catch(() => undefined);
         running.filter(([name]) => this.isRunning(name)).forEach(([, child]) => child.kill("SIGKILL"));
+        await waitUntil("the end of all processes", areAllEnded, CLOSE_GRACE_MS);
         await Promise.all(this.engines.map(engine => engine.stop()));
-        await wait(200);
         rmSync(this.folder, { recursive: true, force: true });
     }
 }
@@ -307,4 +311,47 @@
     }
 }
 
+/** Exit codes of the scripts; `run.sh` turns `broken` into 1, so that a script that fails by itself isn't taken for it. */
+const ExitCodes = { held: 0, couldNotRun: 2, broken: 10 };
+/** A script may run for 120 s. */
+const MAX_RUN_MS = 112_000;
+
+/** Plays a case and exits. `play` resolves to whether the rule was broken; undefined if the case could not run. */
+export async function runCase(record, fleet, play) {
+    const exit = async (code, reason) => {
+        if (reason !== undefined) {
+            record.write(`could not run: ${reason}`);
+        }
+        await fleet.close().catch(error => record.write(`not ended: ${error}`));
+        process.exit(code);
+    };
+    process.on("uncaughtException", error => void exit(ExitCodes.couldNotRun, error.stack));
+    process.on("SIGTERM", () => void exit(ExitCodes.couldNotRun, "SIGTERM"));
+    process.on("SIGINT", () => void exit(ExitCodes.couldNotRun, "SIGINT"));
+    setTimeout(() => void exit(ExitCodes.couldNotRun, "out of time"), MAX_RUN_MS);
+    try {
+        const isBroken = await play();
+        await exit(isBroken === undefined ? ExitCodes.couldNotRun : isBroken ? ExitCodes.broken : ExitCodes.held);
+    }
+    catch (error) {
+        await exit(ExitCodes.couldNotRun, error.stack);
+    }
+}
+
+const FIRST_PAUSE_MS = 50;
+const PAUSE_FACTOR = 1.5;
+const MAX_PAUSE_MS = 1_000;
+
+/** The pauses of an operator's call after failures, which grow. */
+export class GrowingPause {
+    constructor() {
+        this.pauseMs = FIRST_PAUSE_MS;
+    }
+
+    async wait() {
+        await wait(this.pauseMs * (0.5 + Math.random() / 2));
+        this.pauseMs = Math.min(MAX_PAUSE_MS, this.pauseMs * PAUSE_FACTOR);
+    }
+}
+
 export { Agent };
