--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -13,17 +13,19 @@
 const ROUTES = 355;
 /** "A day may run long and contain hundreds of changes." */
 const CHANGES = 150;
-const ROUNDS = 20;
-const LAST_ROUND_BEGINS_MS = 95_000;
+const ROUNDS = 34;
+const LAST_ROUND_BEGINS_MS = 92_000;
 /** Eight orders may be in progress at once. */
 const ORDERS = 8;
 const BETWEEN_ORDERS_MS = 20;
 const RESENDING_MS = 1_500;
 const RESTART_DELAY_MS = 20;
-const CALM_MS = 2_500;
+/** Two kills are 2.5 s apart at least, so that no more than two machines are lost at once, with `catch_up_s` 4. */
+const CALM_MS = 1_000;
+const JOIN_MS = 4_000;
 
 const record = new Recorder(join(HERE, "record.txt"));
-const fleet = new Fleet({ controllers: 3, routers: 0 });
+const fleet = new Fleet({ controllers: 5, routers: 0, losses: 2 });
 
 function createConfig(revision) {
     const routes = Array.from({ length: ROUTES }, (_, i) => ({
@@ -128,6 +130,8 @@
 
 async function main() {
     await fleet.start(createConfig(1));
+    // The two controllers that are no seeds join.
+    await wait(JOIN_MS);
     let revision = 1;
     let body = "";
     for (let i = 0; i < CHANGES; i++) {
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -81,13 +81,14 @@
 }
 
 export class Fleet {
-    /** `limits`: lines of the section of that name in the settings of each router. */
-    constructor({ controllers = 3, routers = 2, graceS = 8, limits = [] } = {}) {
+    /** `limits`: lines of the section of that name in the settings of each router. `losses`: of machines, that are tolerated. */
+    constructor({ controllers = 3, routers = 2, graceS = 8, limits = [], losses = 1 } = {}) {
         this.folder = mkdtempSync(join(tmpdir(), "loomwinch-review-"));
         this.controllers = Array.from({ length: controllers }, (_, i) => `core-${i + 1}`);
         this.routers = Array.from({ length: routers }, (_, i) => `edge-${i + 1}`);
         this.graceS = graceS;
         this.limits = limits;
+        this.losses = losses;
         this.processes = new Map();
         this.exits = new Map();
         this.engines = [];
@@ -180,7 +181,7 @@
             "[limits]",
             ...(isController ? [] : this.limits),
             "[fault_budget]",
-            "machines = 1",
+            `machines = ${this.losses}`,
             "[bounds]",
             `grace_s = ${this.graceS}`,
             "retry_ratio = 0.2",
