--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -123,7 +123,9 @@
         }
     };
     await Promise.all(Array.from({ length: ORDERS }, (_, i) => sendOrders(i)));
-    const counts = [...statuses].map(([status, count]) => `${status === 0 ? "no answer" : status}: ${count}`).join(", ");
+    const counts = [...statuses].map(([status, count]) => `${status === 0 ? "no answer" : status}: ${count}`).join(
+        ", ",
+    );
     record.write(`operator: revision ${revision} sent again: ${counts}`);
     return refusals;
 }
