--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,7 +1,8 @@
 /**
- * A valid configuration with a very high limit is sent while one of three controllers is down. Checks that it and the ones after it
- * are acknowledged.
+ * A controller loses its disk right after it has acknowledged a configuration; a valid configuration with a very high limit is sent
+ * before it is back. Checks that usual configurations are acknowledged afterwards.
  */
+import { rmSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { call, Engine, Fleet, GrowingPause, Recorder, runCase, wait, waitUntil } from "../stand-ins-2/fleet.mjs";
@@ -12,9 +13,13 @@
 const KEY = "n2ctnfzs989anu6wsjnb";
 /** Bound of the pages for an acknowledgement, and the 3 ms for each route. */
 const ACK_MS = 4_000 + 3;
-/** The core is stable three seconds after a kill (`contact_ms`), and twice that is more than enough. */
+/** `after_ack_wipe` on srp-lima. */
+const DOWN_MS = 3_000;
+/** The other two elect a leader before the configuration with the high limit is sent. */
+const ELECTION_MS = 1_200;
+/** The core is stable three seconds after a start (`contact_ms`); a calm machine is in touch by then. */
 const CALM_MS = 6_000;
-const BETWEEN_MS = 2_000;
+const BETWEEN_MS = 1_000;
 const USUAL_LIMIT = "2000000";
 /** The highest 64-bit number, as operators write a limit that is not to be reached. */
 const HIGH_LIMIT = "9223372036854775807";
@@ -63,6 +68,8 @@
 
 /** Number of calls so far: each goes to the next controller. */
 let callCount = 0;
+/** URL of the controller that has acknowledged the last configuration. */
+let acknowledgedBy;
 
 /** Sends a configuration to one controller after the other, as the operator does. Returns whether it is acknowledged in time. */
 async function putConfig(revision, limit) {
@@ -75,7 +82,11 @@
         const url = `${fleet.getControlUrl(fleet.controllers[callCount % fleet.controllers.length])}/loomwinch/config`;
         const headers = { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) };
         answer = await call(url, { method: "PUT", headers, body });
-        if (answer.status === 200 || (answer.status >= 400 && answer.status < 500)) {
+        if (answer.status === 200) {
+            acknowledgedBy = url;
+            break;
+        }
+        if (answer.status >= 400 && answer.status < 500) {
             break;
         }
         await pause.wait();
@@ -111,22 +122,35 @@
     return (await call(url, { method: "POST", headers, timeoutMs: 3_000 })).status;
 }
 
+/** A controller that does not lead may refuse it, so it is sent twice: the second call begins at the next controller. */
+async function sendHighLimit() {
+    for (const revision of [3, 4]) {
+        await putConfig(revision, IS_TROUBLE ? HIGH_LIMIT : "3000000");
+    }
+}
+
 async function main() {
     await fleet.start(JSON.parse(formatConfig(1, USUAL_LIMIT)));
     await fleet.startEngine(new Engine(1, "wetterwort", serve));
     await waitUntil("a request", async () => await sendRequest(`first-${Math.random()}`) === 200);
-    record.write("SIGKILL to core-1; the other two of three controllers run on");
-    fleet.signal("core-1", "SIGKILL");
-    await wait(CALM_MS);
     if (!await putConfig(2, USUAL_LIMIT)) {
-        record.write("the fleet does not work with two of three controllers");
         return undefined;
     }
-    // A controller that does not lead may refuse it, so it is sent twice: the second call begins at the next controller.
-    await putConfig(3, IS_TROUBLE ? HIGH_LIMIT : "3000000");
-    await putConfig(4, IS_TROUBLE ? HIGH_LIMIT : "3000000");
+    const lost = fleet.controllers.find(name => acknowledgedBy.startsWith(fleet.getControlUrl(name)));
+    record.write(`${lost}, which has acknowledged it, is killed and loses its disk`);
+    fleet.signal(lost, "SIGKILL");
+    await waitUntil("the kill", () => !fleet.isRunning(lost));
+    const killedAt = performance.now();
+    rmSync(fleet.getDataFolder(lost), { recursive: true });
+    await wait(ELECTION_MS);
+    const sending = sendHighLimit();
+    await wait(DOWN_MS - (performance.now() - killedAt));
+    record.write(`${lost} starts again with an empty disk`);
+    fleet.startProcess(lost);
+    await sending;
+    await wait(CALM_MS);
     const acknowledged = [];
-    for (let revision = 5; revision <= 7; revision++) {
+    for (let revision = 5; revision <= 9; revision++) {
         acknowledged.push(await putConfig(revision, "4000000"));
         await wait(BETWEEN_MS);
     }
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -120,6 +120,10 @@
         return `http://${this.getIp(name)}:${this.ports.admin}`;
     }
 
+    getDataFolder(name) {
+        return join(this.folder, `${name}-data`);
+    }
+
     /** Starts all machines and puts the configuration; resolves when every router is ready. */
     async start(config) {
         await this.reserve();
@@ -160,7 +164,7 @@
     formatSettings(name, isController) {
         const ip = this.getIp(name);
         const seeds = this.controllers.slice(0, 3).map(seed => `"${this.getIp(seed)}:${this.ports.admin}"`);
-        const data = join(this.folder, `${name}-data`);
+        const data = this.getDataFolder(name);
         if (isController) {
             mkdirSync(data, { recursive: true });
         }
