Logs of a stop: what a stopping router still has, and why each connection and answer ended

A stopping router logged the number of its requests once, and nothing told a caller that left from an answer that a stop cut off, a relayed connection that was closed as idle from one without a request, or a body that is being read from nothing at all.

--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -54,6 +54,22 @@
     readonly maxConnections: number;
 }
 
+/** What a relayed connection has carried, for logs. Bytes, milliseconds. */
+interface RelayProgress {
+    readonly age_ms: number;
+    /** Time since bytes were last passed on. */
+    readonly quiet_ms: number;
+    readonly request_bytes: number;
+    readonly answer_bytes: number;
+    /** Bytes of the answer that the caller has not taken. */
+    readonly unsent_bytes: number;
+    /** Whether bytes of an answer have come since the caller last sent something. */
+    readonly answering: boolean;
+}
+
+/** Why this router closed a relayed connection regularly. */
+type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "otherRevision" | "stopping";
+
 /** Why a relayed connection was reset. */
 export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "otherRevision" | "stopping";
 
@@ -63,7 +79,7 @@
     private readonly halfClosed = new DeadlineQueue<RelayedConnection>(
         HALF_CLOSED_TIMEOUT_MS,
         connection => connection.isOpen(),
-        connection => connection.close(),
+        connection => connection.close("callerKeepsOpen"),
     );
     /** Shared by all connections: each read is copied before the next one. */
     private readonly readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
@@ -90,7 +106,7 @@
             return false;
         }
         const connection = new RelayedConnection(this, caller, target, this.readBuffer, error => {
-            this.logFailure(target, error);
+            this.logFailure(target, error, undefined);
             serveLocally(error);
         });
         this.connections.add(connection);
@@ -135,7 +151,7 @@
     closeOutdated(): void {
         for (const connection of this.connections) {
             if (connection.isIdle() && connection.isOutdated()) {
-                connection.close();
+                connection.close("otherRevision");
             }
         }
     }
@@ -148,7 +164,7 @@
     close(): void {
         for (const connection of this.connections) {
             if (connection.isIdle()) {
-                connection.close();
+                connection.close("stopping");
             }
             else {
                 connection.reset("stopping");
@@ -171,10 +187,16 @@
         this.connections.delete(connection);
     }
 
+    /** Called by a connection that is closed regularly by this router. */
+    logClosed(target: RelayTarget, reason: RelayCloseCause, progress: RelayProgress): void {
+        this.metrics.addCount("connections_relay_closed");
+        this.log.info("relay_closed", { router: target.address, reason, ...progress });
+    }
+
     /** Called by a connection that is reset. */
-    logFailure(target: RelayTarget, reason: string): void {
+    logFailure(target: RelayTarget, reason: string, progress: RelayProgress | undefined): void {
         this.metrics.addCount("connections_relay_failed");
-        this.log.info("relay_failed", { router: target.address, reason });
+        this.log.info("relay_failed", { router: target.address, reason, ...progress });
     }
 }
 
@@ -219,6 +241,18 @@
         this.neighbour.on("error", this.handleNeighbourError);
     }
 
+    private getProgress(): RelayProgress {
+        const now = performance.now();
+        return {
+            age_ms: Math.round(now - this.acceptedAt),
+            quiet_ms: Math.round(now - this.lastBytesAt),
+            request_bytes: this.caller.bytesRead,
+            answer_bytes: this.neighbour.bytesRead,
+            unsent_bytes: this.caller.writableLength,
+            answering: this.answerReads > 0,
+        };
+    }
+
     /** Whether no request is probably in progress: none was sent, or an answer was passed on whole some time ago. */
     isIdle(): boolean {
         const isQuiet = performance.now() - this.lastBytesAt >= ACTIVITY_WINDOW_MS;
@@ -255,19 +289,20 @@
         }
         else if (this.state === "open") {
             this.finish();
-            this.relay.logFailure(this.target, cause);
+            this.relay.logFailure(this.target, cause, this.getProgress());
             this.neighbour.resetAndDestroy();
             this.caller.resetAndDestroy();
         }
     }
 
     /** Closes both connections regularly. */
-    close(): void {
+    close(cause: RelayCloseCause): void {
         if (this.state === "connecting") {
             this.failConnecting("closing");
         }
         else if (this.state === "open") {
             this.finish();
+            this.relay.logClosed(this.target, cause, this.getProgress());
             this.neighbour.destroy();
             this.caller.destroy();
         }
@@ -318,7 +353,7 @@
             return;
         }
         if (this.caller.readableEnded || this.caller.destroyed) {
-            this.close();
+            this.close("callerLeft");
             return;
         }
         this.forwardRequest(bytes);
