Process fleets with routers on small boxes, which relay while they are kept busy, and how a process ended

Plays of planned stops need relayed connections of real processes. The settings of a small box move from the soak to the tools that both use.

--- a/test/soak/relayCounter.ts
+++ b/test/soak/relayCounter.ts
@@ -1,7 +1,8 @@
 /** Counts the connections that the routers of a soak relayed to each other, so that a run shows whether the relay was played. */
 import { readFile } from "node:fs/promises";
 import { request } from "undici";
-import { METRICS_PORT, type SoakBox } from "./soakBox.js";
+import { METRICS_PORT } from "../tools/boxSettingsText.js";
+import type { SoakBox } from "./soakBox.js";
 
 /** Counters start over with each process; what a process counts after the last read before it ends is missing. */
 const READ_PERIOD_MS = 250;
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -4,7 +4,7 @@
 import { mkdir, rm } from "node:fs/promises";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { CALLER_PORT, formatBoxSettings, PEER_PORT } from "../tools/boxSettingsText.js";
+import { CALLER_PORT, formatBoxSettings, PEER_PORT, SMALL_BOX_LIMITS } from "../tools/boxSettingsText.js";
 import { endProcess, isRunning, spawnNode } from "../tools/childProcesses.js";
 import { CutRelay } from "../tools/cutRelay.js";
 import { type BoxFaults, SoakVariables, SOUND } from "./preload.js";
@@ -12,20 +12,11 @@
 
 /** Where a router accepts connections that other routers relay to it. */
 export const RELAY_PORT = PEER_PORT + 1;
-export const METRICS_PORT = 9464;
 /** Pause before a process that has ended is started again. */
 const RESTART_MS = 250;
 /** The longest that a planned stop takes. */
 const GRACE_S = 8;
 const HEARTBEAT_MS = 400;
-/** A small box, which relays connections, reads streams at a pace and borrows tokens in advance while it is loaded. */
-const ROUTER_LIMITS = `
-            [limits]
-            cpu_quota = 0.3
-            cores = 1.2
-            memory_mb = 300
-`;
-
 const root = join(fileURLToPath(import.meta.url), "..", "..", "..");
 
 export type BoxRole = "router" | "controller";
@@ -172,7 +163,7 @@
                 grace_s = ${GRACE_S}
                 retry_ratio = ${SOAK_LIMITS.retryRatio}
                 retry_slack = ${SOAK_LIMITS.retrySlack}
-                ${role === "router" ? ROUTER_LIMITS : ""}
+                ${role === "router" ? SMALL_BOX_LIMITS : ""}
             `,
         });
     }
--- a/test/tools/boxSettingsText.ts
+++ b/test/tools/boxSettingsText.ts
@@ -4,6 +4,15 @@
 export const ADMIN_PORT = 8229;
 export const CALLER_PORT = 8227;
 export const READINESS_PORT = 8220;
+export const METRICS_PORT = 9464;
+
+/** Limits of a small box, which relays connections, reads streams at a pace and borrows tokens in advance while it is loaded. */
+export const SMALL_BOX_LIMITS = `
+    [limits]
+    cpu_quota = 0.3
+    cores = 1.2
+    memory_mb = 300
+`;
 
 export interface BoxSettingsText {
     readonly name: string;
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -6,8 +6,16 @@
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { ADMIN_PORT, CALLER_PORT, formatBoxSettings, READINESS_PORT } from "./boxSettingsText.js";
-import { endProcess, spawnNode } from "./childProcesses.js";
+import { type BoxFaults, SoakVariables, SOUND } from "../soak/preload.js";
+import {
+    ADMIN_PORT,
+    CALLER_PORT,
+    formatBoxSettings,
+    METRICS_PORT,
+    READINESS_PORT,
+    SMALL_BOX_LIMITS,
+} from "./boxSettingsText.js";
+import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
 import { waitUntil } from "./waiting.js";
 
 const CALL_TIMEOUT_MS = 2_000;
@@ -15,8 +23,8 @@
 export const ENGINE_REPORT_MS = 400;
 /** Build whose programs run; another one can be named to compare it. */
 const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
-const programRoot = process.env[PROGRAM_ROOT_VARIABLE]
-    ?? join(dirname(fileURLToPath(import.meta.url)), "..", "..", "..");
+const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
+const programRoot = process.env[PROGRAM_ROOT_VARIABLE] ?? join(testFolder, "..", "..");
 
 export interface ProcessFleetOptions {
     /** Second part of the addresses; unique for each test file. */
@@ -25,6 +33,18 @@
     readonly routers: number;
     readonly retryRatio: number;
     readonly retrySlack: number;
+    /** Whether routers run on small boxes, which relay connections while their event loops are kept busy. */
+    readonly hasSmallRouters?: boolean;
+    /** The longest that a planned stop takes, in seconds; the platform's default if undefined. */
+    readonly graceS?: number;
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+    /** Undefined if a signal ended it. */
+    readonly code: number | undefined;
+    /** Monotonic clock, milliseconds. */
+    readonly at: number;
 }
 
 /** Processes that use all CPU time they get. */
@@ -44,6 +64,7 @@
     folder = "";
     private readonly processes = new Map<string, ChildProcess>();
     private readonly startedBoxes = new Set<string>();
+    private readonly faults = new Map<string, BoxFaults>();
 
     constructor(readonly options: ProcessFleetOptions) {}
 
@@ -78,8 +99,43 @@
             LOOMWINCH_NODE_FILE: settingsPath,
             LOOMWINCH_FLEET_SECRET: "process-fleet-secret",
         };
-        const args = [join(programRoot, "dist", "platform", "main.js"), role];
-        this.processes.set(box, spawnNode(args, env, join(this.folder, `${box}.log`)));
+        const main = [join(programRoot, "dist", "platform", "main.js"), role];
+        const preload = ["--import", join(testFolder, "soak", "preload.js")];
+        const args = this.hasPreload(box) ? [...preload, ...main] : main;
+        this.processes.set(box, spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box)));
+    }
+
+    /** Keeps the event loop of a router on a small box busy. `fraction`: of its time, from 0 to 1 (exclusive). */
+    setBusyFraction(box: string, fraction: number): void {
+        this.faults.set(box, { ...SOUND, busyFraction: fraction });
+        this.writeFaults(box);
+        this.signal(box, "SIGUSR2");
+    }
+
+    signal(box: string, signal: NodeJS.Signals): void {
+        this.processes.get(box)!.kill(signal);
+    }
+
+    /** Resolves when the process of a box has ended. */
+    waitEnd(box: string): Promise<ProcessEnd> {
+        const child = this.processes.get(box)!;
+        return new Promise(resolve => {
+            const finish = (): void => resolve({ code: child.exitCode ?? undefined, at: performance.now() });
+            return isRunning(child) ? child.once("exit", finish) : finish();
+        });
+    }
+
+    /** Returns the value of a metric of a router; undefined if it does not answer. */
+    async readMetric(box: string, name: string): Promise<number | undefined> {
+        try {
+            const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+            const answer = await request(`http://${this.getIp(box)}:${METRICS_PORT}/metrics`, { signal });
+            const value = new RegExp(`^loomwinch_${name} (.*)$`, "m").exec(await answer.body.text())?.[1];
+            return value === undefined ? 0 : Number(value);
+        }
+        catch {
+            return undefined;
+        }
     }
 
     async restartBox(box: string, signal?: NodeJS.Signals): Promise<void> {
@@ -137,8 +193,33 @@
         return `127.${this.options.network}.${group}.${box.slice(1)}`;
     }
 
+    private hasPreload(box: string): boolean {
+        return this.options.hasSmallRouters === true && box.startsWith("r");
+    }
+
+    private createPreloadEnv(box: string): NodeJS.ProcessEnv {
+        if (!this.hasPreload(box)) {
+            return {};
+        }
+        this.faults.set(box, SOUND);
+        this.writeFaults(box);
+        return { [SoakVariables.links]: "{}", [SoakVariables.faults]: this.getFaultsPath(box) };
+    }
+
+    private writeFaults(box: string): void {
+        writeFileSync(this.getFaultsPath(box), JSON.stringify(this.faults.get(box)));
+    }
+
+    private getFaultsPath(box: string): string {
+        return join(this.folder, `${box}.faults.json`);
+    }
+
+    private getLogPath(box: string): string {
+        return join(this.folder, `${box}.log`);
+    }
+
     private formatSettings(box: string): string {
-        const { retryRatio, retrySlack } = this.options;
+        const { retryRatio, retrySlack, graceS } = this.options;
         return formatBoxSettings({
             name: box,
             ip: this.getIp(box),
@@ -150,6 +231,8 @@
                 [bounds]
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
+                ${graceS === undefined ? "" : `grace_s = ${graceS}`}
+                ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
             `,
         });
     }
