Planned stops: the router that serves a connection ends it, and owns each request until its answer is handed over

What callers saw: answers without an end around a SIGTERM. Played by separate processes (plannedStops.test): all silent streams on relayed connections reset 2.7 s after the signal (6 of 6; 8 of 8 where the serving router stops too), and 7 of 166 answers on kept connections reset at 7.3 s, which had been sent 5.9 s after the signal and later. The stopping process ended with status 0.

Causes, one class: nobody knew who owned a request. A relaying router took a connection without bytes for 2 s for idle and closed it; callers of a relayed connection were told of the stop only if the relay's address was the one that its connections come from; requests went on over kept connections until the reset; an answer that a slow caller had not taken was closed with the idle connections; a regular stop of the serving router was taken for a kill if its link was lost first; the next request met a reset if the other router had another configuration.

Now the router that serves a connection owns each request from its first byte until the operating system has its answer, and alone ends the connection, between two requests. A relaying router passes on bytes and the end, tells the serving one of its stop and its configuration (fleet.relayNotice; the connection's preamble names the process), and waits until every connection is delivered. Phases go by the clock.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -13,18 +13,73 @@
 /** Why an answer was not delivered whole. */
 export type UndeliveredCause = "callerClosed" | "relayClosed" | "aborted" | "stopping";
 
+/**
+ * Time for which a connection that this router has ended is read on, in milliseconds. If it were closed while a further request arrives,
+ * the system would reset it, and discard what the caller has not taken of the last answer.
+ */
+const LINGER_MS = 1_000;
+
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
     /** Connections that this router has reset, and why. */
     private readonly resetCauses = new WeakMap<Socket, UndeliveredCause>();
+    /** Connections that this router has ended, over which nothing is served any more. */
+    private readonly ended = new Set<Socket>();
 
-    constructor(private readonly log: Log, private readonly metrics: Metrics) {}
+    /** `isClosing`: whether a connection is ended as soon as this router owns no request of it. */
+    constructor(
+        private readonly log: Log,
+        private readonly metrics: Metrics,
+        private readonly isClosing: (socket: Socket) => boolean,
+    ) {}
 
     /** Adds a connection unless it is known. `relay`, `accountedBytes`: see `CallerConnection`. */
     add(socket: Socket, relay?: string, accountedBytes = 0): void {
         if (!this.connections.has(socket)) {
             this.connections.set(socket, new CallerConnection(relay, accountedBytes));
-            socket.once("close", () => this.connections.delete(socket));
+            socket.once("close", () => {
+                this.connections.delete(socket);
+                this.ended.delete(socket);
+            });
+        }
+    }
+
+    /** Whether this router has ended a connection. A request that arrives over it has crossed its end, and cannot be answered. */
+    isEnded(socket: Socket): boolean {
+        return this.ended.has(socket);
+    }
+
+    /** Ends the connections that are to be closed and carry no request. Called right after a poll for I/O. */
+    endIdle(): void {
+        for (const [socket, connection] of this.connections) {
+            this.endIfIdle(socket, connection);
+        }
+    }
+
+    /** Resets the connections with a request, and closes the others. */
+    close(): void {
+        for (const socket of this.connections.keys()) {
+            if (this.ended.has(socket)) {
+                socket.destroy();
+            }
+            else {
+                this.recordReset(socket, "stopping");
+                socket.resetAndDestroy();
+            }
+        }
+    }
+
+    /** Returns the number of connections that this router has not ended. */
+    countOpen(): number {
+        return this.connections.size - this.ended.size;
+    }
+
+    private endIfIdle(socket: Socket, connection: CallerConnection): void {
+        if (!this.ended.has(socket) && connection.isIdle(socket.bytesRead) && this.isClosing(socket)) {
+            this.ended.add(socket);
+            this.metrics.addCount("connections_ended_idle");
+            socket.end();
+            setTimeout(() => socket.destroy(), LINGER_MS).unref();
         }
     }
 
@@ -41,7 +96,10 @@
                 this.logUndelivered(socket, connection, exchange);
             }
         });
-        response.once("finish", () => connection.endExchange(exchange));
+        response.once("finish", () => {
+            connection.endExchange(exchange);
+            this.endIfIdle(socket, connection);
+        });
         return exchange;
     }
 
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -13,11 +13,6 @@
 
 /** Size of the buffer into which all connections to other routers are read. */
 const READ_BUFFER_BYTES = 65_536;
-/**
- * A relayed connection that carried bytes within this time counts as running a request. Longer than the gap between two
- * events of a stream, which is at most 400 ms.
- */
-const ACTIVITY_WINDOW_MS = 2_000;
 /** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
 const UNPACED_READS = 2;
 
@@ -44,10 +39,10 @@
 export interface ConnectionRelayOptions {
     /** Whether the process of a router is known to run, by its peer address. */
     readonly isReachable: (address: string) => boolean;
-    /** Whether a router serves the same configuration as this one, by its peer address. */
-    readonly isSameRevision: (address: string, ownRevision: number | undefined) => boolean;
-    /** Revision of this router's configuration. */
-    readonly getRevision: () => number | undefined;
+    /** Whether a router has announced that its process is about to end, by its peer address. */
+    readonly isStopping: (address: string) => boolean;
+    /** Identifies this process to the routers that it relays to. */
+    readonly instance: string;
     /** Time after which a connection attempt to another router is given up, in milliseconds. */
     readonly connectTimeoutMs: number;
     /** Maximum number of concurrent relayed connections. */
@@ -68,10 +63,10 @@
 }
 
 /** Why this router closed a relayed connection regularly. */
-type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "otherRevision" | "stopping";
+type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
 
 /** Why a relayed connection was reset. */
-export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "otherRevision" | "stopping";
+export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
 
 export class ConnectionRelay {
     private readonly connections = new Set<RelayedConnection>();
@@ -114,56 +109,63 @@
         return true;
     }
 
-    /** Resets the connections to routers that are not reachable any more: their callers would wait in vain. */
-    resetUnreachable(): void {
+    /**
+     * Resets the connections to routers that are not reachable any more: their callers would wait in vain. A router that has announced
+     * its stop ends its connections itself; `includesStopping`: whether those to such routers are reset too.
+     */
+    resetUnreachable(includesStopping: boolean): void {
         for (const connection of this.connections) {
+            const { address } = connection.target;
             // An answer that has arrived whole is still delivered to a slow caller.
-            if (!connection.hasNeighbourEnded && !this.isReachable(connection.target.address)) {
+            if (
+                !connection.hasNeighbourEnded && !this.isReachable(address)
+                && (includesStopping || !this.options.isStopping(address))
+            ) {
                 connection.reset("neighbourUnreachable");
             }
         }
     }
 
-    /** Returns the number of relayed connections that probably carry a request. */
-    countActive(): number {
-        let count = 0;
+    /** Closes the connections over which callers have sent nothing: the routers that they are relayed to do not know whose they are. */
+    closeUnused(): void {
         for (const connection of this.connections) {
-            if (!connection.isIdle()) {
-                count += 1;
+            if (connection.isUnused()) {
+                connection.close("stopping");
             }
         }
-        return count;
     }
 
-    isReachable(address: string): boolean {
-        return this.options.isReachable(address);
+    /** Returns the peer addresses of the routers that connections are relayed to. */
+    listTargets(): string[] {
+        return [...new Set([...this.connections].map(({ target }) => target.address))];
     }
 
-    isSameRevision(address: string, ownRevision: number | undefined): boolean {
-        return this.options.isSameRevision(address, ownRevision);
+    /** Returns the number of connections whose last byte is not handed to the operating system. */
+    countUndelivered(): number {
+        return [...this.connections].filter(connection => !connection.isDelivered()).length;
     }
 
-    getRevision(): number | undefined {
-        return this.options.getRevision();
+    isReachable(address: string): boolean {
+        return this.options.isReachable(address);
     }
 
-    /** Closes the connections without a request whose next one would meet another configuration. */
-    closeOutdated(): void {
-        for (const connection of this.connections) {
-            if (connection.isIdle() && connection.isOutdated()) {
-                connection.close("otherRevision");
-            }
-        }
+    /** Whether a router can have ended its connections only because its process is gone. */
+    isLost(address: string): boolean {
+        return !this.options.isReachable(address) && !this.options.isStopping(address);
+    }
+
+    getInstance(): string {
+        return this.options.instance;
     }
 
     countOpen(): number {
         return this.connections.size;
     }
 
-    /** Closes all connections: idle ones regularly, the others by a reset. */
+    /** Ends all connections, those that are not delivered by a reset. */
     close(): void {
         for (const connection of this.connections) {
-            if (connection.isIdle()) {
+            if (connection.isDelivered()) {
                 connection.close("stopping");
             }
             else {
@@ -208,8 +210,6 @@
     private lastBytesAt = performance.now();
     /** When the neighbour's connection was established. Monotonic clock, milliseconds. */
     private openedAt = 0;
-    /** Revision of this router's configuration when the connection was accepted. */
-    private readonly revision: number | undefined;
     private readonly neighbour: Socket;
     private readonly acceptedAt = performance.now();
     private isPreambleSent = false;
@@ -230,7 +230,6 @@
         readBuffer: Buffer,
         private readonly serveLocally: (error: string) => void,
     ) {
-        this.revision = relay.getRevision();
         this.neighbour = connect({
             ...parseAddress(target.relayAddress),
             allowHalfOpen: true,
@@ -253,16 +252,14 @@
         };
     }
 
-    /** Whether no request is probably in progress: none was sent, or an answer was passed on whole some time ago. */
-    isIdle(): boolean {
-        const isQuiet = performance.now() - this.lastBytesAt >= ACTIVITY_WINDOW_MS;
-        const hasAnswer = this.answerReads > 0 && this.caller.writableLength === 0;
-        return !this.isPreambleSent || (hasAnswer && isQuiet);
+    /** Whether the neighbour was reached, and the caller has sent nothing. */
+    isUnused(): boolean {
+        return this.state === "open" && !this.isPreambleSent && this.delayedBytes === undefined;
     }
 
-    /** Whether the neighbour may serve another configuration than this router. */
-    isOutdated(): boolean {
-        return !this.relay.isSameRevision(this.target.address, this.revision);
+    /** Whether the neighbour has ended the connection, and the operating system has all of its bytes for the caller. */
+    isDelivered(): boolean {
+        return this.hasNeighbourEnded && this.caller.writableFinished;
     }
 
     isConnecting(): boolean {
@@ -332,6 +329,10 @@
     };
 
     private readonly handleRequest = (chunk: Buffer): void => {
+        if (this.neighbour.readableEnded) {
+            // The neighbour has closed the connection, and the caller does not know yet.
+            return;
+        }
         if (this.delayedBytes !== undefined) {
             this.delayedBytes.push(chunk);
         }
@@ -352,7 +353,7 @@
         if (this.state !== "open") {
             return;
         }
-        if (this.caller.readableEnded || this.caller.destroyed) {
+        if (this.caller.readableEnded || this.caller.destroyed || this.neighbour.readableEnded) {
             this.close("callerLeft");
             return;
         }
@@ -360,11 +361,6 @@
     }
 
     private forwardRequest(chunk: Buffer): void {
-        // A further request on this connection. Its caller may have seen a newer configuration at this router meanwhile.
-        if (this.answerReads > 0 && this.isOutdated()) {
-            this.reset("otherRevision");
-            return;
-        }
         this.lastBytesAt = performance.now();
         this.answerReads = 0;
         if (this.isPaced) {
@@ -384,7 +380,7 @@
         // Callers may open connections ahead of requests. A request that was there already is read soon after.
         const isWaiting = performance.now() - this.openedAt < FIRST_REQUEST_WINDOW_MS;
         const ageMs = isWaiting ? performance.now() - this.acceptedAt : 0;
-        return Buffer.concat([encodeRelayPreamble(ageMs), chunk]);
+        return Buffer.concat([encodeRelayPreamble(ageMs, this.relay.getInstance()), chunk]);
     }
 
     /** Returns whether to continue reading. */
@@ -423,7 +419,7 @@
         if (this.state === "connecting") {
             this.failConnecting((error as NodeJS.ErrnoException).code ?? error.message);
         }
-        else {
+        else if (!this.neighbour.readableEnded) {
             this.reset("neighbourLost");
         }
     };
@@ -434,7 +430,7 @@
      */
     private async handleNeighbourEnd(): Promise<void> {
         await waitForNextPoll();
-        if (!this.relay.isReachable(this.target.address)) {
+        if (this.relay.isLost(this.target.address)) {
             this.reset("neighbourLost");
         }
         else if (this.state === "open") {
@@ -445,7 +441,7 @@
     }
 
     private handleNeighbourClose(): void {
-        if (this.neighbour.readableEnded && this.neighbour.writableFinished) {
+        if (this.neighbour.readableEnded) {
             this.finishIfClosed();
         }
         else {
--- a/src/adapters/http/relayListener.ts
+++ b/src/adapters/http/relayListener.ts
@@ -3,7 +3,7 @@
 import { DeadlineQueue } from "../deadlineQueue.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { startListening } from "../startListening.js";
-import { readRelayPreamble } from "./relayPreamble.js";
+import { readRelayPreamble, type RelayPreamble } from "./relayPreamble.js";
 
 /** Time within which the first bytes of a relayed connection must arrive: callers may open connections ahead of requests. */
 const PREAMBLE_TIMEOUT_MS = 15_000;
@@ -17,8 +17,8 @@
         socket => socket.destroy(),
     );
 
-    /** `handle`: called with each connection, and how long another router has held it, in milliseconds. */
-    constructor(private readonly handle: (socket: Socket, heldMs: number) => void, maxConnections: number) {
+    /** `handle`: called with each connection and its preamble. */
+    constructor(private readonly handle: (socket: Socket, preamble: RelayPreamble) => void, maxConnections: number) {
         this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => this.accept(socket));
         this.server.maxConnections = maxConnections;
     }
@@ -41,10 +41,10 @@
         socket.once("close", () => this.withoutPreamble.delete(socket));
         this.withoutPreamble.add(socket);
         this.preambles.add(socket);
-        readRelayPreamble(socket, heldMs => {
+        readRelayPreamble(socket, preamble => {
             this.withoutPreamble.delete(socket);
             socket.off("error", ignoreError);
-            this.handle(socket, heldMs);
+            this.handle(socket, preamble);
         });
     }
 }
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -274,6 +274,7 @@
         daemon.enableConnectionRelay(
             new RelayCoordinator(
                 self,
+                identity.incarnation,
                 relaySettings,
                 daemon,
                 routerLinks,
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -25,12 +25,15 @@
     "request_quarantined",
 ]);
 const REFUSAL_EVENT = "request_refused";
+const UNDELIVERED_EVENT = "answer_undelivered";
+const STOP_EVENTS: ReadonlySet<string> = new Set(["router_stopping", "stop_progress", "relay_closed", "relay_failed"]);
 const QUARANTINE_PATTERN = /requestQuarantined: (\S+)/;
 const CAUSE_MARKER = "*";
 
 /**
  * Prints the lines of a request and marks the cause of a refusal; of a quarantine also the lines of the requests that ended
- * upstreams. Throws notFound if there are no such lines.
+ * upstreams; of an answer that was not delivered, the stops of the router and of the one that relayed its connection. Throws
+ * notFound if there are no such lines.
  */
 export async function explainRequest(request: string, paths: readonly string[]): Promise<void> {
     const ownLines = await readLinesOfFiles(paths, [request], line => line.fields.get("request") === request);
@@ -38,7 +41,8 @@
     const evidence = quarantine === undefined
         ? []
         : await readLinesOfFiles(paths, quarantine.map(getValue), line => isEvidence(line, quarantine));
-    const lines = [...ownLines, ...evidence.filter(line => line.fields.get("request") !== request)];
+    const stopLines = await readStopLines(ownLines, paths);
+    const lines = [...ownLines, ...stopLines, ...evidence.filter(line => line.fields.get("request") !== request)];
     if (lines.length === 0) {
         throw new RefusalError(
             createRefusal("notFound", `request ${request} does not appear in any of ${paths.length} log files`),
@@ -98,6 +102,21 @@
     return event === "attempt_ended" && isSubset(attributes, shared);
 }
 
+/** Reads how the routers of an answer that was not delivered were stopping. */
+async function readStopLines(ownLines: readonly LogLine[], paths: readonly string[]): Promise<LogLine[]> {
+    const undelivered = ownLines.find(({ event }) => event === UNDELIVERED_EVENT);
+    if (undelivered === undefined) {
+        return [];
+    }
+    const relay = undelivered.fields.get("relay");
+    const starts = relay === undefined
+        ? []
+        : await readLinesOfFiles(paths, [relay], ({ fields }) => fields.get("incarnation") === relay);
+    const names = new Set([undelivered.name, ...starts.map(({ name }) => name)]);
+    const isStopLine = ({ event, name }: LogLine): boolean => STOP_EVENTS.has(event) && names.has(name);
+    return readLinesOfFiles(paths, [...STOP_EVENTS], isStopLine);
+}
+
 /** Returns the value of an attribute, which a line may name without its kind. */
 function getValue(attribute: string): string {
     return attribute.slice(attribute.indexOf(":") + 1);
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -8,6 +8,7 @@
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
+import type { StopSchedule } from "../../domain/stopSchedule.js";
 import type { StreamOriginsOptions } from "../../domain/streamOrigins.js";
 import type { TokenHolders } from "../../domain/tokenHolders.js";
 import { UpstreamBackoffs } from "../../domain/upstreamBackoffs.js";
@@ -99,10 +100,9 @@
     private readonly otherRouters: OtherRouters;
     override readonly repeats: ServiceRepeats;
     private activeRequestCount = 0;
-    private isDraining = false;
+    private stopSchedule: StopSchedule | undefined;
     private cleanupTimer: NodeJS.Timeout | undefined;
     private gaugeTimer: NodeJS.Timeout | undefined;
-    private isRefusingRequests = false;
     private wasReady = false;
     private coordinator: RelayCoordinator | undefined;
     private readonly controllerContact: ControllerContact;
@@ -256,7 +256,7 @@
 
     /** Whether load balancers should send requests to this router. */
     isReady(): boolean {
-        const ready = !this.isDraining && this.bundleIndex !== undefined && this.controllerFeeds.isReady();
+        const ready = !this.isStopping() && this.bundleIndex !== undefined && this.controllerFeeds.isReady();
         if (ready !== this.wasReady) {
             this.wasReady = ready;
             this.log.info("ready_changed", { ready, revision: this.bundleIndex?.bundle.revision });
@@ -264,20 +264,31 @@
         return ready;
     }
 
-    /** Starts a planned stop: the router is no longer ready but still accepts requests. */
-    startDrain(): void {
-        this.isDraining = true;
+    /** Starts a planned stop: the router is no longer ready but still accepts requests, until the schedule says that it closes. */
+    startStop(schedule: StopSchedule): void {
+        this.stopSchedule = schedule;
         this.log.info("router_stopping", { running: this.activeRequestCount });
         this.coordinator?.notifyStateChange();
     }
 
-    /** Refuses all further requests, because they could not complete before the process exits. */
-    startRefusingRequests(): void {
-        this.isRefusingRequests = true;
+    isStopping(): boolean {
+        return this.stopSchedule !== undefined;
     }
 
-    isStopping(): boolean {
-        return this.isDraining;
+    /** Whether all further requests are refused, because they could not complete before the process exits. */
+    isRefusingRequests(): boolean {
+        return this.stopSchedule !== undefined
+            && this.stopSchedule.getPhase(this.clock.getMonotonicMs()) !== "announcing";
+    }
+
+    /** Returns the time until all further requests are refused, in milliseconds; undefined unless the router is stopping. */
+    tryGetClosesInMs(now: number): number | undefined {
+        return this.stopSchedule?.getClosesInMs(now);
+    }
+
+    /** Returns the refusal of a request that would not be complete when its connection has to end. */
+    createDrainingRefusal(): Refusal {
+        return createRefusal("draining", undefined, "no", this.options.retryAfterMs);
     }
 
     /** Completes a planned stop and returns unused prepaid tokens. */
@@ -322,8 +333,8 @@
     }
 
     private resolve(request: RelayRequest): ResolvedRequest | Refusal {
-        return this.isRefusingRequests
-            ? createRefusal("draining", undefined, "no", this.options.retryAfterMs)
+        return this.isRefusingRequests()
+            ? this.createDrainingRefusal()
             : resolveRequest(request, this.bundleIndex, this.options.startRetryAfterMs);
     }
 
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -3,23 +3,34 @@
 import { ConnectionRelayPolicy, type RouterLoad } from "../../domain/connectionRelayPolicy.js";
 import { ConnectionShedding } from "../../domain/connectionShedding.js";
 import { LoadShedding } from "../../domain/loadShedding.js";
+import { type RelayedInConnection, RelayingRouters, type RelayNotice } from "../../domain/relayingRouters.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers } from "../../ports/peer.js";
-import { routerLoadNoticeMethod } from "../../protocol/fleetMethods.js";
+import { relayNoticeMethod, routerLoadNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { ConnectionRelaySettings } from "../../settings/connectionRelaySettings.js";
 import type { LoopUtilization } from "../loopUtilization.js";
+import { RelayNotifier } from "./relayNotifier.js";
 import type { RouterLinks } from "./routerLinks.js";
 import { RouterLoadNotifier } from "./routerLoadNotifier.js";
 
 /** Minimum time between log lines of the relay's state, and a change of the fraction that is logged. */
 const LOG_PERIOD_MS = 1_000;
 const MIN_LOGGED_CHANGE = 0.05;
-/** Time for which callers may see an older configuration after a newer one, and in which a new one reaches all routers. */
-const REVISION_TOLERANCE_MS = 250;
+/** Version of the preamble with which relayed connections begin. Connections are relayed only to routers that know it. */
+const RELAY_VERSION = 2;
+/** Number of routers that have announced their stop and are remembered. */
+const MAX_STOPPING_ROUTERS = 64;
+/**
+ * Time after which the connections to a router that has announced its stop, and whose link is lost, are reset: the system of a process
+ * that has ended closes them by then, and a box without power never does.
+ */
+const STOPPED_RESET_DELAY_MS = 1_000;
+/** Time after a change in which all connections are examined. Later, each is examined after its answer. */
+const CLOSING_PERIOD_MS = 5_000;
 /** Refusals should be sent within a quarter of the latency goal. */
 const MAX_LAG_GOAL_FRACTION = 0.25;
 
@@ -27,6 +38,14 @@
 export interface RelayRouterState {
     getBundleRevision(): number | undefined;
     isStopping(): boolean;
+    /** Returns the time until requests are refused, in milliseconds; undefined unless the router is stopping. */
+    tryGetClosesInMs(now: number): number | undefined;
+}
+
+/** The relay of callers' connections, as far as the coordinator needs it. */
+export interface CoordinatedRelay {
+    listTargets(): readonly string[];
+    resetUnreachable(includesStopping: boolean): void;
 }
 
 export class RelayCoordinator {
@@ -39,17 +58,24 @@
     /** Number of routers with spare capacity at the last sample. */
     private spareCount = 0;
     /** Connections that other routers have relayed to this one, with the revision of the configuration at that time. */
-    private readonly relayedIn = new WeakMap<object, number | undefined>();
+    private readonly relayedIn = new WeakMap<object, RelayedInConnection>();
+    private readonly relayingRouters = new RelayingRouters();
+    private readonly relayNotifier: RelayNotifier;
+    /** Peer addresses of routers that have announced their stop, the earliest first. */
+    private readonly stoppingRouters = new Set<string>();
+    private relay: CoordinatedRelay | undefined;
+    private readonly closingHandlers: (() => void)[] = [];
     private loggedAt = -Infinity;
     /** Monotonic clock, milliseconds. */
     private revisionChangedAt = -Infinity;
-    private readonly revisionHandlers: (() => void)[] = [];
     private loggedFraction = 0;
     private loggedSpareCount = 0;
     private loggedAdmitted = 1;
 
+    /** `instance`: identifies this process to the routers that it relays connections to. */
     constructor(
         self: RouterContact,
+        readonly instance: string,
         readonly settings: ConnectionRelaySettings,
         private readonly router: RelayRouterState,
         private readonly routerLinks: RouterLinks,
@@ -69,15 +95,32 @@
             () => this.getLoad(self.address),
             (address, now) => this.policy.tryGetLoad(address, now)?.utilization,
         );
+        this.relayNotifier = new RelayNotifier(
+            routerLinks,
+            now => this.createNotice(now),
+            () => this.relay?.listTargets() ?? [],
+        );
+        routerLinks.onReachabilityChange(() => this.resetUnreachable());
     }
 
     addHandlers(handlers: PeerHandlers): void {
+        handlers.add(routerLoadNoticeMethod, load => this.receiveLoad(load));
         handlers.add(
-            routerLoadNoticeMethod,
-            load => this.policy.recordLoad(load, this.clock.getMonotonicMs()),
+            relayNoticeMethod,
+            notice => this.relayingRouters.recordNotice(notice, this.clock.getMonotonicMs()),
         );
     }
 
+    /** Sets the relay, whose connections other routers are told about. */
+    setRelay(relay: CoordinatedRelay): void {
+        this.relay = relay;
+    }
+
+    /** Registers a handler that is called repeatedly while relayed connections may have to be closed (`isClosed`). */
+    onClosing(handler: () => void): void {
+        this.closingHandlers.push(handler);
+    }
+
     start(): void {
         this.utilization.onSample(utilization => this.recordSample(utilization));
     }
@@ -93,12 +136,13 @@
         this.maxLagMs = goalsMs.length === 0 ? undefined : Math.min(...goalsMs) * MAX_LAG_GOAL_FRACTION;
         this.revisionChangedAt = this.clock.getMonotonicMs();
         this.notifyStateChange();
-        void this.clock.wait(REVISION_TOLERANCE_MS).then(() => this.revisionHandlers.forEach(handler => handler()));
     }
 
     /** Sends a notice without waiting for the next sample, after a new configuration or the beginning of a stop. */
     notifyStateChange(): void {
-        this.notifier.sendDue(this.clock.getMonotonicMs());
+        const now = this.clock.getMonotonicMs();
+        this.notifier.sendDue(now);
+        this.relayNotifier.sendDue(now);
     }
 
     /** Decides on a new connection; one that is not accepted is to be closed before anything is read from it. */
@@ -133,45 +177,41 @@
         return this.spareCount > 0 && this.policy.getFraction() > 0;
     }
 
-    /** Records a connection that another router has relayed to this one. */
-    recordRelayedIn(connection: object): void {
-        this.relayedIn.set(connection, this.router.getBundleRevision());
+    /** Records a connection that another router has relayed to this one. `instance`: see `RelayedInConnection`. */
+    recordRelayedIn(connection: object, instance: string | undefined): void {
+        this.relayedIn.set(connection, { instance, revision: this.router.getBundleRevision() });
     }
 
     /**
      * Whether a connection is closed after the answer. This applies to callers' connections while new ones are relayed, so
      * that they come back and may be relayed. A connection that was relayed to this router is kept, because the other router
      * would have to set it up again, unless the configuration has changed, this router is out of CPU time too, or the other
-     * one is stopping. `remoteIp`: where the connection comes from.
+     * one is stopping.
      */
-    shouldCloseAfterAnswer(connection: object, remoteIp: string | undefined): boolean {
-        if (!this.relayedIn.has(connection)) {
+    shouldCloseAfterAnswer(connection: object): boolean {
+        const relayedIn = this.relayedIn.get(connection);
+        if (relayedIn === undefined) {
             return this.isRelaying();
         }
-        return this.relayedIn.get(connection) !== this.router.getBundleRevision()
+        return relayedIn.revision !== this.router.getBundleRevision()
             || this.utilization.get() > this.settings.targetUtilization
-            || this.policy.isStopping(remoteIp ?? "");
-    }
-
-    /**
-     * Whether a router serves the same configuration as this one, so that requests may go on over a connection that was
-     * relayed before. `ownRevision`: this router's at that time, from which it has not moved on if nothing is known of the other.
-     */
-    isSameRevision(address: string, ownRevision: number | undefined): boolean {
-        const now = this.clock.getMonotonicMs();
-        const current = this.router.getBundleRevision();
-        return now - this.revisionChangedAt < REVISION_TOLERANCE_MS
-            || (this.policy.tryGetLoad(address, now)?.revision ?? ownRevision) === current;
+            || this.relayingRouters.isStopping(relayedIn);
     }
 
-    /** Returns the revision of this router's configuration. */
-    getRevision(): number | undefined {
-        return this.router.getBundleRevision();
+    /** Whether no further request is served over a connection that another router has relayed to this one. */
+    isClosed(connection: object): boolean {
+        const relayedIn = this.relayedIn.get(connection);
+        return relayedIn !== undefined && this.relayingRouters.isClosed(
+            relayedIn,
+            this.router.getBundleRevision(),
+            this.revisionChangedAt,
+            this.clock.getMonotonicMs(),
+        );
     }
 
-    /** Registers a handler that is called after a new configuration, when the other routers should have it too. */
-    onRevisionChange(handler: () => void): void {
-        this.revisionHandlers.push(handler);
+    /** Whether a router has announced that its process is about to end. */
+    isRouterStopping(address: string): boolean {
+        return this.stoppingRouters.has(address);
     }
 
     recordConnectFailure(address: string): void {
@@ -183,9 +223,40 @@
         return this.routerLinks.isReachable(address);
     }
 
-    /** Registers a handler that is called when a router becomes unreachable, or reachable again. */
-    onReachabilityChange(handler: () => void): void {
-        this.routerLinks.onReachabilityChange(handler);
+    private receiveLoad(load: RouterLoad): void {
+        this.stoppingRouters.delete(load.address);
+        if (!load.isAccepting) {
+            this.stoppingRouters.add(load.address);
+            const [earliest] = this.stoppingRouters;
+            if (this.stoppingRouters.size > MAX_STOPPING_ROUTERS) {
+                this.stoppingRouters.delete(earliest!);
+            }
+        }
+        if (load.relayVersion === RELAY_VERSION) {
+            this.policy.recordLoad(load, this.clock.getMonotonicMs());
+        }
+    }
+
+    private createNotice(now: number): RelayNotice {
+        const closesInMs = this.router.tryGetClosesInMs(now);
+        return {
+            instance: this.instance,
+            revision: this.router.getBundleRevision(),
+            closesInMs: closesInMs === undefined ? undefined : Math.round(closesInMs),
+        };
+    }
+
+    /** A lost link may be that of a router which is only slow. While this router stops, its callers have little time to wait in vain. */
+    private resetUnreachable(): void {
+        if (this.router.isStopping()) {
+            return;
+        }
+        this.relay?.resetUnreachable(false);
+        void this.clock.wait(STOPPED_RESET_DELAY_MS).then(() => {
+            if (!this.router.isStopping()) {
+                this.relay?.resetUnreachable(true);
+            }
+        });
     }
 
     private recordSample(utilization: number): void {
@@ -209,9 +280,13 @@
             relayedFraction: this.policy.getRelayedFraction(),
         }, now);
         this.notifier.sendDue(now);
+        this.relayNotifier.sendDue(now);
         this.metrics.setGauge("loop_utilization", utilization);
         this.metrics.setGauge("relay_fraction", this.isRelaying() ? this.policy.getFraction() : 0);
         this.logState(utilization, now);
+        if (now - Math.max(this.revisionChangedAt, this.relayingRouters.getChangedAt()) < CLOSING_PERIOD_MS) {
+            this.closingHandlers.forEach(handler => handler());
+        }
     }
 
     private logState(utilization: number, now: number): void {
@@ -248,6 +323,7 @@
             utilization: Math.min(1, Math.max(0, this.utilization.get())),
             cores: this.settings.cores,
             isAccepting: !this.router.isStopping(),
+            relayVersion: RELAY_VERSION,
         };
     }
 }
--- a/src/domain/connectionRelayPolicy.ts
+++ b/src/domain/connectionRelayPolicy.ts
@@ -62,6 +62,8 @@
     readonly cores: number;
     /** Whether it accepts relayed connections; false once it is stopping. */
     readonly isAccepting: boolean;
+    /** Version of the protocol of relayed connections; omitted by routers of earlier versions. */
+    readonly relayVersion?: number | undefined;
 }
 
 interface KnownLoad {
@@ -181,11 +183,6 @@
         return arrivedPerSecond > 0 ? Math.min(1, relayedPerSecond / arrivedPerSecond) : 0;
     }
 
-    /** Whether the router at an IP address has reported that it is stopping. */
-    isStopping(ip: string): boolean {
-        return [...this.loads.values()].some(({ load }) => !load.isAccepting && load.address.startsWith(`${ip}:`));
-    }
-
     /** Whether fewer connections can be relayed than the utilization of this router requires. */
     isShortOfSpare(revision: number | undefined, now: number): boolean {
         return sumAllowances(this.listAllowances(revision, now)) < this.getFraction() * this.arrivals.get();
--- a/src/protocol/fleetMethods.ts
+++ b/src/protocol/fleetMethods.ts
@@ -6,6 +6,7 @@
 import type { EvacuationList } from "../domain/evacuationStore.js";
 import type { PrepaidResult } from "../domain/prepaidLedger.js";
 import { LOWEST_PRIORITY } from "../domain/priorityBacklog.js";
+import type { RelayNotice } from "../domain/relayingRouters.js";
 import { MAX_ATTRIBUTES } from "../domain/requestAttributes.js";
 import type { RouterContact } from "../domain/routerGroups.js";
 import type { ServiceVersionList } from "../domain/serviceVersionStore.js";
@@ -276,7 +277,17 @@
     utilization: z.number().min(0).max(1),
     cores: z.number().positive().max(1_024),
     isAccepting: z.boolean(),
+    relayVersion: nonNegativeInt.optional(),
 }) satisfies z.ZodType<RouterLoad>;
 
 /** Notifies another router of the same zone of the sender's load. */
 export const routerLoadNoticeMethod = createPeerMethod<RouterLoad, void>("fleet.routerLoadNotice", routerLoadSchema);
+
+const relayNoticeSchema = z.object({
+    instance: z.string().min(1).max(64),
+    revision: nonNegativeInt.optional(),
+    closesInMs: nonNegativeInt.optional(),
+}) satisfies z.ZodType<RelayNotice>;
+
+/** Announces the sender's configuration, and its stop, to a router that it relays connections to. */
+export const relayNoticeMethod = createPeerMethod<RelayNotice, void>("fleet.relayNotice", relayNoticeSchema);
--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -114,3 +114,28 @@
         /^ {2}.* quarantine_lifted quarantine=account:a,part:x reason=survivor by=part:x/,
     ]);
 });
+
+void t.test("an answer that was not delivered is shown with the stops of its router and of the one that relayed it", async t => {
+    const folder = await mkdtemp(join(tmpdir(), "loomwinch-explain-"));
+    t.teardown(() => rm(folder, { recursive: true }));
+    const [serving, relaying] = [join(folder, "r1.log"), join(folder, "r2.log")];
+    await writeFile(
+        serving,
+        createLine(5, "r1", "answer_undelivered", "request=q1 cause=relayClosed relay=abc") + "\n",
+    );
+    await writeFile(
+        relaying,
+        [
+            createLine(0, "r2", "router_started", "incarnation=abc"),
+            createLine(2, "r2", "stop_progress", "stage=announced relayed=1"),
+            createLine(3, "r3", "stop_progress", "stage=announced relayed=0"),
+        ].join("\n"),
+    );
+    const written = t.capture(process.stdout, "write", () => true);
+    await explainRequest("q1", [serving, relaying]);
+    t.match(written().map(call => String(call.args[0])), [
+        / r2 stop_progress stage=announced relayed=1/,
+        / r1 answer_undelivered cause=relayClosed relay=abc/,
+    ]);
+    t.equal(written().length, 2);
+});
