A command out of its bounds is refused before it is appended

Cause: the wire took any number, the leader appended its own command unchecked, and the other replicas refused every append with that entry; fractions had the same effect.

--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -4,7 +4,7 @@
  * Runs an election timer and, while leading, one replication task per peer. A leader that has not heard from a majority for
  * an election timeout steps down, so that a partitioned controller does not go on acting as the leader.
  */
-import type { Command, LogEntry } from "../domain/commands.js";
+import { type Command, commandSchema, type LogEntry } from "../domain/commands.js";
 import type { DeclaredState, StateSnapshot } from "../domain/declaredState.js";
 import { assertInvariant, createRefusal, RefusalError } from "../domain/resultCodes.js";
 import type { Clock } from "../ports/clock.js";
@@ -224,6 +224,7 @@
     }
 
     private async appendProposal(command: Command): Promise<ProposeAnswer> {
+        checkCommand(command);
         if (this.role !== "leader" || this.stopped) {
             throw createNoMajorityError("not the leader", this.options.electionTimeoutMs);
         }
@@ -546,3 +547,14 @@
         return this.createAppendAnswer(success, params.lastIndex);
     }
 }
+
+/** Throws objectInvalid for a command that the other replicas would reject: its entry would stop the log. */
+function checkCommand(command: Command): void {
+    const parsed = commandSchema.safeParse(command);
+    if (!parsed.success) {
+        const [issue] = parsed.error.issues;
+        throw new RefusalError(
+            createRefusal("objectInvalid", `${command.type}: ${issue!.path.join(".")} ${issue!.message}`),
+        );
+    }
+}
--- a/test/consensus/replicatedLog.test.ts
+++ b/test/consensus/replicatedLog.test.ts
@@ -246,3 +246,30 @@
     });
     await simulation.stopAll();
 });
+
+// Guards against an entry that the leader appends and the other replicas refuse, after which nothing is accepted any more.
+void t.test("a command out of its bounds is refused before it is appended, and the log goes on", async t => {
+    const simulation = new ReplicatedLogSimulation(11);
+    NAMES.forEach(name => simulation.start(name));
+    const proposeAtLeader = async (tokens: number): Promise<string> => {
+        const leader = [...simulation.replicas.values()].find(replica => replica.isLeader());
+        const prepaid = [{ account: "a", tokens }];
+        const command = { type: "putBundle", revision: 1, text: "{}", prepaid } as const;
+        return leader === undefined
+            ? "no leader"
+            : leader.propose(command).then(() => "accepted", error => String(error));
+    };
+    await waitUntil("a leader", async () => (await proposeAtLeader(1)) === "accepted");
+    for (const tokens of [2 ** 31, Number.MAX_SAFE_INTEGER]) {
+        t.equal(await proposeAtLeader(tokens), "accepted", String(tokens));
+    }
+    for (const tokens of [2 ** 53, 2 ** 63, 1e300, -1, 0.5, NaN, Infinity]) {
+        t.match(await proposeAtLeader(tokens), /objectInvalid/, String(tokens));
+        t.equal(await proposeAtLeader(1), "accepted", `after ${tokens}`);
+    }
+    await waitUntil("all replicas to apply the same", () => {
+        const applied = [...simulation.replicas.values()].map(replica => replica.getAppliedIndex());
+        return new Set(applied).size === 1;
+    });
+    await simulation.stopAll();
+});
--- a/test/platform/wireBundle.test.ts
+++ b/test/platform/wireBundle.test.ts
@@ -64,3 +64,17 @@
         });
     });
 }
+
+// Guards against a limit that one process takes and another refuses.
+void t.test("a prepaid limit that cannot be represented exactly is refused by its number, the largest that can is taken", async t => {
+    const decode = async (prepaid: number | string) => {
+        const text = JSON.stringify(createWireBundle(7)).replace(/"prepaid":\d+/, `"prepaid":${prepaid}`);
+        return (await decoder.decode(text)).accounts[0]!.prepaidTokens;
+    };
+    for (const prepaid of [0, 2 ** 31, Number.MAX_SAFE_INTEGER]) {
+        t.equal(await decode(prepaid), prepaid);
+    }
+    for (const prepaid of ["9007199254740992", "9223372036854775807", "1e300", "-1", "0.5", "1e999"]) {
+        await t.rejects(decode(prepaid), { message: /LW2001 objectInvalid: tenants\.0\.prepaid/ }, prepaid);
+    }
+});
