A starting process is not able to take a call yet: an order that meets it is to be tried again

Cause: a process listens before its handlers are registered, and the answer to an unknown method passed as the verdict of the order. Such a call is refused with peerStarting now (methodUnknown by a process that is complete and of another version), and errors of the process that was asked, or of the way to it, become noMajority or changeUnknown where an order or a confirmed read is forwarded. An order is checked before it is forwarded, so that what is left of peerMalformed tells of another version.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -139,6 +139,7 @@
         repeatPermits: settings.repeatPermits,
     });
     daemon.addHandlers(handlers);
+    handlers.markComplete();
     daemon.start();
     log.info("controller_started", {
         peer: peerAddress,
@@ -287,6 +288,7 @@
             handlers,
         );
     }
+    handlers.markComplete();
     daemon.start();
     log.info("router_started", { incarnation: identity.incarnation });
     return {
--- a/src/consensus/proposalErrors.ts
+++ b/src/consensus/proposalErrors.ts
@@ -1,20 +1,43 @@
 /** Errors of proposals that were not accepted, or may not have been. */
-import { createRefusal, getRefusal, RefusalError } from "../domain/resultCodes.js";
+import { type Command, commandSchema } from "../domain/commands.js";
+import { createRefusal, getRefusal, RefusalError, type ResultCodeName } from "../domain/resultCodes.js";
+
+/** Errors of the process that was called, or of the way to it, which say nothing about the proposal. */
+const PEER_ERRORS: ReadonlySet<ResultCodeName> = new Set([
+    "peerGone",
+    "peerTimeout",
+    "peerStalled",
+    "peerStarting",
+    "peerMalformed",
+    "methodUnknown",
+]);
 
 /**
- * Converts the failure of a call to the leader: `noMajority` if the proposal certainly did not reach it, `changeUnknown` if it
- * may have. Other errors are returned unchanged. `retryAfterMs`: when another leader may have been elected.
+ * Converts the failure of a call to the leader: `noMajority` if the call certainly had no effect, `changeUnknown` if it
+ * may have. Errors of the proposal itself are returned unchanged. `retryAfterMs`: when another leader may have been elected.
  */
 export function convertForwardingError(error: unknown, retryAfterMs: number): unknown {
-    const { code, ran } = getRefusal(error);
-    if (code !== "peerGone" && code !== "peerTimeout") {
+    const { code, ran, detail } = getRefusal(error);
+    if (!PEER_ERRORS.has(code)) {
         return error;
     }
     const convertedCode = ran === "no" ? "noMajority" : "changeUnknown";
-    return new RefusalError(createRefusal(convertedCode, "the leader could not be reached", ran, retryAfterMs));
+    const reason = `the leader did not take the call: ${code}${detail === undefined ? "" : ` ${detail}`}`;
+    return new RefusalError(createRefusal(convertedCode, reason, ran, retryAfterMs));
 }
 
 /** Creates the error for a proposal that was certainly not accepted. */
 export function createNoMajorityError(detail: string, retryAfterMs: number): RefusalError {
     return new RefusalError(createRefusal("noMajority", detail, "no", retryAfterMs));
 }
+
+/** Throws objectInvalid for a command that the other replicas would reject: its entry would stop the log. */
+export function checkCommand(command: Command): void {
+    const parsed = commandSchema.safeParse(command);
+    if (!parsed.success) {
+        const [issue] = parsed.error.issues;
+        throw new RefusalError(
+            createRefusal("objectInvalid", `${command.type}: ${issue!.path.join(".")} ${issue!.message}`),
+        );
+    }
+}
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -4,12 +4,12 @@
  * Runs an election timer and, while leading, one replication task per peer. A leader that has not heard from a majority for
  * an election timeout steps down, so that a partitioned controller does not go on acting as the leader.
  */
-import { type Command, commandSchema, type LogEntry } from "../domain/commands.js";
+import type { Command, LogEntry } from "../domain/commands.js";
 import type { DeclaredState, StateSnapshot } from "../domain/declaredState.js";
 import { assertInvariant, createRefusal, RefusalError } from "../domain/resultCodes.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
-import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
+import type { PeerHandlers, PeerMethod, PeerNetwork } from "../ports/peer.js";
 import { ConditionVariable } from "./conditionVariable.js";
 import { EntryAgeCollector } from "./entryAgeCollector.js";
 import { isLeaderExpected } from "./expectedLeader.js";
@@ -35,7 +35,7 @@
 import { type PeerProgress, PeerProgressTracker } from "./peerProgress.js";
 import { PeerReplicator } from "./peerReplicator.js";
 import { PendingProposals } from "./pendingProposals.js";
-import { convertForwardingError, createNoMajorityError } from "./proposalErrors.js";
+import { checkCommand, convertForwardingError, createNoMajorityError } from "./proposalErrors.js";
 import { type ReplicaAddress, ReplicaSet } from "./replicaSet.js";
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
@@ -181,6 +181,7 @@
      * certainly not accepted, and with `changeUnknown` if it may have been.
      */
     async propose(command: Command): Promise<ProposeAnswer> {
+        checkCommand(command);
         if (this.role === "leader") {
             return this.appendProposal(command);
         }
@@ -188,17 +189,7 @@
         if (leader === undefined || !this.isConnectedToMajority()) {
             throw createNoMajorityError("no leader is known", this.options.electionTimeoutMs);
         }
-        try {
-            return await this.network.call(
-                leader.address,
-                proposeMethod,
-                { command },
-                this.options.proposeTimeoutMs + 500,
-            );
-        }
-        catch (error) {
-            throw convertForwardingError(error, this.options.electionTimeoutMs);
-        }
+        return this.callLeader(leader, proposeMethod, { command }, this.options.proposeTimeoutMs + 500);
     }
 
     /** Waits until this replica has applied all entries committed before the call. Returns the index. */
@@ -206,7 +197,7 @@
         const leader = this.tryGetLeaderAddress();
         const confirmed = this.role === "leader" || leader === undefined
             ? await this.confirmLeadership()
-            : await this.network.call(leader.address, readIndexMethod, {}, this.options.proposeTimeoutMs);
+            : await this.callLeader(leader, readIndexMethod, {}, this.options.proposeTimeoutMs);
         await this.waitApplied(confirmed.index, this.options.proposeTimeoutMs);
         return confirmed.index;
     }
@@ -223,8 +214,18 @@
         }
     }
 
+    private callLeader<P, R>(
+        { address }: ReplicaAddress,
+        method: PeerMethod<P, R>,
+        params: P,
+        timeoutMs: number,
+    ): Promise<R> {
+        return this.network.call(address, method, params, timeoutMs).catch(error => {
+            throw convertForwardingError(error, this.options.electionTimeoutMs);
+        });
+    }
+
     private async appendProposal(command: Command): Promise<ProposeAnswer> {
-        checkCommand(command);
         if (this.role !== "leader" || this.stopped) {
             throw createNoMajorityError("not the leader", this.options.electionTimeoutMs);
         }
@@ -547,14 +548,3 @@
         return this.createAppendAnswer(success, params.lastIndex);
     }
 }
-
-/** Throws objectInvalid for a command that the other replicas would reject: its entry would stop the log. */
-function checkCommand(command: Command): void {
-    const parsed = commandSchema.safeParse(command);
-    if (!parsed.success) {
-        const [issue] = parsed.error.issues;
-        throw new RefusalError(
-            createRefusal("objectInvalid", `${command.type}: ${issue!.path.join(".")} ${issue!.message}`),
-        );
-    }
-}
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -158,6 +158,8 @@
         "The ledger's incarnation has been replaced by a newer one.",
     ),
     peerStalled: createCode(3008, "peerStalled", 408, "A peer stopped sending in the middle of a message."),
+    peerStarting: createCode(3009, "peerStarting", 503, "The process has started and does not take this call yet."),
+    methodUnknown: createCode(3010, "methodUnknown", 501, "The process is of a version that does not know this call."),
     settingsInvalid: createCode(4001, "settingsInvalid", 400, "The settings do not fit their schema."),
     settingsSyntax: createCode(4002, "settingsSyntax", 400, "The settings file is not valid JSON with comments."),
     diskCorrupt: createCode(4003, "diskCorrupt", 500, "A stored record is damaged before the end of its file."),
--- a/src/ports/peer.ts
+++ b/src/ports/peer.ts
@@ -78,6 +78,7 @@
 /** Dispatches calls to the handlers of a process. */
 export class PeerHandlers {
     private readonly handlers = new Map<string, UntypedHandler>();
+    private isComplete = false;
 
     /** `onHandle` is called before each call is handled. */
     constructor(private readonly onHandle: () => void = () => undefined) {}
@@ -95,11 +96,16 @@
         });
     }
 
+    /** Marks that all handlers of the process are registered. Until then an unknown method may be called again later. */
+    markComplete(): void {
+        this.isComplete = true;
+    }
+
     async handle(name: string, params: unknown, peer: Peer): Promise<unknown> {
         this.onHandle();
         const handler = this.handlers.get(name);
         if (handler === undefined) {
-            throw new RefusalError(createRefusal("peerMalformed", `unknown method ${name}`));
+            throw new RefusalError(createRefusal(this.isComplete ? "methodUnknown" : "peerStarting", name));
         }
         return handler(params, peer);
     }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -84,6 +84,7 @@
         ],
         log,
     });
+    handlers.markComplete();
     daemon.start();
     log.info("controller_started", {
         peer: base.peerAddress,
@@ -170,6 +171,7 @@
         metrics,
         settings,
     );
+    handlers.markComplete();
     daemon.start();
     config.start();
     const { startHttpApp } = await import("./adapters/http/httpApp.js");
@@ -207,6 +209,7 @@
         drainMs: settings.drainMs,
         createClient: upstream => new HttpUpstream(upstream.url, upstream.slots),
     });
+    handlers.markComplete();
     daemon.start();
     config.start();
     log.info("sidecar_started", { peer: base.peerAddress, box: settings.box });
