Reservations count whatever limit the account has when they begin and end

Cause: a reservation without a limit was not recorded, and its settlement was subtracted from the account that the change had created meanwhile, so that its reserved tokens became negative; a limit that was no longer declared was kept. Reservations of accounts without a limit are counted now, and count against the limit that they get; an account without its limit goes on counting, and refuses nothing.

--- a/src/domain/localAccountBudget.ts
+++ b/src/domain/localAccountBudget.ts
@@ -68,7 +68,6 @@
 export class LocalAccountBudget {
     private granted = 0;
     private consumed = 0;
-    private reserved = 0;
     /** Tokens of requests that wait for a reservation. */
     private waiting = 0;
     /** Tokens received from other routers, whether spent or not. */
@@ -98,11 +97,15 @@
     private reportedWanted = 0;
     private reportedAt = -Infinity;
 
-    /** `prepaid`: maximum consumption of all routers together. */
+    /** Whether the active configuration limits the account. Reservations are counted in any case. */
+    private isLimited = true;
+
+    /** `prepaid`: maximum consumption of all routers together. `reserved`: tokens that were reserved before the account had a limit. */
     constructor(
         private prepaid: number,
         private readonly lastAnswer: LastAnswer,
         private readonly options: LocalTokenBudgetOptions,
+        private reserved = 0,
     ) {
         this.free = prepaid;
         this.demand = new DecayingRate(options.demandHalfLifeMs);
@@ -112,21 +115,30 @@
 
     /** Sets the limit of the account. Returns whether it changed. */
     setPrepaid(prepaid: number): boolean {
+        const wasLimited = this.isLimited;
+        this.isLimited = true;
         if (prepaid === this.prepaid) {
-            return false;
+            return !wasLimited;
         }
         this.free = Math.max(0, this.free + prepaid - this.prepaid);
         this.prepaid = prepaid;
         return true;
     }
 
+    /** Removes the limit of the account. Returns whether it had one. */
+    removeLimit(): boolean {
+        const wasLimited = this.isLimited;
+        this.isLimited = false;
+        return wasLimited;
+    }
+
     setHolding(holding: AccountHolding): void {
         this.holding = holding;
     }
 
-    /** Whether the controllers have answered a report about the account. */
+    /** Whether the controllers have answered a report about the account, or need not. */
     hasAnswer(): boolean {
-        return this.allowance !== NO_ALLOWANCE;
+        return !this.isLimited || this.allowance !== NO_ALLOWANCE;
     }
 
     /** Returns what determines reservations now. */
@@ -142,6 +154,10 @@
 
     /** Reserves tokens for one request. */
     tryReserve(tokens: number, rank: number, now: number): ReserveOutcome {
+        if (!this.isLimited) {
+            this.reserved += tokens;
+            return "reserved";
+        }
         if (this.hasEnough(tokens, rank, now)) {
             this.reserved += tokens;
             this.demand.add(tokens, now);
@@ -153,12 +169,12 @@
 
     /** Whether a reservation would succeed now. */
     hasEnough(tokens: number, rank: number, now: number): boolean {
-        return tokens <= this.computeAvailableForRank(rank, now);
+        return !this.isLimited || tokens <= this.computeAvailableForRank(rank, now);
     }
 
     /** Returns how many tokens a reservation lacks, or 0 if it would succeed. */
     getShortfall(tokens: number, rank: number, now: number): number {
-        return Math.min(tokens, Math.max(0, tokens - this.computeAvailableForRank(rank, now)));
+        return !this.isLimited ? 0 : Math.min(tokens, Math.max(0, tokens - this.computeAvailableForRank(rank, now)));
     }
 
     /** Ends a reservation of which `used` tokens were consumed. */
@@ -302,7 +318,7 @@
     private computeCommitLimit(now: number): number {
         const { committed, burst, perSecond } = this.allowance;
         const sinceAnswerMs = now - this.lastAnswer.answeredAt;
-        return this.hasAnswer() && sinceAnswerMs >= this.options.wholeAfterMs
+        return this.allowance !== NO_ALLOWANCE && sinceAnswerMs >= this.options.wholeAfterMs
             ? this.granted
             : committed + burst + Math.floor(perSecond * sinceAnswerMs / MS_PER_SECOND);
     }
@@ -363,6 +379,9 @@
 
     /** Returns the tokens that the grant should hold beyond those committed. */
     private computeWanted(demand: number): number {
+        if (!this.isLimited) {
+            return 0;
+        }
         const { horizonMs, firstPart } = this.options;
         const { isHolder, holders } = this.holding;
         const byDemand = Math.min(demand * horizonMs / MS_PER_SECOND, this.computeMaxHeld(this.computeFreeShare()));
--- a/src/domain/localTokenBudget.ts
+++ b/src/domain/localTokenBudget.ts
@@ -26,7 +26,10 @@
 
 /** All `now` parameters are milliseconds on the monotonic clock of the router process. */
 export class LocalTokenBudget {
+    /** The accounts that have, or had, a limit. */
     private readonly accounts = new Map<string, LocalAccountBudget>();
+    /** Reserved tokens of the other accounts, which count once these get a limit. */
+    private readonly unlimitedReserved = new Map<string, number>();
     private sequence = 0;
     private answeredSequence = 0;
     /** Shared with all accounts. */
@@ -40,15 +43,23 @@
     ) {}
 
     /**
-     * Sets the limits of the active bundle; accounts without a limit are not tracked. Returns whether any limit was
-     * added or changed.
+     * Sets the limits of the active bundle. Reservations under way count whatever limits the account has when they begin and end.
+     * Returns whether any limit was added, changed or removed.
      */
     setLimits(limits: readonly { readonly account: string; readonly tokens: number; }[]): boolean {
         let hasChanged = false;
+        const limited = new Set(limits.map(({ account }) => account));
+        for (const [account, entry] of this.accounts) {
+            if (!limited.has(account) && entry.removeLimit()) {
+                hasChanged = true;
+            }
+        }
         for (const { account, tokens } of limits) {
             const known = this.accounts.get(account);
             if (known === undefined) {
-                const added = new LocalAccountBudget(tokens, this.lastAnswer, this.options);
+                const reserved = this.unlimitedReserved.get(account) ?? 0;
+                this.unlimitedReserved.delete(account);
+                const added = new LocalAccountBudget(tokens, this.lastAnswer, this.options, reserved);
                 added.setHolding(this.getHolding(account));
                 this.accounts.set(account, added);
                 hasChanged = true;
@@ -72,7 +83,12 @@
      * requests.
      */
     tryReserve(account: string, tokens: number, rank: number, now: number): ReserveOutcome {
-        return this.accounts.get(account)?.tryReserve(tokens, rank, now) ?? "reserved";
+        const entry = this.accounts.get(account);
+        if (entry !== undefined) {
+            return entry.tryReserve(tokens, rank, now);
+        }
+        this.unlimitedReserved.set(account, (this.unlimitedReserved.get(account) ?? 0) + tokens);
+        return "reserved";
     }
 
     /** Whether a reservation would succeed now. */
@@ -159,7 +175,18 @@
 
     /** Ends a reservation of which `used` tokens were consumed. */
     settle(account: string, reserved: number, used: number): void {
-        this.accounts.get(account)?.settle(reserved, used);
+        const entry = this.accounts.get(account);
+        if (entry !== undefined) {
+            entry.settle(reserved, used);
+            return;
+        }
+        const left = (this.unlimitedReserved.get(account) ?? 0) - reserved;
+        if (left > 0) {
+            this.unlimitedReserved.set(account, left);
+        }
+        else {
+            this.unlimitedReserved.delete(account);
+        }
     }
 
     hasAccounts(): boolean {
