Answers without a length that a killed router leaves do not look complete

The operating system closes their connections regularly, which is the only mark of the end of such an answer: a truncated 200 that looks complete.

Event streams without framing are sent in chunks, so that their end is explicit. An upstream that breaks off inside an event is found by the events themselves, as before. Other answers without framing stay unframed, and wait in the buffer of their connection until they end; head and body are then one write. A larger one is passed on as it arrives once the buffer is full, as before.

Chunks for all of them were tried and left: an upstream that breaks off an answer of a plain service without a length closes its connection as after a whole one, and chunks would assert that it is complete.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -321,7 +321,8 @@
         progress.canResume = this.options.isResumable && head.status === 200
             && !head.headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
         this.options.onHeadForwarded(head.status);
-        sink.sendHead(head.status, head.headers, head.isFramed);
+        const endsWithEvent = this.isEventStream && this.splitter !== undefined;
+        sink.sendHead(head.status, head.headers, head.isFramed || endsWithEvent);
     }
 
     private rejectResponse(reason: string): false {
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -3,10 +3,10 @@
 
 export abstract class PassThroughSink {
     /**
-     * Sends the upstream's status and headers unchanged. An answer without framing (`isFramed` false) is sent without
-     * framing too, because its completeness is unknown and must not be asserted.
+     * Sends the upstream's status and headers unchanged. `isEndKnown`: whether the end of the answer shows in its framing or in
+     * its events. Otherwise it is sent without framing, because its completeness must not be asserted.
      */
-    abstract sendHead(status: number, headers: readonly string[], isFramed: boolean): void;
+    abstract sendHead(status: number, headers: readonly string[], isEndKnown: boolean): void;
     /** Sends bytes of the body. Returns false if the caller reads too slowly; `onDrain` then signals when to continue. */
     abstract write(bytes: Buffer): boolean;
     /** Ends a complete answer. */
--- a/test/platform/responseSink.test.ts
+++ b/test/platform/responseSink.test.ts
@@ -6,6 +6,10 @@
 import { ResponseSink } from "../../platform/responseSink.js";
 import { waitUntil } from "../tools/waiting.js";
 
+/** Longer than a write takes to arrive over loopback. */
+const QUIET_MS = 50;
+const PIECE_BYTES = 1_000;
+
 /** Sends a request and returns the sink of its answer, and what the caller has received so far, and the writes to its connection. */
 async function openAnswer(t: { teardown(handler: () => void): void; }) {
     const server = createServer().listen(0, "127.0.0.1");
@@ -63,3 +67,32 @@
     sink.abort();
     t.equal((await error).code, "ECONNRESET");
 });
+
+void t.test("an answer without framing is not sent before its end, so that a killed router leaves no part of it", async t => {
+    const { sink, reads, socket, writes } = await openAnswer(t);
+    sink.sendHead(200, ["Content-Type", "text/plain"], false);
+    t.ok(sink.write(Buffer.from("bo")));
+    await new Promise(resolve => setTimeout(resolve, QUIET_MS));
+    t.same(reads, []);
+    sink.write(Buffer.from("dy"));
+    sink.end();
+    await waitUntil("the end", () => socket.readableEnded);
+    t.match(reads.join(""), /^HTTP\/1\.1 200 OK\r\nContent-Type: text\/plain\r\nConnection: close\r\n\r\nbody$/);
+    t.equal(writes.count, 1);
+});
+
+void t.test("an answer without framing that exceeds the buffer of its connection is passed on as it arrives", async t => {
+    const { sink, reads, socket } = await openAnswer(t);
+    sink.sendHead(200, [], false);
+    const drained = new Promise<void>(resolve => sink.onDrain(resolve));
+    const piece = Buffer.alloc(PIECE_BYTES, "x");
+    let pieces = 1;
+    while (sink.write(piece)) {
+        pieces += 1;
+    }
+    await drained;
+    sink.write(piece);
+    sink.end();
+    await waitUntil("the end", () => socket.readableEnded);
+    t.equal(reads.join("").split("\r\n\r\n")[1]!.length, (pieces + 1) * PIECE_BYTES);
+});
