--- a/src/adapters/boundedOutput.ts
+++ b/src/adapters/boundedOutput.ts
@@ -17,6 +17,10 @@
 
 /** Outputs with lines that wait for a batch. */
 const waitingOutputs = new Set<BoundedOutput>();
+let isExiting = false;
+process.prependListener("exit", () => {
+    isExiting = true;
+});
 process.on("exit", () => waitingOutputs.forEach(output => output.writeRest()));
 
 export class BoundedOutput {
@@ -43,7 +47,10 @@
             this.droppedLines = 0;
         }
         this.addToBuffer(line);
-        if (isLowPriority) {
+        if (isExiting) {
+            waitingOutputs.add(this);
+        }
+        else if (isLowPriority) {
             this.batchTimer ??= setTimeout(() => this.flushBuffer(), BATCH_DELAY_MS);
             waitingOutputs.add(this);
         }
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -1,6 +1,6 @@
 /** Controllers and routers as separate processes of the real programs, each box at a loopback address of its own. */
 import type { ChildProcess } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { mkdir, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -68,9 +68,14 @@
 
     constructor(readonly options: ProcessFleetOptions) {}
 
+    /** Creates the folder of the boxes, which are then started one by one. */
+    async open(): Promise<void> {
+        this.folder = await mkdtemp(join(tmpdir(), "loomwinch-processes-"));
+    }
+
     /** Starts all boxes and puts the bundle; resolves when every router is ready. */
     async start(bundle: object): Promise<void> {
-        this.folder = await mkdtemp(join(tmpdir(), "loomwinch-processes-"));
+        await this.open();
         await Promise.all(this.listControllers().map(box => mkdir(join(this.folder, box))));
         this.listControllers().forEach(box => this.startBox(box));
         await waitUntil("the bundle", () => this.putBundle(bundle), START_TIMEOUT_MS);
@@ -89,7 +94,8 @@
         }
     }
 
-    startBox(box: string): void {
+    /** `nodeArgs`: further arguments of Node.js. */
+    startBox(box: string, nodeArgs: readonly string[] = []): void {
         const role = box.startsWith("c") ? "controller" : "router";
         const settingsPath = join(this.folder, `${box}.toml`);
         writeFileSync(settingsPath, this.formatSettings(box));
@@ -101,7 +107,7 @@
         };
         const main = [join(programRoot, "dist", "platform", "main.js"), role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
-        const args = this.hasPreload(box) ? [...preload, ...main] : main;
+        const args = [...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
         this.processes.set(box, spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box)));
     }
 
@@ -143,6 +149,13 @@
         this.startBox(box);
     }
 
+    /** Returns the lines that a box has logged and that match. */
+    listLogLines(box: string, pattern: RegExp): string[] {
+        const path = join(this.folder, `${box}.log`);
+        const lines = existsSync(path) ? readFileSync(path, "utf8").split("\n") : [];
+        return lines.filter(line => pattern.test(line));
+    }
+
     async isReady(box: string): Promise<boolean> {
         try {
             const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
