Test relay: what the other side has not taken yet still reaches it when one side closes

The relay destroyed the other side's connection at once, and with it whatever it had buffered for a slow reader: an engine that closed an idle connection, or a process that ended after a whole answer, looked like one that had broken the answer off.

--- a/test/tools/cutRelay.ts
+++ b/test/tools/cutRelay.ts
@@ -102,8 +102,11 @@
         from.on("error", () => undefined);
         from.on("close", () => {
             if (!this.isCut(pair, direction)) {
-                send(() => to.destroy());
-                this.pairs.delete(pair);
+                // What the other side has not taken yet still reaches it.
+                send(() => to.destroySoon());
+                if (to.destroyed) {
+                    this.pairs.delete(pair);
+                }
             }
         });
     }
