--- a/test/domain/lossAudit.test.ts
+++ b/test/domain/lossAudit.test.ts
@@ -52,6 +52,10 @@
     expect("is lost before its deadline", 1, { deadlineMs: 2_651 });
     const atWork = { endedAt: 8_300, runEnd: { at: 8_300, how: "callerLeft" } } as const;
     expect("not if its upstream was at work in the last sixth", 0, atWork);
+    expect("nor beside a change of settings", 0, atWork, audit => {
+        stop(audit);
+        audit.recordSettingsChange("r1", 900);
+    });
     expect("is lost all the same if sent later than 3 s after it", 1, { ...atWork, sentAt: 4_001 });
     expect("is lost if its upstream had ended by then", 1, { endedAt: 8_300, runEnd: { at: 7_600, how: "whole" } });
     expect("not after a disruption", 0, {}, audit => {
--- a/test/tools/lossAudit.ts
+++ b/test/tools/lossAudit.ts
@@ -173,9 +173,12 @@
 
     private tryGetContext(cut: EndedRequest, cuts: readonly EndedRequest[]): LossContext | undefined {
         const { router, sentAt, answerEnd } = cut;
-        const stop = this.stops.find(work => this.isStopCut(cut, work));
-        if (stop !== undefined) {
-            return { name: "SIGTERM", at: stop.at };
+        const stops = this.stops.filter(work => this.isWithinStop(cut, work));
+        if (stops.some(work => this.isExcusedAtStop(cut, work))) {
+            return undefined;
+        }
+        if (stops.length > 0) {
+            return { name: "SIGTERM", at: stops[0]!.at };
         }
         const change = this.settingsChanges.find(work =>
             work.router === router && sentAt <= work.at + this.limits.settingsMs && answerEnd.at >= work.at
@@ -190,14 +193,18 @@
         return isCounted ? { name: "configuration", at: bundle.sentAt } : undefined;
     }
 
-    private isStopCut({ id, router, sentAt, answerEnd }: EndedRequest, stop: PlannedWork): boolean {
+    private isWithinStop({ router, answerEnd }: EndedRequest, stop: PlannedWork): boolean {
+        return stop.router === router
+            && answerEnd.at >= stop.at && answerEnd.at <= stop.at + this.limits.graceMs + WINDOW_MARGIN_MS;
+    }
+
+    /** Whether a request was sent early and its upstream worked until late in the grace period; also beside other planned work. */
+    private isExcusedAtStop({ id, sentAt }: EndedRequest, stop: PlannedWork): boolean {
         const { graceMs } = this.limits;
-        const isWithin = stop.router === router
-            && answerEnd.at >= stop.at && answerEnd.at <= stop.at + graceMs + WINDOW_MARGIN_MS;
         const run = this.runs.get(id);
         const lastPartAt = stop.at + graceMs * (1 - LAST_GRACE_FRACTION);
         const isAtWork = run !== undefined && run.at <= stop.at + graceMs && (run.end?.at ?? Infinity) >= lastPartAt;
-        return isWithin && !(sentAt <= stop.at + EARLY_SEND_MS && isAtWork);
+        return sentAt <= stop.at + EARLY_SEND_MS && isAtWork;
     }
 
     private isWithinBundle(at: number, { sentAt, acknowledgedAt }: BundleChange): boolean {
