Soak: a phase of planned work alone, judged by the rule LOST

Before the mixed faults, routers are stopped in series and at once while they relay connections, beside SIGHUPs and configurations, and no answer may be lost. Callers keep connections and use them until they are closed, pause for up to 7 s, read large answers late and send bodies in parts; streams are silent in their middle. They reach routers without the proxies, which hold no back pressure and accept connections also where nobody listens; so do relayed connections in this phase.

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -9,7 +9,11 @@
     .option("seed", { type: "number", default: 1, describe: "first seed" })
     .option("count", { type: "number", default: 1, describe: "seeds to run" })
     .option("jobs", { type: "number", default: 1, describe: "seeds to run at once" })
-    .option("seconds", { type: "number", default: 15, describe: "how long faults come, in seconds" })
+    .option("seconds", {
+        type: "number",
+        default: 15,
+        describe: "how long faults come, in seconds; 0: planned work alone",
+    })
     .option("routers", { type: "number", default: 3 })
     .option("controllers", { type: "number", default: 3 })
     .option("callers", { type: "number", default: 12 })
--- a/test/soak/preload.ts
+++ b/test/soak/preload.ts
@@ -16,6 +16,11 @@
     readonly disk: "sound" | "stall" | "refuse";
     /** Fraction of time in which the event loop is kept busy, from 0 to 1 (exclusive). */
     readonly busyFraction: number;
+    /**
+     * Connections to this port of other boxes pass by the relays, which accept them also where nobody listens. Undefined: all
+     * connections pass through relays.
+     */
+    readonly directPort: number | undefined;
 }
 
 /** Names of the variables that the soak sets for each process. */
@@ -24,7 +29,7 @@
 const STALL_TURN_MS = 20;
 /** Duration of one turn of the event loop that is kept busy. About the CPU time of seven requests. */
 const BUSY_SLICE_MS = 20;
-export const SOUND: BoxFaults = { clockMs: 0, disk: "sound", busyFraction: 0 };
+export const SOUND: BoxFaults = { clockMs: 0, disk: "sound", busyFraction: 0, directPort: undefined };
 
 let faults = SOUND;
 let isKeptBusy = false;
@@ -38,7 +43,7 @@
     const connect = net.connect.bind(net);
     net.connect = ((options: NetConnectOpts, ...rest: []) => {
         const { host, port } = options as { host?: string; port?: number; };
-        const relayPort = portsByAddress[`${host}:${port}`];
+        const relayPort = port === faults.directPort ? undefined : portsByAddress[`${host}:${port}`];
         return relayPort === undefined
             ? connect(options, ...rest)
             : connect({ ...options, host: "127.0.0.1", port: relayPort } as NetConnectOpts, ...rest);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,7 @@
 import { wait, waitUntil } from "../tools/waiting.js";
 import { checkDeadlyLookup } from "./deadlyLookup.js";
 import { checkDeadlyPart } from "./deadlyPart.js";
+import { playPlannedPhase } from "./plannedPhase.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
 import { checkSharedLimits } from "./sharedLimits.js";
 import { type BoxRole, RELAY_PORT, SoakBox } from "./soakBox.js";
@@ -20,7 +21,7 @@
 
 export interface SoakOptions {
     readonly seed: number;
-    /** How long faults come, in milliseconds. */
+    /** How long faults come, in milliseconds; 0 to play planned work alone. */
     readonly faultMs: number;
     readonly routers: number;
     readonly controllers: number;
@@ -92,6 +93,7 @@
     private readonly engines: SoakEngine[];
     private readonly operator: SoakOperator;
     private readonly relayCounter: RelayCounter;
+    private readonly story: string[] = [];
     private faults: SoakFaults | undefined;
     private callers: SoakCallers | undefined;
 
@@ -118,11 +120,16 @@
         this.callers = callers;
         await this.operator.putNext();
         await this.waitServing(callers);
+        this.relayCounter.start();
+        const { routers, operator, book } = this;
+        const losses = await playPlannedPhase({ routers, operator, callers, book }, this.options.seed, this.story);
+        if (this.options.faultMs === 0) {
+            return [...losses, ...operator.faults, ...findCallerFaults(callers, book)];
+        }
         this.faults = new SoakFaults(
             { routers: this.routers, controllers: this.controllers, engines: this.engines },
             this.random,
         );
-        this.relayCounter.start();
         this.operator.start();
         callers.start(this.options.callers);
         await this.faults.run(this.options.faultMs);
@@ -133,6 +140,7 @@
         await this.operator.putNext();
         await this.waitServing(callers);
         const faults = [
+            ...losses,
             ...brokenCounts,
             ...await this.checkSharedLimits(callers),
             ...await this.checkResumptions(callers),
@@ -145,7 +153,7 @@
     }
 
     getStory(): readonly string[] {
-        return this.faults?.story ?? [];
+        return [...this.story, ...this.faults?.story ?? []];
     }
 
     countOutcomes(): Record<string, number> {
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -15,7 +15,7 @@
 /** Pause before a process that has ended is started again. */
 const RESTART_MS = 250;
 /** The longest that a planned stop takes. */
-const GRACE_S = 8;
+export const GRACE_MS = 8_000;
 const HEARTBEAT_MS = 400;
 const root = join(fileURLToPath(import.meta.url), "..", "..", "..");
 
@@ -160,7 +160,7 @@
             heartbeatMs: HEARTBEAT_MS,
             sections: `
                 [bounds]
-                grace_s = ${GRACE_S}
+                grace_s = ${GRACE_MS / 1_000}
                 retry_ratio = ${SOAK_LIMITS.retryRatio}
                 retry_slack = ${SOAK_LIMITS.retrySlack}
                 ${role === "router" ? SMALL_BOX_LIMITS : ""}
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -55,7 +55,7 @@
 const LEAVE_FRACTION = 0.3;
 const EVENTS_BEFORE_LEAVING = 2;
 const MAX_RESUMPTIONS = 2;
-const EVENT_END = "\n\n";
+export const EVENT_END = "\n\n";
 
 const paths = { stream: "/s/x", lookup: "/l/x", change: "/c/x" } as const;
 const kinds: readonly RequestKind[] = ["stream", "stream", "lookup", "change"];
@@ -137,6 +137,24 @@
         return (await this.sendUnjudged(attempt, this.chooseAccount())).status;
     }
 
+    /** Returns the id of a request that is sent now. */
+    registerRequest(kind: RequestKind, router: number, deadlineMs: number): string {
+        this.serial += 1;
+        // A running number, with digits before it that spread over streams of all lengths.
+        const spread = this.serial * 0x9e3779b1 >>> 0;
+        const id = [spread, this.serial].map(part => part.toString(16).padStart(8, "0")).join("");
+        this.ids.add(id);
+        this.book.audit.recordSent({
+            id,
+            service: kind === "stream" ? "engines" : "plain",
+            router: String(router),
+            at: performance.now(),
+            deadlineMs,
+            maxAttempts: MAX_ATTEMPTS,
+        });
+        return id;
+    }
+
     private async sendJudged(attempt: Attempt, account = this.chooseAccount()): Promise<CallerOutcome> {
         const outcome = await this.sendUnjudged(attempt, account);
         this.outcomes.push(outcome);
@@ -148,30 +166,14 @@
     }
 
     private async sendUnjudged(attempt: Attempt, account: SoakAccount): Promise<CallerOutcome> {
-        this.serial += 1;
-        // A running number, with digits before it that spread over streams of all lengths.
-        const spread = this.serial * 0x9e3779b1 >>> 0;
-        const id = [spread, this.serial].map(part => part.toString(16).padStart(8, "0")).join("");
-        this.ids.add(id);
         const { kind, path, keepsConnection, resumed, parts } = attempt;
-        this.book.audit.recordSent({
-            id,
-            service: kind === "stream" ? "engines" : "plain",
-            router: String(attempt.router),
-            at: performance.now(),
-            deadlineMs: DEADLINE_MS,
-            maxAttempts: MAX_ATTEMPTS,
-        });
+        const id = this.registerRequest(kind, attempt.router, DEADLINE_MS);
         return this.exchange(attempt, id, {
             method: "POST",
             path,
             reset: !keepsConnection,
             headers: {
-                "host": "api.example",
-                "attempt-id": id,
-                "credential": account.key,
-                "deadline-ms": String(DEADLINE_MS),
-                ...kind === "stream" && { "token-usage": `${PROMPT_TOKENS},${OUTPUT_TOKENS}` },
+                ...createHeaders(id, kind, DEADLINE_MS, account),
                 ...parts !== undefined && { "prefix-hash": parts.map(part => `${part}:10`).join(",") },
                 ...resumed !== undefined && {
                     "resumes": resumed.streamId,
@@ -251,6 +253,22 @@
     }
 }
 
+/** Headers of a request; of an account that does not run out unless named. */
+export function createHeaders(
+    id: string,
+    kind: RequestKind,
+    deadlineMs: number,
+    account: SoakAccount = LARGE_ACCOUNT,
+): Record<string, string> {
+    return {
+        "host": "api.example",
+        "attempt-id": id,
+        "credential": account.key,
+        "deadline-ms": String(deadlineMs),
+        ...kind === "stream" && { "token-usage": `${PROMPT_TOKENS},${OUTPUT_TOKENS}` },
+    };
+}
+
 /** What callers saw that must never be, with what the upstreams saw beside it. */
 export function findCallerFaults(callers: SoakCallers, book: RunBook): string[] {
     return [
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -1,8 +1,10 @@
 /** An engine or plain service of the soak: notes each run and each token, registers itself, and fails when told. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { CutRelay } from "../tools/cutRelay.js";
+import type { LossAudit } from "../tools/lossAudit.js";
 import { registerUpstream } from "../tools/registerUpstream.js";
 import { UpstreamAudit } from "../tools/upstreamAudit.js";
+import { wait } from "../tools/waiting.js";
 
 /** Tokens of one event of a stream. */
 export const TOKENS_PER_EVENT = 5;
@@ -10,6 +12,12 @@
 /** A lookup of this path takes a while. */
 export const SLOW_LOOKUP_PATH = "/l/slow";
 const SLOW_LOOKUP_MS = 1_000;
+/** A stream of this path and a number is silent for so many milliseconds in its middle. */
+export const QUIET_STREAM_PATH = "/s/quiet/";
+const EVENTS_BEFORE_SILENCE = 2;
+/** A lookup of this path has an answer larger than the buffers of sockets. */
+export const LARGE_LOOKUP_PATH = "/l/large";
+export const LARGE_ANSWER_BYTES = 2_000_000;
 /** A lookup of this path ends its upstream before an answer begins. */
 export const DEADLY_LOOKUP_PATH = "/l/deadly";
 /** Part of prompts that crashes an engine which begins to answer a request with it. */
@@ -34,6 +42,8 @@
 /** What the upstreams of a soak saw, together. */
 export class RunBook {
     audit = new UpstreamAudit(SOAK_LIMITS);
+    /** Undefined until planned work is judged. */
+    losses: LossAudit | undefined;
     /** Ids of the requests of each run, in order. */
     readonly runs: { readonly id: string; readonly upstream: string; readonly at: number; }[] = [];
     /** When engines began to answer requests with the deadly part. Monotonic clock, milliseconds. */
@@ -234,7 +244,7 @@
             response.writeHead(503, { "Not-Executed": "1", "Attempt-Id": id, "Retry-After": retryAfter }).end();
             return;
         }
-        this.book.runs.push({ id, upstream: this.getId(), at: performance.now() });
+        this.recordRun(id, response);
         response.on("error", () => undefined);
         if (isPlain && this.misbehaviour !== undefined) {
             this.misbehave(this.misbehaviour, id, message, response);
@@ -248,10 +258,22 @@
             setTimeout(() => this.endProcess(), EVENT_MS);
         }
         else {
-            this.answerLookup(id, message.url === SLOW_LOOKUP_PATH ? SLOW_LOOKUP_MS : EVENT_MS, response);
+            const size = message.url === LARGE_LOOKUP_PATH ? LARGE_ANSWER_BYTES : 0;
+            this.answerLookup(id, message.url === SLOW_LOOKUP_PATH ? SLOW_LOOKUP_MS : EVENT_MS, response, size);
         }
     }
 
+    private recordRun(id: string, response: ServerResponse): void {
+        const upstream = this.getId();
+        this.book.runs.push({ id, upstream, at: performance.now() });
+        this.book.losses?.recordRun(id, performance.now());
+        response.once("close", () => {
+            const isSound = this.isUp && this.getId() === upstream;
+            const how = response.writableFinished ? "whole" : isSound ? "callerLeft" : "brokenOff";
+            this.book.losses?.recordRunEnd(id, performance.now(), how);
+        });
+    }
+
     private misbehave(
         misbehaviour: Misbehaviour,
         id: string,
@@ -274,11 +296,12 @@
         }
     }
 
-    private answerLookup(id: string, ms: number, response: ServerResponse): void {
+    /** `size`: length to which the answer is filled up, in bytes. */
+    private answerLookup(id: string, ms: number, response: ServerResponse, size = 0): void {
         const body = `${id} from ${this.getId()}`;
         this.book.addAnswer(id, body);
         setTimeout(() => {
-            response.writeHead(200, { "Attempt-Id": id, "Instance-Signature": this.getId() }).end(body);
+            response.writeHead(200, { "Attempt-Id": id, "Instance-Signature": this.getId() }).end(body.padEnd(size));
         }, ms);
     }
 
@@ -289,6 +312,9 @@
         const from = Number(message.headers["last-event-id"] ?? 0);
         const streamId = String(message.headers["resumes"] ?? id);
         const { version } = this;
+        const silenceMs = message.url!.startsWith(QUIET_STREAM_PATH)
+            ? Number(message.url!.slice(QUIET_STREAM_PATH.length))
+            : EVENT_MS;
         const upstream = this.getId();
         response.writeHead(200, {
             "Attempt-Id": id,
@@ -303,7 +329,7 @@
             return;
         }
         for (let number = from + 1; number <= computeEventCount(streamId); number++) {
-            await new Promise(resolve => setTimeout(resolve, EVENT_MS));
+            await wait(number === EVENTS_BEFORE_SILENCE + 1 ? silenceMs : EVENT_MS);
             if (response.destroyed || !this.isUp || this.getId() !== upstream) {
                 return;
             }
--- a/test/soak/soakOperator.ts
+++ b/test/soak/soakOperator.ts
@@ -2,9 +2,14 @@
 import { request } from "undici";
 import { createWireBundle } from "../tools/wireBundle.js";
 import { SoakAccounts } from "./soakCallers.js";
+import { LARGE_LOOKUP_PATH, QUIET_STREAM_PATH } from "./soakEngine.js";
 
 const PAUSE_MS = 200;
 const TIMEOUT_MS = 3_000;
+/** Timeout of routes whose answers take longer than a planned stop. */
+const SLOW_TIMEOUT_MS = 12_000;
+
+type Route = ReturnType<typeof createWireBundle>["routes"][number];
 
 export class SoakOperator {
     readonly faults: string[] = [];
@@ -103,10 +108,16 @@
 
 function createSoakBundle(revision: number) {
     const bundle = createWireBundle(revision);
-    const lookup = bundle.routes.find(route => route.name === "lookup")!;
+    const [stream, lookup] = bundle.routes as [Route, Route];
+    const slow = { timeout_ms: SLOW_TIMEOUT_MS };
     return {
         ...bundle,
-        routes: [...bundle.routes, { ...lookup, name: `revision-${revision}`, path_prefix: formatProbePath(revision) }],
+        routes: [
+            ...bundle.routes,
+            { ...stream, ...slow, name: "quiet", path_prefix: QUIET_STREAM_PATH },
+            { ...lookup, ...slow, name: "large", path_prefix: LARGE_LOOKUP_PATH },
+            { ...lookup, name: `revision-${revision}`, path_prefix: formatProbePath(revision) },
+        ],
         backends: bundle.backends.map(service => ({ ...service, max_conns: 400 })),
         tenants: SoakAccounts.map(({ name, key, prepaid }) => ({ name, api_keys: [key], prio: 1, prepaid })),
     };
