--- a/src/daemons/bundleController/repeatPermitService.ts
+++ b/src/daemons/bundleController/repeatPermitService.ts
@@ -55,6 +55,14 @@
                 this.knownAt.set(index, this.clock.getMonotonicMs());
             }
         });
+        this.recordSnapshot();
+        replica.onSnapshotLoaded(() => this.recordSnapshot());
+    }
+
+    /** Permits that come with a snapshot were reserved before it was loaded, whenever this controller begins to lead. */
+    private recordSnapshot(): void {
+        const now = this.clock.getMonotonicMs();
+        this.replica.state.repeatPermits.list().forEach(permits => this.getKnownAt(permits, now));
     }
 
     /** Periodically removes permits that count no longer from the log, on the leader. */
@@ -177,7 +185,7 @@
         );
     }
 
-    /** Permits that came with a snapshot are known from the first call on. */
+    /** `now`: recorded for permits that are not known yet. */
     private getKnownAt({ index }: PermitReservation, now: number): number {
         const knownAt = this.knownAt.get(index) ?? now;
         this.knownAt.set(index, knownAt);
--- a/test/daemons/repeatPermitService.test.ts
+++ b/test/daemons/repeatPermitService.test.ts
@@ -41,7 +41,7 @@
     leadersLost = 0;
     private readonly journals = new Map<string, FakeJournal>();
 
-    constructor(private readonly random: () => number) {}
+    constructor(private readonly random: () => number, private readonly snapshotEvery = 20) {}
 
     start(name: string): void {
         const journal = this.journals.get(name) ?? new FakeJournal(true);
@@ -49,7 +49,7 @@
         const clock = new SystemClock();
         const storage = new LogStorage({ journal, records: journal.crash(), tornBytes: 0 }, clock);
         const network = new MemoryNetwork(name, this.processes, this.faults, this.random);
-        const { random } = this;
+        const { random, snapshotEvery } = this;
         const replica = createMemoryReplica({
             name,
             replicas: NAMES,
@@ -57,7 +57,7 @@
             network,
             clock,
             proposeTimeoutMs: 200,
-            snapshotEvery: 20,
+            snapshotEvery,
             random,
         });
         const permits = new RepeatPermitService(replica, network, clock, new NoLog(), new NoMetrics(), OPTIONS);
@@ -186,3 +186,23 @@
         t.ok(peak <= OPTIONS.maxPermits, `${peak} permits in one window`);
     });
 }
+
+// Guards against permits of a snapshot that count from when a controller first leads instead of from when it loaded them.
+void t.test("restarted controllers grant at once what has left the window since they loaded their snapshots", async t => {
+    const controllers = new Controllers(createRandom(3), 1);
+    NAMES.forEach(name => controllers.start(name));
+    await waitUntil("all permits to be granted", async () => {
+        await controllers.claim(1);
+        return controllers.countGranted() === OPTIONS.maxPermits;
+    });
+    await Promise.all(NAMES.map(name => controllers.restart(name)));
+    await waitUntil("a leader", () => controllers.getLeader() !== undefined);
+    await wait(2 * (OPTIONS.windowMs + OPTIONS.lifetimeMs));
+    const answerCount = controllers.granted.length;
+    await waitUntil("an answer", async () => {
+        await controllers.claim(1);
+        return controllers.granted.length > answerCount;
+    });
+    await controllers.stop();
+    t.equal(controllers.granted[answerCount]!.permits, 1);
+});
