A silent upstream keeps its answer as long as the request cannot go on elsewhere

Cause: silence ended the attempt, and only then was it decided whether the request might be sent again; without a permit, tokens or an upstream its answer was given up, although its upstream was at work. Now an attempt at a silent upstream ends only once another upstream, its tokens and a repeat are at hand; it is asked again after each further silence.

--- a/src/daemons/directRouter/answerOrigin.ts
+++ b/src/daemons/directRouter/answerOrigin.ts
@@ -22,6 +22,11 @@
         return kind === "stream" && isResumable;
     }
 
+    /** Whether the request may run more than once. */
+    isRepeatable(): boolean {
+        return this.resolved.route.kind === "repeatable" || this.isResumable();
+    }
+
     /** Returns the only software version that may send the answer; undefined if any may. */
     tryGetVersion(): string | undefined {
         return this.origin?.version;
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -55,6 +55,11 @@
     longestPauseMs = 0;
     private lastByteAt = 0;
 
+    /** Whether another upstream may send the answer, or the rest of it. */
+    canContinue(): boolean {
+        return !this.isHeadSent || (this.canResume && this.lastEventId !== undefined);
+    }
+
     recordBytes(now: number): void {
         if (this.firstByteAt === undefined) {
             this.firstByteAt = now;
@@ -76,8 +81,10 @@
     readonly isResumable: boolean;
     /** Whether to retry after a server error. Called at most once, before anything is forwarded; the response is held back. */
     readonly shouldRetryServerError: () => boolean | Promise<boolean>;
-    /** The attempt is aborted if nothing arrives for this long; undefined for no limit. */
+    /** Time without anything from the upstream after which `mayLeaveSilent` is asked; undefined for no limit. */
     readonly inactivityTimeoutMs: number | undefined;
+    /** Whether the request can go on at another upstream, so that the attempt at a silent one is aborted. Called repeatedly. */
+    readonly mayLeaveSilent: () => boolean | Promise<boolean>;
     /** Called with the upstream's signals once the response is known to come from that upstream. */
     readonly onSignals: (signals: UpstreamSignals) => void;
     /** Called once, when the request is being sent: it may arrive at the upstream from now on. See `UpstreamListener`. */
@@ -357,15 +364,29 @@
         // An upstream whose answer is not read cannot show that it is alive.
         const lastActivityAt = this.isPaused ? performance.now() : this.lastActivityAt;
         const remainingMs = lastActivityAt + inactivityTimeoutMs - performance.now();
-        if (remainingMs <= 0) {
-            this.abort(
-                this.isStarted
-                    ? { type: "interrupted", cause: "silence", reason: `no data for ${inactivityTimeoutMs} ms` }
-                    : createNotSentOutcome(`no connection within ${inactivityTimeoutMs} ms`),
-            );
+        if (remainingMs > 0) {
+            this.inactivityTimer = setTimeout(() => this.checkInactivity(), remainingMs);
+        }
+        else if (this.isStarted) {
+            void this.handleSilence(inactivityTimeoutMs);
+        }
+        else {
+            this.abort(createNotSentOutcome(`no connection within ${inactivityTimeoutMs} ms`));
+        }
+    }
+
+    /** An upstream may be silent and still at work: its answer is given up only for another one. */
+    private async handleSilence(inactivityTimeoutMs: number): Promise<void> {
+        const silentSince = this.lastActivityAt;
+        const mayLeave = await this.options.mayLeaveSilent();
+        if (this.isSettled) {
+            return;
+        }
+        if (mayLeave && this.lastActivityAt === silentSince) {
+            this.abort({ type: "interrupted", cause: "silence", reason: `no data for ${inactivityTimeoutMs} ms` });
             return;
         }
-        this.inactivityTimer = setTimeout(() => this.checkInactivity(), remainingMs);
+        this.inactivityTimer = setTimeout(() => this.checkInactivity(), inactivityTimeoutMs);
     }
 }
 
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -108,7 +108,7 @@
 
     private async runAttempts(): Promise<void> {
         for (;;) {
-            const quarantine = this.tryGetQuarantine();
+            const quarantine = this.context.quarantine.tryGetQuarantine(this.resolved);
             if (quarantine !== undefined) {
                 return this.finishWithRefusal(createQuarantineRefusal(quarantine));
             }
@@ -148,10 +148,6 @@
 
     // Attempts
 
-    private tryGetQuarantine() {
-        return this.context.quarantine.tryGetQuarantine(this.resolved);
-    }
-
     private trySelectUpstream(): Placement | undefined {
         const { service } = this.resolved;
         const { load, candidates } = this.context;
@@ -279,7 +275,7 @@
         const { request, route, service, account } = this.resolved;
         const { options } = this.context;
         const sentAt = performance.now();
-        const canRetryElsewhere = this.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
+        const canRetryElsewhere = this.origin.isRepeatable() && this.countAttempts() + 1 < route.maxAttempts;
         return new Attempt(this.context.upstreams, {
             call: {
                 upstream: placement.upstream,
@@ -293,7 +289,7 @@
                 // The request may have waited for a connection until little of its time is left.
                 mayStart: () =>
                     this.hasTimeToSend()
-                    && this.tryGetQuarantine() === undefined
+                    && this.context.quarantine.tryGetQuarantine(this.resolved) === undefined
                     && this.origin.canSend(placement.upstream)
                     && this.context.candidates.canSend(placement.upstream, isLimited, performance.now())
                     && this.repeats.mayStart(),
@@ -302,10 +298,11 @@
             progress: this.progress,
             isStream: route.kind === "stream",
             isResumable: this.origin.isResumable(),
-            shouldRetryServerError: () => this.isRepeatable() && this.mayAttempt() && this.repeats.claim(),
+            shouldRetryServerError: () => this.origin.isRepeatable() && this.mayAttempt() && this.repeats.claim(),
             inactivityTimeoutMs: canRetryElsewhere
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
                 : undefined,
+            mayLeaveSilent: () => this.mayLeaveSilent(),
             onHeadForwarded: status => {
                 if (isSuccess(status)) {
                     this.origin.recordBegun(placement.upstream);
@@ -396,10 +393,6 @@
         });
     }
 
-    private isRepeatable(): boolean {
-        return this.resolved.route.kind === "repeatable" || this.origin.isResumable();
-    }
-
     /** Whether to send the request to another upstream after this outcome. May claim a repeat. */
     private async shouldRetry(outcome: AttemptOutcome): Promise<boolean> {
         switch (outcome.type) {
@@ -412,8 +405,7 @@
             case "notRun":
                 return this.shouldRetryNotRun(outcome.cause);
             case "interrupted":
-                return this.isRepeatable() && this.canResumeResponse() && this.mayAttempt()
-                    && this.repeats.waitForClaim();
+                return this.canGoOn() && this.repeats.claim();
         }
     }
 
@@ -433,9 +425,18 @@
         }
     }
 
-    private canResumeResponse(): boolean {
-        const { isHeadSent, canResume, lastEventId } = this.progress;
-        return !isHeadSent || (canResume && lastEventId !== undefined && this.origin.isCertain());
+    /** Whether a request that was sent may be sent again, and what its caller has of the answer can be continued. */
+    private canGoOn(): boolean {
+        const canContinue = this.progress.canContinue() && (!this.progress.isHeadSent || this.origin.isCertain());
+        return this.origin.isRepeatable() && canContinue && this.mayAttempt();
+    }
+
+    /** Whether another upstream, its tokens and a repeat are at hand for a request whose upstream is silent. May claim the repeat. */
+    private mayLeaveSilent(): boolean | Promise<boolean> {
+        return this.canGoOn()
+            && this.trySelectUpstream() !== undefined
+            && this.tokens.canReserveAgain(this.progress.eventCount)
+            && this.repeats.claim();
     }
 
     private mayAttempt(): boolean {
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -67,6 +67,14 @@
         }
     }
 
+    /** Whether a further attempt could reserve its tokens now, while the present one is charged in full. */
+    canReserveAgain(eventCount: number): boolean {
+        const { account, route } = this.resolved;
+        const tokens = this.computeMaxTokens(eventCount, true);
+        return account === undefined
+            || this.context.tokenBudget.hasEnough(account.name, tokens, route.rank, performance.now());
+    }
+
     /** Releases the reservation when nothing was sent. */
     release(): void {
         this.settleTokens(0);
--- a/test/daemons/attemptEvents.test.ts
+++ b/test/daemons/attemptEvents.test.ts
@@ -1,36 +1,7 @@
 /** Guards against gaps between events that a slow caller causes and that are taken for those of the upstream. */
 import t from "tap";
 import { Attempt, ResponseProgress } from "../../src/daemons/directRouter/attempt.js";
-import { PassThroughSink } from "../../src/ports/answerSink.js";
-import { DirectUpstreams, type UpstreamExchange } from "../../src/ports/directUpstream.js";
-
-class FakeUpstreams extends DirectUpstreams {
-    override send(): UpstreamExchange {
-        return { resume: () => undefined, cancel: () => undefined };
-    }
-    override drainExcept(): void {}
-    override drain(): void {}
-    override isListening(): Promise<undefined> {
-        return Promise.resolve(undefined);
-    }
-    override close(): void {}
-    override setReadSchedule(): void {}
-}
-
-/** Takes nothing more while `isFull`. */
-class FakeSink extends PassThroughSink {
-    isFull = false;
-
-    override sendHead(): void {}
-    override write(): boolean {
-        return !this.isFull;
-    }
-    override end(): void {}
-    override abort(): void {}
-    override sendRefusal(): void {}
-    override onDrain(): void {}
-    override onDisconnect(): void {}
-}
+import { FakeSink, FakeUpstreams } from "../tools/attemptFakes.js";
 
 for (const isResumable of [false, true]) {
     void t.test(`events after a pause are marked, resumable: ${isResumable}`, t => {
@@ -44,6 +15,7 @@
             isResumable,
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
+            mayLeaveSilent: () => false,
             onSignals: () => undefined,
             onHeadForwarded: () => undefined,
             onFirstByte: () => undefined,
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -124,6 +124,7 @@
             isResumable: false,
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
+            mayLeaveSilent: () => false,
             onSignals: () => undefined,
             onHeadForwarded: () => undefined,
             onFirstByte: () => undefined,
