The HTTP servers of routers and controllers lose no answer at a planned stop

A stopping router or controller closed idle connections every 50 ms, and for Node.js a connection is idle as soon as its answer is complete, though its caller has not read it: the rest was cut off. A caller that never sent the rest of its request held up the stop for as long as it liked, because http.Server.close also ends the checks of time limits. Answers under way did not say that the connection closes.

Connections are ended once nothing is owed on them, as at the routers of the platform, and those left after drainMs (10 s at a controller) are reset. The limit on the time of a whole request, 30 s, is in force now: fastify had replaced it by none.

--- a/src/adapters/http/httpApp.ts
+++ b/src/adapters/http/httpApp.ts
@@ -10,19 +10,15 @@
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
 import { fastify, type FastifyReply, type FastifyRequest } from "fastify";
-import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import "reflect-metadata";
 import { createRefusal, getRefusal, type Refusal, RefusalError, ResultCodes } from "../../domain/resultCodes.js";
 import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
+import { AppConnections, MAX_HEADER_BYTES } from "./appConnections.js";
 
 export const MAX_BODY_BYTES = 2 * 1024 * 1024;
-/** Limit on the total size of a request's headers. */
-export const MAX_HEADER_BYTES = 16 * 1024;
-/** Limits on the time a client takes to send its headers, and its whole request. */
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 30_000;
 
 class RootModule {}
 
@@ -31,24 +27,25 @@
     readonly controllers: readonly Type[];
     readonly providers: readonly Provider[];
     readonly log: Log;
+    readonly metrics: Metrics;
 }
 
 /** A running server. */
 export interface HttpApp {
     readonly address: string;
-    close(): Promise<void>;
+    /**
+     * Stops listening. Resolves when every answer is handed to the operating system, or after `limitMs`, when connections with a
+     * request are reset.
+     */
+    close(limitMs: number): Promise<void>;
 }
 
 /** Starts a server at `address`, such as 127.0.0.1:8080. With port 0 the system chooses a free port. */
 export async function startHttpApp(address: string, options: HttpAppOptions): Promise<HttpApp> {
+    const connections = new AppConnections(options.log, options.metrics);
     const server = fastify({
         bodyLimit: MAX_BODY_BYTES,
-        http: {
-            maxHeaderSize: MAX_HEADER_BYTES,
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: REQUEST_TIMEOUT_MS,
-        },
-        forceCloseConnections: "idle",
+        serverFactory: handler => connections.createServer(handler),
         return503OnClosing: false,
         clientErrorHandler: handleClientError,
         frameworkErrors: (error, _request, reply) => sendRefusal(reply, getHttpRefusal(error)),
@@ -66,18 +63,15 @@
     const { host, port } = parseAddress(address);
     await app.listen(port, host);
     const bound = server.server.address() as { address: string; port: number; };
-    return { address: `${bound.address}:${bound.port}`, close: () => closeGracefully(app, server.server) };
-}
-
-/** Stops listening and resolves when every open request has been answered. */
-async function closeGracefully(app: NestFastifyApplication, server: Server): Promise<void> {
-    const timer = setInterval(() => server.closeIdleConnections(), IDLE_CONNECTION_CHECK_PERIOD_MS);
-    await app.close();
-    clearInterval(timer);
+    return {
+        address: `${bound.address}:${bound.port}`,
+        close: async limitMs => {
+            await connections.drain(server.server, limitMs);
+            await app.close();
+        },
+    };
 }
 
-const IDLE_CONNECTION_CHECK_PERIOD_MS = 50;
-
 /** Sends a refusal with the status of its result code and a body that chat-completions clients accept as an error. */
 export function sendRefusal(reply: FastifyReply, refusal: Refusal): void {
     const resultCode = ResultCodes[refusal.code];
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -31,6 +31,9 @@
 import { closeRoleBase, createRoleBase, type RoleBase } from "./roleBase.js";
 import type { ControllerSettings, RouterSettings, SidecarSettings } from "./settings/schemas.js";
 
+/** Maximum time that a controller's planned stop waits for operators' requests; longer than any of them takes. */
+const OPERATOR_DRAIN_MS = 10_000;
+
 export interface RunningRole {
     /** HOST:PORT on which other processes connect; empty for stand-ins. */
     readonly peerAddress: string;
@@ -83,6 +86,7 @@
             { provide: OPERATORS, useValue: settings.operators },
         ],
         log,
+        metrics,
     });
     handlers.markComplete();
     daemon.start();
@@ -97,7 +101,7 @@
         httpAddress: http.address,
         stop: async () => {
             daemon.closeWatches();
-            await http.close();
+            await http.close(OPERATOR_DRAIN_MS);
             await daemon.stop();
             closeRoleBase(base);
         },
@@ -180,6 +184,7 @@
         controllers: [CallerApi],
         providers: [{ provide: ROUTER_DAEMON, useValue: daemon }],
         log,
+        metrics,
     });
     log.info("router_started", { peer: base.peerAddress, callers: http.address });
     return {
@@ -187,7 +192,7 @@
         httpAddress: http.address,
         stop: async () => {
             await daemon.startShutdown();
-            await http.close();
+            await http.close(settings.drainMs);
             await daemon.finishShutdown();
             config.stop();
             closeRoleBase(base);
