Log lines that wait for an earlier write are written when the process ends

Lines that were added while a write was under way were dropped at the end of the process, and so were lines of high priority that were logged in an exit handler. A stop that follows a warning within a millisecond left no line of its own. They are written at the exit, unless the earlier write has lasted for over 100 ms, so that a reader that is stuck does not hold up the exit.

--- a/src/adapters/boundedOutput.ts
+++ b/src/adapters/boundedOutput.ts
@@ -15,6 +15,9 @@
  */
 const BATCH_DELAY_MS = 50;
 
+/** Age of a write above which its reader is taken for stuck. */
+const MAX_WRITE_AGE_MS = 100;
+
 /** Outputs with lines that wait for a batch. */
 const waitingOutputs = new Set<BoundedOutput>();
 let isExiting = false;
@@ -28,6 +31,8 @@
     private bufferedBytes = 0;
     private droppedLines = 0;
     private isWriting = false;
+    /** Monotonic clock, milliseconds. */
+    private writingSince = 0;
     private hasFailed = false;
     private batchTimer: NodeJS.Timeout | undefined;
 
@@ -47,12 +52,12 @@
             this.droppedLines = 0;
         }
         this.addToBuffer(line);
+        waitingOutputs.add(this);
         if (isExiting) {
-            waitingOutputs.add(this);
+            return;
         }
-        else if (isLowPriority) {
+        if (isLowPriority) {
             this.batchTimer ??= setTimeout(() => this.flushBuffer(), BATCH_DELAY_MS);
-            waitingOutputs.add(this);
         }
         else {
             this.flushBuffer();
@@ -61,7 +66,8 @@
 
     /** Writes the lines that still wait for a batch. Called when the process exits. */
     writeRest(): void {
-        if (!this.isWriting && !this.hasFailed && this.buffered.length > 0) {
+        const isStuck = this.isWriting && performance.now() - this.writingSince > MAX_WRITE_AGE_MS;
+        if (!isStuck && !this.hasFailed && this.buffered.length > 0) {
             try {
                 writeSync(this.fd, this.buffered.join(""));
             }
@@ -79,11 +85,12 @@
     private flushBuffer(): void {
         clearTimeout(this.batchTimer);
         this.batchTimer = undefined;
-        waitingOutputs.delete(this);
         if (this.isWriting || this.buffered.length === 0) {
             return;
         }
+        waitingOutputs.delete(this);
         this.isWriting = true;
+        this.writingSince = performance.now();
         const bytes = Buffer.from(this.buffered.join(""));
         this.buffered = [];
         this.bufferedBytes = bytes.length;
--- a/test/adapters/boundedOutput.test.ts
+++ b/test/adapters/boundedOutput.test.ts
@@ -51,3 +51,17 @@
     const { stdout } = await promisify(execFile)(process.execPath, ["--input-type=module", "-e", script]);
     t.equal(stdout, "last\n");
 });
+
+void t.test("lines that wait for an earlier write are written when the process exits, in the handler too", async t => {
+    const url = new URL("../../src/adapters/boundedOutput.js", import.meta.url).href;
+    const script = `
+        process.prependListener("exit", () => output.writeLine("from the handler\\n", false));
+        const { BoundedOutput } = await import(${JSON.stringify(url)});
+        const output = new BoundedOutput(1);
+        output.writeLine("at once\\n", false);
+        output.writeLine("last\\n", true);
+        process.exit(0);
+    `;
+    const { stdout } = await promisify(execFile)(process.execPath, ["--input-type=module", "-e", script]);
+    t.match(stdout, /last\nfrom the handler\n/);
+});
