Signals during the start of a role of the command line stop it as planned

As on the platform: the handlers for SIGTERM and SIGINT were registered when the role ran. They are now registered before its modules are loaded, which is why the command line is a module of its own.

--- a/src/cli/commandLine.ts
+++ b/src/cli/commandLine.ts
@@ -1,5 +1,4 @@
-#!/usr/bin/env node
-/** Entry point of the command line. Exit codes: 0 success, 1 failure, 2 usage error. */
+/** The command line. Exit codes: 0 success, 1 failure, 2 usage error. */
 import yargs, { type Argv } from "yargs";
 import { hideBin } from "yargs/helpers";
 import { createRefusal, formatRefusal, getRefusal, RefusalError } from "../domain/resultCodes.js";
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -35,6 +35,7 @@
 const OPERATOR_DRAIN_MS = 10_000;
 
 export interface RunningRole {
+    readonly log: Log;
     /** HOST:PORT on which other processes connect; empty for stand-ins. */
     readonly peerAddress: string;
     /** HOST:PORT of the HTTP server for callers or operators; empty for a role without one. */
@@ -97,6 +98,7 @@
         started_empty: openedLedger.startedEmpty,
     });
     return {
+        log,
         peerAddress: base.peerAddress,
         httpAddress: http.address,
         stop: async () => {
@@ -188,6 +190,7 @@
     });
     log.info("router_started", { peer: base.peerAddress, callers: http.address });
     return {
+        log,
         peerAddress: base.peerAddress,
         httpAddress: http.address,
         stop: async () => {
@@ -219,6 +222,7 @@
     config.start();
     log.info("sidecar_started", { peer: base.peerAddress, box: settings.box });
     return {
+        log,
         peerAddress: base.peerAddress,
         httpAddress: "",
         stop: async () => {
--- a/test/platform/processSignals.test.ts
+++ b/test/platform/processSignals.test.ts
@@ -1,35 +1,13 @@
 /** Signals and errors of a process at any time of its life; it is to end by itself with the right exit code. */
 import t from "tap";
 import { ProcessFleet } from "../tools/processFleet.js";
+import { raiseWhileListening, raiseWhileLoading, throwAtSignal } from "../tools/signalPreloads.js";
 import { waitUntil } from "../tools/waiting.js";
 
 const fleet = new ProcessFleet({ network: 118, controllers: 3, routers: 0, retryRatio: 0.2, retrySlack: 20 });
 t.before(() => fleet.open());
 t.teardown(() => fleet.close());
 
-/** Arguments of Node.js that run a script before the program. */
-function preload(script: string): string[] {
-    return ["--import", `data:text/javascript,${encodeURIComponent(script)}`];
-}
-
-/** The process sends itself a signal as it begins to listen for other processes. */
-function raiseWhileListening(signal: NodeJS.Signals): string[] {
-    return preload(`
-        import { Server } from "node:net";
-        const { listen } = Server.prototype;
-        Server.prototype.listen = function (...args) {
-            Server.prototype.listen = listen;
-            process.kill(process.pid, "${signal}");
-            return listen.apply(this, args);
-        };
-    `);
-}
-
-const raiseWhileLoading = preload(`
-    process.on("newListener", name => name === "SIGTERM" && setImmediate(() => process.kill(process.pid, "SIGTERM")));
-`);
-const throwAtSignal = preload("process.on('SIGUSR2', () => { throw new Error('injected'); });");
-
 for (const role of ["c", "r"]) {
     void t.test(`${role}: SIGTERM while the program is loaded ends the process with 0 before anything listens`, async t => {
         const box = `${role}1`;
