Closing the connections between processes loses nothing that was sent

At the end of a planned stop every connection to another process was destroyed: what its socket still held, such as the last events of a run that a sidecar had passed on to a router, was discarded, and bytes that had not been read reset the connection. Messages that arrive meanwhile are dropped, as before.

--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -35,6 +35,8 @@
     private readonly server = new JSONRPCServer();
     private readonly closeHandlers = new Set<() => void>();
     private open = true;
+    /** Whether nothing is sent or handled any more, while what was sent is on its way. */
+    private isEnding = false;
     private pendingCalls = 0;
     private closeListener: () => void = () => undefined;
     private lastReceivedAtMs = performance.now();
@@ -137,6 +139,20 @@
         return this.open;
     }
 
+    /** Closes the connection when the other side has received what was sent, or after `limitMs`. */
+    async finish(limitMs: number): Promise<void> {
+        if (!this.open) {
+            return;
+        }
+        this.isEnding = true;
+        const closed = new Promise(resolve => this.socket.once("close", resolve));
+        const timer = setTimeout(() => this.close(), limitMs);
+        // Destroying the socket would discard what is unsent, and reset the connection if something is unread.
+        this.socket.end();
+        await closed;
+        clearTimeout(timer);
+    }
+
     /** Closes the connection; pending calls reject with peerGone. */
     close(): void {
         if (!this.open) {
@@ -179,6 +195,9 @@
     }
 
     private handleMessage(line: string): void {
+        if (this.isEnding) {
+            return;
+        }
         let message: JSONRPCRequest | JSONRPCResponse;
         try {
             message = JSON.parse(line) as JSONRPCRequest | JSONRPCResponse;
@@ -238,7 +257,7 @@
     }
 
     private sendMessage(message: JSONRPCRequest | JSONRPCResponse): void {
-        if (!this.open) {
+        if (!this.open || this.isEnding) {
             return;
         }
         this.socket.write(`${JSON.stringify(message)}\n`);
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -152,7 +152,7 @@
         metrics,
         stop: async () => {
             await daemon.stop();
-            closeRoleBase(base);
+            await closeRoleBase(base);
         },
     };
 }
@@ -299,7 +299,7 @@
         stop: async () => {
             daemon.fairShares?.stop();
             await daemon.finishStop();
-            closeRoleBase(base);
+            await closeRoleBase(base);
         },
     };
 }
--- a/src/roleBase.ts
+++ b/src/roleBase.ts
@@ -55,11 +55,11 @@
     return { identity, clock, log, metrics, handlers, loop, utilization, network, peerAddress };
 }
 
-/** Stops everything that `createRoleBase` started. */
-export function closeRoleBase(base: RoleBase): void {
+/** Stops everything that `createRoleBase` started. Resolves when other processes have received what this one has sent. */
+export async function closeRoleBase(base: RoleBase): Promise<void> {
     base.loop.stop();
     base.utilization.stop();
-    base.network.close();
+    await base.network.close();
     base.metrics.close();
 }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -105,7 +105,7 @@
             daemon.closeWatches();
             await http.close(OPERATOR_DRAIN_MS);
             await daemon.stop();
-            closeRoleBase(base);
+            await closeRoleBase(base);
         },
     };
 }
@@ -198,7 +198,7 @@
             await http.close(settings.drainMs);
             await daemon.finishShutdown();
             config.stop();
-            closeRoleBase(base);
+            await closeRoleBase(base);
         },
     };
 }
@@ -228,7 +228,7 @@
         stop: async () => {
             await daemon.stop();
             config.stop();
-            closeRoleBase(base);
+            await closeRoleBase(base);
         },
     };
 }
