Soak: lookups in bursts that overlap, so that resends wait for connections

Lookups came at a steady rate, and the plain service had 400 connections, so that no resend waited: the limits of all routers, and the time that a resend is given, were judged without a queue. Restarts in series come every 400 ms. All checks stay.

--- a/test/soak/sharedLimits.ts
+++ b/test/soak/sharedLimits.ts
@@ -9,24 +9,35 @@
 
 const SERVICE = "plain";
 const LOOKUP_PATH = "/l/limits";
-const SERIES_PERIOD_MS = 500;
+const SERIES_PERIOD_MS = 400;
 const TOGETHER_PERIOD_MS = 2_500;
 /** Time in which late resends of a play reach their upstreams. */
 const SETTLE_MS = 3_000;
 
+/** Lookups that are sent to each router at once, and the pause after them. */
+interface Burst {
+    readonly count: number;
+    readonly pauseMs: number;
+}
+
 interface LimitPlay {
     readonly misbehaviour: Misbehaviour;
     readonly restarts: "series" | "together" | "none";
-    readonly perSecond: number;
+    /** Sent in turn, again and again. */
+    readonly bursts: readonly Burst[];
     readonly durationMs: number;
 }
 
+const STEADY: readonly Burst[] = [{ count: 1, pauseMs: 100 }];
+/** The second one waits for the connections that the first one uses, and resends of the first one wait behind it. */
+const OVERLAPPING: readonly Burst[] = [{ count: 14, pauseMs: 600 }, { count: 16, pauseMs: 1_800 }];
+
 const PLAYS: readonly LimitPlay[] = [
-    { misbehaviour: "fail", restarts: "series", perSecond: 30, durationMs: 10_000 },
-    { misbehaviour: "shed", restarts: "together", perSecond: 30, durationMs: 5_000 },
-    { misbehaviour: "slow", restarts: "none", perSecond: 42, durationMs: 9_000 },
-    { misbehaviour: "reset", restarts: "together", perSecond: 30, durationMs: 4_000 },
-    { misbehaviour: "hang", restarts: "none", perSecond: 30, durationMs: 6_000 },
+    { misbehaviour: "fail", restarts: "series", bursts: [{ count: 1, pauseMs: 65 }], durationMs: 10_000 },
+    { misbehaviour: "shed", restarts: "together", bursts: STEADY, durationMs: 5_000 },
+    { misbehaviour: "slow", restarts: "none", bursts: OVERLAPPING, durationMs: 9_500 },
+    { misbehaviour: "reset", restarts: "together", bursts: STEADY, durationMs: 4_000 },
+    { misbehaviour: "hang", restarts: "none", bursts: STEADY, durationMs: 6_000 },
 ];
 
 /** Answers the limits that were exceeded. `engines`: of the plain service. */
@@ -55,13 +66,16 @@
 async function sendLookups(
     callers: SoakCallers,
     routerCount: number,
-    { misbehaviour, perSecond }: LimitPlay,
+    { misbehaviour, bursts }: LimitPlay,
     until: number,
 ): Promise<void> {
     const lookups: Promise<unknown>[] = [];
     for (let i = 0; performance.now() < until; i++) {
-        lookups.push(callers.sendLookup(`limit-${misbehaviour}-${i}`, i % routerCount, LOOKUP_PATH));
-        await wait(1_000 / perSecond);
+        const { count, pauseMs } = bursts[i % bursts.length]!;
+        for (let sent = 0; sent < count * routerCount; sent++) {
+            lookups.push(callers.sendLookup(`limit-${misbehaviour}-${i}-${sent}`, sent % routerCount, LOOKUP_PATH));
+        }
+        await wait(pauseMs);
     }
     await Promise.all(lookups);
 }
--- a/test/soak/soakOperator.ts
+++ b/test/soak/soakOperator.ts
@@ -118,7 +118,8 @@
             { ...lookup, ...slow, name: "large", path_prefix: LARGE_LOOKUP_PATH },
             { ...lookup, name: `revision-${revision}`, path_prefix: formatProbePath(revision) },
         ],
-        backends: bundle.backends.map(service => ({ ...service, max_conns: 400 })),
+        // Requests to the plain service wait for connections while its upstreams are slow.
+        backends: bundle.backends.map(service => service.name === "plain" ? service : { ...service, max_conns: 400 }),
         tenants: SoakAccounts.map(({ name, key, prepaid }) => ({ name, api_keys: [key], prio: 1, prepaid })),
     };
 }
