Bodies of upstreams without end are cut off at bounds of the request and the protocol

The part of an event that had arrived was kept and copied with each read, so that an event without end held memory without bound and took the processor by its square; so did an answer that is no stream, on the route of a stream.

An answer with a length that is not a stream is passed on as it arrives, on the route of a stream too.

--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -11,6 +11,11 @@
     UpstreamListener,
 } from "../../ports/directUpstream.js";
 
+/** Longest event of a stream. An event holds a few tokens, of a few bytes each. */
+const MAX_EVENT_BYTES = 65_536;
+/** Longest answer of one attempt. Answers that are not streams have no other bound but their time. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
 export type AttemptOutcome =
     /**
      * The complete response was forwarded. `status` is the upstream's HTTP status. `isFramed` is false if the response is
@@ -79,6 +84,8 @@
     readonly isStream: boolean;
     /** Whether only complete events are forwarded, so that another upstream can resume the stream. */
     readonly isResumable: boolean;
+    /** Most events of the response, over all attempts: an upstream that sends more does not end. Undefined if unknown. */
+    readonly maxEvents?: number | undefined;
     /** Whether to retry after a server error. Called at most once, before anything is forwarded; the response is held back. */
     readonly shouldRetryServerError: () => boolean | Promise<boolean>;
     /** Time without anything from the upstream after which `mayLeaveSilent` is asked; undefined for no limit. */
@@ -114,6 +121,10 @@
     );
 }
 
+function hasLength(headers: readonly string[]): boolean {
+    return headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
+}
+
 export function isSuccess(status: number): boolean {
     return status >= 200 && status < 300;
 }
@@ -131,7 +142,8 @@
     hasBeenPaused = false;
     /** When the upstream last sent anything. Monotonic clock, milliseconds. */
     lastActivityAt = performance.now();
-    private readonly splitter: EventSplitter | undefined;
+    private splitter: EventSplitter | undefined;
+    private bodyBytes = 0;
     private exchange: UpstreamExchange | undefined;
     private resolveOutcome: (outcome: AttemptOutcome) => void = () => undefined;
     private isSettled = false;
@@ -204,6 +216,9 @@
         this.status = head.status;
         this.isFramed = head.isFramed;
         this.isEventStream = isSuccess(head.status) && isEventStream(head.headers);
+        if (!this.isEventStream && hasLength(head.headers)) {
+            this.splitter = undefined;
+        }
         if (!head.hasMatchingId) {
             return this.rejectResponse("response belongs to a different request");
         }
@@ -257,6 +272,9 @@
     }
 
     onData(bytes: Buffer): boolean {
+        if (this.isSettled) {
+            return false;
+        }
         if (this.held !== undefined) {
             // Pauses reading, so that only what was read together with the head is held.
             this.held.data.push(bytes);
@@ -266,7 +284,12 @@
         this.recordFirstByte();
         const { sink, progress, isResumable } = this.options;
         progress.recordBytes(this.lastActivityAt);
+        this.bodyBytes += bytes.length;
         const completeEvents = this.splitter?.add(bytes);
+        const excess = this.tryFindExcess();
+        if (excess !== undefined) {
+            return this.rejectResponse(excess);
+        }
         if (this.splitter !== undefined) {
             const newEventCount = this.splitter.eventCount - this.eventCount;
             this.eventCount += newEventCount;
@@ -277,7 +300,7 @@
                 this.wasPaused = false;
             }
         }
-        const forwarded = isResumable ? completeEvents : bytes;
+        const forwarded = isResumable && this.splitter !== undefined ? completeEvents : bytes;
         const canContinue = forwarded === undefined || sink.write(forwarded);
         this.isPaused = !canContinue;
         this.wasPaused ||= !canContinue;
@@ -285,6 +308,22 @@
         return canContinue;
     }
 
+    /** Returns what shows that the response would not end by itself. */
+    private tryFindExcess(): string | undefined {
+        const { progress, maxEvents } = this.options;
+        if (this.bodyBytes > MAX_ANSWER_BYTES) {
+            return `response exceeds ${MAX_ANSWER_BYTES} bytes`;
+        }
+        if (this.splitter === undefined) {
+            return undefined;
+        }
+        if (this.splitter.getPartialBytes() > MAX_EVENT_BYTES) {
+            return `event exceeds ${MAX_EVENT_BYTES} bytes`;
+        }
+        const eventCount = progress.eventCount + this.splitter.eventCount - this.eventCount;
+        return maxEvents !== undefined && eventCount > maxEvents ? `stream exceeds ${maxEvents} events` : undefined;
+    }
+
     onEnd(): void {
         if (this.isSettled) {
             return;
@@ -326,7 +365,7 @@
         }
         progress.isHeadSent = true;
         progress.canResume = this.options.isResumable && head.status === 200
-            && !head.headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === "content-length");
+            && !hasLength(head.headers);
         this.options.onHeadForwarded(head.status);
         const endsWithEvent = this.isEventStream && this.splitter !== undefined;
         sink.sendHead(head.status, head.headers, head.isFramed || endsWithEvent);
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -51,6 +51,18 @@
     return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
 }
 
+/** Events of a stream beyond those that its tokens fill: the first and the last one may hold a single token. */
+const MAX_UNFILLED_EVENTS = 4;
+
+/** Computes the most events that a stream may have; undefined if the request or the service does not tell. */
+export function tryComputeMaxEvents(
+    { request: { maxOutputTokens }, service: { engine } }: ResolvedRequest,
+): number | undefined {
+    return engine === undefined || maxOutputTokens === 0
+        ? undefined
+        : Math.ceil(maxOutputTokens / engine.tokensPerEvent) + MAX_UNFILLED_EVENTS;
+}
+
 /** Computes a hash of the account and the content of a request that does not depend on the request id. */
 export function computeRequestFingerprint({ request, account }: ResolvedRequest): string {
     const { method, target, body } = request.forwarded;
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -26,7 +26,7 @@
     formatInterruption,
     tryGetLoadOutcome,
 } from "./relayOutcomes.js";
-import { computePriority, type ResolvedRequest } from "./relayRequest.js";
+import { computePriority, type ResolvedRequest, tryComputeMaxEvents } from "./relayRequest.js";
 import { RequestRepeats } from "./requestRepeats.js";
 import { TokenReservation } from "./tokenReservation.js";
 
@@ -298,6 +298,7 @@
             progress: this.progress,
             isStream: route.kind === "stream",
             isResumable: this.origin.isResumable(),
+            maxEvents: tryComputeMaxEvents(this.resolved),
             shouldRetryServerError: () => this.origin.isRepeatable() && this.mayAttempt() && this.repeats.claim(),
             inactivityTimeoutMs: canRetryElsewhere
                 ? Math.max(options.minInactivityTimeoutMs, route.goalMs * options.inactivityTimeoutGoalFactor)
--- a/src/domain/eventSplitter.ts
+++ b/src/domain/eventSplitter.ts
@@ -26,6 +26,11 @@
         return complete;
     }
 
+    /** Returns the number of buffered bytes, which belong to an incomplete event. */
+    getPartialBytes(): number {
+        return this.partialEvent.length;
+    }
+
     /** Returns and clears the buffered incomplete event. */
     takePartialEvent(): Buffer {
         const rest = this.partialEvent;
--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -23,6 +23,9 @@
 /** An upstream that sends all at once is cut off this much before the deadline. */
 const MARGIN_MS = 100;
 const TOKENS_OUT = 50;
+/** Events that hold as many tokens, at five an event, and the few that may hold less. */
+const MAX_EVENTS = 14;
+const EVENT = "id: 1\ndata: 1\n\n";
 const CALLS = 4;
 const MAX_TEXT_BYTES = 1_000;
 
@@ -43,6 +46,7 @@
     `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nInstance-Signature: sig\r\n${fields}`;
 const createChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 const CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+const EVENTS = "Content-Type: text/event-stream\r\n";
 const noHead = (start: string, piece: string): Shape => ({ start: () => start, piece, hasHead: false });
 const withHead = (fields: string, piece: string, path = "/c/x"): Shape => ({
     start: id => createHead(id, fields),
@@ -64,6 +68,16 @@
     "a chunk extension without end": withHead(`${CHUNKED}1;`, "x"),
     "trailers without end": withHead(`${CHUNKED}${createChunk("x")}0\r\n`, "X-More: 1\r\n"),
     "a trailer's spaces without end": withHead(`${CHUNKED}${createChunk("x")}0\r\nX-More:`, " "),
+    "chunks without end": { ...withHead(CHUNKED, createChunk("x".repeat(1_000))), isPassedOn: true },
+    "a body without length or end": { ...withHead("\r\n", "x"), isPassedOn: true },
+    "a chunk of absurd length": { ...withHead(`${CHUNKED}fffffffffffffff\r\n`, "x"), isPassedOn: true },
+    "a length beyond all bounds": { ...withHead("Content-Length: 9007199254740991\r\n\r\n", "x"), isPassedOn: true },
+    "an event without end": withHead(`${EVENTS}${CHUNKED}`, createChunk("data"), "/s/x"),
+    "an event without end or framing": withHead(`${EVENTS}\r\n`, "data", "/s/x"),
+    "events without end": {
+        ...withHead(`${EVENTS}${CHUNKED}`, createChunk(EVENT), "/s/x"),
+        maxPassedBytes: MAX_EVENTS * EVENT.length,
+    },
 };
 
 const WHOLE_BODY = "whole";
--- a/test/tools/attemptFakes.ts
+++ b/test/tools/attemptFakes.ts
@@ -19,9 +19,11 @@
 /** Takes nothing more while `isFull`. */
 export class FakeSink extends PassThroughSink {
     isFull = false;
+    writtenBytes = 0;
 
     override sendHead(): void {}
-    override write(): boolean {
+    override write(bytes: Buffer): boolean {
+        this.writtenBytes += bytes.length;
         return !this.isFull;
     }
     override end(): void {}
