A sidecar reads only the beginning of an upstream's error response

The whole body of an error response was read into memory before its first 300 characters went into the refusal. Now the connection is closed after the part that is used, and the run is refused at once.

--- a/src/adapters/upstream/httpUpstream.ts
+++ b/src/adapters/upstream/httpUpstream.ts
@@ -157,7 +157,7 @@
 
 /** `retryAfterMs`: the delay that the upstream requested, if any. */
 async function createStatusError(response: Dispatcher.ResponseData, retryAfterMs?: number): Promise<RefusalError> {
-    const text = (await response.body.text()).slice(0, MAX_ERROR_DETAIL_LENGTH);
+    const text = await readErrorDetail(response.body);
     const detail = `${response.statusCode} ${text}`;
     if (response.statusCode >= 500 || response.statusCode === 429) {
         return new RefusalError(
@@ -167,6 +167,18 @@
     return new RefusalError(createRefusal("upstreamRefused", detail, "no"));
 }
 
+/** Reads the beginning of an error response and closes its connection if there is more: the upstream may send without end. */
+async function readErrorDetail(body: Dispatcher.ResponseData["body"]): Promise<string> {
+    let text = "";
+    for await (const bytes of body as AsyncIterable<Buffer>) {
+        text += bytes.toString("utf8");
+        if (text.length >= MAX_ERROR_DETAIL_LENGTH) {
+            break;
+        }
+    }
+    return text.slice(0, MAX_ERROR_DETAIL_LENGTH);
+}
+
 /**
  * Creates the body for the engine, which always streams and limits the output. A run that resumes another passes the text
  * so far as the beginning of the answer (`continue_final_message`).
