Callers with kept connections hear of a router's stop before it stops listening

While load balancers remove a stopping router, its answers did not say that the connection closes; an idle connection was then closed while its caller might send the next request. Each answer from the beginning of the stop says Connection: close.

--- a/src/adapters/http/appConnections.ts
+++ b/src/adapters/http/appConnections.ts
@@ -19,6 +19,7 @@
     private readonly callers: CallerConnections;
     /** Responses that are not finished. */
     private readonly responses = new Set<ServerResponse>();
+    private isAnnouncing = false;
     private isClosing = false;
 
     constructor(private readonly log: Log, metrics: Metrics) {
@@ -41,19 +42,25 @@
             this.callers.beginExchange(request, response, name);
             this.responses.add(response);
             response.once("close", () => this.responses.delete(response));
-            response.shouldKeepAlive &&= !this.isClosing;
+            response.shouldKeepAlive &&= !this.isAnnouncing;
             handle(request, response);
         });
         return server.on("connection", socket => this.callers.add(socket));
     }
 
+    /** Serves on; each answer from here on tells its caller that the connection closes. */
+    startAnnouncing(): void {
+        this.isAnnouncing = true;
+        this.responses.forEach(response => this.announceClose(response));
+    }
+
     /** Stops listening; resolves when no connection has a request, or after `limitMs`, when those that have one are reset. */
     async drain(server: Server, limitMs: number): Promise<void> {
         const startedAt = performance.now();
+        this.startAnnouncing();
         this.isClosing = true;
         // The method of the HTTP server would also destroy connections whose last answer is complete and not sent.
         NetServer.prototype.close.call(server);
-        this.responses.forEach(response => this.announceClose(response));
         this.logProgress("closing", startedAt);
         while (this.callers.countOpen() > 0 && performance.now() - startedAt < limitMs) {
             await waitForNextPoll();
--- a/src/adapters/http/httpApp.ts
+++ b/src/adapters/http/httpApp.ts
@@ -33,6 +33,8 @@
 /** A running server. */
 export interface HttpApp {
     readonly address: string;
+    /** Serves on; each answer from here on tells its caller that the connection closes. */
+    announceClose(): void;
     /**
      * Stops listening. Resolves when every answer is handed to the operating system, or after `limitMs`, when connections with a
      * request are reset.
@@ -65,6 +67,7 @@
     const bound = server.server.address() as { address: string; port: number; };
     return {
         address: `${bound.address}:${bound.port}`,
+        announceClose: () => connections.startAnnouncing(),
         close: async limitMs => {
             await connections.drain(server.server, limitMs);
             await app.close();
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -194,6 +194,7 @@
         peerAddress: base.peerAddress,
         httpAddress: http.address,
         stop: async () => {
+            http.announceClose();
             await daemon.startShutdown();
             await http.close(settings.drainMs);
             await daemon.finishShutdown();
