The margins at the end of a stop fit together

A router of the platform that has used its whole grace period sends its last report of prepaid tokens for up to 500 ms, within 700 ms. Waiting 300 ms for other processes, and ending a stop 200 ms before the grace period is over, did not fit: such a stop would have ended with status 1. The wait is 100 ms there now, and 1 s in the roles of the command line; the stop is ended 50 ms before the end.

--- a/src/adapters/processLifetime.ts
+++ b/src/adapters/processLifetime.ts
@@ -8,7 +8,7 @@
 
 const STDERR_FD = 2;
 /** Used until the settings are read. */
-const DEFAULT_STOP_LIMIT_MS = 7_800;
+const DEFAULT_STOP_LIMIT_MS = 7_950;
 
 export class ProcessLifetime {
     private readonly states = new ProcessStates();
--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -15,8 +15,6 @@
 const RECONNECT_DELAY_MS = 150;
 /** How long a call waits for a connection to an address where the last attempt failed. */
 const RECONNECT_TIMEOUT_MS = 60;
-/** Part of the time of a planned stop; longer than what was sent takes to arrive. */
-const FINISH_TIMEOUT_MS = 300;
 const NONCE_BYTES = 12;
 
 export interface TcpNetworkOptions {
@@ -106,16 +104,16 @@
         );
     }
 
-    /** Closes the listening socket, and all connections once the other sides have received what was sent. */
-    async close(): Promise<void> {
+    /** Closes the listening socket, and all connections once the other sides have received what was sent, or after `limitMs`. */
+    async close(limitMs: number): Promise<void> {
         this.closed = true;
         this.server?.close();
         const dialed = [...this.entries.values()].map(entry =>
-            entry.peer.then(peer => peer.finish(FINISH_TIMEOUT_MS), () => undefined)
+            entry.peer.then(peer => peer.finish(limitMs), () => undefined)
         );
-        const accepted = [...this.accepted].map(peer => peer.finish(FINISH_TIMEOUT_MS));
+        const accepted = [...this.accepted].map(peer => peer.finish(limitMs));
         // Does not wait for connections that are only being opened.
-        const timeout = new Promise<void>(resolve => setTimeout(resolve, FINISH_TIMEOUT_MS));
+        const timeout = new Promise<void>(resolve => setTimeout(resolve, limitMs));
         await Promise.race([timeout, Promise.all([...dialed, ...accepted])]);
     }
 
--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -46,6 +46,12 @@
 import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 import { type RepeatPermitsOptions, repeatPermitsSchema, repeatsSchema } from "./settings/repeatSettings.js";
 
+/**
+ * Time at the end of a planned stop in which other processes receive what this one has sent. It and the last report of prepaid tokens
+ * fit into the part of the grace period that is reserved for closing.
+ */
+const FINISH_TIMEOUT_MS = 100;
+
 /** Settings common to the roles that serve bundles. */
 export interface BundleRoleSettings {
     readonly name: string;
@@ -152,7 +158,7 @@
         metrics,
         stop: async () => {
             await daemon.stop();
-            await closeRoleBase(base);
+            await closeRoleBase(base, FINISH_TIMEOUT_MS);
         },
     };
 }
@@ -299,7 +305,7 @@
         stop: async () => {
             daemon.fairShares?.stop();
             await daemon.finishStop();
-            await closeRoleBase(base);
+            await closeRoleBase(base, FINISH_TIMEOUT_MS);
         },
     };
 }
--- a/src/roleBase.ts
+++ b/src/roleBase.ts
@@ -55,11 +55,11 @@
     return { identity, clock, log, metrics, handlers, loop, utilization, network, peerAddress };
 }
 
-/** Stops everything that `createRoleBase` started. Resolves when other processes have received what this one has sent. */
-export async function closeRoleBase(base: RoleBase): Promise<void> {
+/** Stops everything that `createRoleBase` started. Resolves when other processes have received what this one has sent, or after `limitMs`. */
+export async function closeRoleBase(base: RoleBase, limitMs: number): Promise<void> {
     base.loop.stop();
     base.utilization.stop();
-    await base.network.close();
+    await base.network.close(limitMs);
     base.metrics.close();
 }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -33,6 +33,8 @@
 
 /** Maximum time that a controller's planned stop waits for operators' requests; longer than any of them takes. */
 const OPERATOR_DRAIN_MS = 10_000;
+/** Time at the end of a planned stop in which other processes receive what this one has sent. */
+const FINISH_TIMEOUT_MS = 1_000;
 
 export interface RunningRole {
     readonly log: Log;
@@ -105,7 +107,7 @@
             daemon.closeWatches();
             await http.close(OPERATOR_DRAIN_MS);
             await daemon.stop();
-            await closeRoleBase(base);
+            await closeRoleBase(base, FINISH_TIMEOUT_MS);
         },
     };
 }
@@ -199,7 +201,7 @@
             await http.close(settings.drainMs);
             await daemon.finishShutdown();
             config.stop();
-            await closeRoleBase(base);
+            await closeRoleBase(base, FINISH_TIMEOUT_MS);
         },
     };
 }
@@ -229,7 +231,7 @@
         stop: async () => {
             await daemon.stop();
             config.stop();
-            await closeRoleBase(base);
+            await closeRoleBase(base, FINISH_TIMEOUT_MS);
         },
     };
 }
--- a/test/adapters/tcpNetworkClose.test.ts
+++ b/test/adapters/tcpNetworkClose.test.ts
@@ -7,6 +7,7 @@
 import { waitUntil } from "../tools/waiting.js";
 
 const MESSAGE_BYTES = 500_000;
+const CLOSE_LIMIT_MS = 2_000;
 const MESSAGE_COUNT = 20;
 const fetchMethod = createPeerMethod<object, object>("test.fetch", z.object({}));
 const pieceMethod = createPeerMethod<{ text: string; }, void>("test.piece", z.object({ text: z.string() }));
@@ -24,7 +25,7 @@
         for (let i = 0; i < MESSAGE_COUNT; i++) {
             peer.notify(pieceMethod, { text: "x".repeat(MESSAGE_BYTES) });
         }
-        setImmediate(() => closing = sender.close());
+        setImmediate(() => closing = sender.close(CLOSE_LIMIT_MS));
         return {};
     });
     let closing: Promise<void> | undefined;
@@ -41,5 +42,5 @@
     await waitUntil("the close", () => isClosed);
     await closing;
     t.equal(pieces, MESSAGE_COUNT);
-    await receiver.close();
+    await receiver.close(CLOSE_LIMIT_MS);
 });
