Plays of configurations, settings and signals during starts by separate processes, beside relayed streams that are silent

Callers keep connections, relayed and not, and go on using them while a configuration comes, while the relaying router stops between two configurations, and while all routers read their settings again. Configurations add a route each: once a router has answered by one, it may not answer by an older one for longer than 250 ms. Routers get SIGTERM and SIGHUP 100 to 300 ms after they are created, while callers connect to them.

Logs of separate processes are kept where a test file fails.

--- a/test/tools/plannedPlay.ts
+++ b/test/tools/plannedPlay.ts
@@ -4,9 +4,10 @@
  */
 import { type CallerHabits, DEADLINE_MS, KeptConnection } from "./keptConnection.js";
 import { LossAudit } from "./lossAudit.js";
-import { PlayEngine, type PlayPath, PlayPaths } from "./playEngine.js";
+import { getVersionPath, PlayEngine, type PlayPath, PlayPaths } from "./playEngine.js";
 import { type ProcessEnd, ProcessFleet } from "./processFleet.js";
 import { ReadinessProbes } from "./readinessProbes.js";
+import type { PlayAnswer } from "./versionAudit.js";
 import { wait, waitUntil } from "./waiting.js";
 import { createWireBundle } from "./wireBundle.js";
 
@@ -42,6 +43,8 @@
     readonly probes: ReadinessProbes;
     /** Answers by status; "none" where there was no whole one. */
     outcomes: Record<string, number> = {};
+    /** Whole answers. */
+    answers: PlayAnswer[] = [];
     private readonly engines: readonly PlayEngine[];
     private readonly connections = new Set<KeptConnection>();
     private revision = 1;
@@ -124,23 +127,31 @@
         this.lastId += 1;
         const id = `a${this.lastId}`;
         this.audit.recordDeadline(id, DEADLINE_MS);
+        let sentAt = performance.now();
         const onSent = (): void => {
-            this.audit.recordSent(id, connection.router, performance.now());
+            sentAt = performance.now();
+            this.audit.recordSent(id, connection.router, sentAt);
             habits.onSent?.();
         };
         const answer = await connection.send(id, path, { ...habits, onSent });
         const isOwn = answer.status !== 200 || this.engines.some(engine => engine.tryGetBody(id) === answer.body);
         const isWhole = answer.isComplete && isOwn;
-        this.audit.recordAnswerEnd(id, performance.now(), isWhole, answer.cause ?? (isOwn ? undefined : "other body"));
+        const endedAt = performance.now();
+        this.audit.recordAnswerEnd(id, endedAt, isWhole, answer.cause ?? (isOwn ? undefined : "other body"));
         const outcome = isWhole ? String(answer.status) : "none";
         this.outcomes[outcome] = (this.outcomes[outcome] ?? 0) + 1;
-        return isWhole ? answer.status : undefined;
+        if (!isWhole) {
+            return undefined;
+        }
+        this.answers.push({ id, router: connection.router, path, status: answer.status!, sentAt, endedAt });
+        return answer.status;
     }
 
     /** Forgets what was recorded, before a play of its own. */
     resetRecords(): void {
         this.audit = new LossAudit(LIMITS);
         this.outcomes = {};
+        this.answers = [];
     }
 
     /** Stops a router as planned; resolves when its process has ended. */
@@ -156,17 +167,26 @@
     /** Starts a router that has ended; resolves when callers use it again. */
     async startAgain(router: string): Promise<void> {
         this.fleet.startBox(router);
-        await waitUntil(`${router} to be ready`, () => this.fleet.isReady(router));
+        await this.waitReady(router);
         await this.waitServing(router);
     }
 
+    async waitReady(router: string): Promise<void> {
+        await waitUntil(`${router} to be ready`, () => this.fleet.isReady(router));
+    }
+
     /** Sends a router SIGHUP. */
     reload(router: string): void {
         this.audit.recordSettingsChange(router, performance.now());
         this.fleet.signal(router, "SIGHUP");
     }
 
-    /** Puts a configuration that changes nothing but its revision; resolves when it is acknowledged. */
+    /** Returns the path of the route that the configuration put last has added. */
+    getNewestPath(): PlayPath {
+        return getVersionPath(this.revision);
+    }
+
+    /** Puts a configuration that adds a route; resolves when it is acknowledged. */
     async putNextBundle(): Promise<void> {
         this.revision += 1;
         const sentAt = performance.now();
@@ -210,10 +230,21 @@
 function createBundle(revision: number): object {
     const bundle = createWireBundle(revision);
     const engines = { ...bundle.backends[0]!, engine: { slots: 64, kv_capacity: 500_000, stride: 5 } };
+    const plain = bundle.routes.find(({ backend }) => backend === "plain")!;
+    const versions = Array.from({ length: revision }, (_, i) => ({
+        ...plain,
+        name: `version-${i + 1}`,
+        path_prefix: getVersionPath(i + 1),
+    }));
     return {
         ...bundle,
         // A stream that may be resumed goes on at another engine after a silence.
-        routes: bundle.routes.map(route => ({ ...route, timeout_ms: DEADLINE_MS, attempts: 1, resumable: false })),
+        routes: [...bundle.routes, ...versions].map(route => ({
+            ...route,
+            timeout_ms: DEADLINE_MS,
+            attempts: 1,
+            resumable: false,
+        })),
         backends: [engines, bundle.backends[1]],
         tenants: bundle.tenants.map(tenant => ({ ...tenant, prepaid: 10_000_000 })),
     };
--- a/test/tools/playEngine.ts
+++ b/test/tools/playEngine.ts
@@ -15,13 +15,27 @@
     short: "/l/short",
 } as const;
 const LARGE_PATH_PREFIX = "/l/large/";
-export type PlayPath = typeof PlayPaths[keyof typeof PlayPaths] | `${typeof LARGE_PATH_PREFIX}${number}`;
+export const VERSION_PATH_PREFIX = "/v/";
+export type PlayPath =
+    | typeof PlayPaths[keyof typeof PlayPaths]
+    | `${typeof LARGE_PATH_PREFIX}${number}`
+    | `${typeof VERSION_PATH_PREFIX}${number}/`;
 
 /** Returns the path of an answer of a given size, in bytes. */
 export function getLargePath(bytes: number): PlayPath {
     return `${LARGE_PATH_PREFIX}${bytes}`;
 }
 
+/** Returns the path of a short answer, on a route that configurations have from a revision on. */
+export function getVersionPath(revision: number): PlayPath {
+    return `${VERSION_PATH_PREFIX}${revision}/`;
+}
+
+/** Returns the first revision whose configuration has a route for a path; undefined if all have one. */
+export function tryGetVersion(path: PlayPath): number | undefined {
+    return path.startsWith(VERSION_PATH_PREFIX) ? Number(path.split("/")[2]) : undefined;
+}
+
 /** Longer than the silence after which a relayed connection was taken for idle, and than the announced part of a stop. */
 export const SILENCE_MS = 3_000;
 const EVENTS = 20;
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -16,6 +16,7 @@
     SMALL_BOX_LIMITS,
 } from "./boxSettingsText.js";
 import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
+import { tryOpenLogFolder } from "./testLogs.js";
 import { waitUntil } from "./waiting.js";
 
 const CALL_TIMEOUT_MS = 2_000;
@@ -62,6 +63,7 @@
 
 export class ProcessFleet {
     folder = "";
+    private readonly logFolder = tryOpenLogFolder();
     private readonly processes = new Map<string, ChildProcess>();
     private readonly startedBoxes = new Set<string>();
     private readonly faults = new Map<string, BoxFaults>();
@@ -151,7 +153,7 @@
 
     /** Returns the lines that a box has logged and that match. */
     listLogLines(box: string, pattern: RegExp): string[] {
-        const path = join(this.folder, `${box}.log`);
+        const path = this.getLogPath(box);
         const lines = existsSync(path) ? readFileSync(path, "utf8").split("\n") : [];
         return lines.filter(line => pattern.test(line));
     }
@@ -228,7 +230,7 @@
     }
 
     private getLogPath(box: string): string {
-        return join(this.folder, `${box}.log`);
+        return join(this.logFolder ?? this.folder, `${box}.log`);
     }
 
     private formatSettings(box: string): string {
