--- a/src/daemons/directRouter/routerDrain.ts
+++ b/src/daemons/connectionDrain.ts
@@ -1,14 +1,14 @@
-/** The planned stop of a router: every request that it owns is answered before its process ends, as far as time allows. */
-import { waitForNextPoll } from "../../adapters/nextPoll.js";
-import type { ConnectionCounts } from "../../domain/callerConnection.js";
-import type { StopSchedule } from "../../domain/stopSchedule.js";
-import type { Clock } from "../../ports/clock.js";
-import type { Log } from "../../ports/log.js";
+/** The planned stop of a router or a controller: every request that it owns is answered before its process ends, as far as time allows. */
+import { waitForNextPoll } from "../adapters/nextPoll.js";
+import type { ConnectionCounts } from "../domain/callerConnection.js";
+import type { StopSchedule } from "../domain/stopSchedule.js";
+import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
 
 /** Interval at which connections are examined, in milliseconds. */
 const DRAIN_PERIOD_MS = 50;
 
-/** The connections of a router with callers and other routers. */
+/** The connections of a process with its callers, and with the routers that it relays to. */
 export interface DrainableServer {
     /** Stops accepting connections. */
     stopListening(): void;
@@ -22,8 +22,8 @@
     countConnections(): ConnectionCounts;
 }
 
-/** A stopping router. */
-export interface DrainableRouter {
+/** A stopping process. */
+export interface DrainableDaemon {
     getActiveRequestCount(): number;
 }
 
@@ -31,9 +31,9 @@
 type DrainStage = "announced" | "closing" | "drained" | "over";
 
 /** Resolves when every request is answered, or when the time is over. */
-export async function drainRouter(
+export async function drainConnections(
     server: DrainableServer,
-    router: DrainableRouter,
+    daemon: DrainableDaemon,
     schedule: StopSchedule,
     clock: Clock,
     log: Log,
@@ -43,7 +43,7 @@
             stage,
             ...server.countConnections(),
             relayed: server.countRelayed(),
-            requests: router.getActiveRequestCount(),
+            requests: daemon.getActiveRequestCount(),
             after_ms: Math.round(schedule.getElapsedMs(clock.getMonotonicMs())),
         });
     logProgress("announced");
@@ -53,7 +53,7 @@
     while (schedule.getPhase(clock.getMonotonicMs()) !== "over") {
         await waitForNextPoll();
         server.endIdleConnections();
-        if (server.countUndelivered() + router.getActiveRequestCount() > 0) {
+        if (server.countUndelivered() + daemon.getActiveRequestCount() > 0) {
             await clock.wait(DRAIN_PERIOD_MS);
         }
         else if (isListening) {
--- a/test/daemons/routerDrain.test.ts
+++ b/test/daemons/connectionDrain.test.ts
@@ -1,7 +1,7 @@
 /** Guards against a planned stop that ends while a connection has a request, or that outlasts its time. */
 import fc from "fast-check";
 import t from "tap";
-import { type DrainableServer, drainRouter } from "../../src/daemons/directRouter/routerDrain.js";
+import { type DrainableServer, drainConnections } from "../../src/daemons/connectionDrain.js";
 import { StopSchedule } from "../../src/domain/stopSchedule.js";
 import { NoLog } from "../../src/ports/log.js";
 import { FakeClock } from "../tools/fakes.js";
@@ -69,7 +69,7 @@
         const server = new FakeServer(spans, () => clock.getMonotonicMs() - startedAt);
         const options = { announceMs: ANNOUNCE_MS, gracePeriodMs: GRACE_MS, closingMarginMs: GRACE_MS - OVER_MS };
         const schedule = new StopSchedule(startedAt, options);
-        await drainRouter(server, { getActiveRequestCount: () => 0 }, schedule, clock, new NoLog());
+        await drainConnections(server, { getActiveRequestCount: () => 0 }, schedule, clock, new NoLog());
         const elapsedMs = clock.getMonotonicMs() - startedAt;
         const isOver = elapsedMs >= OVER_MS;
         if (elapsedMs > OVER_MS + 50 || elapsedMs < ANNOUNCE_MS || (!isOver && server.countUndelivered() > 0)) {
