A stream may have an event for each of its tokens before it counts as one without end

The bound took the declared tokens of an event for what each event holds; they are the most that one may hold, so that a sound upstream with smaller events would have been cut off.

--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -51,16 +51,17 @@
     return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
 }
 
-/** Events of a stream beyond those that its tokens fill: the first and the last one may hold a single token. */
-const MAX_UNFILLED_EVENTS = 4;
+/** Events of a stream that may hold no token, such as its end. */
+const MAX_EMPTY_EVENTS = 4;
 
-/** Computes the most events that a stream may have; undefined if the request or the service does not tell. */
+/**
+ * Computes the most events that a stream may have, one for each token; undefined if the request does not tell. An event may hold fewer
+ * tokens than the service declares, which is their maximum.
+ */
 export function tryComputeMaxEvents(
     { request: { maxOutputTokens }, service: { engine } }: ResolvedRequest,
 ): number | undefined {
-    return engine === undefined || maxOutputTokens === 0
-        ? undefined
-        : Math.ceil(maxOutputTokens / engine.tokensPerEvent) + MAX_UNFILLED_EVENTS;
+    return engine === undefined || maxOutputTokens === 0 ? undefined : maxOutputTokens + MAX_EMPTY_EVENTS;
 }
 
 /** Computes a hash of the account and the content of a request that does not depend on the request id. */
