Relayed connections: a slow caller gets the whole answer of a router that has stopped, and old announcements close no new connection

A timer decided about an answer that is owned; it is gone, and TCP keepalive tells of a box without power. And the first connections relayed after a configuration change were refused, because what their router had announced before the change still held; an announcement counts only if it came after the connection was accepted.

--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -28,6 +28,9 @@
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
 
+/** Silence after which the system asks whether the box of the other router still answers, in milliseconds. */
+const KEEP_ALIVE_DELAY_MS = 1_000;
+
 /** A router that connections are relayed to. */
 export interface RelayTarget {
     /** Peer address, which identifies it. */
@@ -111,16 +114,12 @@
 
     /**
      * Resets the connections to routers that are not reachable any more: their callers would wait in vain. A router that has announced
-     * its stop ends its connections itself; `includesStopping`: whether those to such routers are reset too.
+     * its stop ends its connections itself, and callers may still read what it has sent.
      */
-    resetUnreachable(includesStopping: boolean): void {
+    resetUnreachable(): void {
         for (const connection of this.connections) {
-            const { address } = connection.target;
             // An answer that has arrived whole is still delivered to a slow caller.
-            if (
-                !connection.hasNeighbourEnded && !this.isReachable(address)
-                && (includesStopping || !this.options.isStopping(address))
-            ) {
+            if (!connection.hasNeighbourEnded && this.isLost(connection.target.address)) {
                 connection.reset("neighbourUnreachable");
             }
         }
@@ -145,10 +144,6 @@
         return [...this.connections].filter(connection => !connection.isDelivered()).length;
     }
 
-    isReachable(address: string): boolean {
-        return this.options.isReachable(address);
-    }
-
     /** Whether a router can have ended its connections only because its process is gone. */
     isLost(address: string): boolean {
         return !this.options.isReachable(address) && !this.options.isStopping(address);
@@ -234,6 +229,8 @@
             ...parseAddress(target.relayAddress),
             allowHalfOpen: true,
             noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
             onread: { buffer: readBuffer, callback: (length, buffer) => this.handleAnswer(length, buffer) },
         });
         this.neighbour.on("connect", this.handleConnect);
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -24,11 +24,6 @@
 const RELAY_VERSION = 2;
 /** Number of routers that have announced their stop and are remembered. */
 const MAX_STOPPING_ROUTERS = 64;
-/**
- * Time after which the connections to a router that has announced its stop, and whose link is lost, are reset: the system of a process
- * that has ended closes them by then, and a box without power never does.
- */
-const STOPPED_RESET_DELAY_MS = 1_000;
 /** Time after a change in which all connections are examined. Later, each is examined after its answer. */
 const CLOSING_PERIOD_MS = 5_000;
 /** Refusals should be sent within a quarter of the latency goal. */
@@ -45,7 +40,7 @@
 /** The relay of callers' connections, as far as the coordinator needs it. */
 export interface CoordinatedRelay {
     listTargets(): readonly string[];
-    resetUnreachable(includesStopping: boolean): void;
+    resetUnreachable(): void;
 }
 
 export class RelayCoordinator {
@@ -179,7 +174,11 @@
 
     /** Records a connection that another router has relayed to this one. `instance`: see `RelayedInConnection`. */
     recordRelayedIn(connection: object, instance: string | undefined): void {
-        this.relayedIn.set(connection, { instance, revision: this.router.getBundleRevision() });
+        this.relayedIn.set(connection, {
+            instance,
+            revision: this.router.getBundleRevision(),
+            acceptedAt: this.clock.getMonotonicMs(),
+        });
     }
 
     /**
@@ -248,15 +247,9 @@
 
     /** A lost link may be that of a router which is only slow. While this router stops, its callers have little time to wait in vain. */
     private resetUnreachable(): void {
-        if (this.router.isStopping()) {
-            return;
+        if (!this.router.isStopping()) {
+            this.relay?.resetUnreachable();
         }
-        this.relay?.resetUnreachable(false);
-        void this.clock.wait(STOPPED_RESET_DELAY_MS).then(() => {
-            if (!this.router.isStopping()) {
-                this.relay?.resetUnreachable(true);
-            }
-        });
     }
 
     private recordSample(utilization: number): void {
--- a/src/domain/relayingRouters.ts
+++ b/src/domain/relayingRouters.ts
@@ -19,6 +19,8 @@
     readonly instance: string | undefined;
     /** Revision of this router's configuration when the connection was accepted. */
     readonly revision: number | undefined;
+    /** When it was accepted. Monotonic clock, milliseconds. */
+    readonly acceptedAt: number;
 }
 
 /** Number of processes whose announcements are stored. A zone has at most 16 routers that notify each other, and they restart. */
@@ -67,7 +69,7 @@
     }
 
     /** Whether the router that relays a connection is stopping. One that does not tell may be at any time. */
-    isStopping({ instance }: RelayedInConnection): boolean {
+    isStopping({ instance }: Pick<RelayedInConnection, "instance">): boolean {
         return instance === undefined || this.announced.get(instance)?.closesAt !== undefined;
     }
 
@@ -76,7 +78,7 @@
      * `ownRevision`, `ownRevisionAt`: of this router's configuration, and since when.
      */
     isClosed(
-        { instance, revision }: RelayedInConnection,
+        { instance, revision, acceptedAt }: RelayedInConnection,
         ownRevision: number | undefined,
         ownRevisionAt: number,
         now: number,
@@ -85,7 +87,9 @@
         if (announced?.closesAt !== undefined && announced.closesAt <= now) {
             return true;
         }
-        const changedAt = Math.max(ownRevisionAt, announced?.revisionAt ?? -Infinity);
-        return (announced?.revision ?? revision) !== ownRevision && now - changedAt >= REVISION_TOLERANCE_MS;
+        // What was announced before is outdated: connections are relayed only to routers that serve the same configuration.
+        const isCurrent = announced !== undefined && announced.revisionAt >= acceptedAt;
+        const changedAt = isCurrent ? Math.max(ownRevisionAt, announced.revisionAt) : ownRevisionAt;
+        return (isCurrent ? announced.revision : revision) !== ownRevision && now - changedAt >= REVISION_TOLERANCE_MS;
     }
 }
