The phases of a stop count from the signal, also if it came during the start

Found by a reviewer, by reading: the schedule began when the role could stop, while the limit of the whole stop counts from the signal, so that a stop after a slow start would have ended in the middle of its drain.

--- a/src/adapters/processLifetime.ts
+++ b/src/adapters/processLifetime.ts
@@ -18,7 +18,9 @@
     private log: Log | undefined;
     private stopLimitMs = DEFAULT_STOP_LIMIT_MS;
     private reload = (): void => undefined;
-    private stop = (): Promise<void> => Promise.resolve();
+    private stop: (signalledAt: number) => Promise<void> = () => Promise.resolve();
+    /** When the first stop signal came. Monotonic clock, milliseconds. */
+    private signalledAt: number | undefined;
 
     /** Registers the handlers. `stopSignals`, `reloadSignals`: those that stop the process or reload its settings. */
     register(stopSignals: readonly NodeJS.Signals[], reloadSignals: readonly NodeJS.Signals[] = []): void {
@@ -26,7 +28,7 @@
             return;
         }
         this.isRegistered = true;
-        stopSignals.forEach(signal => process.on(signal, () => this.handle("stopSignal")));
+        stopSignals.forEach(signal => process.on(signal, () => this.handleStopSignal()));
         reloadSignals.forEach(signal => process.on(signal, () => this.handle("reloadSignal")));
         process.on("uncaughtException", error => this.fail("uncaughtError", error));
         // Before the log's own handler, which writes the remaining lines.
@@ -54,8 +56,11 @@
         this.handle("reloadable");
     }
 
-    /** Calls `stop` at the first stop signal, at once if there was one during the start, and ends the process after it. */
-    setStop(stop: () => Promise<void>): void {
+    /**
+     * Calls `stop` at the first stop signal, at once if there was one during the start, and ends the process after it. `signalledAt`:
+     * when the signal came. Monotonic clock, milliseconds.
+     */
+    setStop(stop: (signalledAt: number) => Promise<void>): void {
         this.stop = stop;
         this.handle("started");
     }
@@ -66,6 +71,11 @@
         this.handle(event);
     }
 
+    private handleStopSignal(): void {
+        this.signalledAt ??= performance.now();
+        this.handle("stopSignal");
+    }
+
     private handle(event: ProcessEvent): void {
         this.states.handle(event).forEach(action => this.execute(action));
     }
@@ -89,7 +99,7 @@
 
     private runStop(): void {
         this.log?.info("stop_begins");
-        this.stop().then(
+        this.stop(this.signalledAt ?? performance.now()).then(
             () => this.handle("stopped"),
             error => {
                 this.log?.error("stop_failed", { error: String(error) });
