Callers' connections: no bytes within a running answer, no request after an announced end, no close before a request was read

Found by a reviewer on bare Node.js: a malformed or late next request wrote a 400 into the answer before it; a pipelined request was passed on and then closed with the announced end of the answer before it; an early refusal with Connection: close reset the connection while its body was still coming.

--- a/src/adapters/http/appConnections.ts
+++ b/src/adapters/http/appConnections.ts
@@ -37,6 +37,7 @@
             const name = `${request.method} ${request.url}`;
             if (this.callers.isEnded(request.socket)) {
                 this.log.info("request_crossed_close", { request: name });
+                request.resume();
                 return;
             }
             this.callers.beginExchange(request, response, name);
--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -23,6 +23,8 @@
     private readonly connections = new Map<Socket, CallerConnection>();
     /** Connections that this router has reset, and why. */
     private readonly resetCauses = new WeakMap<Socket, UndeliveredCause>();
+    /** Connections with bytes that are no request, which are ended after the answers under way. */
+    private readonly malformed = new WeakSet<Socket>();
     /** Connections that this router has ended, over which nothing is served any more. */
     private readonly ended = new Set<Socket>();
 
@@ -44,9 +46,27 @@
         }
     }
 
-    /** Whether this router has ended a connection. A request that arrives over it has crossed its end, and cannot be answered. */
+    /**
+     * Whether this router has ended a connection, or told its caller so. A request that arrives over it has crossed the end, and cannot
+     * be answered.
+     */
     isEnded(socket: Socket): boolean {
-        return this.ended.has(socket);
+        return this.ended.has(socket) || this.connections.get(socket)?.hasAnnouncedEnd() === true;
+    }
+
+    /** Records that an answer tells its caller that the connection ends; false if it may not. See `CallerConnection`. */
+    tryAnnounceEnd(socket: Socket, exchange: CallerExchange): boolean {
+        return this.connections.get(socket)?.tryAnnounceEnd(exchange) ?? true;
+    }
+
+    /** Records bytes that are no request. Returns whether only whole requests are under way, after which the connection is ended. */
+    recordMalformed(socket: Socket): boolean {
+        const exchanges = this.connections.get(socket)?.listExchanges() ?? [];
+        const isAnswering = exchanges.length > 0 && exchanges.every(exchange => exchange.wasReadWhole());
+        if (isAnswering) {
+            this.malformed.add(socket);
+        }
+        return isAnswering;
     }
 
     /** Ends the connections that are to be closed and carry no request. Called right after a poll for I/O. */
@@ -75,7 +95,9 @@
     }
 
     private endIfIdle(socket: Socket, connection: CallerConnection): void {
-        if (!this.ended.has(socket) && connection.isIdle(socket.bytesRead) && this.isClosing(socket)) {
+        const isMalformed = this.malformed.has(socket) && connection.listExchanges().length === 0;
+        const isIdle = connection.isIdle(socket.bytesRead) && this.isClosing(socket);
+        if (!this.ended.has(socket) && (isMalformed || isIdle)) {
             this.ended.add(socket);
             this.metrics.addCount("connections_ended_idle");
             socket.end();
--- a/src/domain/callerConnection.ts
+++ b/src/domain/callerConnection.ts
@@ -12,6 +12,7 @@
 /** A request and its answer. */
 export class CallerExchange {
     private stage: ExchangeStage = "body";
+    private isWhole = false;
 
     /** `id`: of the request, for logs. `startedAt`: monotonic clock, milliseconds. */
     constructor(readonly id: string, readonly startedAt: number) {}
@@ -27,11 +28,17 @@
 
     /** Records that the request was read whole. */
     recordBodyEnd(): void {
+        this.isWhole = true;
         if (this.stage === "body") {
             this.stage = "running";
         }
     }
 
+    /** Whether the request was read whole. */
+    wasReadWhole(): boolean {
+        return this.isWhole;
+    }
+
     /** Records that the answer is complete and waits until the operating system takes it. */
     recordAnswerEnd(): void {
         this.stage = "unsent";
@@ -51,6 +58,7 @@
 
 export class CallerConnection {
     private readonly exchanges = new Set<CallerExchange>();
+    private isEndAnnounced = false;
 
     /**
      * `relay`: the router that relays the connection; undefined for a caller's own one. `accountedBytes`: bytes that were read from the
@@ -81,6 +89,21 @@
         return this.exchanges.size === 0 && readBytes === this.accountedBytes;
     }
 
+    /**
+     * Records that an answer tells the caller that the connection ends. Returns false, and does nothing, if a further request was read
+     * already, which would not be answered then.
+     */
+    tryAnnounceEnd(exchange: CallerExchange): boolean {
+        const isNewest = [...this.exchanges].at(-1) === exchange;
+        this.isEndAnnounced ||= isNewest;
+        return isNewest;
+    }
+
+    /** Whether an answer has told the caller that the connection ends, so that no further request is served. */
+    hasAnnouncedEnd(): boolean {
+        return this.isEndAnnounced;
+    }
+
     /** Returns the requests that the router owns. */
     listExchanges(): CallerExchange[] {
         return [...this.exchanges];
