Plays of a configuration that serving routers get later, and of a stop of a router short of CPU time

The first one: the relaying router has a configuration for longer than routers tolerate before the others have it, while relayed streams have been silent for 2 s.

--- a/test/fleet/plannedChanges.test.ts
+++ b/test/fleet/plannedChanges.test.ts
@@ -10,6 +10,8 @@
 /** After the beginning of streams, which by then have been silent for more than 2 s. */
 const SILENT_MS = 2_600;
 const BETWEEN_BUNDLES_MS = 1_000;
+/** By which configurations differ for longer than routers tolerate, and less than the silence that is left. */
+const LATE_MS = 500;
 /** Between calls of a caller; some calls of each pass while configurations differ. */
 const MAX_PAUSE_MS = 150;
 const RELAYED_STREAMS = 6;
@@ -61,6 +63,19 @@
     checkAnswers(t);
 });
 
+void t.test("a configuration that serving routers get later cuts off no relayed stream that is silent", async t => {
+    const connections = await play.openRelayed("r1", RELAYED_STREAMS);
+    const streams = connections.map(connection => play.send(connection, PlayPaths.silent));
+    await wait(SILENT_MS - LATE_MS);
+    const serving = play.fleet.listRouters().filter(router => router !== "r1");
+    serving.forEach(router => play.fleet.signal(router, "SIGSTOP"));
+    await play.putNextBundle();
+    await wait(LATE_MS);
+    serving.forEach(router => play.fleet.signal(router, "SIGCONT"));
+    await Promise.all(streams);
+    checkAnswers(t);
+});
+
 void t.test("a stop of the relaying router between two configurations cuts nothing off", async t => {
     const stopLoad = await startLoad(SILENT_MS - BETWEEN_BUNDLES_MS / 2);
     await play.putNextBundle();
--- a/test/fleet/plannedStops.test.ts
+++ b/test/fleet/plannedStops.test.ts
@@ -10,6 +10,8 @@
 /** Streams that have begun and not ended. */
 const UNDER_WAY_MS = 400;
 const TURN_MS = 1_000;
+/** Of the time of a router's event loop. */
+const BUSY_FRACTIONS = [0.8, 0.95];
 const SHORT_PAUSE_MS = 250;
 const LONG_PAUSE_MS = 7_000;
 /** After SIGTERM, when callers begin to read. */
@@ -67,6 +69,23 @@
     await checkStops(t, ["r1"], [stop]);
 });
 
+for (const busyFraction of BUSY_FRACTIONS) {
+    void t.test(`a router that stops while it is short of CPU time, busy ${busyFraction}, cuts nothing off`, async t => {
+        const connections = await play.openRelayed("r1", 12);
+        play.fleet.setBusyFraction("r1", busyFraction);
+        const streams = sendOnAll(connections.slice(0, 6), PlayPaths.silent);
+        let isOver = false;
+        const callers = connections.slice(6).map(connection =>
+            play.runCaller(connection, () => PlayPaths.steady, () => Math.random() * SHORT_PAUSE_MS, () => isOver)
+        );
+        await wait(UNDER_WAY_MS);
+        const stop = await play.stop("r1");
+        isOver = true;
+        await Promise.all([...streams, ...callers]);
+        await checkStops(t, ["r1"], [stop]);
+    });
+}
+
 void t.test("callers that read late get whole answers from a stopping router", async t => {
     const connections = [...await play.openRelayed("r1", 12), ...await play.openServed("r1", 12)];
     const stopsAt = wait(UNDER_WAY_MS);
