Routers tell how long ago a caller's close arrived, at each step

An incident (work for callers that left) cannot be explained by logs that begin where a process reads something.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -28,17 +28,25 @@
     /** Connections that this router has ended, over which nothing is served any more. */
     private readonly ended = new Set<Socket>();
 
-    /** `isClosing`: whether a connection is ended as soon as this router owns no request of it. */
+    /**
+     * `isClosing`: whether a connection is ended as soon as this router owns no request of it. `getMaxReadDelayMs`: longest time for which
+     * what is read now may have been there, in milliseconds.
+     */
     constructor(
         private readonly log: Log,
         private readonly metrics: Metrics,
         private readonly isClosing: (socket: Socket) => boolean,
+        private readonly getMaxReadDelayMs: () => number = () => 0,
     ) {}
 
     /** Adds a connection unless it is known. `relay`, `accountedBytes`: see `CallerConnection`. */
     add(socket: Socket, relay?: string, accountedBytes = 0): void {
         if (!this.connections.has(socket)) {
-            this.connections.set(socket, new CallerConnection(relay, accountedBytes));
+            const connection = new CallerConnection(relay, accountedBytes);
+            this.connections.set(socket, connection);
+            const recordClosed = (): void => this.recordClosed(connection);
+            socket.once("end", recordClosed);
+            socket.once("error", recordClosed);
             socket.once("close", () => {
                 this.connections.delete(socket);
                 this.ended.delete(socket);
@@ -59,6 +67,11 @@
         return this.connections.get(socket)?.tryAnnounceEnd(exchange) ?? true;
     }
 
+    /** Returns the longest time since a caller's close arrived at this process, in milliseconds; 0 if it has not closed its connection. */
+    getCloseAgeMs(socket: Socket): number {
+        return this.connections.get(socket)?.tryGetCloseAgeMs(performance.now()) ?? 0;
+    }
+
     /** Records bytes that are no request. Returns whether only whole requests are under way, after which the connection is ended. */
     recordMalformed(socket: Socket): boolean {
         const exchanges = this.connections.get(socket)?.listExchanges() ?? [];
@@ -94,6 +107,14 @@
         return this.connections.size - this.ended.size;
     }
 
+    private recordClosed(connection: CallerConnection): void {
+        const delayMs = this.getMaxReadDelayMs();
+        connection.recordClosed(performance.now() - delayMs);
+        if (connection.listExchanges().length > 0) {
+            this.metrics.recordTiming("close_read_ms", delayMs);
+        }
+    }
+
     private endIfIdle(socket: Socket, connection: CallerConnection): void {
         const isMalformed = this.malformed.has(socket) && connection.listExchanges().length === 0;
         const isIdle = connection.isIdle(socket.bytesRead) && this.isClosing(socket);
@@ -137,7 +158,10 @@
     }
 
     /** Logs an answer that its caller did not get whole. */
-    private logUndelivered(socket: Socket, { relay }: CallerConnection, exchange: CallerExchange): void {
+    private logUndelivered(socket: Socket, connection: CallerConnection, exchange: CallerExchange): void {
+        const { relay } = connection;
+        const now = performance.now();
+        const closeAgeMs = connection.tryGetCloseAgeMs(now);
         const cause = this.resetCauses.get(socket) ?? (relay === undefined ? "callerClosed" : "relayClosed");
         this.metrics.addCount(`answers_undelivered_${cause}`);
         this.log.info("answer_undelivered", {
@@ -145,7 +169,9 @@
             cause,
             stage: exchange.getStage(),
             relay,
-            age_ms: Math.round(performance.now() - exchange.startedAt),
+            relay_port: relay === undefined ? undefined : socket.remotePort,
+            close_age_ms: closeAgeMs === undefined ? undefined : Math.round(closeAgeMs),
+            age_ms: Math.round(now - exchange.startedAt),
         });
     }
 }
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -26,6 +26,9 @@
  */
 const MIN_STALE_AGE_MS = 200;
 
+/** Closes that may have been read later than this are logged, in milliseconds. */
+const MIN_LOGGED_CLOSE_AGE_MS = 100;
+
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
 
@@ -51,11 +54,17 @@
     readonly connectTimeoutMs: number;
     /** Maximum number of concurrent relayed connections. */
     readonly maxConnections: number;
+    /** Returns the longest time for which what is read now may have been there, in milliseconds. */
+    readonly getMaxReadDelayMs: () => number;
 }
 
 /** What a relayed connection has carried, for logs. Bytes, milliseconds. */
 interface RelayProgress {
     readonly age_ms: number;
+    /** Estimated time in the listen queue. */
+    readonly unaccepted_ms: number;
+    /** Local port of the connection to the other router. */
+    readonly port: number | undefined;
     /** Time since bytes were last passed on. */
     readonly quiet_ms: number;
     readonly request_bytes: number;
@@ -99,12 +108,18 @@
     /**
      * Relays a connection that was accepted with `pauseOnConnect`. If the other router cannot be reached, `serveLocally` is
      * called with the socket untouched. Returns false, and does nothing, if there are too many relayed connections.
+     * `arrivedAt`: estimated arrival of the connection. Monotonic clock, milliseconds.
      */
-    tryRelay(caller: Socket, target: RelayTarget, serveLocally: (error: string) => void): boolean {
+    tryRelay(
+        caller: Socket,
+        target: RelayTarget,
+        arrivedAt: number,
+        serveLocally: (error: string) => void,
+    ): boolean {
         if (this.connections.size >= this.options.maxConnections) {
             return false;
         }
-        const connection = new RelayedConnection(this, caller, target, this.readBuffer, error => {
+        const connection = new RelayedConnection(this, caller, target, arrivedAt, this.readBuffer, error => {
             this.logFailure(target, error, undefined);
             serveLocally(error);
         });
@@ -191,6 +206,19 @@
         this.log.info("relay_closed", { router: target.address, reason, ...progress });
     }
 
+    /** Called by a connection whose caller has ended or reset it. */
+    recordCallerClose(connection: RelayedConnection): void {
+        const closeAgeMs = this.options.getMaxReadDelayMs();
+        this.metrics.recordTiming("relay_close_read_ms", closeAgeMs);
+        if (closeAgeMs >= MIN_LOGGED_CLOSE_AGE_MS || connection.isUnanswered()) {
+            this.log.info("relay_caller_closed", {
+                router: connection.target.address,
+                close_age_ms: Math.round(closeAgeMs),
+                ...connection.getProgress(),
+            });
+        }
+    }
+
     /** Called by a connection that is reset. */
     logFailure(target: RelayTarget, reason: string, progress: RelayProgress | undefined): void {
         this.metrics.addCount("connections_relay_failed");
@@ -223,6 +251,7 @@
         private readonly relay: ConnectionRelay,
         private readonly caller: Socket,
         readonly target: RelayTarget,
+        private readonly arrivedAt: number,
         readBuffer: Buffer,
         private readonly serveLocally: (error: string) => void,
     ) {
@@ -238,10 +267,12 @@
         this.neighbour.on("error", this.handleNeighbourError);
     }
 
-    private getProgress(): RelayProgress {
+    getProgress(): RelayProgress {
         const now = performance.now();
         return {
             age_ms: Math.round(now - this.acceptedAt),
+            unaccepted_ms: Math.round(this.acceptedAt - this.arrivedAt),
+            port: this.neighbour.localPort,
             quiet_ms: Math.round(now - this.lastBytesAt),
             request_bytes: this.caller.bytesRead,
             answer_bytes: this.neighbour.bytesRead,
@@ -255,6 +286,11 @@
         return this.state === "open" && !this.isPreambleSent && this.delayedBytes === undefined;
     }
 
+    /** Whether bytes of the caller were passed on that no answer has followed. */
+    isUnanswered(): boolean {
+        return this.isPreambleSent && this.answerReads === 0;
+    }
+
     /** Whether the neighbour has ended the connection, and the operating system has all of its bytes for the caller. */
     isDelivered(): boolean {
         return this.hasNeighbourEnded && this.caller.writableFinished;
@@ -313,6 +349,7 @@
         this.relay.recordConnected();
         caller.on("data", this.handleRequest);
         caller.on("end", () => {
+            this.relay.recordCallerClose(this);
             if (this.delayedBytes === undefined) {
                 neighbour.end();
             }
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -27,13 +27,15 @@
 const REFUSAL_EVENT = "request_refused";
 const UNDELIVERED_EVENT = "answer_undelivered";
 const STOP_EVENTS: ReadonlySet<string> = new Set(["router_stopping", "stop_progress", "relay_closed", "relay_failed"]);
+/** The close of a caller's connection as the router saw it that relayed the connection. */
+const RELAYED_CLOSE_EVENT = "relay_caller_closed";
 const QUARANTINE_PATTERN = /requestQuarantined: (\S+)/;
 const CAUSE_MARKER = "*";
 
 /**
  * Prints the lines of a request and marks the cause of a refusal; of a quarantine also the lines of the requests that ended
- * upstreams; of an answer that was not delivered, the stops of the router and of the one that relayed its connection. Throws
- * notFound if there are no such lines.
+ * upstreams; of an answer that was not delivered, the stops of the router and of the one that relayed its connection, and when that
+ * one read the caller's close. Throws notFound if there are no such lines.
  */
 export async function explainRequest(request: string, paths: readonly string[]): Promise<void> {
     const ownLines = await readLinesOfFiles(paths, [request], line => line.fields.get("request") === request);
@@ -102,7 +104,7 @@
     return event === "attempt_ended" && isSubset(attributes, shared);
 }
 
-/** Reads how the routers of an answer that was not delivered were stopping. */
+/** Reads how the routers of an answer that was not delivered were stopping, and when the caller's close was read. */
 async function readStopLines(ownLines: readonly LogLine[], paths: readonly string[]): Promise<LogLine[]> {
     const undelivered = ownLines.find(({ event }) => event === UNDELIVERED_EVENT);
     if (undelivered === undefined) {
@@ -113,8 +115,12 @@
         ? []
         : await readLinesOfFiles(paths, [relay], ({ fields }) => fields.get("incarnation") === relay);
     const names = new Set([undelivered.name, ...starts.map(({ name }) => name)]);
-    const isStopLine = ({ event, name }: LogLine): boolean => STOP_EVENTS.has(event) && names.has(name);
-    return readLinesOfFiles(paths, [...STOP_EVENTS], isStopLine);
+    const port = undelivered.fields.get("relay_port");
+    const isSelected = ({ event, name, fields }: LogLine): boolean => {
+        const isClose = event === RELAYED_CLOSE_EVENT && port !== undefined && fields.get("port") === port;
+        return names.has(name) && (STOP_EVENTS.has(event) || isClose);
+    };
+    return readLinesOfFiles(paths, [...STOP_EVENTS, RELAYED_CLOSE_EVENT], isSelected);
 }
 
 /** Returns the value of an attribute, which a line may name without its kind. */
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -179,6 +179,7 @@
     /** Set once the attempt has been stopped after it was sent. */
     private stoppedRun: Promise<StoppedRun> | undefined;
     private resolveStoppedRun: ((run: StoppedRun) => void) | undefined;
+    private closeAgeMs: number | undefined;
 
     constructor(private readonly upstreams: DirectUpstreams, private readonly options: AttemptOptions) {
         this.splitter = options.isStream ? new EventSplitter() : undefined;
@@ -198,8 +199,12 @@
         });
     }
 
-    /** Cancels the attempt and closes its connection to the upstream. */
-    stop(): void {
+    /**
+     * Cancels the attempt and closes its connection to the upstream. `closeAgeMs`: longest time since the caller's close arrived, in
+     * milliseconds; undefined if the caller has not left.
+     */
+    stop(closeAgeMs?: number): void {
+        this.closeAgeMs ??= closeAgeMs;
         if (!this.isStarted) {
             this.abort(createNotSentOutcome("cancelled while waiting for a connection"));
         }
@@ -209,6 +214,11 @@
         }
     }
 
+    /** Returns the longest time from the arrival of the caller's close to the stop, in milliseconds. */
+    tryGetCloseAgeMs(): number | undefined {
+        return this.closeAgeMs;
+    }
+
     /** Resolves to what is known of the run of an attempt that was stopped. */
     waitForRunEnd(): Promise<StoppedRun> {
         return this.stoppedRun ?? Promise.resolve(createUnknownEnd("the attempt was not stopped"));
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -73,6 +73,8 @@
     readonly eventCount: number;
     readonly reserved: number;
     readonly charged: number;
+    /** Longest time from the arrival of the caller's close until the attempt was stopped, in milliseconds; undefined if it has not left. */
+    readonly closeAgeMs: number | undefined;
     /** Time until it was known, in milliseconds. */
     readonly tookMs: number;
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -92,7 +92,7 @@
     /** Resolves when the final response has been written or the caller has disconnected. */
     async run(): Promise<void> {
         const timer = setTimeout(() => this.abort("late"), Math.max(0, this.deadline - performance.now()));
-        this.sink.onDisconnect(() => this.abort("gone"));
+        this.sink.onDisconnect(closeAgeMs => this.abort("gone", closeAgeMs));
         try {
             await this.runAttempts();
         }
@@ -102,9 +102,10 @@
         }
     }
 
-    private abort(cause: "gone" | "late"): void {
+    /** `closeAgeMs`: longest time since the caller's close arrived, in milliseconds. */
+    private abort(cause: "gone" | "late", closeAgeMs?: number): void {
         this.abortCause ??= cause;
-        this.attempt?.stop();
+        this.attempt?.stop(closeAgeMs);
     }
 
     private async runAttempts(): Promise<void> {
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -43,10 +43,17 @@
 
     /** Records what an attempt is charged that was stopped because its caller has left or its time is over. */
     recordStopped({ request, account }: ResolvedRequest, details: StoppedDetails): void {
-        this.metrics.addCount(`attempts_stopped_${details.end}`);
-        if (details.end === "unknown") {
+        const { closeAgeMs } = details;
+        if (details.reserved > 0) {
+            this.metrics.addCount(`attempts_stopped_${details.end}`);
+        }
+        if (details.reserved > 0 && details.end === "unknown") {
             this.metrics.addCount("tokens_charged_unconfirmed", details.charged);
         }
+        if (closeAgeMs !== undefined) {
+            this.metrics.recordTiming("close_to_stop_ms", closeAgeMs);
+            this.metrics.recordTiming("close_to_run_end_ms", closeAgeMs + details.tookMs);
+        }
         this.log.info("attempt_stopped", {
             request: request.forwarded.id,
             account: account?.name,
@@ -55,7 +62,8 @@
             reason: details.reason,
             events: details.eventCount,
             reserved_tokens: details.reserved,
-            charged_tokens: details.charged,
+            charged_tokens: details.reserved > 0 ? details.charged : 0,
+            close_age_ms: closeAgeMs === undefined ? undefined : Math.round(closeAgeMs),
             took_ms: Math.round(details.tookMs),
         });
     }
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -103,17 +103,16 @@
         const { end, reason } = await attempt.waitForRunEnd();
         const charged = this.computeCharge(end, attempt);
         this.settleTokens(charged);
-        if (this.hasReservation()) {
-            this.context.recorder.recordStopped(this.resolved, {
-                upstream: attempt.getUpstreamId(),
-                end,
-                reason,
-                eventCount: attempt.eventCount,
-                reserved: this.reserved,
-                charged,
-                tookMs: performance.now() - stoppedAt,
-            });
-        }
+        this.context.recorder.recordStopped(this.resolved, {
+            upstream: attempt.getUpstreamId(),
+            end,
+            reason,
+            eventCount: attempt.eventCount,
+            reserved: this.hasReservation() ? this.reserved : 0,
+            charged,
+            closeAgeMs: attempt.tryGetCloseAgeMs(),
+            tookMs: performance.now() - stoppedAt,
+        });
     }
 
     private logNotReserved(account: string, outcome: ReserveOutcome): void {
--- a/src/domain/arrivalEstimator.ts
+++ b/src/domain/arrivalEstimator.ts
@@ -60,6 +60,14 @@
             : Math.min(now, this.lastTickAt + this.tickMs);
     }
 
+    /** Returns the longest time for which data that is read at `now` may have been there, in milliseconds. */
+    getMaxReadDelayMs(now: number): number {
+        const sinceTickMs = Math.max(0, now - this.lastTickAt);
+        const lagMs = this.isFirstPollAfterTick ? this.getLagMs() : 0;
+        // The turn that delayed the tick began with a poll after the tick before it.
+        return lagMs > 0 ? sinceTickMs + lagMs + this.tickMs : sinceTickMs;
+    }
+
     /** Estimates when a connection that is accepted at `now` arrived. */
     createConnectionArrival(now: number): ConnectionArrival {
         return { arrivedAt: this.estimateArrival(now), turn: this.currentTurn };
--- a/src/domain/callerConnection.ts
+++ b/src/domain/callerConnection.ts
@@ -59,6 +59,7 @@
 export class CallerConnection {
     private readonly exchanges = new Set<CallerExchange>();
     private isEndAnnounced = false;
+    private closedAt: number | undefined;
 
     /**
      * `relay`: the router that relays the connection; undefined for a caller's own one. `accountedBytes`: bytes that were read from the
@@ -104,6 +105,16 @@
         return this.isEndAnnounced;
     }
 
+    /** Records that the caller has closed or reset the connection, at the earliest at `closedAt`. Monotonic clock, milliseconds. */
+    recordClosed(closedAt: number): void {
+        this.closedAt ??= closedAt;
+    }
+
+    /** Returns the longest time since the close arrived, in milliseconds; undefined while the connection is open. */
+    tryGetCloseAgeMs(now: number): number | undefined {
+        return this.closedAt === undefined ? undefined : now - this.closedAt;
+    }
+
     /** Returns the requests that the router owns. */
     listExchanges(): CallerExchange[] {
         return [...this.exchanges];
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -17,6 +17,9 @@
     abstract sendRefusal(refusal: Refusal): void;
     /** Calls `handler` each time the send buffer has drained. */
     abstract onDrain(handler: () => void): void;
-    /** Calls `handler` once if the caller disconnects before the answer has ended. */
-    abstract onDisconnect(handler: () => void): void;
+    /**
+     * Calls `handler` once if the caller disconnects before the answer has ended. `closeAgeMs`: longest time since the close arrived
+     * at this process, in milliseconds.
+     */
+    abstract onDisconnect(handler: (closeAgeMs: number) => void): void;
 }
--- a/test/adapters/connectionRelay.test.ts
+++ b/test/adapters/connectionRelay.test.ts
@@ -50,13 +50,14 @@
         isReachable: address => !unreachable.has(address),
         isStopping: address => stopping.has(address),
         instance: createRandomId(),
+        getMaxReadDelayMs: () => 0,
     });
     const callers: Socket[] = [];
     const port = await listen(
         t,
         createServer({ allowHalfOpen: true, pauseOnConnect: true }, socket => {
             const serveLocally = (): void => void local.push(socket);
-            if (!relay.tryRelay(socket, setup.target, serveLocally)) {
+            if (!relay.tryRelay(socket, setup.target, performance.now(), serveLocally)) {
                 serveLocally();
             }
         }),
--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -115,6 +115,35 @@
     ]);
 });
 
+void t.test("an answer whose caller left is shown with the time from the close to each step, also at the router that relayed it", async t => {
+    const folder = await mkdtemp(join(tmpdir(), "loomwinch-explain-"));
+    t.teardown(() => rm(folder, { recursive: true }));
+    const path = join(folder, "all.log");
+    const lines = [
+        createLine(0, "r2", "router_started", "incarnation=abc"),
+        createLine(1, "r2", "relay_caller_closed", "router=r1 close_age_ms=180 port=4711"),
+        createLine(1, "r2", "relay_caller_closed", "router=r1 close_age_ms=5 port=4712"),
+        createLine(1, "r3", "relay_caller_closed", "router=r1 close_age_ms=6 port=4711"),
+        createLine(
+            2,
+            "r1",
+            "answer_undelivered",
+            "request=q1 cause=relayClosed relay=abc relay_port=4711 close_age_ms=40",
+        ),
+        createLine(3, "r1", "attempt_stopped", "request=q1 upstream=e1 close_age_ms=41 took_ms=12"),
+    ];
+    await writeFile(path, lines.join("\n"));
+    const written = t.capture(process.stdout, "write", () => true);
+    await explainRequest("q1", [path]);
+    const printed = written().map(call => String(call.args[0]));
+    t.match(printed, [
+        / r2 relay_caller_closed router=r1 close_age_ms=180 port=4711/,
+        / r1 answer_undelivered .*close_age_ms=40/,
+        / r1 attempt_stopped upstream=e1 close_age_ms=41 took_ms=12/,
+    ]);
+    t.equal(printed.length, 3);
+});
+
 void t.test("an answer that was not delivered is shown with the stops of its router and of the one that relayed it", async t => {
     const folder = await mkdtemp(join(tmpdir(), "loomwinch-explain-"));
     t.teardown(() => rm(folder, { recursive: true }));
