--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -1,6 +1,6 @@
 /** Controllers and routers as separate processes of the real programs, each box at a loopback address of its own. */
 import type { ChildProcess } from "node:child_process";
-import { existsSync, readFileSync, writeFileSync } from "node:fs";
+import { existsSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { mkdir, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
@@ -221,8 +221,11 @@
         return { [SoakVariables.links]: "{}", [SoakVariables.faults]: this.getFaultsPath(box) };
     }
 
+    /** The box may be reading the file because of a change before. */
     private writeFaults(box: string): void {
-        writeFileSync(this.getFaultsPath(box), JSON.stringify(this.faults.get(box)));
+        const path = this.getFaultsPath(box);
+        writeFileSync(`${path}.new`, JSON.stringify(this.faults.get(box)));
+        renameSync(`${path}.new`, path);
     }
 
     private getFaultsPath(box: string): string {
