A relay reads what has arrived on a caller's connection before it passes bytes on

Cause: a request and the end of its connection are read in different turns of the event loop. The relay passed the request on at once unless the connection was known to be 200 ms old, and its age left out the listen queue, where connections wait for over a second at a saturated router, and the time that later requests on a kept connection lie unread. The router that serves began to work a whole turn of the relay's loop before the end came.

The class: a decision on news that is older than the socket's. No age can tell, since what waits in front of the process is not measured. So the relay now reads what is left in the socket, at each read, before it passes anything on; bytes that came together with a close are not passed on.

leavingOrders.test: callers send and close in any order while the loop is blocked; it fails when the check of the end is taken out.

--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -5,6 +5,7 @@
 import { connect, type Socket } from "node:net";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
+import { tryReadArrived } from "../arrivedInput.js";
 import { DeadlineQueue } from "../deadlineQueue.js";
 import { waitForNextPoll } from "../nextPoll.js";
 import type { ReadPacer } from "../readPacer.js";
@@ -20,12 +21,6 @@
 /** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
 const FIRST_REQUEST_WINDOW_MS = 250;
 
-/**
- * Time after which the caller of a first request may have left. Data and the end of a connection are then read in different turns
- * of a lagging event loop, so that the request is passed on only after another poll.
- */
-const MIN_STALE_AGE_MS = 200;
-
 /** Closes that may have been read later than this are logged, in milliseconds. */
 const MIN_LOGGED_CLOSE_AGE_MS = 100;
 
@@ -237,8 +232,9 @@
     private readonly neighbour: Socket;
     private readonly acceptedAt = performance.now();
     private isPreambleSent = false;
-    /** First bytes of the caller that wait for another poll. */
+    /** Bytes of the caller that wait for another poll. */
     private delayedBytes: Buffer[] | undefined;
+    private hasCallerClosed = false;
     private state: "connecting" | "open" | "closed" = "connecting";
     /** Reads from the neighbour since the caller last sent something. */
     private answerReads = 0;
@@ -348,12 +344,7 @@
         this.openedAt = performance.now();
         this.relay.recordConnected();
         caller.on("data", this.handleRequest);
-        caller.on("end", () => {
-            this.relay.recordCallerClose(this);
-            if (this.delayedBytes === undefined) {
-                neighbour.end();
-            }
-        });
+        caller.on("end", () => this.handleCallerEnd());
         caller.on("drain", this.handleCallerDrain);
         caller.on("error", () => this.handleCallerClose());
         caller.on("close", () => this.handleCallerClose());
@@ -364,35 +355,50 @@
     };
 
     private readonly handleRequest = (chunk: Buffer): void => {
-        if (this.neighbour.readableEnded) {
-            // The neighbour has closed the connection, and the caller does not know yet.
+        if (this.neighbour.readableEnded || this.hasCallerClosed) {
+            // The neighbour has closed the connection, and the caller does not know yet; or the caller has left.
             return;
         }
         if (this.delayedBytes !== undefined) {
             this.delayedBytes.push(chunk);
+            return;
         }
-        else if (!this.isPreambleSent && performance.now() - this.acceptedAt >= MIN_STALE_AGE_MS) {
+        const arrived = tryReadArrived(this.caller);
+        if (arrived === undefined) {
             this.delayedBytes = [chunk];
             void this.forwardAfterPoll();
         }
+        else if (arrived.hasEnded) {
+            this.handleCallerEnd();
+        }
         else {
-            this.forwardRequest(chunk);
+            this.forwardRequest(arrived.bytes.length === 0 ? chunk : Buffer.concat([chunk, ...arrived.bytes]));
         }
     };
 
-    /** Passes on the first bytes unless the caller has left meanwhile. */
+    /** Passes on bytes unless the caller has left meanwhile. */
     private async forwardAfterPoll(): Promise<void> {
         await waitForNextPoll();
         const bytes = Buffer.concat(this.delayedBytes!);
         this.delayedBytes = undefined;
-        if (this.state !== "open") {
+        if (this.state === "open" && !this.hasCallerClosed && !this.neighbour.readableEnded) {
+            this.forwardRequest(bytes);
+        }
+    }
+
+    /** The other router does not get what its caller has sent last: it would begin to work before it learns of the end. */
+    private handleCallerEnd(): void {
+        if (this.hasCallerClosed || this.state !== "open") {
             return;
         }
-        if (this.caller.readableEnded || this.caller.destroyed || this.neighbour.readableEnded) {
+        this.hasCallerClosed = true;
+        this.relay.recordCallerClose(this);
+        if (this.isPreambleSent) {
+            this.neighbour.end();
+        }
+        else {
             this.close("callerLeft");
-            return;
         }
-        this.forwardRequest(bytes);
     }
 
     private forwardRequest(chunk: Buffer): void {
