No request is sent after the close of its caller has arrived

What callers saw: requests were sent on, and sent again, after their callers had left, by routers that had not read the close yet.

Cause: what had arrived was read before the first handling of a request alone. After waits for tokens, permits, connections or a backoff, and before each later send, a router decided by what its event loop had read; timers run before polls, and an upstream's refusal may stand before the close in the same poll.

Now the connection is read once more as the bytes are about to leave (mayStart), wherever the request has waited. Bytes of a further request that are found there are handed to the HTTP parser in order (callerConnections.test, at every split). One check for first sends, resends, sends past replaced upstreams, continued and resumed streams.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -9,6 +9,7 @@
 } from "../../domain/callerConnection.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
+import { tryReadArrived } from "../arrivedInput.js";
 
 /** Why an answer was not delivered whole. */
 export type UndeliveredCause = "callerClosed" | "relayClosed" | "aborted" | "stopping";
@@ -67,6 +68,22 @@
         return this.connections.get(socket)?.tryAnnounceEnd(exchange) ?? true;
     }
 
+    /** Whether a caller has closed its connection. Reads what has arrived, also what the event loop has not read yet. */
+    hasLeft(socket: Socket): boolean {
+        const connection = this.connections.get(socket);
+        if (connection === undefined || socket.destroyed || socket.readableEnded) {
+            return true;
+        }
+        const arrived = tryReadArrived(socket);
+        if (arrived !== undefined && arrived.bytes.length > 0) {
+            returnBytes(socket, connection, arrived.bytes);
+        }
+        if (arrived?.hasEnded === true) {
+            this.recordClosed(connection);
+        }
+        return connection.hasClosed();
+    }
+
     /** Returns the longest time since a caller's close arrived at this process, in milliseconds; 0 if it has not closed its connection. */
     getCloseAgeMs(socket: Socket): number {
         return this.connections.get(socket)?.tryGetCloseAgeMs(performance.now()) ?? 0;
@@ -108,6 +125,9 @@
     }
 
     private recordClosed(connection: CallerConnection): void {
+        if (connection.hasClosed()) {
+            return;
+        }
         const delayMs = this.getMaxReadDelayMs();
         connection.recordClosed(performance.now() - delayMs);
         if (connection.listExchanges().length > 0) {
@@ -175,3 +195,15 @@
         });
     }
 }
+
+/** Hands bytes of a further request to the HTTP server, which otherwise reads them from the system itself. */
+function returnBytes(socket: Socket, connection: CallerConnection, bytes: readonly Buffer[]): void {
+    // A listener for data makes the HTTP parser take all data from the stream, so that the order is kept.
+    if (connection.beginReadingAhead()) {
+        socket.on("data", () => undefined);
+    }
+    for (const chunk of bytes) {
+        connection.recordReadAhead(chunk.length);
+        socket.push(chunk);
+    }
+}
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -17,6 +17,7 @@
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import type { RequestRecorder } from "./requestRecorder.js";
+import type { AbortCause } from "./runAbort.js";
 import type { ServiceRepeats } from "./serviceRepeats.js";
 import type { StreamOriginReporter } from "./streamOriginReporter.js";
 
@@ -59,8 +60,8 @@
 
 /** Details of a refused request, for logs. */
 export interface RefusalDetails {
-    /** Why the router aborted the request: the caller disconnected (`gone`) or the deadline passed (`late`). */
-    readonly abortCause: "gone" | "late" | undefined;
+    /** Why the router aborted the request. */
+    readonly abortCause: AbortCause | undefined;
     /** Time since the deadline, in milliseconds; undefined if it has not passed. */
     readonly overdueMs: number | undefined;
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -29,6 +29,7 @@
 } from "./relayOutcomes.js";
 import { computePriority, type ResolvedRequest, tryComputeMaxEvents } from "./relayRequest.js";
 import { RequestRepeats } from "./requestRepeats.js";
+import { RunAbort } from "./runAbort.js";
 import { TokenReservation } from "./tokenReservation.js";
 
 /**
@@ -59,7 +60,6 @@
     /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
     private replacedSends = 0;
     private mayHaveRun = false;
-    private abortCause: "gone" | "late" | undefined;
     private lastFailureReason = "";
     /** Time until an upstream may accept the request, if none does at present, in milliseconds; undefined if unknown. */
     private candidateWaitMs: number | undefined;
@@ -68,6 +68,7 @@
     /** Whether upstreams were passed over because they do not read the bodies of requests. */
     private hasSlowReaders = false;
     private readonly origin: AnswerOrigin;
+    private readonly abort: RunAbort;
     private readonly repeats: RequestRepeats;
 
     constructor(
@@ -81,7 +82,8 @@
         const { request, route } = resolved;
         this.deadline = request.arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Infinity);
         this.repeats = new RequestRepeats(context.repeats, resolved, this.deadline);
-        this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abortCause !== undefined);
+        this.abort = new RunAbort(sink, this.deadline);
+        this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abort.cause !== undefined);
         this.share = context.fairShares?.createRequest(
             resolved,
             request.promptTokens + (this.tryGetEstimates()?.outputTokens ?? 0),
@@ -91,23 +93,16 @@
 
     /** Resolves when the final response has been written or the caller has disconnected. */
     async run(): Promise<void> {
-        const timer = setTimeout(() => this.abort("late"), Math.max(0, this.deadline - performance.now()));
-        this.sink.onDisconnect(closeAgeMs => this.abort("gone", closeAgeMs));
+        const endWatch = this.abort.watch(closeAgeMs => this.attempt?.stop(closeAgeMs));
         try {
             await this.runAttempts();
         }
         finally {
-            clearTimeout(timer);
+            endWatch();
             this.repeats.end();
         }
     }
 
-    /** `closeAgeMs`: longest time since the caller's close arrived, in milliseconds. */
-    private abort(cause: "gone" | "late", closeAgeMs?: number): void {
-        this.abortCause ??= cause;
-        this.attempt?.stop(closeAgeMs);
-    }
-
     private async runAttempts(): Promise<void> {
         for (;;) {
             const quarantine = this.context.quarantine.tryGetQuarantine(this.resolved);
@@ -249,7 +244,7 @@
         const attempt = this.createAttempt(started, isLimited, endWaiting);
         this.attempt = attempt;
         this.sendCount += 1;
-        const outcome = this.abortCause === undefined
+        const outcome = this.abort.cause === undefined
             ? await attempt.run()
             : { type: "notRun", cause: "full", reason: "aborted before it was sent" } as const;
         endWaiting?.();
@@ -288,9 +283,10 @@
                 resumeAfter: this.progress.isHeadSent ? this.progress.lastEventId : undefined,
                 maxConnections: this.context.getMaxConnections(service),
                 isStream: route.kind === "stream",
-                // The request may have waited for a connection until little of its time is left.
+                // The request may have waited for a connection until little of its time is left, or its caller has left.
                 mayStart: () =>
                     this.hasTimeToSend()
+                    && !this.abort.hasCallerLeft()
                     && this.context.quarantine.tryGetQuarantine(this.resolved) === undefined
                     && this.origin.canSend(placement.upstream)
                     && this.context.candidates.canSend(placement.upstream, isLimited, performance.now())
@@ -452,7 +448,7 @@
     }
 
     private hasTimeToSend(): boolean {
-        return this.abortCause === undefined
+        return this.abort.cause === undefined
             && hasTimeToSend(this.deadline - performance.now(), this.context.getEventLoopLagMs());
     }
 
@@ -475,7 +471,7 @@
             return;
         }
         // A withheld request is not retried if too little time is left, or if it would be a repeat that is not allowed now.
-        const isOutOfTime = this.abortCause === "late" || (outcome.type === "notRun" && outcome.cause === "withheld");
+        const isOutOfTime = this.abort.cause === "late" || (outcome.type === "notRun" && outcome.cause === "withheld");
         if (isOutOfTime || this.mayHaveRun) {
             this.finishWithRefusal(this.createIncompleteRefusal());
             return;
@@ -500,7 +496,7 @@
 
     private createIncompleteRefusal(): Refusal {
         return this.mayHaveRun
-            ? createInterruptedRefusal(this.abortCause === "late", this.lastFailureReason)
+            ? createInterruptedRefusal(this.abort.cause === "late", this.lastFailureReason)
             : createUnsentRefusal(this.context.options.retryAfterMs);
     }
 
@@ -509,10 +505,10 @@
         const refusal: Refusal = this.mayHaveRun ? { ...originalRefusal, ran: "unknown" } : originalRefusal;
         const overdueMs = performance.now() - this.deadline;
         this.context.recordRefused(this.resolved, refusal, {
-            abortCause: this.abortCause,
+            abortCause: this.abort.cause,
             overdueMs: overdueMs > 0 ? overdueMs : undefined,
         });
-        if (this.abortCause === "gone") {
+        if (this.abort.cause === "gone") {
             return;
         }
         if (this.progress.isHeadSent) {
--- a/src/domain/callerConnection.ts
+++ b/src/domain/callerConnection.ts
@@ -60,6 +60,9 @@
     private readonly exchanges = new Set<CallerExchange>();
     private isEndAnnounced = false;
     private closedAt: number | undefined;
+    private isReadAhead = false;
+    /** Bytes that were read and that the number of read bytes leaves out. */
+    private readAheadBytes = 0;
 
     /**
      * `relay`: the router that relays the connection; undefined for a caller's own one. `accountedBytes`: bytes that were read from the
@@ -77,7 +80,7 @@
     /** Records that a request was read whole. `readBytes`: all bytes that were read from the connection so far. */
     recordBodyEnd(exchange: CallerExchange, readBytes: number): void {
         exchange.recordBodyEnd();
-        this.accountedBytes = readBytes;
+        this.accountedBytes = readBytes + this.readAheadBytes;
     }
 
     /** Records that an answer was handed to the operating system, or that its connection has failed. */
@@ -87,7 +90,7 @@
 
     /** Whether the router owns no request of this connection. `readBytes`: all bytes that were read from the connection so far. */
     isIdle(readBytes: number): boolean {
-        return this.exchanges.size === 0 && readBytes === this.accountedBytes;
+        return this.exchanges.size === 0 && readBytes + this.readAheadBytes === this.accountedBytes;
     }
 
     /**
@@ -110,6 +113,21 @@
         this.closedAt ??= closedAt;
     }
 
+    hasClosed(): boolean {
+        return this.closedAt !== undefined;
+    }
+
+    /** Records that bytes are read past the event loop from now on; returns whether they were not before. */
+    beginReadingAhead(): boolean {
+        const isFirst = !this.isReadAhead;
+        this.isReadAhead = true;
+        return isFirst;
+    }
+
+    recordReadAhead(bytes: number): void {
+        this.readAheadBytes += bytes;
+    }
+
     /** Returns the longest time since the close arrived, in milliseconds; undefined while the connection is open. */
     tryGetCloseAgeMs(now: number): number | undefined {
         return this.closedAt === undefined ? undefined : now - this.closedAt;
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -17,6 +17,8 @@
     abstract sendRefusal(refusal: Refusal): void;
     /** Calls `handler` each time the send buffer has drained. */
     abstract onDrain(handler: () => void): void;
+    /** Whether the caller has closed its connection. Reads what has arrived, also what the event loop has not read yet. */
+    abstract hasCallerLeft(): boolean;
     /**
      * Calls `handler` once if the caller disconnects before the answer has ended. `closeAgeMs`: longest time since the close arrived
      * at this process, in milliseconds.
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -64,6 +64,9 @@
     override onDrain(handler: () => void): void {
         this.drain = handler;
     }
+    override hasCallerLeft(): boolean {
+        return false;
+    }
     override onDisconnect(): void {}
 }
 
--- a/test/tools/attemptFakes.ts
+++ b/test/tools/attemptFakes.ts
@@ -30,5 +30,8 @@
     override abort(): void {}
     override sendRefusal(): void {}
     override onDrain(): void {}
+    override hasCallerLeft(): boolean {
+        return false;
+    }
     override onDisconnect(): void {}
 }
