The wait for the end of a run is paid from the half second in which upstreams learn of a close

Cause: the run was given 200 ms to end from when the router read the close, however late that was, by a timer of the same event loop; and the attempt was stopped only when the HTTP server had closed the connection, a turn of the loop after the end was read.

The wait is now 400 ms less the time since the close can have arrived and the lag of the loop, 200 ms at most; with nothing left the connection is reset at once and the run charged whole, as every run is whose end is not known. The end stops the attempt as it is read.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -11,6 +11,12 @@
 import type { Metrics } from "../../ports/metrics.js";
 import { tryReadArrived } from "../arrivedInput.js";
 
+/**
+ * Longest time for which a close may have lain at the router that relays a connection, in milliseconds. What it spends is not told; at
+ * its limit of CPU time turns of its event loop take up to this long.
+ */
+const RELAYED_CLOSE_AGE_MS = 250;
+
 /** Why an answer was not delivered whole. */
 export type UndeliveredCause = "callerClosed" | "relayClosed" | "aborted" | "stopping";
 
@@ -45,9 +51,12 @@
         if (!this.connections.has(socket)) {
             const connection = new CallerConnection(relay, accountedBytes);
             this.connections.set(socket, connection);
-            const recordClosed = (): void => this.recordClosed(connection);
-            socket.once("end", recordClosed);
-            socket.once("error", recordClosed);
+            const handleClosed = (): void => {
+                this.recordClosed(connection);
+                connection.listExchanges().forEach(exchange => exchange.endByCaller());
+            };
+            socket.once("end", handleClosed);
+            socket.once("error", handleClosed);
             socket.once("close", () => {
                 this.connections.delete(socket);
                 this.ended.delete(socket);
@@ -84,7 +93,10 @@
         return connection.hasClosed();
     }
 
-    /** Returns the longest time since a caller's close arrived at this process, in milliseconds; 0 if it has not closed its connection. */
+    /**
+     * Returns the longest time since a caller's close arrived at the first router, in milliseconds; 0 if it has not closed its
+     * connection.
+     */
     getCloseAgeMs(socket: Socket): number {
         return this.connections.get(socket)?.tryGetCloseAgeMs(performance.now()) ?? 0;
     }
@@ -129,7 +141,8 @@
             return;
         }
         const delayMs = this.getMaxReadDelayMs();
-        connection.recordClosed(performance.now() - delayMs);
+        const relayDelayMs = connection.relay === undefined ? 0 : RELAYED_CLOSE_AGE_MS;
+        connection.recordClosed(performance.now() - delayMs - relayDelayMs);
         if (connection.listExchanges().length > 0) {
             this.metrics.recordTiming("close_read_ms", delayMs);
         }
--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -13,11 +13,6 @@
 
 /** Longest event of a stream. An event holds a few tokens, of a few bytes each. */
 const MAX_EVENT_BYTES = 65_536;
-/**
- * How long an upstream has to close the connection after the attempt was stopped, in milliseconds. An upstream that ignores the closed
- * half has to be reset before half a second has passed, also by a router whose event loop is late.
- */
-const RUN_END_TIMEOUT_MS = 200;
 /** Longest answer of one attempt. Answers that are not streams have no other bound but their time. */
 const MAX_ANSWER_BYTES = 67_108_864;
 
@@ -104,6 +99,11 @@
     readonly isResumable: boolean;
     /** Whether the caller's account is charged by what the run generates, so that its end is waited for after a stop. */
     readonly isCharged: boolean;
+    /**
+     * Returns how long the end of the run may be waited for after a stop, in milliseconds; 0 to reset the connection at once.
+     * `closeAgeMs`: longest time since the caller's close arrived; 0 if it has not left.
+     */
+    readonly getRunEndWaitMs: (closeAgeMs: number) => number;
     /** Most events of the response, over all attempts: an upstream that sends more does not end. Undefined if unknown. */
     readonly maxEvents?: number | undefined;
     /** Whether to retry after a server error. Called at most once, before anything is forwarded; the response is held back. */
@@ -228,11 +228,10 @@
     private async closeRun(): Promise<StoppedRun> {
         // A response that was not read for some time may have been dropped at the upstream, unsent and uncounted.
         const canCount = this.options.isCharged && !this.hasBeenPaused && this.held === undefined;
-        if (!canCount || this.exchange?.tryEndSending() !== true) {
+        const waitMs = this.options.getRunEndWaitMs(this.closeAgeMs ?? 0);
+        if (!canCount || waitMs === 0 || this.exchange?.tryEndSending() !== true) {
             this.exchange?.cancel();
-            return createUnknownEnd(
-                canCount ? "the connection cannot be read on" : "the response was not read without pause",
-            );
+            return createUnknownEnd(describeMissingWait(canCount, waitMs));
         }
         // If the event loop was late, what has arrived meanwhile is read first.
         const timer = setTimeout(
@@ -240,7 +239,7 @@
                 setImmediate(() =>
                     this.finishRun(createUnknownEnd("the upstream did not close the connection in time"))
                 ),
-            RUN_END_TIMEOUT_MS,
+            waitMs,
         );
         const run = await new Promise<StoppedRun>(resolve => this.resolveStoppedRun = resolve);
         clearTimeout(timer);
@@ -546,6 +545,14 @@
     return { type: "notRun", cause: "withheld", reason };
 }
 
+/** Explains why the end of a run is not waited for. */
+function describeMissingWait(canCount: boolean, waitMs: number): string {
+    if (!canCount) {
+        return "the response was not read without pause";
+    }
+    return waitMs === 0 ? "the close was read too late" : "the connection cannot be read on";
+}
+
 function createUnknownEnd(reason: string): StoppedRun {
     return { end: "unknown", reason };
 }
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -3,6 +3,7 @@
  * other upstreams until the caller has a final response.
  */
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { computeRunEndWaitMs } from "../../domain/runEndWait.js";
 import { hasTimeToSend } from "../../domain/sendingTime.js";
 import type { StreamOrigin } from "../../domain/streamOrigins.js";
 import type { UnavailableReason } from "../../domain/upstreamCandidates.js";
@@ -297,6 +298,7 @@
             isStream: route.kind === "stream",
             isResumable: this.origin.isResumable(),
             isCharged: this.tokens.hasReservation(),
+            getRunEndWaitMs: closeAgeMs => computeRunEndWaitMs(closeAgeMs, this.context.getEventLoopLagMs()),
             maxEvents: tryComputeMaxEvents(this.resolved),
             shouldRetryServerError: () => this.origin.isRepeatable() && this.mayAttempt() && this.repeats.claim(),
             inactivityTimeoutMs: canRetryElsewhere
--- a/src/domain/callerConnection.ts
+++ b/src/domain/callerConnection.ts
@@ -13,6 +13,7 @@
 export class CallerExchange {
     private stage: ExchangeStage = "body";
     private isWhole = false;
+    private readonly closeHandlers: (() => void)[] = [];
 
     /** `id`: of the request, for logs. `startedAt`: monotonic clock, milliseconds. */
     constructor(readonly id: string, readonly startedAt: number) {}
@@ -34,6 +35,16 @@
         }
     }
 
+    /** Calls `handler` as soon as the caller's close is read, before the connection is closed. */
+    onCallerClose(handler: () => void): void {
+        this.closeHandlers.push(handler);
+    }
+
+    /** Records that the caller has closed the connection. */
+    endByCaller(): void {
+        this.closeHandlers.forEach(handler => handler());
+    }
+
     /** Whether the request was read whole. */
     wasReadWhole(): boolean {
         return this.isWhole;
--- a/test/daemons/attemptEvents.test.ts
+++ b/test/daemons/attemptEvents.test.ts
@@ -12,6 +12,7 @@
         isStream: true,
         isResumable,
         isCharged: false,
+        getRunEndWaitMs: () => 200,
         shouldRetryServerError: () => false,
         inactivityTimeoutMs: undefined,
         mayLeaveSilent: () => false,
--- a/test/daemons/silentUpstream.test.ts
+++ b/test/daemons/silentUpstream.test.ts
@@ -15,6 +15,7 @@
         isStream: true,
         isResumable: true,
         isCharged: false,
+        getRunEndWaitMs: () => 200,
         shouldRetryServerError: () => false,
         inactivityTimeoutMs: SILENCE_MS,
         mayLeaveSilent,
--- a/test/daemons/stoppedAttempts.test.ts
+++ b/test/daemons/stoppedAttempts.test.ts
@@ -6,6 +6,7 @@
 import type { ResolvedRequest } from "../../src/daemons/directRouter/relayRequest.js";
 import { TokenReservation } from "../../src/daemons/directRouter/tokenReservation.js";
 import { LocalTokenBudget } from "../../src/domain/localTokenBudget.js";
+import { computeRunEndWaitMs } from "../../src/domain/runEndWait.js";
 import { NO_SIGNALS } from "../../src/domain/upstreamSignals.js";
 import type { UpstreamExchange, UpstreamHead, UpstreamListener } from "../../src/ports/directUpstream.js";
 import { FakeSink, FakeUpstreams } from "../tools/attemptFakes.js";
@@ -89,6 +90,7 @@
             isStream: true,
             isResumable: false,
             isCharged,
+            getRunEndWaitMs: closeAgeMs => computeRunEndWaitMs(closeAgeMs, 0),
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
             mayLeaveSilent: () => false,
@@ -111,8 +113,8 @@
         this.listener.onData(Buffer.from("data: x\n\n".repeat(count)));
     }
 
-    async stop(): Promise<void> {
-        this.attempt.stop();
+    async stop(closeAgeMs?: number): Promise<void> {
+        this.attempt.stop(closeAgeMs);
         this.reservation.settle(this.attempt, await this.outcome!);
     }
 
@@ -205,6 +207,18 @@
     }
 });
 
+void t.test("an upstream is reset at once, and its run charged whole, if the caller's close was read too late to wait for its end", async t => {
+    const play = new Play();
+    await play.start();
+    play.listener.onHead(HEAD);
+    play.sendEvents(3);
+    await play.stop(MAX_CLOSE_MS);
+    t.equal(play.upstreams.cancelCount, 1);
+    await play.settlements.wait();
+    t.match(play.stops[0], { end: "unknown", reason: /too late/, closeAgeMs: MAX_CLOSE_MS });
+    t.equal(play.getCharged(), RESERVED);
+});
+
 void t.test("an answer whose events are not counted is charged whole", async t => {
     const play = new Play();
     await play.start();
--- a/test/fleet/leftRequests.test.ts
+++ b/test/fleet/leftRequests.test.ts
@@ -18,6 +18,8 @@
 const PAUSE_MS = 1_200;
 /** Leaves enough time for a request to be sent again. */
 const SHORT_PAUSE_MS = 800;
+/** Leaves no time to wait for the end of a run. */
+const LATE_READ_MS = 350;
 const LEAVE_AFTER_MS = 100;
 /** After which no request of a caller that has left may reach an upstream, and no upstream may be at work for it. */
 const GONE_MS = 500;
@@ -204,6 +206,21 @@
     checkNoneLate(t, callers);
 });
 
+void t.test("streams at upstreams that ignore a closed half end in time although their router reads the close late", async t => {
+    setMode("run");
+    upstreams.forEach(upstream => upstream.setHalfOpen(true));
+    t.teardown(() => upstreams.forEach(upstream => upstream.setHalfOpen(false)));
+    const callers = Array.from({ length: CALLERS }, () => createCaller("r2"));
+    callers.forEach(caller => caller.send("/s/x", DEADLINE_MS, 500));
+    await waitUntil("the streams", () => callers.every(caller => caller.received !== ""));
+    fleet.signal("r2", "SIGSTOP");
+    callers.forEach(caller => caller.leave());
+    await wait(LATE_READ_MS);
+    fleet.signal("r2", "SIGCONT");
+    await wait(2 * GONE_MS);
+    checkNoneAtWork(t, callers);
+});
+
 for (const isHalfOpen of [false, true]) {
     const kind = isHalfOpen ? "that ignore a closed half" : "that end with their connection";
     void t.test(`streams at upstreams ${kind} end in time when their callers leave routers short of CPU time`, async t => {
--- a/test/platform/readPacing.test.ts
+++ b/test/platform/readPacing.test.ts
@@ -126,6 +126,7 @@
             isStream,
             isResumable: false,
             isCharged: false,
+            getRunEndWaitMs: () => 200,
             shouldRetryServerError: () => false,
             inactivityTimeoutMs: undefined,
             mayLeaveSilent: () => false,
