The age of a request includes the time in the listen queue

What callers saw: upstreams were given more time for a request than its caller had left, by way of a router that is short of CPU time.

Cause: the age of a relayed connection began when the process accepted it. An event loop accepts one connection for each poll, so that the last of a full queue waits for over a second at a saturated router; the first request's age, from which the time given, refusals for lack of time and the order of serving follow, left that out. At a router that serves itself only the last turn of the loop was counted.

The queue is in order and of limited length, which bounds when each connection arrived (ListenQueue); the middle is taken. It holds for the first request that is read soon after the connection was accepted, at every listener, and is passed on in the preamble.

--- a/src/adapters/http/acceptMonitor.ts
+++ b/src/adapters/http/acceptMonitor.ts
@@ -1,6 +1,6 @@
 /** Tells how long the connections of a listener have waited to be accepted. */
-import type { ArrivalEstimator } from "../../domain/arrivalEstimator.js";
-import { type ArrivalBounds, ListenQueue } from "../../domain/listenQueue.js";
+import type { ArrivalEstimator, ConnectionArrival } from "../../domain/arrivalEstimator.js";
+import { ListenQueue } from "../../domain/listenQueue.js";
 import type { Metrics } from "../../ports/metrics.js";
 import { waitForNextPoll } from "../nextPoll.js";
 
@@ -21,14 +21,15 @@
     }
 
     /** Called as a connection is accepted, by the event loop's poll. */
-    recordAccepted(): ArrivalBounds {
+    recordAccepted(): ConnectionArrival {
         const now = performance.now();
         this.acceptedCount += 1;
         void this.checkEmpty(this.acceptedCount);
         const earliestReadAt = now - this.arrivalEstimator.getMaxReadDelayMs(now);
-        const bounds = this.queue.recordAccepted(now, this.arrivalEstimator.estimateArrival(now), earliestReadAt);
-        this.metrics.recordTiming("accept_wait_ms", now - bounds.estimatedAt);
-        return bounds;
+        const readAt = this.arrivalEstimator.estimateArrival(now);
+        const { estimatedAt } = this.queue.recordAccepted(now, readAt, earliestReadAt);
+        this.metrics.recordTiming("accept_wait_ms", now - estimatedAt);
+        return this.arrivalEstimator.createConnectionArrival(now, estimatedAt);
     }
 
     /** A poll that accepts no connection has found none. */
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -420,7 +420,7 @@
         this.isPreambleSent = true;
         // Callers may open connections ahead of requests. A request that was there already is read soon after.
         const isWaiting = performance.now() - this.openedAt < FIRST_REQUEST_WINDOW_MS;
-        const ageMs = isWaiting ? performance.now() - this.acceptedAt : 0;
+        const ageMs = isWaiting ? performance.now() - this.arrivedAt : 0;
         return Buffer.concat([encodeRelayPreamble(ageMs, this.relay.getInstance()), chunk]);
     }
 
--- a/src/domain/arrivalEstimator.ts
+++ b/src/domain/arrivalEstimator.ts
@@ -11,11 +11,17 @@
 
 /** Timer jitter of an unloaded event loop. */
 const MIN_LATENESS_MS = 20;
+/**
+ * A request that is read within this time after its connection was accepted, which had waited for that, was there already, in
+ * milliseconds. Callers may open connections ahead of requests.
+ */
+const FIRST_REQUEST_WINDOW_MS = 250;
 
 /** Estimated arrival of a connection. Its first request arrived with it if it was read no later than in the next turn. */
 export interface ConnectionArrival {
     /** Monotonic clock, milliseconds. */
     readonly arrivedAt: number;
+    readonly acceptedAt: number;
     readonly turn: number;
 }
 
@@ -68,16 +74,18 @@
         return lagMs > 0 ? sinceTickMs + lagMs + this.tickMs : sinceTickMs;
     }
 
-    /** Estimates when a connection that is accepted at `now` arrived. */
-    createConnectionArrival(now: number): ConnectionArrival {
-        return { arrivedAt: this.estimateArrival(now), turn: this.currentTurn };
+    /** `arrivedAt`: estimated arrival of a connection that is accepted at `now`. */
+    createConnectionArrival(now: number, arrivedAt: number): ConnectionArrival {
+        return { arrivedAt, acceptedAt: now, turn: this.currentTurn };
     }
 
     /** Estimates when the first request of a connection arrived, given that it is read at `now`. */
     estimateFirstArrival(connection: ConnectionArrival, now: number): number {
         const arrivedAt = this.estimateArrival(now);
         // Without lag the tick count does not advance with the turns, and requests are read as they arrive.
-        const arrivedTogether = this.currentTurn <= connection.turn + 1 && this.getLagMs() > 0;
+        const isNextTurn = this.currentTurn <= connection.turn + 1 && this.getLagMs() > 0;
+        const hasWaited = connection.acceptedAt - connection.arrivedAt > MIN_LATENESS_MS;
+        const arrivedTogether = isNextTurn || (hasWaited && now - connection.acceptedAt <= FIRST_REQUEST_WINDOW_MS);
         return arrivedTogether ? Math.min(arrivedAt, connection.arrivedAt) : arrivedAt;
     }
 }
--- a/test/domain/arrivalEstimator.test.ts
+++ b/test/domain/arrivalEstimator.test.ts
@@ -45,7 +45,7 @@
     const clock = new ArrivalEstimator(TICK_MS, 0);
     runTurn(clock, 50);
     clock.recordTick(500);
-    const connection = clock.createConnectionArrival(510);
+    const connection = clock.createConnectionArrival(510, clock.estimateArrival(510));
     clock.recordPollEnd();
     clock.recordTick(950);
     t.equal(clock.estimateFirstArrival(connection, 960), 300);
@@ -58,8 +58,19 @@
 void t.test("without lag a request sent some time after connecting arrives when it is read", t => {
     const clock = new ArrivalEstimator(TICK_MS, 0);
     runTurn(clock, 50);
-    const connection = clock.createConnectionArrival(60);
+    const connection = clock.createConnectionArrival(60, clock.estimateArrival(60));
     runTurn(clock, 100);
     t.equal(clock.estimateFirstArrival(connection, 120), 120);
     t.end();
 });
+
+void t.test("the first request of a connection that waited to be accepted arrived with it, also where the loop does not lag", t => {
+    const clock = new ArrivalEstimator(TICK_MS, 0);
+    runTurn(clock, 1_000);
+    const connection = clock.createConnectionArrival(1_010, 400);
+    runTurn(clock, 1_050);
+    t.equal(clock.estimateFirstArrival(connection, 1_060), 400);
+    runTurn(clock, 1_350);
+    t.equal(clock.estimateFirstArrival(connection, 1_360), 1_360, "sent some time after the connection was made");
+    t.end();
+});
--- a/test/fleet/leftRequests.test.ts
+++ b/test/fleet/leftRequests.test.ts
@@ -173,6 +173,24 @@
     checkNoneLate(t, await playRounds("r1", "/l/x"));
 });
 
+void t.test("the time in the listen queue of a router that relays is taken from the time that upstreams are given", async t => {
+    setMode("answer");
+    await startRelaying("r1");
+    fleet.signal("r1", "SIGSTOP");
+    const callers = Array.from({ length: CALLERS }, () => createCaller("r1"));
+    callers.forEach(caller => caller.send("/l/x", DEADLINE_MS));
+    await wait(PAUSE_MS);
+    fleet.signal("r1", "SIGCONT");
+    await wait(SETTLE_MS);
+    const arrivals = listArrivals(callers);
+    const given = arrivals.map(({ arrival }) => arrival.givenMs).filter(givenMs =>
+        givenMs > DEADLINE_MS - PAUSE_MS / 3
+    );
+    callers.forEach(caller => caller.leave());
+    t.ok(arrivals.length > 0, `${arrivals.length} requests`);
+    t.same(given, [], "connections are taken to have arrived in the middle of the pause, or earlier");
+});
+
 void t.test("later requests on kept connections whose callers left are not sent, also by way of a router that relays", async t => {
     setMode("answer");
     await startRelaying("r1");
--- a/test/tools/arrivalEngine.ts
+++ b/test/tools/arrivalEngine.ts
@@ -14,6 +14,8 @@
 export interface EngineArrival {
     readonly id: string;
     readonly at: number;
+    /** Time that the upstream was given, in milliseconds. */
+    readonly givenMs: number;
     /** Undefined while the upstream is at work. */
     endedAt: number | undefined;
 }
@@ -83,7 +85,12 @@
     private answer(message: IncomingMessage, response: ServerResponse): void {
         message.resume();
         const id = String(message.headers["attempt-id"]);
-        const arrival: EngineArrival = { id, at: performance.now(), endedAt: undefined };
+        const arrival: EngineArrival = {
+            id,
+            at: performance.now(),
+            givenMs: Number(message.headers["deadline-ms"]),
+            endedAt: undefined,
+        };
         this.arrivals.push(arrival);
         response.once("close", () => arrival.endedAt = performance.now());
         const signed = { "Attempt-Id": id, "Instance-Signature": `${this.box}.${id}` };
--- a/test/tools/eventLoopSimulation.ts
+++ b/test/tools/eventLoopSimulation.ts
@@ -116,7 +116,7 @@
     private runStep(step: Step, request: SimulatedRequest): void {
         switch (step) {
             case "connect":
-                request.connection = this.clock.createConnectionArrival(this.now);
+                request.connection = this.clock.createConnectionArrival(this.now, this.clock.estimateArrival(this.now));
                 this.events.push({ at: this.now, step: "read", request });
                 return;
             case "read":
