Routers with sidecars start no run for a caller whose close has arrived

The same cause as at routers that reach upstreams themselves: a request and the end of its connection are read in different turns of the event loop, and nothing was read again between the waits for tokens, claims and intents and the start of the run. A run is now started after another poll, and not if the caller has left, unless the caller can fetch the answer by its key.

--- a/src/adapters/http/answerSinks.ts
+++ b/src/adapters/http/answerSinks.ts
@@ -3,6 +3,7 @@
 import { AnswerSink, type AnswerUsage } from "../../daemons/router/job.js";
 import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { AnswerPiece } from "../../protocol/runMethods.js";
+import { waitForNextPoll } from "../nextPoll.js";
 import { createErrorBody, sendRefusal } from "./httpApp.js";
 
 /** How long a write may block on a caller that does not read before its connection is closed. */
@@ -31,6 +32,12 @@
         return this.disconnected;
     }
 
+    override async hasCallerLeft(): Promise<boolean> {
+        await waitForNextPoll();
+        const { socket } = this.reply.raw;
+        return this.disconnected || socket?.destroyed === true || socket?.readableEnded === true;
+    }
+
     /** Resolves when the response is fully written or the caller has disconnected. */
     waitFinished(): Promise<void> {
         return this.finished;
--- a/src/daemons/router/job.ts
+++ b/src/daemons/router/job.ts
@@ -1,6 +1,6 @@
 /** A caller's request as processed by a router, and the sink for its answer. */
 import type { ServiceSpec } from "../../domain/objects.js";
-import type { Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, type Refusal, RefusalError } from "../../domain/resultCodes.js";
 import type { Ranking } from "../../domain/tokenBounds.js";
 import type { AnswerPiece, StartRunParams } from "../../protocol/runMethods.js";
 import type { ClaimKey } from "./claimClient.js";
@@ -43,4 +43,13 @@
     abstract hasStarted(): boolean;
     /** Whether the caller has disconnected. */
     abstract isDisconnected(): boolean;
+    /** The same, once what had arrived from the caller was read. */
+    abstract hasCallerLeft(): Promise<boolean>;
+}
+
+/** Refuses to run a request whose caller has left, unless the caller can fetch the answer by its key. */
+export async function checkCallerPresent(job: Job, sink: AnswerSink): Promise<void> {
+    if (!job.hasIdempotencyKey && await sink.hasCallerLeft()) {
+        throw new RefusalError(createRefusal("runCancelled", "the caller left before the run was sent"));
+    }
 }
--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -20,7 +20,7 @@
 import type { ControllerAddress } from "../controllerAddress.js";
 import type { ClaimClient } from "./claimClient.js";
 import type { IntentClient } from "./intentClient.js";
-import type { AnswerSink, Job } from "./job.js";
+import { type AnswerSink, checkCallerPresent, type Job } from "./job.js";
 import type { LedgerClient } from "./ledgerClient.js";
 import {
     canContinueAt,
@@ -295,6 +295,7 @@
             if (job.hasIdempotencyKey) {
                 await this.deps.claims.recordDispatch(job, upstream.sidecar);
             }
+            await checkCallerPresent(job, sink);
             const started = await this.deps.runs.start(
                 upstream.sidecar,
                 params,
