--- a/src/daemons/router/requestRunner.ts
+++ b/src/daemons/router/requestRunner.ts
@@ -77,11 +77,10 @@
         try {
             const usage = await this.claimAndRun(job, sink);
             sink.end(usage);
-            const durationMs = this.deps.clock.getMonotonicMs() - startedAt;
             this.deps.log.info("request_answered", {
                 ...fields,
                 ...{ prompt_tokens: usage.promptTokens, output_tokens: usage.outputTokens },
-                ms: Math.round(durationMs),
+                ms: Math.round(this.deps.clock.getMonotonicMs() - startedAt),
             });
             this.deps.metrics.addCount("router.requests_answered");
         }
