--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -11,6 +11,7 @@
 import { checkDeadlyLookup } from "./deadlyLookup.js";
 import { checkDeadlyPart } from "./deadlyPart.js";
 import { checkLeavingCallers } from "./leavingPhase.js";
+import { checkLeftRequests } from "./leftRequestsPhase.js";
 import { playPlannedPhase } from "./plannedPhase.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
 import { checkSharedLimits } from "./sharedLimits.js";
@@ -145,6 +146,7 @@
             ...brokenCounts,
             ...await this.checkSharedLimits(callers),
             ...await this.checkLeavingCallers(callers),
+            ...await this.checkLeftRequests(callers, ports),
             ...await this.checkResumptions(callers),
             ...await checkDeadlyPart(callers, this.book, this.routers.length),
             ...await checkDeadlyLookup(callers, this.book, this.routers.length),
@@ -208,6 +210,12 @@
         return broken;
     }
 
+    private async checkLeftRequests(callers: SoakCallers, ports: readonly number[]): Promise<string[]> {
+        const broken = await checkLeftRequests(ports, callers.ids, this.book, this.routers, this.random);
+        await this.waitServing(callers);
+        return broken;
+    }
+
     /** Streams that their callers left go on at other routers about as often as new ones begin. */
     private async checkResumptions(callers: SoakCallers): Promise<string[]> {
         this.engines.forEach((engine, i) => engine.release(ENGINES[i]!.version));
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -1,6 +1,6 @@
 /** One box of the soak: a real program in a process of its own, with relays on its links to the other boxes. */
 import type { ChildProcess } from "node:child_process";
-import { writeFileSync } from "node:fs";
+import { renameSync, writeFileSync } from "node:fs";
 import { mkdir, rm } from "node:fs/promises";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -110,7 +110,10 @@
     }
 
     private writeFaults(): void {
-        writeFileSync(this.getFaultsPath(), JSON.stringify(this.faults));
+        // The process may be reading the file because of a change before.
+        const path = this.getFaultsPath();
+        writeFileSync(`${path}.new`, JSON.stringify(this.faults));
+        renameSync(`${path}.new`, path);
     }
 
     private spawnProcess(): void {
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -42,13 +42,22 @@
 /** Of ten requests that a slow upstream runs, how many fail. */
 const SLOW_FAILURES_OF_TEN = 6;
 
+/** A run of a request. Monotonic clock, milliseconds. */
+export interface SoakRun {
+    readonly id: string;
+    readonly upstream: string;
+    readonly at: number;
+    /** When its connection was closed or its answer was whole; undefined until then. */
+    endedAt?: number;
+}
+
 /** What the upstreams of a soak saw, together. */
 export class RunBook {
     audit = new UpstreamAudit(SOAK_LIMITS);
     /** Undefined until planned work is judged. */
     losses: LossAudit | undefined;
     /** Ids of the requests of each run, in order. */
-    readonly runs: { readonly id: string; readonly upstream: string; readonly at: number; }[] = [];
+    readonly runs: SoakRun[] = [];
     /** When engines began to answer requests with the deadly part. Monotonic clock, milliseconds. */
     readonly deadlyRuns: number[] = [];
     /** Runs of the lookup that ends its upstreams. */
@@ -268,9 +277,11 @@
 
     private recordRun(id: string, response: ServerResponse): void {
         const upstream = this.getId();
-        this.book.runs.push({ id, upstream, at: performance.now() });
+        const run: SoakRun = { id, upstream, at: performance.now() };
+        this.book.runs.push(run);
         this.book.losses?.recordRun(id, performance.now());
         response.once("close", () => {
+            run.endedAt = performance.now();
             const isSound = this.isUp && this.getId() === upstream;
             const how = response.writableFinished ? "whole" : isSound ? "callerLeft" : "brokenOff";
             this.book.losses?.recordRunEnd(id, performance.now(), how);
--- a/test/tools/leavingCaller.ts
+++ b/test/tools/leavingCaller.ts
@@ -7,7 +7,7 @@
     received = "";
     private readonly socket: Socket;
 
-    constructor(readonly id: string, url: string) {
+    constructor(readonly id: string, url: string, private readonly key = "key-1") {
         const { hostname, port } = new URL(url);
         this.socket = connect({ host: hostname, port: Number(port), noDelay: true });
         this.socket.on("error", () => undefined);
@@ -19,7 +19,7 @@
             `POST ${path} HTTP/1.1`,
             "Host: api.example",
             `Attempt-Id: ${this.id}`,
-            "Credential: key-1",
+            `Credential: ${this.key}`,
             `Deadline-Ms: ${deadlineMs}`,
             `Token-Usage: 10,${outputTokens}`,
             "Content-Length: 2",
