Relayed connections: the time until the preamble is counted once

The router that relays counts until it sends the preamble. Counting also from the acceptance at the router that serves overlapped with that, and made requests look older than they were. Closes that arrive as resets are logged by the relay, too.

--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -498,6 +498,9 @@
             this.finishIfClosed();
         }
         else if (this.state === "open") {
+            if (!this.hasCallerClosed) {
+                this.relay.recordCallerClose(this);
+            }
             this.finish();
             this.neighbour.resetAndDestroy();
             this.caller.destroy();
--- a/src/adapters/http/relayListener.ts
+++ b/src/adapters/http/relayListener.ts
@@ -1,6 +1,5 @@
 /** Accepts the connections that other routers relay to this one, and reads how long they have held each of them. */
 import { createServer, type Server, type Socket } from "node:net";
-import type { ConnectionArrival } from "../../domain/arrivalEstimator.js";
 import { DeadlineQueue } from "../deadlineQueue.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { startListening } from "../startListening.js";
@@ -19,10 +18,10 @@
         socket => socket.destroy(),
     );
 
-    /** `handle`: called with each connection, its arrival at this router and its preamble. */
+    /** `handle`: called with each connection and its preamble. */
     constructor(
         private readonly accepts: AcceptMonitor,
-        private readonly handle: (socket: Socket, arrival: ConnectionArrival, preamble: RelayPreamble) => void,
+        private readonly handle: (socket: Socket, preamble: RelayPreamble) => void,
         maxConnections: number,
     ) {
         this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => this.accept(socket));
@@ -42,7 +41,7 @@
     }
 
     private accept(socket: Socket): void {
-        const arrival = this.accepts.recordAccepted();
+        this.accepts.recordAccepted();
         const ignoreError = (): void => undefined;
         socket.on("error", ignoreError);
         socket.once("close", () => this.withoutPreamble.delete(socket));
@@ -51,7 +50,7 @@
         readRelayPreamble(socket, preamble => {
             this.withoutPreamble.delete(socket);
             socket.off("error", ignoreError);
-            this.handle(socket, arrival, preamble);
+            this.handle(socket, preamble);
         });
     }
 }
