--- a/src/daemons/directRouter/attempt.ts
+++ b/src/daemons/directRouter/attempt.ts
@@ -227,11 +227,11 @@
     /** Closes the connection for sending and counts what still arrives until the upstream has closed it, too. */
     private async closeRun(): Promise<StoppedRun> {
         // A response that was not read for some time may have been dropped at the upstream, unsent and uncounted.
-        const canCount = this.options.isCharged && !this.hasBeenPaused && this.held === undefined;
-        const waitMs = this.options.getRunEndWaitMs(this.closeAgeMs ?? 0);
+        const canCount = !this.hasBeenPaused && this.held === undefined;
+        const waitMs = this.options.isCharged ? this.options.getRunEndWaitMs(this.closeAgeMs ?? 0) : 0;
         if (!canCount || waitMs === 0 || this.exchange?.tryEndSending() !== true) {
             this.exchange?.cancel();
-            return createUnknownEnd(describeMissingWait(canCount, waitMs));
+            return createUnknownEnd(this.describeMissingWait(canCount, waitMs));
         }
         // If the event loop was late, what has arrived meanwhile is read first.
         const timer = setTimeout(
@@ -247,6 +247,17 @@
         return run;
     }
 
+    /** Explains why the end of the run is not waited for. */
+    private describeMissingWait(canCount: boolean, waitMs: number): string {
+        if (!this.options.isCharged) {
+            return "no tokens are reserved";
+        }
+        if (!canCount) {
+            return "the response was not read without pause";
+        }
+        return waitMs === 0 ? "the close was read too late" : "the connection cannot be read on";
+    }
+
     private finishRun(run: StoppedRun): false {
         this.resolveStoppedRun?.(run);
         return false;
@@ -545,14 +556,6 @@
     return { type: "notRun", cause: "withheld", reason };
 }
 
-/** Explains why the end of a run is not waited for. */
-function describeMissingWait(canCount: boolean, waitMs: number): string {
-    if (!canCount) {
-        return "the response was not read without pause";
-    }
-    return waitMs === 0 ? "the close was read too late" : "the connection cannot be read on";
-}
-
 function createUnknownEnd(reason: string): StoppedRun {
     return { end: "unknown", reason };
 }
