--- a/test/tools/plannedPlay.ts
+++ b/test/tools/plannedPlay.ts
@@ -25,8 +25,21 @@
     readonly tookMs: number;
 }
 
-export async function startPlay(network: number, routers: number): Promise<PlannedPlay> {
-    const play = new PlannedPlay(network, routers);
+/** What a request of a play may cost: sends in all, and whether a stream may go on at another engine. */
+export interface PlayRepeats {
+    readonly attempts: number;
+    readonly resumable: boolean;
+}
+
+/** A stream that may be resumed goes on at another engine after a silence. */
+const NO_REPEATS: PlayRepeats = { attempts: 1, resumable: false };
+
+export async function startPlay(
+    network: number,
+    routers: number,
+    repeats: PlayRepeats = NO_REPEATS,
+): Promise<PlannedPlay> {
+    const play = new PlannedPlay(network, routers, repeats);
     try {
         await play.start();
         return play;
@@ -50,7 +63,7 @@
     private revision = 1;
     private lastId = 0;
 
-    constructor(network: number, routers: number) {
+    constructor(network: number, routers: number, private readonly repeats: PlayRepeats) {
         this.fleet = new ProcessFleet({
             network,
             controllers: 3,
@@ -67,7 +80,7 @@
     }
 
     async start(): Promise<void> {
-        await this.fleet.start(createBundle(this.revision));
+        await this.fleet.start(createBundle(this.revision, this.repeats));
         await Promise.all(this.engines.map(engine => engine.start()));
         this.probes.start();
         for (const router of this.fleet.listRouters()) {
@@ -190,7 +203,7 @@
     async putNextBundle(): Promise<void> {
         this.revision += 1;
         const sentAt = performance.now();
-        await waitUntil("the configuration", () => this.fleet.putBundle(createBundle(this.revision)));
+        await waitUntil("the configuration", () => this.fleet.putBundle(createBundle(this.revision, this.repeats)));
         this.audit.recordBundle(sentAt, performance.now());
     }
 
@@ -227,7 +240,7 @@
 }
 
 /** Creates a configuration whose routes and tokens outlast a stop. */
-function createBundle(revision: number): object {
+function createBundle(revision: number, repeats: PlayRepeats): object {
     const bundle = createWireBundle(revision);
     const engines = { ...bundle.backends[0]!, engine: { slots: 64, kv_capacity: 500_000, stride: 5 } };
     const plain = bundle.routes.find(({ backend }) => backend === "plain")!;
@@ -238,12 +251,11 @@
     }));
     return {
         ...bundle,
-        // A stream that may be resumed goes on at another engine after a silence.
         routes: [...bundle.routes, ...versions].map(route => ({
             ...route,
             timeout_ms: DEADLINE_MS,
-            attempts: 1,
-            resumable: false,
+            attempts: repeats.attempts,
+            resumable: repeats.resumable && route.type === "stream",
         })),
         backends: [engines, bundle.backends[1]],
         tenants: bundle.tenants.map(tenant => ({ ...tenant, prepaid: 10_000_000 })),
--- a/test/tools/playEngine.ts
+++ b/test/tools/playEngine.ts
@@ -11,9 +11,21 @@
     silent: "/s/silent",
     /** A stream without a long pause. */
     steady: "/s/steady",
+    /** A stream whose first event comes late, as when its prompt is read. */
+    lateStream: "/s/late",
     /** A short answer. */
     short: "/l/short",
+    /** A short answer that comes late, to a request that may be repeated. */
+    lateLookup: "/l/late",
+    /** The same to a request that may not be repeated. */
+    lateChange: "/c/late",
 } as const;
+const STREAM_PATH_PREFIX = "/s/";
+const LATE_PATHS: ReadonlySet<PlayPath> = new Set([
+    PlayPaths.lateStream,
+    PlayPaths.lateLookup,
+    PlayPaths.lateChange,
+]);
 const LARGE_PATH_PREFIX = "/l/large/";
 export const VERSION_PATH_PREFIX = "/v/";
 export type PlayPath =
@@ -42,6 +54,8 @@
 const SILENT_GAP_MS = 20;
 const STEADY_GAP_MS = 75;
 const SHORT_ANSWER_MS = 20;
+/** Time until an answer begins that comes late. */
+export const LATE_ANSWER_MS = 1_500;
 const ENGINE_PORT = 8028;
 
 export class PlayEngine {
@@ -120,12 +134,14 @@
         });
         const signed = { ...identity, "Instance-Signature": `${this.getId()}.${id}` };
         const path = message.url as PlayPath;
-        if (path === PlayPaths.silent || path === PlayPaths.steady) {
+        const isLate = LATE_PATHS.has(path);
+        if (path.startsWith(STREAM_PATH_PREFIX)) {
+            await wait(isLate ? LATE_ANSWER_MS : 0);
             response.writeHead(200, { ...signed, "Content-Type": "text/event-stream" });
             await this.answerStream(id, path, response);
         }
         else {
-            await wait(SHORT_ANSWER_MS);
+            await wait(isLate ? LATE_ANSWER_MS : SHORT_ANSWER_MS);
             response.writeHead(200, signed);
             this.end(id, createBody(id, path), response);
         }
