--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -32,6 +32,8 @@
     private readonly resetCauses = new WeakMap<Socket, UndeliveredCause>();
     /** Connections with bytes that are no request, which are ended after the answers under way. */
     private readonly malformed = new WeakSet<Socket>();
+    /** Connections taken back from lost routers, until the first answer, and whether their first request may have run. */
+    private readonly takenBack = new Map<Socket, { mayHaveRun: boolean; }>();
     /** Connections that this router has ended, over which nothing is served any more. */
     private readonly ended = new Set<Socket>();
 
@@ -64,6 +66,31 @@
         }
     }
 
+    /** Adds a connection that another router served until it was lost. `mayHaveRun`: whether the request on it may have run there. */
+    addTakenBack(socket: Socket, mayHaveRun: boolean, accountedBytes: number): void {
+        this.add(socket, undefined, accountedBytes);
+        this.takenBack.set(socket, { mayHaveRun });
+        socket.once("close", () => this.takenBack.delete(socket));
+    }
+
+    /**
+     * Returns whether a request that was just read came with a connection from a lost router, and may have run there; undefined if it did
+     * not come so. Of requests that came together, only of the first one it is certain that it did not run.
+     */
+    tryGetEarlierRun(socket: Socket): boolean | undefined {
+        const earlier = this.takenBack.get(socket);
+        const mayHaveRun = earlier?.mayHaveRun;
+        if (earlier !== undefined) {
+            earlier.mayHaveRun = true;
+        }
+        return mayHaveRun;
+    }
+
+    /** Whether another router relays a connection to this one. */
+    isRelayedIn(socket: Socket): boolean {
+        return this.connections.get(socket)?.relay !== undefined;
+    }
+
     /**
      * Whether this router has ended a connection, or told its caller so. A request that arrives over it has crossed the end, and cannot
      * be answered.
@@ -173,6 +200,7 @@
             }
         });
         response.once("finish", () => {
+            this.takenBack.delete(socket);
             connection.endExchange(exchange);
             this.endIfIdle(socket, connection);
         });
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -2,43 +2,63 @@
  * Relays callers' connections to another router as byte streams, without parsing them. The router that relays is short of CPU
  * time, so that each chunk is passed on by plain event handlers, and timeouts share one timer.
  */
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import type { RequestRetention } from "../../domain/relayedExchange.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
-import { tryReadArrived } from "../arrivedInput.js";
 import { DeadlineQueue } from "../deadlineQueue.js";
-import { waitForNextPoll } from "../nextPoll.js";
 import type { ReadPacer } from "../readPacer.js";
-import { parseAddress } from "../rpc/tcpNetwork.js";
-import { isResetAtEnd } from "../socketReset.js";
-import { encodeRelayPreamble } from "./relayPreamble.js";
+import {
+    type FailoverCause,
+    type RelayCloseCause,
+    RelayedConnection,
+    type RelayProgress,
+    type RelayTarget,
+} from "./relayedConnection.js";
 
 /** Size of the buffer into which all connections to other routers are read. */
 const READ_BUFFER_BYTES = 65_536;
-/** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
-const UNPACED_READS = 2;
-
-/** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
-const FIRST_REQUEST_WINDOW_MS = 250;
-
 /** Closes that may have been read later than this are logged, in milliseconds. */
 const MIN_LOGGED_CLOSE_AGE_MS = 100;
 
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
 
-/** Silence after which the system asks whether the box of the other router still answers, in milliseconds. */
-const KEEP_ALIVE_DELAY_MS = 1_000;
+/**
+ * Longest time for which a relayed connection waits for a router whose peer link is lost, in milliseconds. A process that is only paused or slow
+ * goes on; the system finds out within about this time that a box is gone.
+ */
+const LOST_LINK_TIMEOUT_MS = 10_000;
+
+/** A request, or a connection without one, whose serving router was lost before it answered. */
+export interface LostRequest {
+    /** All of its bytes that have come; undefined if they were not retained. */
+    readonly bytes: Buffer | undefined;
+    /** Whether the lost router may have sent it to an upstream. */
+    readonly mayHaveRun: boolean;
+    /** When its first bytes were passed on. Monotonic clock, milliseconds. */
+    readonly startedAt: number;
+}
+
+/** What a router needs to know of a request in order to wait for its answer. */
+export interface RequestTerms {
+    readonly isRepeatable: boolean;
+    /** From when the request was passed on, in milliseconds. */
+    readonly timeoutMs: number;
+}
 
-/** A router that connections are relayed to. */
-export interface RelayTarget {
-    /** Peer address, which identifies it. */
-    readonly address: string;
-    /** HOST:PORT at which it accepts relayed connections. */
-    readonly relayAddress: string;
+/** Serves the callers of relayed connections here when the router that they were relayed to is lost. */
+export interface RelayFailover {
+    readonly retention: RequestRetention;
+    /** Returns the terms of a request by its first bytes; undefined if they do not tell. */
+    readonly tryGetTerms: (bytes: Buffer) => RequestTerms | undefined;
+    /** Serves a caller's connection from now on, and answers its request. Nothing is read from the connection until then. */
+    readonly serve: (caller: Socket, lost: LostRequest) => void;
 }
 
 export interface ConnectionRelayOptions {
+    /** Without it, the connections of callers are reset with those of a lost router. */
+    readonly failover?: RelayFailover;
     /** Whether the process of a router is known to run, by its peer address. */
     readonly isReachable: (address: string) => boolean;
     /** Whether a router has announced that its process is about to end, by its peer address. */
@@ -53,29 +73,6 @@
     readonly getMaxReadDelayMs: () => number;
 }
 
-/** What a relayed connection has carried, for logs. Bytes, milliseconds. */
-interface RelayProgress {
-    readonly age_ms: number;
-    /** Estimated time in the listen queue. */
-    readonly unaccepted_ms: number;
-    /** Local port of the connection to the other router. */
-    readonly port: number | undefined;
-    /** Time since bytes were last passed on. */
-    readonly quiet_ms: number;
-    readonly request_bytes: number;
-    readonly answer_bytes: number;
-    /** Bytes of the answer that the caller has not taken. */
-    readonly unsent_bytes: number;
-    /** Whether bytes of an answer have come since the caller last sent something. */
-    readonly answering: boolean;
-}
-
-/** Why this router closed a relayed connection regularly. */
-type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
-
-/** Why a relayed connection was reset. */
-export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
-
 export class ConnectionRelay {
     private readonly connections = new Set<RelayedConnection>();
     private readonly connecting: DeadlineQueue<RelayedConnection>;
@@ -87,12 +84,20 @@
     /** Shared by all connections: each read is copied before the next one. */
     private readonly readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
 
+    private readonly lostLinks = new DeadlineQueue<RelayedConnection>(
+        LOST_LINK_TIMEOUT_MS,
+        connection => connection.isOpen(),
+        connection => connection.endWait(),
+    );
+    readonly failover: RelayFailover | undefined;
+
     constructor(
         readonly pacer: ReadPacer,
         private readonly log: Log,
         private readonly metrics: Metrics,
         private readonly options: ConnectionRelayOptions,
     ) {
+        this.failover = options.failover;
         this.connecting = new DeadlineQueue(
             options.connectTimeoutMs,
             connection => connection.isConnecting(),
@@ -124,14 +129,14 @@
     }
 
     /**
-     * Resets the connections to routers that are not reachable any more: their callers would wait in vain. A router that has announced
-     * its stop ends its connections itself, and callers may still read what it has sent.
+     * Handles the connections to routers that are not reachable any more. A router that has announced its stop ends its connections itself,
+     * and callers may still read what it has sent.
      */
-    resetUnreachable(): void {
+    handleUnreachable(): void {
         for (const connection of this.connections) {
             // An answer that has arrived whole is still delivered to a slow caller.
             if (!connection.hasNeighbourEnded && this.isLost(connection.target.address)) {
-                connection.reset("neighbourUnreachable");
+                void connection.handleLostLink();
             }
         }
     }
@@ -190,6 +195,11 @@
         this.halfClosed.add(connection);
     }
 
+    /** Called by a connection that waits for a router whose peer link is lost. */
+    addLostLink(connection: RelayedConnection): void {
+        this.lostLinks.add(connection);
+    }
+
     /** Called by a connection that has ended or failed. */
     remove(connection: RelayedConnection): void {
         this.connections.delete(connection);
@@ -214,307 +224,15 @@
         }
     }
 
+    /** Called by a connection whose caller is served here from now on. */
+    logFailover(target: RelayTarget, reason: FailoverCause, mayHaveRun: boolean, progress: RelayProgress): void {
+        this.metrics.addCount("connections_relay_failed_over");
+        this.log.info("relay_failed_over", { router: target.address, reason, may_have_run: mayHaveRun, ...progress });
+    }
+
     /** Called by a connection that is reset. */
     logFailure(target: RelayTarget, reason: string, progress: RelayProgress | undefined): void {
         this.metrics.addCount("connections_relay_failed");
         this.log.info("relay_failed", { router: target.address, reason, ...progress });
     }
 }
-
-/** A caller's connection and its continuation to another router. Either buffers at most its high-water mark. */
-class RelayedConnection {
-    /** Whether the neighbour has sent everything. */
-    hasNeighbourEnded = false;
-    /** When bytes were last passed on in either direction. Monotonic clock, milliseconds. */
-    private lastBytesAt = performance.now();
-    /** When the neighbour's connection was established. Monotonic clock, milliseconds. */
-    private openedAt = 0;
-    private readonly neighbour: Socket;
-    private readonly acceptedAt = performance.now();
-    private isPreambleSent = false;
-    /** Bytes of the caller that wait for another poll. */
-    private delayedBytes: Buffer[] | undefined;
-    private hasCallerClosed = false;
-    private state: "connecting" | "open" | "closed" = "connecting";
-    /** Reads from the neighbour since the caller last sent something. */
-    private answerReads = 0;
-    /** Whether the caller's buffer is full. */
-    private isBlocked = false;
-    /** Whether reading from the neighbour is paused until the next tick of the pacer. */
-    private isPaced = false;
-
-    constructor(
-        private readonly relay: ConnectionRelay,
-        private readonly caller: Socket,
-        readonly target: RelayTarget,
-        private readonly arrivedAt: number,
-        readBuffer: Buffer,
-        private readonly serveLocally: (error: string) => void,
-    ) {
-        this.neighbour = connect({
-            ...parseAddress(target.relayAddress),
-            allowHalfOpen: true,
-            noDelay: true,
-            keepAlive: true,
-            keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
-            onread: { buffer: readBuffer, callback: (length, buffer) => this.handleAnswer(length, buffer) },
-        });
-        this.neighbour.on("connect", this.handleConnect);
-        this.neighbour.on("error", this.handleNeighbourError);
-    }
-
-    getProgress(): RelayProgress {
-        const now = performance.now();
-        return {
-            age_ms: Math.round(now - this.acceptedAt),
-            unaccepted_ms: Math.round(this.acceptedAt - this.arrivedAt),
-            port: this.neighbour.localPort,
-            quiet_ms: Math.round(now - this.lastBytesAt),
-            request_bytes: this.caller.bytesRead,
-            answer_bytes: this.neighbour.bytesRead,
-            unsent_bytes: this.caller.writableLength,
-            answering: this.answerReads > 0,
-        };
-    }
-
-    /** Whether the neighbour was reached, and the caller has sent nothing. */
-    isUnused(): boolean {
-        return this.state === "open" && !this.isPreambleSent && this.delayedBytes === undefined;
-    }
-
-    /** Whether bytes of the caller were passed on that no answer has followed. */
-    isUnanswered(): boolean {
-        return this.isPreambleSent && this.answerReads === 0;
-    }
-
-    /** Whether the neighbour has ended the connection, and the operating system has all of its bytes for the caller. */
-    isDelivered(): boolean {
-        return this.hasNeighbourEnded && this.caller.writableFinished;
-    }
-
-    isConnecting(): boolean {
-        return this.state === "connecting";
-    }
-
-    isOpen(): boolean {
-        return this.state === "open";
-    }
-
-    /** Gives up the attempt to connect, and returns the caller's connection, of which nothing was read. */
-    failConnecting(error: string): void {
-        if (this.state === "connecting") {
-            this.finish();
-            this.neighbour.destroy();
-            this.serveLocally(error);
-        }
-    }
-
-    /** Resets both connections, so that nobody takes what was passed on so far as complete. */
-    reset(cause: RelayResetCause): void {
-        if (this.state === "connecting") {
-            this.failConnecting(cause);
-        }
-        else if (this.state === "open") {
-            this.finish();
-            this.relay.logFailure(this.target, cause, this.getProgress());
-            this.neighbour.resetAndDestroy();
-            this.caller.resetAndDestroy();
-        }
-    }
-
-    /** Closes both connections regularly. */
-    close(cause: RelayCloseCause): void {
-        if (this.state === "connecting") {
-            this.failConnecting("closing");
-        }
-        else if (this.state === "open") {
-            this.finish();
-            this.relay.logClosed(this.target, cause, this.getProgress());
-            this.neighbour.destroy();
-            this.caller.destroy();
-        }
-    }
-
-    private readonly handleConnect = (): void => {
-        if (this.state !== "connecting") {
-            return;
-        }
-        const { caller, neighbour } = this;
-        this.state = "open";
-        this.openedAt = performance.now();
-        this.relay.recordConnected();
-        caller.on("data", this.handleRequest);
-        caller.on("end", () => this.handleCallerEnd());
-        caller.on("drain", this.handleCallerDrain);
-        caller.on("error", () => this.handleCallerClose());
-        caller.on("close", () => this.handleCallerClose());
-        neighbour.on("end", () => void this.handleNeighbourEnd());
-        neighbour.on("drain", () => caller.resume());
-        neighbour.on("close", () => this.handleNeighbourClose());
-        caller.resume();
-    };
-
-    private readonly handleRequest = (chunk: Buffer): void => {
-        if (this.neighbour.readableEnded || this.hasCallerClosed) {
-            // The neighbour has closed the connection, and the caller does not know yet; or the caller has left.
-            return;
-        }
-        if (this.delayedBytes !== undefined) {
-            this.delayedBytes.push(chunk);
-            return;
-        }
-        const arrived = tryReadArrived(this.caller);
-        if (arrived === undefined) {
-            this.delayedBytes = [chunk];
-            void this.forwardAfterPoll();
-        }
-        else if (arrived.hasEnded) {
-            this.handleCallerEnd();
-        }
-        else {
-            this.forwardRequest(arrived.bytes.length === 0 ? chunk : Buffer.concat([chunk, ...arrived.bytes]));
-        }
-    };
-
-    /** Passes on bytes unless the caller has left meanwhile. */
-    private async forwardAfterPoll(): Promise<void> {
-        await waitForNextPoll();
-        const bytes = Buffer.concat(this.delayedBytes!);
-        this.delayedBytes = undefined;
-        if (this.state === "open" && !this.hasCallerClosed && !this.neighbour.readableEnded) {
-            this.forwardRequest(bytes);
-        }
-    }
-
-    /** The other router does not get what its caller has sent last: it would begin to work before it learns of the end. */
-    private handleCallerEnd(): void {
-        if (this.hasCallerClosed || this.state !== "open") {
-            return;
-        }
-        this.hasCallerClosed = true;
-        this.relay.recordCallerClose(this);
-        if (this.isPreambleSent) {
-            this.neighbour.end();
-        }
-        else {
-            this.close("callerLeft");
-        }
-    }
-
-    private forwardRequest(chunk: Buffer): void {
-        this.lastBytesAt = performance.now();
-        this.answerReads = 0;
-        if (this.isPaced) {
-            this.resumePaced();
-        }
-        if (!this.neighbour.write(this.addPreamble(chunk))) {
-            this.caller.pause();
-        }
-    }
-
-    /** Sends the preamble together with the first bytes, which saves a packet. */
-    private addPreamble(chunk: Buffer): Buffer {
-        if (this.isPreambleSent) {
-            return chunk;
-        }
-        this.isPreambleSent = true;
-        // Callers may open connections ahead of requests. A request that was there already is read soon after.
-        const isWaiting = performance.now() - this.openedAt < FIRST_REQUEST_WINDOW_MS;
-        const ageMs = isWaiting ? performance.now() - this.arrivedAt : 0;
-        return Buffer.concat([encodeRelayPreamble(ageMs, this.relay.getInstance()), chunk]);
-    }
-
-    /** Returns whether to continue reading. */
-    private handleAnswer(length: number, buffer: Uint8Array): boolean {
-        if (this.state !== "open") {
-            return false;
-        }
-        this.lastBytesAt = performance.now();
-        this.answerReads += 1;
-        this.isBlocked = !this.caller.write(Buffer.from(buffer.subarray(0, length)));
-        const { pacer } = this.relay;
-        if (this.answerReads > UNPACED_READS && pacer.isActive()) {
-            this.isPaced = true;
-            pacer.scheduleResume(this.resumePaced);
-        }
-        return !this.isBlocked && !this.isPaced;
-    }
-
-    private readonly resumePaced = (): void => {
-        this.isPaced = false;
-        this.resumeReading();
-    };
-
-    private readonly handleCallerDrain = (): void => {
-        this.isBlocked = false;
-        this.resumeReading();
-    };
-
-    private resumeReading(): void {
-        if (this.state === "open" && !this.isBlocked && !this.isPaced) {
-            this.neighbour.resume();
-        }
-    }
-
-    private readonly handleNeighbourError = (error: Error): void => {
-        if (this.state === "connecting") {
-            this.failConnecting((error as NodeJS.ErrnoException).code ?? error.message);
-        }
-        else if (!this.neighbour.readableEnded) {
-            this.reset("neighbourLost");
-        }
-    };
-
-    /**
-     * When a process is killed, its system closes its connections as regularly as after a complete answer. Its peer link is
-     * closed together with them, so that the link is read first.
-     */
-    private async handleNeighbourEnd(): Promise<void> {
-        // Bytes that cross a regular end are answered with a reset, too; no answer is under way then.
-        const isReset = this.answerReads > 0 && isResetAtEnd(this.neighbour);
-        await waitForNextPoll();
-        if (isReset || this.relay.isLost(this.target.address)) {
-            this.reset("neighbourLost");
-        }
-        else if (this.state === "open") {
-            this.hasNeighbourEnded = true;
-            // A slow caller first gets the rest of the answer.
-            this.caller.end(() => this.relay.addHalfClosed(this));
-        }
-    }
-
-    private handleNeighbourClose(): void {
-        if (this.neighbour.readableEnded) {
-            this.finishIfClosed();
-        }
-        else {
-            this.reset("neighbourLost");
-        }
-    }
-
-    /** A caller that leaves early closes or resets the connection; the neighbour is told at once, so that upstreams stop. */
-    private handleCallerClose(): void {
-        if (this.caller.readableEnded && this.caller.writableFinished) {
-            this.finishIfClosed();
-        }
-        else if (this.state === "open") {
-            if (!this.hasCallerClosed) {
-                this.relay.recordCallerClose(this);
-            }
-            this.finish();
-            this.neighbour.resetAndDestroy();
-            this.caller.destroy();
-        }
-    }
-
-    private finishIfClosed(): void {
-        if (this.caller.destroyed && this.neighbour.destroyed) {
-            this.finish();
-        }
-    }
-
-    private finish(): void {
-        this.state = "closed";
-        this.relay.remove(this);
-    }
-}
--- /dev/null
+++ b/src/adapters/http/relayedConnection.ts
@@ -0,0 +1,488 @@
+/** One relayed connection: passes bytes between a caller and the router that serves it, and decides what becomes of the caller if that is lost. */
+import { connect, type Socket } from "node:net";
+import { type LossAction, type NeighbourEnd, RelayedExchange } from "../../domain/relayedExchange.js";
+import { tryReadArrived } from "../arrivedInput.js";
+import { waitForNextPoll } from "../nextPoll.js";
+import { parseAddress } from "../rpc/tcpNetwork.js";
+import { isResetAtEnd } from "../socketReset.js";
+import type { ConnectionRelay } from "./connectionRelay.js";
+import { encodeRelayPreamble } from "./relayPreamble.js";
+
+/** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
+const UNPACED_READS = 2;
+
+/** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
+const FIRST_REQUEST_WINDOW_MS = 250;
+
+/** Silence after which the system asks whether the box of the other router still answers, in milliseconds. */
+const KEEP_ALIVE_DELAY_MS = 1_000;
+
+/** A router that connections are relayed to. */
+export interface RelayTarget {
+    /** Peer address, which identifies it. */
+    readonly address: string;
+    /** HOST:PORT at which it accepts relayed connections. */
+    readonly relayAddress: string;
+}
+
+/** What a relayed connection has carried, for logs. Bytes, milliseconds. */
+export interface RelayProgress {
+    readonly age_ms: number;
+    /** Estimated time in the listen queue. */
+    readonly unaccepted_ms: number;
+    /** Local port of the connection to the other router. */
+    readonly port: number | undefined;
+    /** Time since bytes were last passed on. */
+    readonly quiet_ms: number;
+    readonly request_bytes: number;
+    readonly answer_bytes: number;
+    /** Bytes of the answer that the caller has not taken. */
+    readonly unsent_bytes: number;
+    /** Whether bytes of an answer have come since the caller last sent something. */
+    readonly answering: boolean;
+}
+
+/** Why this router closed a relayed connection regularly. */
+export type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
+
+/** Why the caller of a relayed connection is served by this router. `late`: the other router has not answered in time. */
+export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset";
+
+/** Why a relayed connection was reset. */
+export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
+
+/** A caller's connection and its continuation to another router. Either buffers at most its high-water mark. */
+export class RelayedConnection {
+    /** Whether the neighbour has sent everything. */
+    hasNeighbourEnded = false;
+    /** When bytes were last passed on in either direction. Monotonic clock, milliseconds. */
+    private lastBytesAt = performance.now();
+    /** When the neighbour's connection was established. Monotonic clock, milliseconds. */
+    private openedAt = 0;
+    private readonly neighbour: Socket;
+    private readonly acceptedAt = performance.now();
+    private isPreambleSent = false;
+    /** Bytes of the caller that wait for another poll. */
+    private delayedBytes: Buffer[] | undefined;
+    private hasCallerClosed = false;
+    private state: "connecting" | "open" | "closed" = "connecting";
+    /** Reads from the neighbour since the caller last sent something. */
+    private answerReads = 0;
+    /** Whether the caller's buffer is full. */
+    private isBlocked = false;
+    /** Whether reading from the neighbour is paused until the next tick of the pacer. */
+    private isPaced = false;
+    /** Undefined without failover. */
+    private readonly exchange: RelayedExchange | undefined;
+    private lateTimer: NodeJS.Timeout | undefined;
+
+    constructor(
+        private readonly relay: ConnectionRelay,
+        private readonly caller: Socket,
+        readonly target: RelayTarget,
+        private readonly arrivedAt: number,
+        readBuffer: Buffer,
+        private readonly serveLocally: (error: string) => void,
+    ) {
+        this.exchange = relay.failover && new RelayedExchange(relay.failover.retention);
+        this.neighbour = connect({
+            ...parseAddress(target.relayAddress),
+            allowHalfOpen: true,
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
+            onread: { buffer: readBuffer, callback: (length, buffer) => this.handleAnswer(length, buffer) },
+        });
+        this.neighbour.on("connect", this.handleConnect);
+        this.neighbour.on("error", this.handleNeighbourError);
+    }
+
+    getProgress(): RelayProgress {
+        const now = performance.now();
+        return {
+            age_ms: Math.round(now - this.acceptedAt),
+            unaccepted_ms: Math.round(this.acceptedAt - this.arrivedAt),
+            port: this.neighbour.localPort,
+            quiet_ms: Math.round(now - this.lastBytesAt),
+            request_bytes: this.caller.bytesRead,
+            answer_bytes: this.neighbour.bytesRead,
+            unsent_bytes: this.caller.writableLength,
+            answering: this.answerReads > 0,
+        };
+    }
+
+    /** Whether the neighbour was reached, and the caller has sent nothing. */
+    isUnused(): boolean {
+        return this.state === "open" && !this.isPreambleSent && this.delayedBytes === undefined;
+    }
+
+    /** Whether bytes of the caller were passed on that no answer has followed. */
+    isUnanswered(): boolean {
+        return this.isPreambleSent && this.answerReads === 0;
+    }
+
+    /** Whether the neighbour has ended the connection, and the operating system has all of its bytes for the caller. */
+    isDelivered(): boolean {
+        return this.hasNeighbourEnded && this.caller.writableFinished;
+    }
+
+    isConnecting(): boolean {
+        return this.state === "connecting";
+    }
+
+    isOpen(): boolean {
+        return this.state === "open";
+    }
+
+    /** Gives up the attempt to connect, and returns the caller's connection, of which nothing was read. */
+    failConnecting(error: string): void {
+        if (this.state === "connecting") {
+            this.finish();
+            this.neighbour.destroy();
+            this.serveLocally(error);
+        }
+    }
+
+    /** Resets both connections, so that nobody takes what was passed on so far as complete. */
+    reset(cause: RelayResetCause): void {
+        if (this.state === "connecting") {
+            this.failConnecting(cause);
+        }
+        else if (this.state === "open") {
+            this.finish();
+            this.relay.logFailure(this.target, cause, this.getProgress());
+            this.neighbour.resetAndDestroy();
+            this.caller.resetAndDestroy();
+        }
+    }
+
+    /** Closes both connections regularly. */
+    close(cause: RelayCloseCause): void {
+        if (this.state === "connecting") {
+            this.failConnecting("closing");
+        }
+        else if (this.state === "open") {
+            this.finish();
+            this.relay.logClosed(this.target, cause, this.getProgress());
+            this.neighbour.destroy();
+            this.caller.destroy();
+        }
+    }
+
+    private readonly handleConnect = (): void => {
+        if (this.state !== "connecting") {
+            return;
+        }
+        const { caller, neighbour } = this;
+        this.state = "open";
+        this.openedAt = performance.now();
+        this.relay.recordConnected();
+        caller.on("data", this.handleRequest);
+        caller.on("end", this.handleCallerEnd);
+        caller.on("drain", this.handleCallerDrain);
+        caller.on("error", this.handleCallerClose);
+        caller.on("close", this.handleCallerClose);
+        neighbour.on("end", () => void this.handleNeighbourEnd());
+        neighbour.on("drain", () => caller.resume());
+        neighbour.on("close", () => this.handleNeighbourClose());
+        caller.resume();
+    };
+
+    private readonly handleRequest = (chunk: Buffer): void => {
+        if (this.neighbour.readableEnded) {
+            // The neighbour has closed the connection, and the caller does not know yet.
+            this.exchange?.recordRequest(chunk, performance.now());
+            return;
+        }
+        if (this.hasCallerClosed) {
+            return;
+        }
+        if (this.delayedBytes !== undefined) {
+            this.delayedBytes.push(chunk);
+            return;
+        }
+        const arrived = tryReadArrived(this.caller);
+        if (arrived === undefined) {
+            this.delayedBytes = [chunk];
+            void this.forwardAfterPoll();
+        }
+        else if (arrived.hasEnded) {
+            this.handleCallerEnd();
+        }
+        else {
+            this.forwardRequest(arrived.bytes.length === 0 ? chunk : Buffer.concat([chunk, ...arrived.bytes]));
+        }
+    };
+
+    /** Passes on bytes unless the caller has left meanwhile. */
+    private async forwardAfterPoll(): Promise<void> {
+        await waitForNextPoll();
+        if (this.delayedBytes === undefined) {
+            return;
+        }
+        const bytes = Buffer.concat(this.delayedBytes);
+        this.delayedBytes = undefined;
+        if (this.state !== "open" || this.hasCallerClosed) {
+            return;
+        }
+        if (this.neighbour.readableEnded) {
+            this.exchange?.recordRequest(bytes, performance.now());
+        }
+        else {
+            this.forwardRequest(bytes);
+        }
+    }
+
+    /** The other router does not get what its caller has sent last: it would begin to work before it learns of the end. */
+    private readonly handleCallerEnd = (): void => {
+        if (this.hasCallerClosed || this.state !== "open") {
+            return;
+        }
+        this.hasCallerClosed = true;
+        this.relay.recordCallerClose(this);
+        if (this.isPreambleSent) {
+            this.neighbour.end();
+        }
+        else {
+            this.close("callerLeft");
+        }
+    };
+
+    private forwardRequest(chunk: Buffer): void {
+        this.lastBytesAt = performance.now();
+        this.answerReads = 0;
+        const isFirst = this.exchange?.resolveLoss("closed").type === "idle";
+        this.exchange?.recordRequest(chunk, this.lastBytesAt);
+        if (isFirst && this.relay.isLost(this.target.address)) {
+            // Nothing of this request has been passed on.
+            this.failOver("linkLost", "closed");
+            return;
+        }
+        if (this.isPaced) {
+            this.resumePaced();
+        }
+        if (!this.neighbour.write(this.addPreamble(chunk))) {
+            this.caller.pause();
+        }
+    }
+
+    /** Sends the preamble together with the first bytes, which saves a packet. */
+    private addPreamble(chunk: Buffer): Buffer {
+        if (this.isPreambleSent) {
+            return chunk;
+        }
+        this.isPreambleSent = true;
+        // Callers may open connections ahead of requests. A request that was there already is read soon after.
+        const isWaiting = performance.now() - this.openedAt < FIRST_REQUEST_WINDOW_MS;
+        const ageMs = isWaiting ? performance.now() - this.arrivedAt : 0;
+        return Buffer.concat([encodeRelayPreamble(ageMs, this.relay.getInstance()), chunk]);
+    }
+
+    /** Returns whether to continue reading. */
+    private handleAnswer(length: number, buffer: Uint8Array): boolean {
+        if (this.state !== "open") {
+            return false;
+        }
+        this.lastBytesAt = performance.now();
+        const received = Buffer.from(buffer.subarray(0, length));
+        const bytes = this.exchange?.readAnswer(received) ?? received;
+        if (bytes.length === 0) {
+            return true;
+        }
+        this.answerReads += 1;
+        this.isBlocked = !this.caller.write(bytes);
+        const { pacer } = this.relay;
+        if (this.answerReads > UNPACED_READS && pacer.isActive()) {
+            this.isPaced = true;
+            pacer.scheduleResume(this.resumePaced);
+        }
+        return !this.isBlocked && !this.isPaced;
+    }
+
+    private readonly resumePaced = (): void => {
+        this.isPaced = false;
+        this.resumeReading();
+    };
+
+    private readonly handleCallerDrain = (): void => {
+        this.isBlocked = false;
+        this.resumeReading();
+    };
+
+    private resumeReading(): void {
+        if (this.state === "open" && !this.isBlocked && !this.isPaced) {
+            this.neighbour.resume();
+        }
+    }
+
+    /**
+     * Called when the peer link to the neighbour is lost, which says nothing of this connection: the neighbour may be paused or slow. A request that
+     * may be repeated is served here; the others wait for as long as they may, since they may be running.
+     */
+    async handleLostLink(): Promise<void> {
+        if (this.exchange === undefined || this.state === "connecting") {
+            this.reset("neighbourUnreachable");
+            return;
+        }
+        // The system of a process that has ended closes this connection too.
+        await waitForNextPoll();
+        if (this.state !== "open" || this.hasNeighbourEnded || !this.relay.isLost(this.target.address)) {
+            return;
+        }
+        const action = this.exchange.resolveLoss("reset");
+        switch (action.type) {
+            case "idle":
+                this.failOver("linkLost", "closed");
+                return;
+            case "unanswered":
+                this.waitForAnswer(action);
+                return;
+            case "answering":
+            case "unknown":
+                this.relay.addLostLink(this);
+        }
+    }
+
+    /** Called when the neighbour has been waited for as long as possible. */
+    endWait(): void {
+        if (!this.hasNeighbourEnded && this.relay.isLost(this.target.address)) {
+            this.handleLoss("reset", "late");
+        }
+    }
+
+    private waitForAnswer({ bytes }: LossAction & { readonly type: "unanswered"; }): void {
+        const terms = bytes === undefined ? undefined : this.relay.failover!.tryGetTerms(bytes);
+        if (terms?.isRepeatable === true) {
+            this.failOver("linkLost", "reset");
+        }
+        else if (terms === undefined) {
+            this.relay.addLostLink(this);
+        }
+        else {
+            const startedAt = this.exchange!.getStartedAt();
+            clearTimeout(this.lateTimer);
+            this.lateTimer = setTimeout(
+                () => void this.endWaitForAnswer(startedAt),
+                Math.max(0, startedAt + terms.timeoutMs - performance.now()),
+            );
+        }
+    }
+
+    /** `startedAt`: of the request that was waited for. */
+    private async endWaitForAnswer(startedAt: number): Promise<void> {
+        await waitForNextPoll();
+        const isSame = this.exchange?.getStartedAt() === startedAt && this.exchange.isUnanswered();
+        if (this.state === "open" && isSame) {
+            this.failOver("late", "reset");
+        }
+    }
+
+    private readonly handleNeighbourError = (error: Error): void => {
+        if (this.state === "connecting") {
+            this.failConnecting((error as NodeJS.ErrnoException).code ?? error.message);
+        }
+        else if (!this.neighbour.readableEnded) {
+            this.handleLoss("reset", "neighbourReset");
+        }
+    };
+
+    /**
+     * When a process is killed, its system closes its connections as regularly as after a complete answer. Its peer link is
+     * closed together with them, so that the link is read first.
+     */
+    private async handleNeighbourEnd(): Promise<void> {
+        const wasReset = isResetAtEnd(this.neighbour);
+        // Bytes that cross a regular end are answered with a reset, too; no answer is under way then.
+        const isReset = this.answerReads > 0 && wasReset;
+        await waitForNextPoll();
+        if (this.state !== "open") {
+            return;
+        }
+        const action = this.exchange?.resolveLoss(wasReset ? "reset" : "closed");
+        const isLost = isReset || this.relay.isLost(this.target.address);
+        const isCut = action?.type === "answering" && !action.isUnframed;
+        if (action?.type === "unanswered" || (action?.type === "idle" && isLost) || isCut) {
+            this.handleLoss(wasReset ? "reset" : "closed", wasReset ? "neighbourReset" : "neighbourClosed");
+        }
+        else if (isLost) {
+            this.reset("neighbourLost");
+        }
+        else {
+            this.hasNeighbourEnded = true;
+            // A slow caller first gets the rest of the answer.
+            this.caller.end(() => this.relay.addHalfClosed(this));
+        }
+    }
+
+    /** Serves the caller here unless it has a part of an answer, which nobody can complete. */
+    private handleLoss(end: NeighbourEnd, cause: FailoverCause): void {
+        const type = this.exchange?.resolveLoss(end).type;
+        if ((type === "unanswered" || type === "idle") && !this.hasCallerClosed) {
+            this.failOver(cause, end);
+        }
+        else {
+            this.reset("neighbourLost");
+        }
+    }
+
+    private failOver(cause: FailoverCause, end: NeighbourEnd): void {
+        if (this.state !== "open") {
+            return;
+        }
+        const { caller, exchange } = this;
+        if (this.delayedBytes !== undefined) {
+            exchange!.recordRequest(Buffer.concat(this.delayedBytes), performance.now());
+            this.delayedBytes = undefined;
+        }
+        const action = exchange!.resolveLoss(end);
+        const mayHaveRun = action.type === "unanswered" && action.mayHaveRun;
+        const bytes = action.type === "unanswered" ? action.bytes : Buffer.alloc(0);
+        this.relay.logFailover(this.target, cause, mayHaveRun, this.getProgress());
+        caller.pause();
+        caller.off("data", this.handleRequest);
+        caller.off("end", this.handleCallerEnd);
+        caller.off("drain", this.handleCallerDrain);
+        caller.off("error", this.handleCallerClose);
+        caller.off("close", this.handleCallerClose);
+        this.finish();
+        this.neighbour.resetAndDestroy();
+        this.relay.failover!.serve(caller, { bytes, mayHaveRun, startedAt: exchange!.getStartedAt() });
+    }
+
+    private handleNeighbourClose(): void {
+        if (this.neighbour.readableEnded) {
+            this.finishIfClosed();
+        }
+        else if (this.state === "open") {
+            this.handleLoss("reset", "neighbourReset");
+        }
+    }
+
+    /** A caller that leaves early closes or resets the connection; the neighbour is told at once, so that upstreams stop. */
+    private readonly handleCallerClose = (): void => {
+        if (this.caller.readableEnded && this.caller.writableFinished) {
+            this.finishIfClosed();
+        }
+        else if (this.state === "open") {
+            if (!this.hasCallerClosed) {
+                this.relay.recordCallerClose(this);
+            }
+            this.finish();
+            this.neighbour.resetAndDestroy();
+            this.caller.destroy();
+        }
+    };
+
+    private finishIfClosed(): void {
+        if (this.caller.destroyed && this.neighbour.destroyed) {
+            this.finish();
+        }
+    }
+
+    private finish(): void {
+        this.state = "closed";
+        clearTimeout(this.lateTimer);
+        this.exchange?.release();
+        this.relay.remove(this);
+    }
+}
--- a/src/daemons/directRouter/answerOrigin.ts
+++ b/src/daemons/directRouter/answerOrigin.ts
@@ -1,4 +1,5 @@
 /** The software that one answer comes from. Once an upstream has begun a resumable stream, only the same version may continue it. */
+import { isRepeatable, isResumable } from "../../domain/bundle.js";
 import type { StreamOrigin } from "../../domain/streamOrigins.js";
 import type { UpstreamRegistration, UpstreamRegistry } from "../../domain/upstreamRegistry.js";
 import type { ResolvedRequest } from "./relayRequest.js";
@@ -18,13 +19,12 @@
 
     /** Whether the request is a stream that may go on at another upstream. */
     isResumable(): boolean {
-        const { kind, isResumable } = this.resolved.route;
-        return kind === "stream" && isResumable;
+        return isResumable(this.resolved.route);
     }
 
     /** Whether the request may run more than once. */
     isRepeatable(): boolean {
-        return this.resolved.route.kind === "repeatable" || this.isResumable();
+        return isRepeatable(this.resolved.route);
     }
 
     /** Returns the only software version that may send the answer; undefined if any may. */
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -1,12 +1,12 @@
 /** A router that connects directly to its upstreams: follows the controllers' configuration and handles callers' requests. */
 import type { AdmissionPolicy } from "../../domain/admissionPolicy.js";
 import { BodyMemory, type BodyMemoryOptions } from "../../domain/bodyMemory.js";
-import { BundleIndex, type BundleService, listPrepaidLimits } from "../../domain/bundle.js";
+import { BundleIndex, type BundleRoute, type BundleService, listPrepaidLimits } from "../../domain/bundle.js";
 import { DistributedRateLimiter, LIMIT_PROBE_FRACTION } from "../../domain/distributedRateLimiter.js";
 import { EvacuatedZones } from "../../domain/evacuatedZones.js";
 import type { EvacuationList } from "../../domain/evacuationStore.js";
 import type { LocalTokenBudget } from "../../domain/localTokenBudget.js";
-import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, qualifyRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { RouterContact } from "../../domain/routerGroups.js";
 import type { StopSchedule } from "../../domain/stopSchedule.js";
 import type { StreamOriginsOptions } from "../../domain/streamOrigins.js";
@@ -42,7 +42,7 @@
 import type { PlacementSharer } from "./placementSharer.js";
 import type { PrepaidBorrower } from "./prepaidBorrower.js";
 import type { PrepaidReporter } from "./prepaidReporter.js";
-import { type RefusalDetails, RelayContext, type RelayOptions } from "./relayContext.js";
+import { type RefusalDetails, REFUSED_BEFORE_RUN, RelayContext, type RelayOptions } from "./relayContext.js";
 import type { RelayCoordinator } from "./relayCoordinator.js";
 import { computePriority, type RelayRequest, type ResolvedRequest } from "./relayRequest.js";
 import { RelayRun } from "./relayRun.js";
@@ -254,6 +254,11 @@
         return this.bundleIndex?.bundle.limits;
     }
 
+    /** Returns the route of a request; undefined if there is none. */
+    tryGetRoute(host: string, target: string): BundleRoute | undefined {
+        return this.bundleIndex?.tryGetRoute(host, target);
+    }
+
     /** Whether load balancers should send requests to this router. */
     isReady(): boolean {
         const ready = !this.isStopping() && this.bundleIndex !== undefined && this.controllerFeeds.isReady();
@@ -311,9 +316,9 @@
             this.refuse(request, resolved, sink);
             return;
         }
-        const overloadRefusal = this.coordinator?.tryRefuse(computePriority(resolved));
+        const overloadRefusal = request.mayHaveRun ? undefined : this.coordinator?.tryRefuse(computePriority(resolved));
         if (overloadRefusal !== undefined) {
-            this.recordRefused(resolved, overloadRefusal, { abortCause: undefined, overdueMs: undefined });
+            this.recordRefused(resolved, overloadRefusal, REFUSED_BEFORE_RUN);
             sink.sendRefusal(overloadRefusal);
             return;
         }
@@ -328,8 +333,9 @@
     }
 
     /** Refuses a request that no route was found for, or whose body was not read. */
-    refuse(request: RelayRequest, refusal: Refusal, sink: PassThroughSink): void {
-        this.logRefusal(request, "", refusal, { abortCause: undefined, overdueMs: undefined });
+    refuse(request: RelayRequest, originalRefusal: Refusal, sink: PassThroughSink): void {
+        const refusal = qualifyRefusal(originalRefusal, request.mayHaveRun);
+        this.logRefusal(request, "", refusal, REFUSED_BEFORE_RUN);
         sink.sendRefusal(refusal);
     }
 
@@ -500,9 +506,7 @@
     private setGauges(): void {
         this.signalReceiver.setGauges();
         this.admissionMonitor.update();
-        if (this.bodyMemory !== undefined) {
-            this.recorder.setBodyBytes(this.bodyMemory.getHeldBytes());
-        }
+        this.recorder.setBodyBytes(this.bodyMemory?.getHeldBytes());
     }
 
     private removeStaleUpstreams(): void {
--- a/src/daemons/directRouter/relayContext.ts
+++ b/src/daemons/directRouter/relayContext.ts
@@ -66,6 +66,8 @@
     readonly overdueMs: number | undefined;
 }
 
+export const REFUSED_BEFORE_RUN: RefusalDetails = { abortCause: undefined, overdueMs: undefined };
+
 /** What is known of the run of an attempt that was stopped, for logs. Counts are tokens unless stated otherwise. */
 export interface StoppedDetails extends StoppedRun {
     /** Id of the upstream. */
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -20,8 +20,8 @@
 /** Minimum time between log lines of the relay's state, and a change of the fraction that is logged. */
 const LOG_PERIOD_MS = 1_000;
 const MIN_LOGGED_CHANGE = 0.05;
-/** Version of the preamble with which relayed connections begin. Connections are relayed only to routers that know it. */
-const RELAY_VERSION = 2;
+/** Version of the preamble and of the confirmations on relayed connections (docs/design/connection-relay.md). Connections are relayed only to routers that know it. */
+const RELAY_VERSION = 3;
 /** Number of routers that have announced their stop and are remembered. */
 const MAX_STOPPING_ROUTERS = 64;
 /** Time after a change in which all connections are examined. Later, each is examined after its answer. */
@@ -40,7 +40,7 @@
 /** The relay of callers' connections, as far as the coordinator needs it. */
 export interface CoordinatedRelay {
     listTargets(): readonly string[];
-    resetUnreachable(): void;
+    handleUnreachable(): void;
 }
 
 export class RelayCoordinator {
@@ -95,7 +95,7 @@
             now => this.createNotice(now),
             () => this.relay?.listTargets() ?? [],
         );
-        routerLinks.onReachabilityChange(() => this.resetUnreachable());
+        routerLinks.onReachabilityChange(() => this.handleUnreachable());
     }
 
     addHandlers(handlers: PeerHandlers): void {
@@ -246,9 +246,9 @@
     }
 
     /** A lost link may be that of a router which is only slow. While this router stops, its callers have little time to wait in vain. */
-    private resetUnreachable(): void {
+    private handleUnreachable(): void {
         if (!this.router.isStopping()) {
-            this.relay?.resetUnreachable();
+            this.relay?.handleUnreachable();
         }
     }
 
--- a/src/daemons/directRouter/relayOutcomes.ts
+++ b/src/daemons/directRouter/relayOutcomes.ts
@@ -51,6 +51,16 @@
     return createRefusal("noUpstream", "deadline passed before the request could run", "no", retryAfterMs);
 }
 
+/** Why a request is sent again, or refused, that another router served. */
+export const ROUTER_LOST_REASON = "the router that served the request was lost";
+
+/** For a request that may have run at a router that was lost, and that may not be sent again. */
+export function createLostRouterRefusal(isLate: boolean): Refusal {
+    return isLate
+        ? createInterruptedRefusal(true, ROUTER_LOST_REASON)
+        : createRefusal("routerLost", undefined, "unknown");
+}
+
 /** For a request that may have run and whose answer is not complete. */
 export function createInterruptedRefusal(isLate: boolean, reason: string): Refusal {
     return createRefusal(isLate ? "deadlinePassed" : "upstreamFailed", reason, "unknown");
--- a/src/daemons/directRouter/relayRequest.ts
+++ b/src/daemons/directRouter/relayRequest.ts
@@ -3,6 +3,7 @@
 import { listAttributes, listSharedAttributes } from "../../domain/requestAttributes.js";
 import { computeFingerprint } from "../../domain/requestFingerprint.js";
 import type { PromptPart } from "../../domain/upstreamLoad.js";
+import type { ReportedEstimates, UpstreamModel } from "../../domain/upstreamModel.js";
 import type { ForwardedRequest } from "../../ports/directUpstream.js";
 
 /** When a request was received. Monotonic clock, milliseconds. */
@@ -16,6 +17,8 @@
 }
 
 export interface RelayRequest extends RequestTimes {
+    /** Whether a router that served it before and was lost may have sent it to an upstream. */
+    readonly mayHaveRun?: boolean;
     readonly forwarded: ForwardedRequest;
     readonly host: string;
     readonly apiKey: string | undefined;
@@ -51,6 +54,21 @@
     return Math.min(LOWEST_PRIORITY, (account?.rank ?? 0) * ROUTE_RANK_COUNT + route.rank);
 }
 
+/** Estimates what an upstream has still to generate for a request. `eventCount`: of events that its caller has. */
+export function computeEstimates(
+    model: UpstreamModel,
+    { request, route, service }: ResolvedRequest,
+    priority: number,
+    eventCount: number,
+): ReportedEstimates {
+    if (service.engine === undefined || route.kind !== "stream") {
+        return { outputTokens: 0, priority };
+    }
+    const expectedTokens = model.getExpectedTokens(route.name, request.maxOutputTokens);
+    const sentTokens = eventCount * service.engine.tokensPerEvent;
+    return { outputTokens: Math.max(0, expectedTokens - sentTokens), priority };
+}
+
 /** Events of a stream that may hold no token, such as its end. */
 const MAX_EMPTY_EVENTS = 4;
 
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -2,7 +2,7 @@
  * Processes one request: reserves prepaid tokens, sends the request to an upstream and, where the route allows it, retries at
  * other upstreams until the caller has a final response.
  */
-import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, qualifyRefusal, type Refusal } from "../../domain/resultCodes.js";
 import { computeRunEndWaitMs } from "../../domain/runEndWait.js";
 import { hasTimeToSend } from "../../domain/sendingTime.js";
 import type { StreamOrigin } from "../../domain/streamOrigins.js";
@@ -19,16 +19,17 @@
 import {
     createInterruptedRefusal,
     createInterruption,
+    createLostRouterRefusal,
     createNoTimeRefusal,
     createNoUpstreamRefusal,
     createQuarantineRefusal,
     createResponseDetails,
     createUnsentRefusal,
     formatCauses,
-    formatInterruption,
+    ROUTER_LOST_REASON,
     tryGetLoadOutcome,
 } from "./relayOutcomes.js";
-import { computePriority, type ResolvedRequest, tryComputeMaxEvents } from "./relayRequest.js";
+import { computeEstimates, computePriority, type ResolvedRequest, tryComputeMaxEvents } from "./relayRequest.js";
 import { RequestRepeats } from "./requestRepeats.js";
 import { RunAbort } from "./runAbort.js";
 import { TokenReservation } from "./tokenReservation.js";
@@ -60,7 +61,7 @@
     private uncountedSends = 0;
     /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
     private replacedSends = 0;
-    private mayHaveRun = false;
+    private mayHaveRun: boolean;
     private lastFailureReason = "";
     /** Time until an upstream may accept the request, if none does at present, in milliseconds; undefined if unknown. */
     private candidateWaitMs: number | undefined;
@@ -85,6 +86,7 @@
         this.repeats = new RequestRepeats(context.repeats, resolved, this.deadline);
         this.abort = new RunAbort(sink, this.deadline);
         this.tokens = new TokenReservation(context, resolved, this.deadline, () => this.abort.cause !== undefined);
+        this.mayHaveRun = request.mayHaveRun === true;
         this.share = context.fairShares?.createRequest(
             resolved,
             request.promptTokens + (this.tryGetEstimates()?.outputTokens ?? 0),
@@ -96,7 +98,9 @@
     async run(): Promise<void> {
         const endWatch = this.abort.watch(closeAgeMs => this.attempt?.stop(closeAgeMs));
         try {
-            await this.runAttempts();
+            if (!this.mayHaveRun || await this.claimAfterLoss()) {
+                await this.runAttempts();
+            }
         }
         finally {
             endWatch();
@@ -104,6 +108,16 @@
         }
     }
 
+    /** Claims that a request is sent again that may have run at a router that was lost; returns false, after a refusal, if it may not. */
+    private async claimAfterLoss(): Promise<boolean> {
+        this.lastFailureReason = ROUTER_LOST_REASON;
+        const isRepeated = this.origin.isRepeatable() && this.mayAttempt() && await this.repeats.waitForClaim();
+        if (!isRepeated) {
+            this.finishWithRefusal(createLostRouterRefusal(performance.now() >= this.deadline));
+        }
+        return isRepeated;
+    }
+
     private async runAttempts(): Promise<void> {
         for (;;) {
             const quarantine = this.context.quarantine.tryGetQuarantine(this.resolved);
@@ -186,18 +200,8 @@
 
     /** Returns undefined without a model of the upstreams. */
     private tryGetEstimates(): ReportedEstimates | undefined {
-        const { request, route, service } = this.resolved;
         const { model } = this.context.load;
-        if (model === undefined) {
-            return undefined;
-        }
-        const priority = this.getPriority();
-        if (service.engine === undefined || route.kind !== "stream") {
-            return { outputTokens: 0, priority };
-        }
-        const expectedTokens = model.getExpectedTokens(route.name, request.maxOutputTokens);
-        const sentTokens = this.progress.eventCount * service.engine.tokensPerEvent;
-        return { outputTokens: Math.max(0, expectedTokens - sentTokens), priority };
+        return model && computeEstimates(model, this.resolved, this.getPriority(), this.progress.eventCount);
     }
 
     private getPriority(): number {
@@ -285,13 +289,7 @@
                 maxConnections: this.context.getMaxConnections(service),
                 isStream: route.kind === "stream",
                 // The request may have waited for a connection until little of its time is left, or its caller has left.
-                mayStart: () =>
-                    this.hasTimeToSend()
-                    && !this.abort.hasCallerLeft()
-                    && this.context.quarantine.tryGetQuarantine(this.resolved) === undefined
-                    && this.origin.canSend(placement.upstream)
-                    && this.context.candidates.canSend(placement.upstream, isLimited, performance.now())
-                    && this.repeats.mayStart(),
+                mayStart: () => this.mayStart(placement.upstream, isLimited),
             },
             sink: this.sink,
             progress: this.progress,
@@ -330,6 +328,21 @@
         });
     }
 
+    /** Decides as a connection is available, and confirms that the request is sent. */
+    private mayStart(upstream: UpstreamRegistration, isLimited: boolean): boolean {
+        const { candidates, quarantine } = this.context;
+        const isStarted = this.hasTimeToSend()
+            && !this.abort.hasCallerLeft()
+            && quarantine.tryGetQuarantine(this.resolved) === undefined
+            && this.origin.canSend(upstream)
+            && candidates.canSend(upstream, isLimited, performance.now())
+            && this.repeats.mayStart();
+        if (isStarted) {
+            this.sink.confirmSend();
+        }
+        return isStarted;
+    }
+
     private recordFirstByte(placement: StartedPlacement, sentAt: number): void {
         const now = performance.now();
         this.endAnswer = this.context.quarantine.recordBegun(this.resolved);
@@ -366,33 +379,23 @@
         }
         this.lastFailureReason = "reason" in outcome ? outcome.reason : outcome.type;
         if (outcome.type !== "interrupted") {
-            this.logUnsuccessfulAttempt(upstream, outcome.type);
+            this.recordUnsuccessful(upstream, outcome.type);
             return;
         }
         const brokenRequest = createInterruption(this.resolved, attempt.tryGetAnswerMs());
-        this.logUnsuccessfulAttempt(upstream, outcome.type, brokenRequest);
+        this.recordUnsuccessful(upstream, outcome.type, brokenRequest);
         if (outcome.cause === "connection") {
             this.context.quarantine.recordInterrupted(this.context.registry.getLatest(upstream), brokenRequest);
         }
     }
 
-    private logUnsuccessfulAttempt(
+    private recordUnsuccessful(
         upstream: UpstreamRegistration,
         outcome: AttemptOutcome["type"],
-        brokenRequest?: InterruptedRequest,
+        broken?: InterruptedRequest,
     ): void {
-        const { request, route } = this.resolved;
-        this.context.log.info("attempt_ended", {
-            request: request.forwarded.id,
-            route: route.name,
-            upstream: upstream.id,
-            version: upstream.version,
-            attempt: this.sendCount,
-            outcome,
-            reason: this.lastFailureReason,
-            ...(brokenRequest && formatInterruption(brokenRequest)),
-            age_ms: Math.round(performance.now() - request.arrivedAt),
-        });
+        const attempt = { upstream, attempt: this.sendCount, outcome, reason: this.lastFailureReason };
+        this.context.recorder.recordUnsuccessfulAttempt(this.resolved, attempt, broken);
     }
 
     /** Whether to send the request to another upstream after this outcome. May claim a repeat. */
@@ -446,7 +449,8 @@
     }
 
     private countAttempts(): number {
-        return this.sendCount - this.uncountedSends;
+        const lostSends = this.resolved.request.mayHaveRun === true ? 1 : 0;
+        return lostSends + this.sendCount - this.uncountedSends;
     }
 
     private hasTimeToSend(): boolean {
@@ -504,7 +508,7 @@
 
     private finishWithRefusal(originalRefusal: Refusal): void {
         // An earlier attempt may have run even if the last one did not.
-        const refusal: Refusal = this.mayHaveRun ? { ...originalRefusal, ran: "unknown" } : originalRefusal;
+        const refusal = qualifyRefusal(originalRefusal, this.mayHaveRun);
         const overdueMs = performance.now() - this.deadline;
         this.context.recordRefused(this.resolved, refusal, {
             abortCause: this.abort.cause,
--- a/src/daemons/directRouter/requestRecorder.ts
+++ b/src/daemons/directRouter/requestRecorder.ts
@@ -1,8 +1,11 @@
 /** Writes a log line and updates metrics for each finished request. */
 import { formatRefusal, type Refusal } from "../../domain/resultCodes.js";
+import type { InterruptedRequest } from "../../domain/upstreamEndCommands.js";
+import type { UpstreamRegistration } from "../../domain/upstreamRegistry.js";
 import type { Log, LogFields } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { RefusalDetails, ResponseDetails, StoppedDetails } from "./relayContext.js";
+import { formatInterruption } from "./relayOutcomes.js";
 import type { RelayRequest, ResolvedRequest } from "./relayRequest.js";
 
 export interface RefusalLogDetails extends RefusalDetails {
@@ -13,6 +16,14 @@
     readonly revision: number | undefined;
 }
 
+/** `attempt`: its number among the attempts of the request. */
+export interface UnsuccessfulAttempt {
+    readonly upstream: UpstreamRegistration;
+    readonly attempt: number;
+    readonly outcome: string;
+    readonly reason: string;
+}
+
 export class RequestRecorder {
     constructor(private readonly log: Log, private readonly metrics: Metrics) {}
 
@@ -41,6 +52,25 @@
         });
     }
 
+    /** Records an attempt that did not end in a whole response. `broken`: what is known of a request that broke off. */
+    recordUnsuccessfulAttempt(
+        { request, route }: ResolvedRequest,
+        { upstream, attempt, outcome, reason }: UnsuccessfulAttempt,
+        broken?: InterruptedRequest,
+    ): void {
+        this.log.info("attempt_ended", {
+            request: request.forwarded.id,
+            route: route.name,
+            upstream: upstream.id,
+            version: upstream.version,
+            attempt,
+            outcome,
+            reason,
+            ...(broken && formatInterruption(broken)),
+            age_ms: Math.round(performance.now() - request.arrivedAt),
+        });
+    }
+
     /** Records what an attempt is charged that was stopped because its caller has left or its time is over. */
     recordStopped({ request, account }: ResolvedRequest, details: StoppedDetails): void {
         const { closeAgeMs } = details;
@@ -73,8 +103,11 @@
         this.metrics.addCount("limited_sendings");
     }
 
-    setBodyBytes(bytes: number): void {
-        this.metrics.setGauge("body_bytes", bytes);
+    /** `bytes`: undefined if the memory of request bodies is not bounded. */
+    setBodyBytes(bytes: number | undefined): void {
+        if (bytes !== undefined) {
+            this.metrics.setGauge("body_bytes", bytes);
+        }
     }
 
     /** Counts a request that is sent to another upstream because it found another one in place of its own. */
--- a/src/daemons/directRouter/requestRepeats.ts
+++ b/src/daemons/directRouter/requestRepeats.ts
@@ -18,7 +18,7 @@
 const KEPT_FOR_OTHERS = 1;
 
 export class RequestRepeats {
-    private hasBeenSent = false;
+    private hasBeenSent: boolean;
     private isRepeat = false;
     /** Until it is used. */
     private held: RepeatClaim | undefined;
@@ -29,7 +29,9 @@
         private readonly repeats: ServiceRepeats,
         private readonly resolved: ResolvedRequest,
         private readonly deadline: number,
-    ) {}
+    ) {
+        this.hasBeenSent = resolved.request.mayHaveRun === true;
+    }
 
     /** Claims that the request is sent again; resolves after a short wait if that is not decided at once. */
     claim(): boolean | Promise<boolean> {
--- a/src/daemons/directRouter/resumptionRun.ts
+++ b/src/daemons/directRouter/resumptionRun.ts
@@ -1,6 +1,6 @@
 /** Runs a request that resumes a stream, once it is known where the stream may go on. */
 import type { BundleService } from "../../domain/bundle.js";
-import { createRefusal, type Refusal } from "../../domain/resultCodes.js";
+import { createRefusal, qualifyRefusal, type Refusal } from "../../domain/resultCodes.js";
 import type { PassThroughSink } from "../../ports/answerSink.js";
 import type { RelayContext } from "./relayContext.js";
 import type { ResolvedRequest } from "./relayRequest.js";
@@ -35,10 +35,11 @@
 function refuse(
     context: RelayContext,
     resolved: ResolvedRequest,
-    refusal: Refusal,
+    originalRefusal: Refusal,
     sink: PassThroughSink,
     isGone: boolean,
 ): void {
+    const refusal = qualifyRefusal(originalRefusal, resolved.request.mayHaveRun);
     context.recordRefused(resolved, refusal, { abortCause: isGone ? "gone" : undefined, overdueMs: undefined });
     if (!isGone) {
         sink.sendRefusal(refusal);
--- a/src/domain/bundle.ts
+++ b/src/domain/bundle.ts
@@ -201,6 +201,16 @@
     }
 }
 
+/** Whether requests on a route are streams that may go on at another upstream. */
+export function isResumable({ kind, isResumable }: BundleRoute): boolean {
+    return kind === "stream" && isResumable;
+}
+
+/** Whether requests on a route may run more than once. */
+export function isRepeatable(route: BundleRoute): boolean {
+    return route.kind === "repeatable" || isResumable(route);
+}
+
 /** Selects a target of a route by weight. `randomValue` is in [0, 1). */
 export function selectTarget(route: BundleRoute, randomValue: number): RouteTarget {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/src/domain/resultCodes.ts
+++ b/src/domain/resultCodes.ts
@@ -120,6 +120,7 @@
         503,
         "Upstreams ended each time they ran this request; it is not run for a while.",
     ),
+    routerLost: createCode(1507, "routerLost", 502, "The router that served the request was lost; it may have run."),
     objectInvalid: createCode(2001, "objectInvalid", 422, "The object does not fit its schema."),
     revisionConflict: createCode(
         2002,
@@ -193,6 +194,11 @@
     };
 }
 
+/** States of a refusal that the request may have run, if an earlier attempt at it may have. */
+export function qualifyRefusal(refusal: Refusal, mayHaveRun: boolean | undefined): Refusal {
+    return mayHaveRun === true ? { ...refusal, ran: "unknown" } : refusal;
+}
+
 const TOO_MANY_REQUESTS_STATUS = 429;
 const MIN_SERVER_ERROR_STATUS = 500;
 
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -2,6 +2,11 @@
 import type { Refusal } from "../domain/resultCodes.js";
 
 export abstract class PassThroughSink {
+    /** Called each time the request is about to be sent to an upstream: from then on it may run. */
+    confirmSend(): void {
+        // Callers are told only where another process has to know.
+    }
+
     /**
      * Sends the upstream's status and headers unchanged. `isEndKnown`: whether the end of the answer shows in its framing or in
      * its events. Otherwise it is sent without framing, because its completeness must not be asserted.
--- a/src/settings/connectionRelaySettings.ts
+++ b/src/settings/connectionRelaySettings.ts
@@ -26,6 +26,12 @@
     backoffMs: z.int().min(100).max(60_000).default(1_000),
     /** Maximum number of concurrent relayed connections. */
     maxConnections: z.int().min(1).max(20_000).default(2_000),
+    /**
+     * Bytes of requests that are retained until their answers begin, all together and of one request. A request beyond them is answered as
+     * possibly run if the router that serves it is lost.
+     */
+    maxRetainedBytes: z.int().min(0).max(268_435_456).default(8_388_608),
+    maxRetainedRequestBytes: z.int().min(0).max(16_777_216).default(262_144),
 });
 export type ConnectionRelaySettings = z.infer<typeof connectionRelaySettings>;
 export type ConnectionRelaySettingsInput = z.input<typeof connectionRelaySettings>;
--- a/test/adapters/connectionRelay.test.ts
+++ b/test/adapters/connectionRelay.test.ts
@@ -1,107 +1,13 @@
 /** Guards against relayed connections that look complete though they broke, that leak, or that hold up their callers. */
 import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { connect, createServer } from "node:net";
 import { Worker } from "node:worker_threads";
 import t, { type Test } from "tap";
-import { ConnectionRelay } from "../../src/adapters/http/connectionRelay.js";
-import { ReadPacer } from "../../src/adapters/readPacer.js";
-import { isResetAtEnd } from "../../src/adapters/socketReset.js";
-import { createRandomId } from "../../src/domain/identifiers.js";
-import { NoLog } from "../../src/ports/log.js";
-import { NoMetrics } from "../../src/ports/metrics.js";
+import { CONNECT_TIMEOUT_MS, createRelaySetup, listen, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
-const CONNECT_TIMEOUT_MS = 100;
 const MANY_BYTES = 20_000_000;
 
-interface Setup {
-    readonly relay: ConnectionRelay;
-    /** Connections that arrived at the neighbour. */
-    readonly accepted: Socket[];
-    /** Connections that were served locally. */
-    readonly local: Socket[];
-    readonly unreachable: Set<string>;
-    /** Routers that have announced their stop. */
-    readonly stopping: Set<string>;
-    target: { address: string; relayAddress: string; };
-    connectCaller(): Promise<Socket>;
-}
-
-async function listen(t: Test, server: Server): Promise<number> {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    t.teardown(() => server.close());
-    return (server.address() as AddressInfo).port;
-}
-
-/** Starts a neighbour and a listener that relays everything to it. */
-async function createSetup(t: Test, options: { maxConnections?: number; readDelayMs?: number; } = {}): Promise<Setup> {
-    const accepted: Socket[] = [];
-    const local: Socket[] = [];
-    const unreachable = new Set<string>();
-    const stopping = new Set<string>();
-    const neighbourPort = await listen(
-        t,
-        createServer({ allowHalfOpen: true }, socket => accepted.push(socket.on("error", () => undefined))),
-    );
-    const relay = new ConnectionRelay(new ReadPacer(() => options.readDelayMs ?? 0), new NoLog(), new NoMetrics(), {
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        maxConnections: options.maxConnections ?? 10,
-        isReachable: address => !unreachable.has(address),
-        isStopping: address => stopping.has(address),
-        instance: createRandomId(),
-        getMaxReadDelayMs: () => 0,
-    });
-    const callers: Socket[] = [];
-    const port = await listen(
-        t,
-        createServer({ allowHalfOpen: true, pauseOnConnect: true }, socket => {
-            const serveLocally = (): void => void local.push(socket);
-            if (!relay.tryRelay(socket, setup.target, performance.now(), serveLocally)) {
-                serveLocally();
-            }
-        }),
-    );
-    const setup: Setup = {
-        relay,
-        accepted,
-        local,
-        unreachable,
-        stopping,
-        target: { address: "r2", relayAddress: `127.0.0.1:${neighbourPort}` },
-        connectCaller: async () => {
-            const caller = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
-            caller.on("error", () => undefined);
-            callers.push(caller);
-            await once(caller, "connect");
-            return caller;
-        },
-    };
-    t.teardown(() => {
-        [...callers, ...accepted, ...local].forEach(socket => socket.destroy());
-        relay.close();
-    });
-    return setup;
-}
-
-/** Connects a caller whose first bytes have arrived at the neighbour, and returns both ends. */
-async function openRelayed(setup: Setup): Promise<{ caller: Socket; neighbour: Socket; }> {
-    const previousCount = setup.accepted.length;
-    const caller = await setup.connectCaller();
-    caller.write("request");
-    await waitUntil("relayed", () => setup.accepted.length > previousCount);
-    const neighbour = setup.accepted.at(-1)!;
-    await once(neighbour, "data");
-    return { caller, neighbour };
-}
-
-/** Reads from a connection that was accepted with `pauseOnConnect`. */
-async function readChunk(socket: Socket): Promise<string> {
-    const data = once(socket, "data");
-    socket.resume();
-    return String((await data)[0]);
-}
-
 /** Starts a blocked process, whose listen queue is full, so that connections to it are neither accepted nor refused. */
 async function startSilentListener(t: Test): Promise<string> {
     const worker = new Worker(
@@ -121,17 +27,8 @@
     return `127.0.0.1:${port}`;
 }
 
-/** Resolves to the error code with which a connection ends, or to "end" if it is closed regularly. */
-function waitForEnd(socket: Socket): Promise<string> {
-    socket.resume();
-    return new Promise(resolve => {
-        socket.once("end", () => resolve(isResetAtEnd(socket) ? "ECONNRESET" : "end"));
-        socket.once("error", (error: NodeJS.ErrnoException) => resolve(error.code!));
-    });
-}
-
 void t.test("bytes pass in both directions, and a half-closed connection is passed on as half-closed", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     const requestEnd = waitForEnd(neighbour);
     caller.end();
@@ -145,7 +42,7 @@
 
 void t.test("large amounts pass unchanged, also with paced reads", async t => {
     for (const readDelayMs of [0, 20]) {
-        const setup = await createSetup(t, { readDelayMs });
+        const setup = await createRelaySetup(t, { readDelayMs });
         const { caller, neighbour } = await openRelayed(setup);
         const sent = Buffer.from(Array.from({ length: 1_000_003 }, (_, i) => i * i % 251));
         const chunks: Buffer[] = [];
@@ -157,7 +54,7 @@
 });
 
 void t.test("the first bytes of an answer are not delayed by paced reads", async t => {
-    const setup = await createSetup(t, { readDelayMs: 2_000 });
+    const setup = await createRelaySetup(t, { readDelayMs: 2_000 });
     const { caller, neighbour } = await openRelayed(setup);
     const startedAt = performance.now();
     for (const part of ["head", "first", "second"]) {
@@ -169,7 +66,7 @@
 
 // Guards against a reset of the next request, or of a body, because of what is known about the neighbour.
 void t.test("bytes of a caller are passed on as long as the neighbour keeps the connection", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("answer");
     await once(caller, "data");
@@ -180,7 +77,7 @@
 
 // Guards against an answer that is cut off by a request which crosses the end of its connection.
 void t.test("a request that crosses the neighbour's end does not cut off the answer before it", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     const answer = Buffer.alloc(MANY_BYTES / 10, "a");
     neighbour.end(answer);
@@ -195,7 +92,7 @@
 
 // Guards against callers' connections that are reset, with what they have not read, because a request crossed their end.
 void t.test("a request that crosses the neighbour's end and is answered with a reset does not reset the caller's connection", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("answer");
     t.equal(await readChunk(caller), "answer");
@@ -207,7 +104,7 @@
 
 // Guards against a saturated router that sends on requests whose callers have left.
 void t.test("a late first request is not passed on if its caller has left", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const leaving = await setup.connectCaller();
     await waitUntil("connected", () => setup.accepted.length === 1);
     await wait(300);
@@ -224,7 +121,7 @@
 });
 
 void t.test("the neighbour refuses the connection: the caller is served locally, and nothing was read", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const unused = createServer();
     const port = await listen(t, unused);
     unused.close();
@@ -237,7 +134,7 @@
 });
 
 void t.test("the neighbour does not answer the connection attempt: the caller is served locally in time", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     setup.target = { address: "r2", relayAddress: await startSilentListener(t) };
     const startedAt = performance.now();
     const callers = await Promise.all([setup.connectCaller(), setup.connectCaller()]);
@@ -249,7 +146,7 @@
 });
 
 void t.test("the neighbour resets the connection: the caller's is reset, not closed as if the answer were complete", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("part of an answer");
     await once(caller, "data");
@@ -259,7 +156,7 @@
 });
 
 void t.test("the neighbour resets the connection right after bytes of an answer: the caller's is reset", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("part");
     neighbour.resetAndDestroy();
@@ -267,7 +164,7 @@
 });
 
 void t.test("the neighbour's process is killed, whose system closes the connection regularly: the caller's is reset", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("part of an answer");
     await once(caller, "data");
@@ -277,21 +174,21 @@
 });
 
 void t.test("the neighbour is silent: its connections are reset once its peer link is lost, others are not", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller } = await openRelayed(setup);
     const otherCaller = await setup.connectCaller();
     otherCaller.write("x");
     await waitUntil("both relayed", () => setup.accepted.length === 2);
-    setup.relay.resetUnreachable();
+    setup.relay.handleUnreachable();
     t.equal(setup.relay.countOpen(), 2, "still reachable");
     setup.unreachable.add("r2");
-    setup.relay.resetUnreachable();
+    setup.relay.handleUnreachable();
     t.equal(await waitForEnd(caller), "ECONNRESET");
     t.equal(setup.relay.countOpen(), 0);
 });
 
 void t.test("the caller resets or closes its connection: the neighbour is told at once", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const first = await openRelayed(setup);
     const firstEnd = waitForEnd(first.neighbour);
     first.caller.resetAndDestroy();
@@ -305,7 +202,7 @@
 });
 
 void t.test("a slow reader holds up the sender in either direction, and buffers are bounded", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     for (const [from, to] of [[neighbour, caller], [caller, neighbour]] as const) {
         to.pause();
@@ -324,7 +221,7 @@
 });
 
 void t.test("the number of relayed connections is bounded; further ones are served locally", async t => {
-    const setup = await createSetup(t, { maxConnections: 1 });
+    const setup = await createRelaySetup(t, { maxConnections: 1 });
     await openRelayed(setup);
     await setup.connectCaller();
     await waitUntil("served locally", () => setup.local.length === 1);
@@ -332,7 +229,7 @@
 });
 
 void t.test("a caller that keeps its half open after the answer does not occupy the relay for long", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.end("answer");
     await once(caller, "data");
@@ -341,7 +238,7 @@
 
 // Guards against a planned stop that takes a connection for idle because it carries no bytes.
 void t.test("a relayed connection counts as undelivered until the neighbour has ended it and the caller has its bytes", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     await wait(2_100);
     t.equal(setup.relay.countUndelivered(), 1, "an upstream may take longer for its first byte");
@@ -356,7 +253,7 @@
 });
 
 void t.test("at the end of a stop a connection whose answer may go on is reset", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     neighbour.write("part of an answer");
     await once(caller, "data");
@@ -367,7 +264,7 @@
 });
 
 void t.test("connections without a request are closed by the relay itself at a stop", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller: used } = await openRelayed(setup);
     const unused = await setup.connectCaller();
     await waitUntil("both relayed", () => setup.accepted.length === 2);
@@ -381,11 +278,11 @@
 
 // Guards against a complete answer that is cut off because the link of a stopped router is lost before its end is read.
 void t.test("a neighbour that has announced its stop ends its answers regularly, though its link is lost", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     setup.stopping.add("r2");
     setup.unreachable.add("r2");
-    setup.relay.resetUnreachable();
+    setup.relay.handleUnreachable();
     t.equal(setup.relay.countOpen(), 1);
     const end = waitForEnd(caller);
     neighbour.end("answer");
@@ -394,14 +291,14 @@
 
 // Guards against a whole answer that is discarded because its caller reads slowly and the router that served it has ended.
 void t.test("a slow caller gets the whole answer of a neighbour that has stopped and is gone", async t => {
-    const setup = await createSetup(t);
+    const setup = await createRelaySetup(t);
     const { caller, neighbour } = await openRelayed(setup);
     caller.pause();
     setup.stopping.add("r2");
     neighbour.end(Buffer.alloc(MANY_BYTES / 2));
     await wait(200);
     setup.unreachable.add("r2");
-    setup.relay.resetUnreachable();
+    setup.relay.handleUnreachable();
     await wait(200);
     let received = 0;
     caller.on("data", (chunk: Buffer) => received += chunk.length);
