Relay listener: connections beyond its limit are ended unread without a reset

What callers saw: at a router that held as many relayed connections as it may, a connection was closed whose request had been passed on, without a log line. The connection is now read and ended regularly, so that the relaying router knows that nothing ran and serves the request itself; relay_listener_full is logged.

--- a/src/adapters/http/relayListener.ts
+++ b/src/adapters/http/relayListener.ts
@@ -1,5 +1,7 @@
 /** Accepts the connections that other routers relay to this one, and reads how long they have held each of them. */
 import { createServer, type Server, type Socket } from "node:net";
+import type { Log } from "../../ports/log.js";
+import type { Metrics } from "../../ports/metrics.js";
 import { DeadlineQueue } from "../deadlineQueue.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { startListening } from "../startListening.js";
@@ -9,8 +11,15 @@
 /** Time within which the first bytes of a relayed connection must arrive: callers may open connections ahead of requests. */
 const PREAMBLE_TIMEOUT_MS = 15_000;
 
+/** Time in which a connection beyond the limit is read on, so that closing it does not reset it, in milliseconds. */
+const LINGER_MS = 1_000;
+/** Maximum number of connections beyond the limit that are ended at the same time; further ones are reset. */
+const MAX_ENDING_CONNECTIONS = 256;
+
 export class RelayListener {
     private readonly server: Server;
+    private acceptedCount = 0;
+    private endingCount = 0;
     private readonly withoutPreamble = new Set<Socket>();
     private readonly preambles = new DeadlineQueue<Socket>(
         PREAMBLE_TIMEOUT_MS,
@@ -18,14 +27,19 @@
         socket => socket.destroy(),
     );
 
-    /** `handle`: called with each connection and its preamble. */
+    /**
+     * `handle`: called with each connection and its preamble. A connection beyond `maxConnections` is ended unread: the relaying router
+     * then serves it.
+     */
     constructor(
         private readonly accepts: AcceptMonitor,
         private readonly handle: (socket: Socket, preamble: RelayPreamble) => void,
-        maxConnections: number,
+        private readonly maxConnections: number,
+        private readonly log: Log,
+        private readonly metrics: Metrics,
     ) {
         this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => this.accept(socket));
-        this.server.maxConnections = maxConnections;
+        this.server.maxConnections = maxConnections + MAX_ENDING_CONNECTIONS;
     }
 
     /** Resolves once it listens. `backlog`: maximum number of connections that wait to be accepted. */
@@ -42,6 +56,12 @@
 
     private accept(socket: Socket): void {
         this.accepts.recordAccepted();
+        if (this.acceptedCount >= this.maxConnections) {
+            this.endUnread(socket);
+            return;
+        }
+        this.acceptedCount += 1;
+        socket.once("close", () => this.acceptedCount -= 1);
         const ignoreError = (): void => undefined;
         socket.on("error", ignoreError);
         socket.once("close", () => this.withoutPreamble.delete(socket));
@@ -53,4 +73,17 @@
             this.handle(socket, preamble);
         });
     }
+
+    private endUnread(socket: Socket): void {
+        this.metrics.addCount("connections_relayed_in_ended");
+        if (this.endingCount === 0) {
+            this.log.warn("relay_listener_full", { connections: this.acceptedCount });
+        }
+        this.endingCount += 1;
+        socket.once("close", () => this.endingCount -= 1);
+        socket.on("error", () => undefined);
+        socket.resume();
+        socket.end();
+        setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    }
 }
--- a/test/adapters/relayFailover.test.ts
+++ b/test/adapters/relayFailover.test.ts
@@ -1,10 +1,22 @@
 /** Guards against requests that are lost, or run twice, with the router that a connection is relayed to. */
 import { once } from "node:events";
-import t from "tap";
+import { createServer, type Socket } from "node:net";
+import t, { type Test } from "tap";
 import type { RequestTerms } from "../../src/adapters/http/connectionRelay.js";
-import { createRelaySetup, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
+import { RelayListener } from "../../src/adapters/http/relayListener.js";
+import { NoLog } from "../../src/ports/log.js";
+import { NoMetrics } from "../../src/ports/metrics.js";
+import { createRelaySetup, listen, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
+/** Returns a port on which nobody listens. */
+async function findFreePort(t: Test): Promise<number> {
+    const server = createServer();
+    const port = await listen(t, server);
+    server.close();
+    return port;
+}
+
 const REPEATABLE: RequestTerms = { isRepeatable: true, timeoutMs: 10_000 };
 const NOT_REPEATABLE: RequestTerms = { isRepeatable: false, timeoutMs: 300 };
 const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -96,3 +108,31 @@
     t.equal(setup.lost[0]!.mayHaveRun, false);
     t.equal(neighbour.bytesRead, received);
 });
+
+void t.test("a connection beyond the listener's limit is ended without a reset, so that its request is known not to have run", async t => {
+    const accepts = { recordAccepted: () => undefined } as never;
+    const handled: Socket[] = [];
+    const listener = new RelayListener(
+        accepts,
+        socket => void handled.push(socket.on("error", () => undefined)),
+        1,
+        new NoLog(),
+        new NoMetrics(),
+    );
+    const port = await findFreePort(t);
+    await listener.listen(`127.0.0.1:${port}`, 8);
+    t.teardown(() => listener.close());
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    setup.target = { address: "r2", relayAddress: `127.0.0.1:${port}` };
+    for (let i = 0; i < 2; i++) {
+        const caller = await setup.connectCaller();
+        caller.write("request");
+        await waitUntil("handled", () => handled.length + setup.lost.length === i + 1);
+    }
+    t.same(setup.lost.map(({ bytes, mayHaveRun }) => [String(bytes), mayHaveRun]), [["request", false]]);
+    handled.forEach(socket => socket.destroy());
+    await wait(50);
+    const caller = await setup.connectCaller();
+    caller.write("third");
+    await waitUntil("handled", () => handled.length === 2);
+});
--- a/test/daemons/replacedRepeats.test.ts
+++ b/test/daemons/replacedRepeats.test.ts
@@ -64,6 +64,7 @@
         hasCallerLeft: () => false,
         onDisconnect: () => undefined,
         onDrain: () => undefined,
+        confirmSend: () => undefined,
         sendHead: (status: number) => result = status,
         end: () => undefined,
         sendRefusal: (refusal: Refusal) => result = refusal,
--- a/test/fleet/lostNeighbours.test.ts
+++ b/test/fleet/lostNeighbours.test.ts
@@ -65,6 +65,18 @@
     await restart(t);
 });
 
+void t.test("a request that was not sent to an upstream yet is served though the router that read it was killed", async t => {
+    const connections = await play.openRelayed("r1", CONNECTIONS);
+    const ended = play.fleet.waitEnd("r2");
+    const answers = connections.map(connection =>
+        play.send(connection, PlayPaths.lateChange, { bodyEndsAfter: ended.then(() => wait(UNANSWERED_MS)) })
+    );
+    await wait(UNANSWERED_MS);
+    play.fleet.signal("r2", "SIGKILL");
+    t.same(await Promise.all(answers), fill(200));
+    await restart(t);
+});
+
 for (const path of [PlayPaths.lateLookup, PlayPaths.lateStream, PlayPaths.lateChange, PlayPaths.silent]) {
     void t.test(`no request is cut off because the router that serves it is silent for seconds: ${path}`, async t => {
         const connections = await play.openRelayed("r1", CONNECTIONS);
--- a/test/platform/connectionRelay.test.ts
+++ b/test/platform/connectionRelay.test.ts
@@ -251,6 +251,8 @@
             [{ maxFraction: 0.98 }, /connectionRelay\.maxFraction: .*0\.97/],
             [{ loadExpiryMs: 500 }, /connectionRelay\.loadExpiryMs: .*1100/],
             [{ maxConnections: 0 }, /connectionRelay\.maxConnections: .*1/],
+            [{ maxRetainedBytes: 300_000_000 }, /connectionRelay\.maxRetainedBytes: .*268435456/],
+            [{ maxRetainedRequestBytes: -1 }, /connectionRelay\.maxRetainedRequestBytes: .*0/],
             [{ relayAddress: "127.0.0.1" }, /connectionRelay\.relayAddress: .*HOST:PORT/],
         ] as const
     ) {
--- a/test/platform/responseSink.test.ts
+++ b/test/platform/responseSink.test.ts
@@ -35,9 +35,23 @@
         writes.count += 1;
         writev(...args);
     };
-    return { sink: new ResponseSink(response, () => false), reads, socket, writes };
+    return { sink: new ResponseSink(response, () => false), reads, socket, writes, response };
 }
 
+void t.test("a send is confirmed once, before the answer, and only to a router that relays the connection", async t => {
+    const { reads, response } = await openAnswer(t);
+    new ResponseSink(response, () => false).confirmSend();
+    const sink = new ResponseSink(response, () => false, undefined, undefined, undefined, true);
+    sink.confirmSend();
+    sink.confirmSend();
+    await waitUntil("the confirmation", () => reads.length > 0);
+    sink.sendHead(200, ["Content-Length", "0"], true);
+    sink.confirmSend();
+    sink.end();
+    await waitUntil("the answer", () => reads.join("").includes("200 OK"));
+    t.match(reads.join(""), /^HTTP\/1\.1 102 Processing\r\n\r\nHTTP\/1\.1 200 OK\r\n/);
+});
+
 void t.test("head, body and end of one turn are one write", async t => {
     const { sink, reads, writes } = await openAnswer(t);
     sink.sendHead(200, ["Content-Length", "4"], true);
--- a/test/tools/relayRunFixture.ts
+++ b/test/tools/relayRunFixture.ts
@@ -63,7 +63,11 @@
         sharePlacement: () => undefined,
         recordReplaced: () => undefined,
         recordSignals: () => undefined,
-        recorder: { recordAnswered: () => undefined, recordStopped: () => undefined },
+        recorder: {
+            recordAnswered: () => undefined,
+            recordStopped: () => undefined,
+            recordUnsuccessfulAttempt: () => undefined,
+        },
         settlements: new PendingSettlements(),
         recordRefused: () => undefined,
         repeats,
@@ -95,12 +99,21 @@
     }
 }
 
-/** Creates a request of a route, which begins now. `route`: fields in place of those of the fixture. */
-export function createResolvedRequest(route: object = {}): ResolvedRequest {
+/** Creates a request of a route, which begins now. `route`, `request`: fields in place of those of the fixture. */
+export function createResolvedRequest(route: object = {}, request: object = {}): ResolvedRequest {
     const now = performance.now();
     const forwarded = { id: "a1", method: "POST", target: "/", headers: [], body: Buffer.alloc(0) };
     return {
-        request: { forwarded, host: "h", arrivedAt: now, readAt: now, promptTokens: 0, maxOutputTokens: 0, parts: [] },
+        request: {
+            forwarded,
+            host: "h",
+            arrivedAt: now,
+            readAt: now,
+            promptTokens: 0,
+            maxOutputTokens: 0,
+            parts: [],
+            ...request,
+        },
         route: { name: "r", kind: "atMostOnce", timeoutMs: 10_000, goalMs: 1_000, rank: 0, maxAttempts: 1, ...route },
         service: SERVICE,
         account: undefined,
