--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -32,8 +32,8 @@
     private readonly resetCauses = new WeakMap<Socket, UndeliveredCause>();
     /** Connections with bytes that are no request, which are ended after the answers under way. */
     private readonly malformed = new WeakSet<Socket>();
-    /** Connections taken back from lost routers, until the first answer, and whether their first request may have run. */
-    private readonly takenBack = new Map<Socket, { mayHaveRun: boolean; }>();
+    /** Connections that failed over from lost routers, until the first answer, and whether their first request may have run. */
+    private readonly failedOver = new Map<Socket, { mayHaveRun: boolean; }>();
     /** Connections that this router has ended, over which nothing is served any more. */
     private readonly ended = new Set<Socket>();
 
@@ -67,10 +67,10 @@
     }
 
     /** Adds a connection that another router served until it was lost. `mayHaveRun`: whether the request on it may have run there. */
-    addTakenBack(socket: Socket, mayHaveRun: boolean, accountedBytes: number): void {
+    addFailedOver(socket: Socket, mayHaveRun: boolean, accountedBytes: number): void {
         this.add(socket, undefined, accountedBytes);
-        this.takenBack.set(socket, { mayHaveRun });
-        socket.once("close", () => this.takenBack.delete(socket));
+        this.failedOver.set(socket, { mayHaveRun });
+        socket.once("close", () => this.failedOver.delete(socket));
     }
 
     /**
@@ -78,7 +78,7 @@
      * not come so. Of requests that came together, only of the first one it is certain that it did not run.
      */
     tryGetEarlierRun(socket: Socket): boolean | undefined {
-        const earlier = this.takenBack.get(socket);
+        const earlier = this.failedOver.get(socket);
         const mayHaveRun = earlier?.mayHaveRun;
         if (earlier !== undefined) {
             earlier.mayHaveRun = true;
@@ -200,7 +200,7 @@
             }
         });
         response.once("finish", () => {
-            this.takenBack.delete(socket);
+            this.failedOver.delete(socket);
             connection.endExchange(exchange);
             this.endIfIdle(socket, connection);
         });
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -24,13 +24,7 @@
 /** Time that a caller may take to close its connection after the neighbour has closed its own, in milliseconds. */
 const HALF_CLOSED_TIMEOUT_MS = 5_000;
 
-/**
- * Longest time for which a relayed connection waits for a router whose peer link is lost, in milliseconds. A process that is only paused or slow
- * goes on; the system finds out within about this time that a box is gone.
- */
-const LOST_LINK_TIMEOUT_MS = 10_000;
-
-/** A request, or a connection without one, whose serving router was lost before it answered. */
+/** A request whose serving router was lost before it answered. */
 export interface LostRequest {
     /** All of its bytes that have come; undefined if they were not retained. */
     readonly bytes: Buffer | undefined;
@@ -42,7 +36,8 @@
 
 /** What a router needs to know of a request in order to wait for its answer. */
 export interface RequestTerms {
-    readonly isRepeatable: boolean;
+    /** Whether its route allows another attempt. */
+    readonly mayRepeat: boolean;
     /** From when the request was passed on, in milliseconds. */
     readonly timeoutMs: number;
 }
@@ -50,10 +45,12 @@
 /** Serves the callers of relayed connections here when the router that they were relayed to is lost. */
 export interface RelayFailover {
     readonly retention: RequestRetention;
-    /** Returns the terms of a request by its first bytes; undefined if they do not tell. */
-    readonly tryGetTerms: (bytes: Buffer) => RequestTerms | undefined;
+    /** Returns the terms of a request by its head; undefined if there is no route. */
+    readonly tryGetTerms: (head: string) => RequestTerms | undefined;
     /** Serves a caller's connection from now on, and answers its request. Nothing is read from the connection until then. */
     readonly serve: (caller: Socket, lost: LostRequest) => void;
+    /** Refuses the request, and ends the connection behind the refusal. */
+    readonly refuse: (caller: Socket, lost: LostRequest) => void;
 }
 
 export interface ConnectionRelayOptions {
@@ -61,6 +58,8 @@
     readonly failover?: RelayFailover;
     /** Whether the process of a router is known to run, by its peer address. */
     readonly isReachable: (address: string) => boolean;
+    /** Whether there is a link to a router, by its peer address. */
+    readonly isConnected: (address: string) => boolean;
     /** Whether a router has announced that its process is about to end, by its peer address. */
     readonly isStopping: (address: string) => boolean;
     /** Identifies this process to the routers that it relays to. */
@@ -84,11 +83,6 @@
     /** Shared by all connections: each read is copied before the next one. */
     private readonly readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
 
-    private readonly lostLinks = new DeadlineQueue<RelayedConnection>(
-        LOST_LINK_TIMEOUT_MS,
-        connection => connection.isOpen(),
-        connection => connection.endWait(),
-    );
     readonly failover: RelayFailover | undefined;
 
     constructor(
@@ -128,19 +122,36 @@
         return true;
     }
 
-    /**
-     * Handles the connections to routers that are not reachable any more. A router that has announced its stop ends its connections itself,
-     * and callers may still read what it has sent.
-     */
-    handleUnreachable(): void {
+    /** Handles the connections to routers to which the link was lost, and to those to which there is one again. */
+    handleLinkChange(): void {
         for (const connection of this.connections) {
-            // An answer that has arrived whole is still delivered to a slow caller.
-            if (!connection.hasNeighbourEnded && this.isLost(connection.target.address)) {
-                void connection.handleLostLink();
+            const { address } = connection.target;
+            if (this.options.isConnected(address)) {
+                connection.handleRestoredLink();
+            }
+            else if (!connection.hasNeighbourEnded && !this.options.isReachable(address)) {
+                // An answer that has arrived whole is still delivered to a slow caller.
+                this.handleLostLink(connection);
             }
         }
     }
 
+    /** Without failover, a router that has announced its stop ends its connections itself, and callers may still read what it has sent. */
+    private handleLostLink(connection: RelayedConnection): void {
+        if (this.failover !== undefined || this.isLost(connection.target.address)) {
+            void connection.handleLostLink();
+        }
+    }
+
+    /** Returns what is known of a request by its head; undefined without a whole one, or without a route. */
+    tryGetTerms(head: string | undefined): RequestTerms | undefined {
+        return head === undefined ? undefined : this.failover?.tryGetTerms(head);
+    }
+
+    isStopping(address: string): boolean {
+        return this.options.isStopping(address);
+    }
+
     /** Closes the connections over which callers have sent nothing: the routers that they are relayed to do not know whose they are. */
     closeUnused(): void {
         for (const connection of this.connections) {
@@ -179,7 +190,7 @@
             if (connection.isDelivered()) {
                 connection.close("stopping");
             }
-            else {
+            else if (!connection.tryRefuse()) {
                 connection.reset("stopping");
             }
         }
@@ -195,11 +206,6 @@
         this.halfClosed.add(connection);
     }
 
-    /** Called by a connection that waits for a router whose peer link is lost. */
-    addLostLink(connection: RelayedConnection): void {
-        this.lostLinks.add(connection);
-    }
-
     /** Called by a connection that has ended or failed. */
     remove(connection: RelayedConnection): void {
         this.connections.delete(connection);
@@ -225,9 +231,20 @@
     }
 
     /** Called by a connection whose caller is served here from now on. */
-    logFailover(target: RelayTarget, reason: FailoverCause, mayHaveRun: boolean, progress: RelayProgress): void {
+    logFailover(
+        target: RelayTarget,
+        reason: FailoverCause,
+        { mayHaveRun, isRetained }: { readonly mayHaveRun: boolean; readonly isRetained: boolean; },
+        progress: RelayProgress,
+    ): void {
         this.metrics.addCount("connections_relay_failed_over");
-        this.log.info("relay_failed_over", { router: target.address, reason, may_have_run: mayHaveRun, ...progress });
+        this.log.info("relay_failed_over", {
+            router: target.address,
+            reason,
+            may_have_run: mayHaveRun,
+            retained: isRetained,
+            ...progress,
+        });
     }
 
     /** Called by a connection that is reset. */
--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -1,11 +1,11 @@
 /** One relayed connection: passes bytes between a caller and the router that serves it, and decides what becomes of the caller if that is lost. */
 import { connect, type Socket } from "node:net";
-import { type LossAction, type NeighbourEnd, RelayedExchange } from "../../domain/relayedExchange.js";
+import { type NeighbourEnd, RelayedExchange } from "../../domain/relayedExchange.js";
 import { tryReadArrived } from "../arrivedInput.js";
 import { waitForNextPoll } from "../nextPoll.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { isResetAtEnd } from "../socketReset.js";
-import type { ConnectionRelay } from "./connectionRelay.js";
+import type { ConnectionRelay, LostRequest } from "./connectionRelay.js";
 import { encodeRelayPreamble } from "./relayPreamble.js";
 
 /** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
@@ -14,6 +14,12 @@
 /** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
 const FIRST_REQUEST_WINDOW_MS = 250;
 
+/**
+ * Longest silence on a relayed connection after its neighbour's peer link was lost, in milliseconds, while a part of an answer is there. A process that is
+ * only paused or slow goes on; the system finds out within about this time that a box is gone.
+ */
+const LOST_LINK_TIMEOUT_MS = 10_000;
+
 /** Silence after which the system asks whether the box of the other router still answers, in milliseconds. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
 
@@ -45,8 +51,8 @@
 /** Why this router closed a relayed connection regularly. */
 export type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
 
-/** Why the caller of a relayed connection is served by this router. `late`: the other router has not answered in time. */
-export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset";
+/** Why this router serves the caller of a relayed connection. `late`: without a link to the other router, its time to answer is over. */
+export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset" | "stopping";
 
 /** Why a relayed connection was reset. */
 export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
@@ -74,7 +80,11 @@
     private isPaced = false;
     /** Undefined without failover. */
     private readonly exchange: RelayedExchange | undefined;
-    private lateTimer: NodeJS.Timeout | undefined;
+    /** When the peer link to the neighbour was lost; undefined while there is one. Monotonic clock, milliseconds. */
+    private linkLostAt: number | undefined;
+    private linkTimer: NodeJS.Timeout | undefined;
+    /** Whether the caller's connection has no neighbour any more, and waits for a request that is served here. */
+    private isDetached = false;
 
     constructor(
         private readonly relay: ConnectionRelay,
@@ -111,9 +121,9 @@
         };
     }
 
-    /** Whether the neighbour was reached, and the caller has sent nothing. */
+    /** Whether no neighbour knows of the connection, and no request has come. */
     isUnused(): boolean {
-        return this.state === "open" && !this.isPreambleSent && this.delayedBytes === undefined;
+        return this.state === "open" && (this.isDetached || !this.isPreambleSent) && this.delayedBytes === undefined;
     }
 
     /** Whether bytes of the caller were passed on that no answer has followed. */
@@ -189,6 +199,11 @@
     };
 
     private readonly handleRequest = (chunk: Buffer): void => {
+        if (this.isDetached) {
+            this.exchange!.recordRequest(chunk, performance.now());
+            this.failOver("linkLost", "closed");
+            return;
+        }
         if (this.neighbour.readableEnded) {
             // The neighbour has closed the connection, and the caller does not know yet.
             this.exchange?.recordRequest(chunk, performance.now());
@@ -240,7 +255,7 @@
         }
         this.hasCallerClosed = true;
         this.relay.recordCallerClose(this);
-        if (this.isPreambleSent) {
+        if (this.isPreambleSent && !this.isDetached) {
             this.neighbour.end();
         }
         else {
@@ -251,9 +266,9 @@
     private forwardRequest(chunk: Buffer): void {
         this.lastBytesAt = performance.now();
         this.answerReads = 0;
-        const isFirst = this.exchange?.resolveLoss("closed").type === "idle";
+        const isFirst = this.exchange?.getState() === "idle";
         this.exchange?.recordRequest(chunk, this.lastBytesAt);
-        if (isFirst && this.relay.isLost(this.target.address)) {
+        if (isFirst && (this.linkLostAt !== undefined || this.relay.isLost(this.target.address))) {
             // Nothing of this request has been passed on.
             this.failOver("linkLost", "closed");
             return;
@@ -316,64 +331,57 @@
     }
 
     /**
-     * Called when the peer link to the neighbour is lost, which says nothing of this connection: the neighbour may be paused or slow. A request that
-     * may be repeated is served here; the others wait for as long as they may, since they may be running.
+     * Called when the peer link to the neighbour is lost, which says nothing of this connection: the neighbour may be paused, slow or about to end.
+     * A request that may be repeated is served here; the others wait for as long as they may, since they may be running.
      */
     async handleLostLink(): Promise<void> {
         if (this.exchange === undefined || this.state === "connecting") {
             this.reset("neighbourUnreachable");
             return;
         }
-        // The system of a process that has ended closes this connection too.
-        await waitForNextPoll();
-        if (this.state !== "open" || this.hasNeighbourEnded || !this.relay.isLost(this.target.address)) {
+        if (this.linkLostAt !== undefined) {
             return;
         }
-        const action = this.exchange.resolveLoss("reset");
-        switch (action.type) {
-            case "idle":
-                this.failOver("linkLost", "closed");
-                return;
-            case "unanswered":
-                this.waitForAnswer(action);
-                return;
-            case "answering":
-            case "unknown":
-                this.relay.addLostLink(this);
-        }
+        this.linkLostAt = performance.now();
+        // The system of a process that has ended closes this connection too.
+        await waitForNextPoll();
+        this.checkLostLink();
     }
 
-    /** Called when the neighbour has been waited for as long as possible. */
-    endWait(): void {
-        if (!this.hasNeighbourEnded && this.relay.isLost(this.target.address)) {
-            this.handleLoss("reset", "late");
-        }
+    /** Called when the peer link to the neighbour is there again. */
+    handleRestoredLink(): void {
+        this.linkLostAt = undefined;
+        clearTimeout(this.linkTimer);
     }
 
-    private waitForAnswer({ bytes }: LossAction & { readonly type: "unanswered"; }): void {
-        const terms = bytes === undefined ? undefined : this.relay.failover!.tryGetTerms(bytes);
-        if (terms?.isRepeatable === true) {
+    /** Decides how long the neighbour is waited for without a link to it. */
+    private checkLostLink(): void {
+        clearTimeout(this.linkTimer);
+        if (this.state !== "open" || this.hasNeighbourEnded || this.isDetached || this.linkLostAt === undefined) {
+            return;
+        }
+        const exchange = this.exchange!;
+        const state = exchange.getState();
+        if (state === "idle") {
+            this.detach("linkLost");
+            return;
+        }
+        const isUnanswered = state === "unanswered";
+        const terms = isUnanswered ? this.relay.tryGetTerms(exchange.tryGetHead()) : undefined;
+        if (terms?.mayRepeat === true && !this.relay.isStopping(this.target.address)) {
             this.failOver("linkLost", "reset");
+            return;
         }
-        else if (terms === undefined) {
-            this.relay.addLostLink(this);
+        const endsAt = terms === undefined
+            ? Math.max(this.lastBytesAt, this.linkLostAt) + LOST_LINK_TIMEOUT_MS
+            : exchange.getStartedAt() + terms.timeoutMs;
+        const remainingMs = endsAt - performance.now();
+        if (remainingMs <= 0) {
+            this.handleLoss("reset", "late");
         }
         else {
-            const startedAt = this.exchange!.getStartedAt();
-            clearTimeout(this.lateTimer);
-            this.lateTimer = setTimeout(
-                () => void this.endWaitForAnswer(startedAt),
-                Math.max(0, startedAt + terms.timeoutMs - performance.now()),
-            );
-        }
-    }
-
-    /** `startedAt`: of the request that was waited for. */
-    private async endWaitForAnswer(startedAt: number): Promise<void> {
-        await waitForNextPoll();
-        const isSame = this.exchange?.getStartedAt() === startedAt && this.exchange.isUnanswered();
-        if (this.state === "open" && isSame) {
-            this.failOver("late", "reset");
+            this.linkTimer = setTimeout(() => void waitForNextPoll().then(() => this.checkLostLink()), remainingMs);
+            this.linkTimer.unref();
         }
     }
 
@@ -381,7 +389,7 @@
         if (this.state === "connecting") {
             this.failConnecting((error as NodeJS.ErrnoException).code ?? error.message);
         }
-        else if (!this.neighbour.readableEnded) {
+        else if (!this.neighbour.readableEnded && !this.isDetached) {
             this.handleLoss("reset", "neighbourReset");
         }
     };
@@ -398,10 +406,9 @@
         if (this.state !== "open") {
             return;
         }
-        const action = this.exchange?.resolveLoss(wasReset ? "reset" : "closed");
-        const isLost = isReset || this.relay.isLost(this.target.address);
-        const isCut = action?.type === "answering" && !action.isUnframed;
-        if (action?.type === "unanswered" || (action?.type === "idle" && isLost) || isCut) {
+        const state = this.exchange?.getState();
+        const isLost = isReset || this.linkLostAt !== undefined || this.relay.isLost(this.target.address);
+        if (state === "unanswered" || state === "answering" || (state === "idle" && isLost)) {
             this.handleLoss(wasReset ? "reset" : "closed", wasReset ? "neighbourReset" : "neighbourClosed");
         }
         else if (isLost) {
@@ -416,8 +423,14 @@
 
     /** Serves the caller here unless it has a part of an answer, which nobody can complete. */
     private handleLoss(end: NeighbourEnd, cause: FailoverCause): void {
-        const type = this.exchange?.resolveLoss(end).type;
-        if ((type === "unanswered" || type === "idle") && !this.hasCallerClosed) {
+        const state = this.exchange?.getState();
+        if (this.hasCallerClosed) {
+            this.reset("neighbourLost");
+        }
+        else if (state === "idle") {
+            this.detach(cause);
+        }
+        else if (state === "unanswered") {
             this.failOver(cause, end);
         }
         else {
@@ -425,19 +438,54 @@
         }
     }
 
+    /** Keeps the caller's connection, which carries no request, for one that may be under way. */
+    private detach(cause: FailoverCause): void {
+        if (this.state !== "open" || this.isDetached) {
+            return;
+        }
+        this.isDetached = true;
+        this.relay.logFailover(this.target, cause, { mayHaveRun: false, isRetained: true }, this.getProgress());
+        this.neighbour.resetAndDestroy();
+        this.relay.addHalfClosed(this);
+        const { delayedBytes } = this;
+        this.delayedBytes = undefined;
+        delayedBytes?.forEach(chunk => this.handleRequest(chunk));
+    }
+
+    /** Answers the request under way as one that may have run, if there is one; returns whether there is. */
+    tryRefuse(): boolean {
+        const canRefuse = this.state === "open" && this.exchange?.getState() === "unanswered" && !this.hasCallerClosed;
+        if (canRefuse) {
+            this.endFailover("stopping", "reset", lost => this.relay.failover!.refuse(this.caller, lost));
+        }
+        return canRefuse;
+    }
+
     private failOver(cause: FailoverCause, end: NeighbourEnd): void {
+        this.endFailover(cause, end, lost => this.relay.failover!.serve(this.caller, lost));
+    }
+
+    /** Hands the caller's connection over, with the request under way in front. */
+    private endFailover(cause: FailoverCause, end: NeighbourEnd, handOver: (lost: LostRequest) => void): void {
         if (this.state !== "open") {
             return;
         }
-        const { caller, exchange } = this;
-        if (this.delayedBytes !== undefined) {
-            exchange!.recordRequest(Buffer.concat(this.delayedBytes), performance.now());
-            this.delayedBytes = undefined;
+        if (this.hasCallerClosed) {
+            this.reset("neighbourLost");
+            return;
+        }
+        const { caller, neighbour } = this;
+        const exchange = this.exchange!;
+        const mayHaveRun = exchange.mayHaveRun(end);
+        const bytes = exchange.tryGetRequest();
+        if (!this.isDetached) {
+            this.relay.logFailover(
+                this.target,
+                cause,
+                { mayHaveRun, isRetained: bytes !== undefined },
+                this.getProgress(),
+            );
         }
-        const action = exchange!.resolveLoss(end);
-        const mayHaveRun = action.type === "unanswered" && action.mayHaveRun;
-        const bytes = action.type === "unanswered" ? action.bytes : Buffer.alloc(0);
-        this.relay.logFailover(this.target, cause, mayHaveRun, this.getProgress());
         caller.pause();
         caller.off("data", this.handleRequest);
         caller.off("end", this.handleCallerEnd);
@@ -445,11 +493,14 @@
         caller.off("error", this.handleCallerClose);
         caller.off("close", this.handleCallerClose);
         this.finish();
-        this.neighbour.resetAndDestroy();
-        this.relay.failover!.serve(caller, { bytes, mayHaveRun, startedAt: exchange!.getStartedAt() });
+        neighbour.resetAndDestroy();
+        handOver({ bytes, mayHaveRun, startedAt: exchange.getStartedAt() });
     }
 
     private handleNeighbourClose(): void {
+        if (this.isDetached) {
+            return;
+        }
         if (this.neighbour.readableEnded) {
             this.finishIfClosed();
         }
@@ -481,7 +532,7 @@
 
     private finish(): void {
         this.state = "closed";
-        clearTimeout(this.lateTimer);
+        clearTimeout(this.linkTimer);
         this.exchange?.release();
         this.relay.remove(this);
     }
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -40,7 +40,7 @@
 /** The relay of callers' connections, as far as the coordinator needs it. */
 export interface CoordinatedRelay {
     listTargets(): readonly string[];
-    handleUnreachable(): void;
+    handleLinkChange(): void;
 }
 
 export class RelayCoordinator {
@@ -95,7 +95,7 @@
             now => this.createNotice(now),
             () => this.relay?.listTargets() ?? [],
         );
-        routerLinks.onReachabilityChange(() => this.handleUnreachable());
+        routerLinks.onReachabilityChange(() => this.relay?.handleLinkChange());
     }
 
     addHandlers(handlers: PeerHandlers): void {
@@ -222,6 +222,11 @@
         return this.routerLinks.isReachable(address);
     }
 
+    /** Whether there is a link to a router. */
+    hasLink(address: string): boolean {
+        return this.routerLinks.hasLink(address);
+    }
+
     private receiveLoad(load: RouterLoad): void {
         this.stoppingRouters.delete(load.address);
         if (!load.isAccepting) {
@@ -245,13 +250,6 @@
         };
     }
 
-    /** A lost link may be that of a router which is only slow. While this router stops, its callers have little time to wait in vain. */
-    private handleUnreachable(): void {
-        if (!this.router.isStopping()) {
-            this.relay?.handleUnreachable();
-        }
-    }
-
     private recordSample(utilization: number): void {
         const now = this.clock.getMonotonicMs();
         this.policy.recordUtilization(utilization, now);
--- a/src/daemons/directRouter/relayRun.ts
+++ b/src/daemons/directRouter/relayRun.ts
@@ -62,6 +62,8 @@
     /** Attempts that found another upstream in place of a replaced one; each was at a different upstream. */
     private replacedSends = 0;
     private mayHaveRun: boolean;
+    /** Whether an attempt of this router may have run. What a lost router charged is not known here. */
+    private isPromptCharged = false;
     private lastFailureReason = "";
     /** Time until an upstream may accept the request, if none does at present, in milliseconds; undefined if unknown. */
     private candidateWaitMs: number | undefined;
@@ -128,7 +130,7 @@
             const selectedAt = performance.now();
             const early = this.isAdmissionChecked() ? this.trySelectUpstream() : undefined;
             const refusal = this.tryRefuseForTime(early)
-                ?? await this.tokens.reserve(this.progress.eventCount, this.mayHaveRun);
+                ?? await this.tokens.reserve(this.progress.eventCount, this.isPromptCharged);
             if (refusal !== undefined) {
                 this.finishWithRefusal(refusal);
                 return;
@@ -259,7 +261,8 @@
         }
         load.recordEnd(started, outcome.type === "answered" && isSuccess(outcome.status), performance.now());
         this.recordOutputTokens(attempt, outcome);
-        this.mayHaveRun ||= outcome.type !== "notRun";
+        this.isPromptCharged ||= outcome.type !== "notRun";
+        this.mayHaveRun ||= this.isPromptCharged;
         this.recordOutcome(placement.upstream, outcome, attempt);
         this.tokens.settle(attempt, outcome);
         return outcome;
@@ -330,12 +333,11 @@
 
     /** Decides as a connection is available, and confirms that the request is sent. */
     private mayStart(upstream: UpstreamRegistration, isLimited: boolean): boolean {
-        const { candidates, quarantine } = this.context;
         const isStarted = this.hasTimeToSend()
             && !this.abort.hasCallerLeft()
-            && quarantine.tryGetQuarantine(this.resolved) === undefined
+            && this.context.quarantine.tryGetQuarantine(this.resolved) === undefined
             && this.origin.canSend(upstream)
-            && candidates.canSend(upstream, isLimited, performance.now())
+            && this.context.candidates.canSend(upstream, isLimited, performance.now())
             && this.repeats.mayStart();
         if (isStarted) {
             this.sink.confirmSend();
--- a/src/daemons/directRouter/routerLinks.ts
+++ b/src/daemons/directRouter/routerLinks.ts
@@ -49,6 +49,11 @@
         return !this.unreachable.has(address);
     }
 
+    /** Whether there is an open connection to a router. */
+    hasLink(address: string): boolean {
+        return this.links.get(address)?.peer.isOpen() === true;
+    }
+
     /** Notifies the routers that are currently connected. */
     notify<P>(addresses: readonly string[], method: PeerMethod<P, void>, params: P): void {
         addresses.forEach(address => this.tryNotify(address, method, params));
--- a/src/daemons/directRouter/tokenReservation.ts
+++ b/src/daemons/directRouter/tokenReservation.ts
@@ -23,12 +23,12 @@
 
     /**
      * Reserves the tokens that the next attempt may consume, waiting for a grant if needed. `eventCount`: events that the
-     * caller has received. `mayHaveRun`: the prompt was charged to an earlier attempt. Returns a refusal on failure.
+     * caller has received. `isPromptCharged`: the prompt was charged to an earlier attempt. Returns a refusal on failure.
      */
-    async reserve(eventCount: number, mayHaveRun: boolean): Promise<Refusal | undefined> {
+    async reserve(eventCount: number, isPromptCharged: boolean): Promise<Refusal | undefined> {
         const { account, route } = this.resolved;
-        this.promptTokens = mayHaveRun ? 0 : this.resolved.request.promptTokens;
-        this.reserved = this.computeMaxTokens(eventCount, mayHaveRun);
+        this.promptTokens = isPromptCharged ? 0 : this.resolved.request.promptTokens;
+        this.reserved = this.computeMaxTokens(eventCount, isPromptCharged);
         const tokens = this.reserved;
         if (account === undefined || tokens === 0) {
             return undefined;
@@ -139,9 +139,9 @@
     }
 
     /** Computes the maximum number of tokens that the next attempt may consume. */
-    private computeMaxTokens(eventCount: number, mayHaveRun: boolean): number {
+    private computeMaxTokens(eventCount: number, isPromptCharged: boolean): number {
         const { request } = this.resolved;
-        const promptTokens = mayHaveRun ? 0 : request.promptTokens;
+        const promptTokens = isPromptCharged ? 0 : request.promptTokens;
         return promptTokens + Math.max(0, request.maxOutputTokens - eventCount * this.getTokensPerEvent());
     }
 
--- a/src/domain/answerFraming.ts
+++ b/src/domain/messageFraming.ts
@@ -1,19 +1,22 @@
 /**
- * Follows where the answers on a relayed connection begin and end. It reads the framing alone: the bytes pass through, except for the interim
- * answer with which the serving router confirms that it sends a request to an upstream.
+ * Follows where the requests and the answers on a relayed connection begin and end. It reads the framing alone: the bytes pass through, except for
+ * the interim answer with which the serving router confirms that it sends a request to an upstream.
  */
 
-/** Longest head of an answer. Of a longer one the framing is not followed. */
+/** Longest head of a message. Of a longer one the framing is not followed. */
 const MAX_HEAD_BYTES = 65_536;
 /** Longest line that begins a chunk, or ends a chunked body. */
 const MAX_LINE_BYTES = 8_192;
 const HEAD_END = "\r\n\r\n";
 const LINE_FEED = 0x0a;
 const LINE_END_BYTES = 2;
+const REQUEST_LINE = /^[A-Z-]+ \S+ HTTP\/1\.[01]\r\n/;
 const STATUS_LINE = /^HTTP\/1\.[01] (\d{3})/;
 const CONTENT_LENGTH = /\r\ncontent-length:[ \t]*(\d{1,15})[ \t]*\r\n/i;
 const CHUNKED = /\r\ntransfer-encoding:[ \t]*chunked[ \t]*\r\n/i;
 const CHUNK_SIZE = /^[0-9a-f]{1,13}(?=[\s;]|$)/i;
+/** Line ends between two requests are no part of either. */
+const LINE_ENDS = /^[\r\n]*$/;
 const NO_BYTES = Buffer.alloc(0);
 
 const CONTINUE = 100;
@@ -23,60 +26,59 @@
 const NOT_MODIFIED = 304;
 const FIRST_FINAL_STATUS = 200;
 
-/** What is expected next. `unknown`: bytes that are no answer, or whose framing cannot be followed; they pass through. */
+/** What is expected next. `unknown`: bytes that are no message, or whose framing cannot be followed; they pass through. */
 type FramingState = "head" | "length" | "chunkLine" | "chunk" | "trailer" | "untilClose" | "unknown";
 
-export class AnswerFraming {
+/**
+ * What the head of a message says of what follows. `message`: of a body that a length or chunks end. `interim`: another head of the same answer.
+ * `confirmation`: the same, which is left out. `invalid`: it is no head.
+ */
+type HeadKind = "message" | "withoutBody" | "untilClose" | "interim" | "confirmation" | "invalid";
+
+export abstract class MessageFraming {
     private state: FramingState = "head";
     /** Of a head or a line that has not arrived whole. */
-    private partial: Buffer = NO_BYTES;
+    protected partial: Buffer = NO_BYTES;
     /** Of a body or a chunk. */
     private remainingBytes = 0;
     private hasBegun = false;
-    private isSent = false;
 
-    /** Whether the answers can be followed. */
+    /** Whether the messages can be followed. */
     isKnown(): boolean {
         return this.state !== "unknown";
     }
 
-    /** Whether bytes of an answer that is not complete have come. A part of a head that is held back does not count. */
-    isAnswering(): boolean {
+    /** Whether a message that is not complete has begun. A part of a head does not count. */
+    isInMessage(): boolean {
         return this.hasBegun;
     }
 
-    /** Whether the end of the answer under way is the end of the connection. */
+    /** Whether the end of the message under way is the end of the connection. */
     isUnframed(): boolean {
         return this.state === "untilClose";
     }
 
-    /**
-     * Whether the serving router has confirmed that it sends the unanswered request to an upstream, or may have: a part of a head may be
-     * that of a confirmation or of an answer.
-     */
-    mayHaveBeenSent(): boolean {
-        return this.isSent || this.partial.length > 0;
-    }
-
-    /**
-     * Reads bytes of answers, and returns those for the caller. `isHead`: whether the request is one whose answer has no body.
-     * `onEnd`: called at the end of each answer.
-     */
-    read(bytes: Buffer, isHead: boolean, onEnd: () => void): Buffer {
+    /** Reads bytes, and returns those that are passed on: a head only once it is whole. */
+    read(bytes: Buffer): Buffer {
         const passed: Buffer[] = [];
         let rest = bytes;
         while (rest.length > 0) {
-            rest = this.state === "head" ? this.readHead(rest, isHead, passed) : this.readBody(rest, passed);
+            rest = this.state === "head" ? this.readHead(rest, passed) : this.readBody(rest, passed);
             if (this.state === "head" && this.hasBegun) {
                 this.hasBegun = false;
-                this.isSent = false;
-                onEnd();
+                this.handleEnd();
             }
         }
         return passed.length === 1 ? passed[0]! : Buffer.concat(passed);
     }
 
-    private readHead(bytes: Buffer, isHead: boolean, passed: Buffer[]): Buffer {
+    /** Reads a head, with its end; called once for each. */
+    protected abstract readHeadText(head: string): HeadKind;
+
+    /** Called at the end of each message. */
+    protected abstract handleEnd(): void;
+
+    private readHead(bytes: Buffer, passed: Buffer[]): Buffer {
         const searchFrom = Math.max(0, this.partial.length - HEAD_END.length + 1);
         const known = this.partial.length === 0 ? bytes : Buffer.concat([this.partial, bytes]);
         const end = known.indexOf(HEAD_END, searchFrom, "latin1");
@@ -87,25 +89,26 @@
         this.partial = NO_BYTES;
         const headBytes = end + HEAD_END.length;
         const head = end < 0 ? "" : known.toString("latin1", 0, headBytes);
-        const status = Number(STATUS_LINE.exec(head)?.[1]);
-        if (status === PROCESSING) {
-            this.isSent = true;
+        const kind = this.readHeadText(head);
+        if (kind === "confirmation") {
             return known.subarray(headBytes);
         }
-        if (status !== CONTINUE && !(status >= FIRST_FINAL_STATUS)) {
-            return this.stopFollowing(known, passed);
+        if (kind === "invalid") {
+            this.state = "unknown";
+            passed.push(known);
+            return NO_BYTES;
         }
         passed.push(known.subarray(0, headBytes));
-        if (status !== CONTINUE) {
+        if (kind !== "interim") {
             this.hasBegun = true;
-            this.beginBody(head, isHead || status === NO_CONTENT || status === NOT_MODIFIED);
+            this.beginBody(head, kind);
         }
         return known.subarray(headBytes);
     }
 
-    private beginBody(head: string, isEmpty: boolean): void {
+    private beginBody(head: string, kind: HeadKind): void {
         const length = CONTENT_LENGTH.exec(head)?.[1];
-        if (isEmpty) {
+        if (kind === "withoutBody") {
             this.state = "head";
         }
         else if (CHUNKED.test(head)) {
@@ -116,7 +119,7 @@
             this.state = this.remainingBytes === 0 ? "head" : "length";
         }
         else {
-            this.state = "untilClose";
+            this.state = kind === "untilClose" ? "untilClose" : "head";
         }
     }
 
@@ -180,10 +183,82 @@
         this.state = this.remainingBytes === 0 ? "trailer" : "chunk";
         this.remainingBytes += LINE_END_BYTES;
     }
+}
+
+export class RequestFraming extends MessageFraming {
+    private headText: string | undefined;
+    private wasAnnounced = false;
+
+    /** `onBegin`: called at the first byte of each request. */
+    constructor(private readonly onBegin: () => void) {
+        super();
+    }
+
+    override read(bytes: Buffer): Buffer {
+        const passed = super.read(bytes);
+        if (!this.isInMessage() && !LINE_ENDS.test(this.partial.toString("latin1"))) {
+            this.announce();
+        }
+        return passed;
+    }
+
+    /** Returns the head of the request that was begun last; undefined until it is whole. */
+    tryGetHead(): string | undefined {
+        return this.headText;
+    }
+
+    protected override readHeadText(head: string): HeadKind {
+        this.announce();
+        this.headText = head.trimStart();
+        return REQUEST_LINE.test(this.headText) ? "message" : "invalid";
+    }
+
+    protected override handleEnd(): void {
+        this.wasAnnounced = false;
+    }
+
+    private announce(): void {
+        if (!this.wasAnnounced) {
+            this.wasAnnounced = true;
+            this.headText = undefined;
+            this.onBegin();
+        }
+    }
+}
+
+export class AnswerFraming extends MessageFraming {
+    private isSent = false;
+
+    /** `isHead`: whether the answer under way is one to a HEAD request, and has no body. `onEnd`: called at the end of each answer. */
+    constructor(private readonly isHead: () => boolean, private readonly onEnd: () => void) {
+        super();
+    }
+
+    /**
+     * Whether the serving router has confirmed that it sends the unanswered request to an upstream, or may have: a part of a head may be
+     * that of a confirmation or of an answer.
+     */
+    mayHaveBeenSent(): boolean {
+        return this.isSent || this.partial.length > 0;
+    }
+
+    protected override readHeadText(head: string): HeadKind {
+        const status = Number(STATUS_LINE.exec(head)?.[1]);
+        if (status === PROCESSING) {
+            this.isSent = true;
+            return "confirmation";
+        }
+        if (status === CONTINUE) {
+            return "interim";
+        }
+        if (!(status >= FIRST_FINAL_STATUS)) {
+            return "invalid";
+        }
+        return this.isHead() || status === NO_CONTENT || status === NOT_MODIFIED ? "withoutBody" : "untilClose";
+    }
 
-    private stopFollowing(bytes: Buffer, passed: Buffer[]): Buffer {
-        this.state = "unknown";
-        passed.push(bytes);
-        return NO_BYTES;
+    protected override handleEnd(): void {
+        this.isSent = false;
+        this.onEnd();
     }
 }
--- a/src/domain/relayedExchange.ts
+++ b/src/domain/relayedExchange.ts
@@ -2,7 +2,7 @@
  * The request under way on a relayed connection, as the relaying router knows it. Its bytes are retained until the answer begins, so that the
  * relaying router can serve or refuse the request itself when the router that serves it is lost.
  */
-import { AnswerFraming } from "./answerFraming.js";
+import { AnswerFraming, RequestFraming } from "./messageFraming.js";
 
 /** Limits the bytes of requests that all relayed connections of a router retain. */
 export class RequestRetention {
@@ -27,81 +27,80 @@
     }
 }
 
+/**
+ * What a relayed connection carries. `idle`: no request. `unanswered`: a request, no byte of whose answer was passed on. `answering`: a part of an
+ * answer was. `unframed`: the same, of an answer that the connection ends. `unknown`: several requests, or bytes that the framing does not explain.
+ */
+export type ExchangeState = "idle" | "unanswered" | "answering" | "unframed" | "unknown";
+
 /** How the connection to the serving router ended. A reset discards what was sent before it, also a confirmation. */
 export type NeighbourEnd = "closed" | "reset";
 
-/** What becomes of a caller's connection whose serving router has ended it, or is lost. */
-export type LossAction =
-    /** It carries no request. */
-    | { readonly type: "idle"; }
-    /** The caller has a part of an answer. */
-    | { readonly type: "answering"; readonly isUnframed: boolean; }
-    /** No answer has begun. `bytes`: the request; undefined if it was not retained. */
-    | { readonly type: "unanswered"; readonly bytes: Buffer | undefined; readonly mayHaveRun: boolean; }
-    /** Bytes that the framing does not explain. */
-    | { readonly type: "unknown"; };
-
-const HEAD_METHOD = "HEAD ";
+const HEAD_REQUEST = /^HEAD /;
 
 export class RelayedExchange {
-    private readonly framing = new AnswerFraming();
+    private readonly requests = new RequestFraming(() => this.beginRequest());
+    private readonly answers = new AnswerFraming(
+        () => HEAD_REQUEST.test(this.requests.tryGetHead() ?? ""),
+        () => this.endRequest(),
+    );
     /** Of the request under way; undefined if it was too large. */
     private chunks: Buffer[] | undefined = [];
     private chunkBytes = 0;
     private hasRequest = false;
-    /** Whether bytes have come that may belong to a request behind the one under way. */
+    /** Whether a request has come before the answer to the one before it had ended; its bytes are not told apart. */
     private isPipelined = false;
-    private isHead = false;
     private startedAt = 0;
 
     constructor(private readonly retention: RequestRetention) {}
 
-    /** Records bytes of a request that are passed on. `now`: monotonic clock, milliseconds. */
+    /** Records bytes of requests that are passed on. `now`: monotonic clock, milliseconds. */
     recordRequest(bytes: Buffer, now: number): void {
-        if (!this.hasRequest) {
-            this.hasRequest = true;
-            this.startedAt = now;
-            this.isHead = bytes.toString("latin1", 0, HEAD_METHOD.length) === HEAD_METHOD;
+        const isFirst = !this.hasRequest;
+        this.requests.read(bytes);
+        this.startedAt = isFirst ? now : this.startedAt;
+        if (!this.answers.isInMessage()) {
+            this.retain(bytes);
         }
-        else if (this.framing.isAnswering()) {
-            this.isPipelined = true;
-        }
-        this.retain(bytes);
     }
 
-    /** Reads bytes of an answer, and returns those for the caller. */
+    /** Reads bytes of answers, and returns those for the caller. */
     readAnswer(bytes: Buffer): Buffer {
-        const passed = this.framing.read(bytes, this.isHead, () => this.endRequest());
-        if (this.framing.isAnswering()) {
+        const passed = this.answers.read(bytes);
+        if (this.answers.isInMessage()) {
             this.release();
         }
         return passed;
     }
 
+    getState(): ExchangeState {
+        if (!this.answers.isKnown() || !this.requests.isKnown() || this.isPipelined) {
+            return "unknown";
+        }
+        if (this.answers.isInMessage()) {
+            return this.answers.isUnframed() ? "unframed" : "answering";
+        }
+        return this.hasRequest ? "unanswered" : "idle";
+    }
+
     /** Returns when the request under way began. Monotonic clock, milliseconds. */
     getStartedAt(): number {
         return this.startedAt;
     }
 
-    /** Whether a request is under way, no byte of whose answer has been passed on. */
-    isUnanswered(): boolean {
-        return this.resolveLoss("closed").type === "unanswered";
+    /** Returns the head of the request that was begun last; undefined until it is whole. */
+    tryGetHead(): string | undefined {
+        return this.requests.tryGetHead();
     }
 
-    /** Decides what becomes of the connection when the serving router has ended it. */
-    resolveLoss(end: NeighbourEnd): LossAction {
-        const { framing } = this;
-        if (!framing.isKnown() || this.isPipelined) {
-            return { type: "unknown" };
-        }
-        if (framing.isAnswering()) {
-            return { type: "answering", isUnframed: framing.isUnframed() };
-        }
-        if (!this.hasRequest) {
-            return { type: "idle" };
-        }
-        const bytes = this.chunks === undefined ? undefined : Buffer.concat(this.chunks);
-        return { type: "unanswered", bytes, mayHaveRun: end === "reset" || framing.mayHaveBeenSent() };
+    /** Returns the bytes of the unanswered request; undefined if they were not retained. */
+    tryGetRequest(): Buffer | undefined {
+        return this.chunks && Buffer.concat(this.chunks);
+    }
+
+    /** Whether the serving router may have sent the unanswered request to an upstream. */
+    mayHaveRun(end: NeighbourEnd): boolean {
+        return this.getState() === "unanswered" && (end === "reset" || this.answers.mayHaveBeenSent());
     }
 
     /** Releases what is retained. */
@@ -124,6 +123,11 @@
         }
     }
 
+    private beginRequest(): void {
+        this.isPipelined ||= this.hasRequest;
+        this.hasRequest = true;
+    }
+
     private endRequest(): void {
         this.release();
         this.chunks = [];
--- a/src/ports/answerSink.ts
+++ b/src/ports/answerSink.ts
@@ -4,7 +4,7 @@
 export abstract class PassThroughSink {
     /** Called each time the request is about to be sent to an upstream: from then on it may run. */
     confirmSend(): void {
-        // Callers are told only where another process has to know.
+        // Nobody has to know, unless another router relays the connection.
     }
 
     /**
--- a/test/adapters/connectionRelay.test.ts
+++ b/test/adapters/connectionRelay.test.ts
@@ -186,10 +186,10 @@
     const otherCaller = await setup.connectCaller();
     otherCaller.write("x");
     await waitUntil("both relayed", () => setup.accepted.length === 2);
-    setup.relay.handleUnreachable();
+    setup.relay.handleLinkChange();
     t.equal(setup.relay.countOpen(), 2, "still reachable");
     setup.unreachable.add("r2");
-    setup.relay.handleUnreachable();
+    setup.relay.handleLinkChange();
     t.equal(await waitForEnd(caller), "ECONNRESET");
     t.equal(setup.relay.countOpen(), 0);
 });
@@ -289,7 +289,7 @@
     const { caller, neighbour } = await openRelayed(setup);
     setup.stopping.add("r2");
     setup.unreachable.add("r2");
-    setup.relay.handleUnreachable();
+    setup.relay.handleLinkChange();
     t.equal(setup.relay.countOpen(), 1);
     const end = waitForEnd(caller);
     neighbour.end("answer");
@@ -305,7 +305,7 @@
     neighbour.end(Buffer.alloc(MANY_BYTES / 2));
     await wait(200);
     setup.unreachable.add("r2");
-    setup.relay.handleUnreachable();
+    setup.relay.handleLinkChange();
     await wait(200);
     let received = 0;
     caller.on("data", (chunk: Buffer) => received += chunk.length);
--- a/test/adapters/relayFailover.test.ts
+++ b/test/adapters/relayFailover.test.ts
@@ -17,8 +17,9 @@
     return port;
 }
 
-const REPEATABLE: RequestTerms = { isRepeatable: true, timeoutMs: 10_000 };
-const NOT_REPEATABLE: RequestTerms = { isRepeatable: false, timeoutMs: 300 };
+const REPEATABLE: RequestTerms = { mayRepeat: true, timeoutMs: 10_000 };
+const NOT_REPEATABLE: RequestTerms = { mayRepeat: false, timeoutMs: 300 };
+const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 const ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const CONFIRMATION = "HTTP/1.1 102 Processing\r\n\r\n";
 
@@ -49,16 +50,101 @@
     t.same(confirmed.caller.bytesRead, 0, "the confirmation is not passed on");
 });
 
-void t.test("a request that crosses the end of its connection by the serving router is not lost", async t => {
+void t.test("a request that crosses the end of its connection by the serving router is served here", async t => {
     const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const { caller, neighbour } = await openRelayed(setup);
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
     const answered = once(caller, "data");
     neighbour.end(ANSWER);
-    caller.write("second");
     t.equal(String((await answered)[0]), ANSWER);
-    await waitUntil("decided", () => setup.lost.length === 1 || caller.readableEnded);
-    // Either the caller's request came first, or it sees a connection that was closed before.
-    t.ok(setup.lost.every(({ bytes, mayHaveRun }) => String(bytes) === "second" && !mayHaveRun));
+    // The relay reads both in the same poll, or the caller sees the end before it sends.
+    caller.write(REQUEST);
+    await waitUntil("decided", () => setup.lost.length === 1 || caller.readableEnded || setup.relay.countOpen() === 0);
+    setup.lost.forEach(({ bytes, mayHaveRun }) => t.same([String(bytes), mayHaveRun], [REQUEST, false]));
+
+    const crossed = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const connection = await openRelayed(crossed, REQUEST);
+    connection.neighbour.end();
+    connection.caller.write("");
+    await waitUntil("failed over", () => crossed.lost.length === 1);
+    t.equal(crossed.lost[0]!.mayHaveRun, false);
+});
+
+void t.test("a connection without a request outlives the router that served it, untouched, and its next request is a new one", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
+    neighbour.write(ANSWER);
+    await once(caller, "data");
+    const readBytes = caller.bytesRead;
+    neighbour.resetAndDestroy();
+    await wait(200);
+    t.equal(setup.lost.length, 0);
+    t.equal(caller.bytesRead, readBytes);
+    t.equal(caller.readableEnded || caller.destroyed, false);
+    const sentAt = performance.now();
+    caller.write(REQUEST);
+    await waitUntil("failed over", () => setup.lost.length === 1);
+    t.same([String(setup.lost[0]!.bytes), setup.lost[0]!.mayHaveRun], [REQUEST, false]);
+    t.ok(setup.lost[0]!.startedAt >= sentAt, "its time begins with it");
+});
+
+void t.test("a connection without a request and without a serving router is closed regularly after a while", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
+    neighbour.write(ANSWER);
+    await once(caller, "data");
+    const end = waitForEnd(caller);
+    neighbour.resetAndDestroy();
+    t.equal(await end, "end");
+    t.equal(setup.relay.countOpen(), 0);
+});
+
+void t.test("an answer under way goes on while the link is lost, and waits for no earlier loss", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
+    setup.unreachable.add("r2");
+    setup.relay.handleLinkChange();
+    await wait(NOT_REPEATABLE.timeoutMs / 2);
+    setup.unreachable.delete("r2");
+    setup.relay.handleLinkChange();
+    await wait(NOT_REPEATABLE.timeoutMs);
+    t.equal(setup.lost.length, 0, "the link is there again, and the serving router keeps the time");
+    neighbour.write(ANSWER.slice(0, -1));
+    await once(caller, "data");
+    setup.unreachable.add("r2");
+    setup.relay.handleLinkChange();
+    await wait(2 * NOT_REPEATABLE.timeoutMs);
+    neighbour.write(ANSWER.slice(-1));
+    t.equal(String((await once(caller, "data"))[0]), ANSWER.slice(-1));
+});
+
+void t.test("a request at a router that has announced its stop and is gone is answered when its time is over", async t => {
+    const setup = await createRelaySetup(t, { terms: { mayRepeat: true, timeoutMs: 300 } });
+    await openRelayed(setup, REQUEST);
+    setup.stopping.add("r2");
+    setup.unreachable.add("r2");
+    setup.relay.handleLinkChange();
+    await wait(100);
+    t.equal(setup.lost.length, 0, "it may still answer");
+    await waitUntil("failed over", () => setup.lost.length === 1);
+    t.equal(setup.lost[0]!.mayHaveRun, true);
+});
+
+void t.test("at the end of a stop a request without an answer is refused as possibly run, not reset", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller } = await openRelayed(setup, REQUEST);
+    const answered = once(caller, "data");
+    setup.relay.close();
+    t.equal(String((await answered)[0]), "refused");
+});
+
+void t.test("a caller that has left is not served again", async t => {
+    const setup = await createRelaySetup(t, { terms: REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
+    caller.end();
+    await once(neighbour.resume(), "end");
+    neighbour.resetAndDestroy();
+    await waitUntil("closed", () => setup.relay.countOpen() === 0);
+    t.equal(setup.lost.length, 0);
 });
 
 void t.test("an answer that is cut off is not completed by another run", async t => {
@@ -72,16 +158,16 @@
 
 void t.test("while the link to the serving router is lost, only a request that may be repeated fails over before its time is over", async t => {
     const repeatable = await createRelaySetup(t, { terms: REPEATABLE });
-    await openRelayed(repeatable);
+    await openRelayed(repeatable, REQUEST);
     repeatable.unreachable.add("r2");
-    repeatable.relay.handleUnreachable();
+    repeatable.relay.handleLinkChange();
     await waitUntil("failed over", () => repeatable.lost.length === 1);
     t.equal(repeatable.lost[0]!.mayHaveRun, true);
 
     const other = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const [answered, late] = [await openRelayed(other), await openRelayed(other)];
+    const [answered, late] = [await openRelayed(other, REQUEST), await openRelayed(other, REQUEST)];
     other.unreachable.add("r2");
-    other.relay.handleUnreachable();
+    other.relay.handleLinkChange();
     await wait(NOT_REPEATABLE.timeoutMs / 2);
     t.equal(other.lost.length, 0);
     answered.neighbour.write(ANSWER);
@@ -97,14 +183,14 @@
 
 void t.test("a request that comes while the link to the serving router is lost is not passed on", async t => {
     const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const { caller, neighbour } = await openRelayed(setup);
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
     neighbour.write(ANSWER);
     await once(caller, "data");
     const received = neighbour.bytesRead;
     setup.unreachable.add("r2");
-    caller.write("second");
+    caller.write(REQUEST);
     await waitUntil("failed over", () => setup.lost.length === 1);
-    t.equal(String(setup.lost[0]!.bytes), "second");
+    t.equal(String(setup.lost[0]!.bytes), REQUEST);
     t.equal(setup.lost[0]!.mayHaveRun, false);
     t.equal(neighbour.bytesRead, received);
 });
--- a/test/domain/answerFraming.test.ts
+++ b/test/domain/messageFraming.test.ts
@@ -1,7 +1,7 @@
-/** Guards against answers whose end is missed or seen too early, and against confirmations that reach callers. */
+/** Guards against messages whose end is missed or seen too early, and against confirmations that reach callers. */
 import * as fc from "fast-check";
 import t from "tap";
-import { AnswerFraming } from "../../src/domain/answerFraming.js";
+import { AnswerFraming, RequestFraming } from "../../src/domain/messageFraming.js";
 
 const CONFIRMATION = "HTTP/1.1 102 Processing\r\n\r\n";
 const CHUNKED =
@@ -18,9 +18,9 @@
 
 /** Reads the parts one by one. */
 function read(parts: readonly string[], isHead = false): Read {
-    const framing = new AnswerFraming();
     let ends = 0;
-    const text = parts.map(part => framing.read(Buffer.from(part), isHead, () => ends += 1).toString()).join("");
+    const framing = new AnswerFraming(() => isHead, () => ends += 1);
+    const text = parts.map(part => framing.read(Buffer.from(part)).toString()).join("");
     return { text, ends, framing };
 }
 
@@ -40,7 +40,7 @@
             const expected = chosen.map(i => answers[i]!).join("");
             const sent = chosen.map(i => (isConfirmed ? CONFIRMATION : "") + answers[i]!).join("");
             const { text, ends, framing } = read(splitAt(sent, places));
-            return text === expected && ends === chosen.length && !framing.isAnswering() && framing.isKnown()
+            return text === expected && ends === chosen.length && !framing.isInMessage() && framing.isKnown()
                 && !framing.mayHaveBeenSent();
         },
     ));
@@ -52,11 +52,11 @@
         const headBytes = answer.indexOf("\r\n\r\n") + 4;
         for (let bytes = headBytes; bytes < answer.length; bytes++) {
             const { framing, ends } = read([answer.slice(0, bytes)]);
-            t.equal(framing.isAnswering(), true, `${bytes} bytes of ${answer.length}`);
+            t.equal(framing.isInMessage(), true, `${bytes} bytes of ${answer.length}`);
             t.equal(ends, 0);
         }
         t.equal(
-            read([answer.slice(0, headBytes - 1)]).framing.isAnswering(),
+            read([answer.slice(0, headBytes - 1)]).framing.isInMessage(),
             false,
             "the head is held back until it is whole",
         );
@@ -104,3 +104,32 @@
     }
     t.end();
 });
+
+void t.test("requests are counted from their first byte, at every split, and their heads are known", t => {
+    const requests = [
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}",
+        "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+        "\r\nHEAD /c HTTP/1.1\r\nHost: h\r\n\r\n",
+        "PUT /d HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    ];
+    fc.assert(fc.property(
+        fc.array(fc.nat(requests.length - 1), { minLength: 1, maxLength: 4 }),
+        fc.array(fc.nat(), { maxLength: 12 }),
+        (chosen, places) => {
+            let begun = 0;
+            const framing = new RequestFraming(() => begun += 1);
+            splitAt(chosen.map(i => requests[i]!).join(""), places).forEach(part => framing.read(Buffer.from(part)));
+            const last = requests[chosen.at(-1)!]!.trimStart();
+            return begun === chosen.length && !framing.isInMessage() && framing.isKnown()
+                && last.startsWith(framing.tryGetHead()!);
+        },
+    ));
+    let begun = 0;
+    const framing = new RequestFraming(() => begun += 1);
+    framing.read(Buffer.from("\r\n"));
+    t.equal(begun, 0, "line ends are no request");
+    framing.read(Buffer.from("P"));
+    t.equal(begun, 1);
+    t.equal(framing.tryGetHead(), undefined);
+    t.end();
+});
--- a/test/fleet/lostNeighbours.test.ts
+++ b/test/fleet/lostNeighbours.test.ts
@@ -12,6 +12,8 @@
 const CONNECTIONS = 8;
 /** Requests that have reached their engine, whose answer has not begun. */
 const UNANSWERED_MS = 500;
+/** Longer than the time that callers have for the head of a request. */
+const IDLE_MS = 4_000;
 /** Longer than the silence after which a link between routers is closed. */
 const LONG_PAUSE_MS = 3_500;
 
@@ -65,6 +67,20 @@
     await restart(t);
 });
 
+void t.test("kept connections without a request outlive the router that served them, and are not answered unasked", async t => {
+    const connections = await play.openRelayed("r1", CONNECTIONS);
+    const countFailedOver = async () => await play.fleet.readMetric("r1", "connections_relay_failed_over") ?? 0;
+    const failedOverBefore = await countFailedOver();
+    play.fleet.signal("r2", "SIGKILL");
+    await wait(IDLE_MS);
+    // A connection whose end is read before that of the link is closed regularly.
+    const failedOver = await countFailedOver() - failedOverBefore;
+    t.ok(failedOver > 0);
+    t.ok(connections.filter(connection => connection.isOpen()).length >= failedOver);
+    t.same(await sendOnAll(connections, PlayPaths.short), fill(200));
+    await restart(t);
+});
+
 void t.test("a request that was not sent to an upstream yet is served though the router that read it was killed", async t => {
     const connections = await play.openRelayed("r1", CONNECTIONS);
     const ended = play.fleet.waitEnd("r2");
--- a/test/tools/relaySetup.ts
+++ b/test/tools/relaySetup.ts
@@ -54,6 +54,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxConnections: options.maxConnections ?? 10,
         isReachable: address => !unreachable.has(address),
+        isConnected: address => !unreachable.has(address),
         isStopping: address => stopping.has(address),
         instance: createRandomId(),
         getMaxReadDelayMs: () => 0,
@@ -62,6 +63,7 @@
                 retention: new RequestRetention(MAX_RETAINED_BYTES, MAX_RETAINED_BYTES),
                 tryGetTerms: () => options.terms,
                 serve: (caller, request) => lost.push({ ...request, caller }),
+                refuse: caller => caller.end("refused"),
             },
         }),
     });
@@ -99,10 +101,13 @@
 }
 
 /** Connects a caller whose first bytes have arrived at the neighbour, and returns both ends. */
-export async function openRelayed(setup: RelaySetup): Promise<{ caller: Socket; neighbour: Socket; }> {
+export async function openRelayed(
+    setup: RelaySetup,
+    request = "request",
+): Promise<{ caller: Socket; neighbour: Socket; }> {
     const previousCount = setup.accepted.length;
     const caller = await setup.connectCaller();
-    caller.write("request");
+    caller.write(request);
     await waitUntil("relayed", () => setup.accepted.length > previousCount);
     const neighbour = setup.accepted.at(-1)!;
     await once(neighbour, "data");
