Repeat permits: another controller is asked at once if the one that is asked is gone

Cause: one controller was asked, and its loss was taken for the answer; the same class as the failover's, what one process promised hung on its life. Change: up to three controllers are asked within the request's wait. serviceRepeats.test: red before, green after.

--- a/src/daemons/directRouter/serviceRepeats.ts
+++ b/src/daemons/directRouter/serviceRepeats.ts
@@ -5,14 +5,23 @@
 import { waitForNextPoll } from "../../adapters/nextPoll.js";
 import { ConditionVariable } from "../../consensus/conditionVariable.js";
 import { RepeatAllowance } from "../../domain/repeatAllowance.js";
-import { computePermitWaitMs, HeldPermits, MAX_PERMITS_PER_CLAIM } from "../../domain/repeatPermits.js";
+import {
+    computePermitWaitMs,
+    HeldPermits,
+    MAX_PERMITS_PER_CLAIM,
+    type PermitAnswer,
+} from "../../domain/repeatPermits.js";
+import { getRefusal } from "../../domain/resultCodes.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log, LogFields } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
-import { claimPermitsMethod } from "../../protocol/repeatMethods.js";
+import { claimPermitsMethod, type PermitClaim } from "../../protocol/repeatMethods.js";
 import type { RepeatsOptions } from "../../settings/repeatSettings.js";
 import type { RequestRecorder } from "./requestRecorder.js";
 
+/** Controllers that are asked one after the other for the same permits. */
+const MAX_ASKED_CONTROLLERS = 3;
+
 /** Leave to send one request again, until it is used or released. Times are of the monotonic clock, in milliseconds. */
 export abstract class RepeatClaim {
     /** Uses the claim as the request is being sent; false if it may not be sent any more. */
@@ -175,24 +184,17 @@
 
     private async requestPermits(name: string, service: Service): Promise<void> {
         const askedAt = this.clock.getMonotonicMs();
-        const controllers = this.getControllers();
-        const controller = controllers[this.controllerIndex % Math.max(1, controllers.length)];
         const count = Math.min(Math.max(1, service.waitingCount), MAX_PERMITS_PER_CLAIM);
         let waitMs: number | undefined;
         try {
-            if (controller === undefined) {
-                throw new Error("no controller is known");
-            }
-            const claim = { service: name, count, isForwarded: false };
-            const answer = await this.network.call(controller, claimPermitsMethod, claim, this.options.claimTimeoutMs);
+            const answer = await this.callControllers({ service: name, count, isForwarded: false });
             service.permits.receive(answer, askedAt);
             waitMs = answer.permits > 0 ? undefined : answer.retryAfterMs;
             this.log.info("repeat_permits", { service: name, asked: count, granted: answer.permits, wait_ms: waitMs });
         }
         catch (error) {
-            this.controllerIndex += 1;
             waitMs = 0;
-            this.log.info("repeat_permits_not_granted", { service: name, controller, error: String(error) });
+            this.log.info("repeat_permits_not_granted", { service: name, error: String(error) });
         }
         if (waitMs !== undefined) {
             // Spread, because all routers that were told the same time would ask at once.
@@ -203,6 +205,28 @@
         service.permitsChanged.notifyAll();
     }
 
+    /** Asks a controller, and another one at once if that is gone: requests wait for the answer. */
+    private async callControllers(claim: PermitClaim): Promise<PermitAnswer> {
+        const controllers = this.getControllers();
+        for (let asked = 1;; asked++) {
+            const controller = controllers[this.controllerIndex % Math.max(1, controllers.length)];
+            if (controller === undefined) {
+                throw new Error("no controller is known");
+            }
+            try {
+                return await this.network.call(controller, claimPermitsMethod, claim, this.options.claimTimeoutMs);
+            }
+            catch (error) {
+                this.controllerIndex += 1;
+                const isGone = getRefusal(error).code === "peerGone";
+                if (!isGone || asked >= Math.min(MAX_ASKED_CONTROLLERS, controllers.length)) {
+                    throw error;
+                }
+                this.log.info("repeat_permits_not_granted", { controller, error: String(error) });
+            }
+        }
+    }
+
     private getService(name: string): Service {
         let service = this.services.get(name);
         if (service === undefined) {
--- a/test/daemons/serviceRepeats.test.ts
+++ b/test/daemons/serviceRepeats.test.ts
@@ -131,3 +131,14 @@
     t.equal(await waiting, false);
     t.ok(repeats.tryClaim("s", 0), "the only repeat is free again");
 });
+
+// Guards against repeats that are refused because one controller has ended while others could grant them.
+void t.test("a request waits for a permit of another controller if the one that is asked is gone", async t => {
+    const { network, repeats } = createFixture(() => ({ permits: 1, lifetimeMs: 2_000, retryAfterMs: 0 }));
+    network.unreachable.add("c1");
+    t.ok(await repeats.waitForClaim("s", 0, GOAL_MS));
+    t.same(network.calls.map(call => call.split(" ")[0]), ["c1", "c2"]);
+    network.unreachable.add("c2");
+    t.equal(await repeats.waitForClaim("s", 0, GOAL_MS), undefined);
+    t.equal(network.calls.length, 4, "each of them is asked once");
+});
