Detached connections: a slow caller gets the rest of its answer before the connection is closed

An answer that had arrived whole was discarded 5 s after its serving router was lost if its caller read slowly. relayFailover.test, red before (20 MB, 6 s).

--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -200,8 +200,7 @@
 
     private readonly handleRequest = (chunk: Buffer): void => {
         if (this.isDetached) {
-            this.exchange!.recordRequest(chunk, performance.now());
-            this.failOver("linkLost", "closed");
+            this.serveDetached(chunk);
             return;
         }
         if (this.neighbour.readableEnded) {
@@ -415,9 +414,7 @@
             this.reset("neighbourLost");
         }
         else {
-            this.hasNeighbourEnded = true;
-            // A slow caller first gets the rest of the answer.
-            this.caller.end(() => this.relay.addHalfClosed(this));
+            this.endCaller();
         }
     }
 
@@ -452,6 +449,29 @@
         delayedBytes?.forEach(chunk => this.handleRequest(chunk));
     }
 
+    private serveDetached(chunk: Buffer): void {
+        if (!this.hasNeighbourEnded) {
+            this.exchange!.recordRequest(chunk, performance.now());
+            this.failOver("linkLost", "closed");
+        }
+    }
+
+    /** Ends a connection whose caller has sent nothing for too long, or closes one that the caller keeps open after its end. */
+    expire(): void {
+        if (this.isDetached && !this.hasNeighbourEnded) {
+            this.endCaller();
+        }
+        else {
+            this.close("callerKeepsOpen");
+        }
+    }
+
+    /** A slow caller first gets the rest of the answer. */
+    private endCaller(): void {
+        this.hasNeighbourEnded = true;
+        this.caller.end(() => this.relay.addHalfClosed(this));
+    }
+
     /** Answers the request under way as one that may have run, if there is one; returns whether there is. */
     tryRefuse(): boolean {
         const canRefuse = this.state === "open" && this.exchange?.getState() === "unanswered" && !this.hasCallerClosed;
