--- a/test/tools/plannedPlay.ts
+++ b/test/tools/plannedPlay.ts
@@ -5,11 +5,14 @@
 import { type CallerHabits, DEADLINE_MS, KeptConnection } from "./keptConnection.js";
 import { LossAudit } from "./lossAudit.js";
 import { getVersionPath, PlayEngine, type PlayPath, PlayPaths } from "./playEngine.js";
-import { type ProcessEnd, ProcessFleet } from "./processFleet.js";
+import { type ProcessEnd, ProcessFleet, type ProcessFleetOptions } from "./processFleet.js";
 import { ReadinessProbes } from "./readinessProbes.js";
 import type { PlayAnswer } from "./versionAudit.js";
 import { wait, waitUntil } from "./waiting.js";
-import { createWireBundle } from "./wireBundle.js";
+import { createLargeWireBundle } from "./wireBundle.js";
+
+/** A configuration in the wire format. */
+export type WireBundle = ReturnType<typeof createBundle>;
 
 const GRACE_S = 8;
 export const GRACE_MS = GRACE_S * 1_000;
@@ -38,8 +41,9 @@
     network: number,
     routers: number,
     repeats: PlayRepeats = NO_REPEATS,
+    fleetOptions: Partial<ProcessFleetOptions> = {},
 ): Promise<PlannedPlay> {
-    const play = new PlannedPlay(network, routers, repeats);
+    const play = new PlannedPlay(network, routers, repeats, fleetOptions);
     try {
         await play.start();
         return play;
@@ -60,10 +64,17 @@
     answers: PlayAnswer[] = [];
     private readonly engines: readonly PlayEngine[];
     private readonly connections = new Set<KeptConnection>();
+    /** Routes that configurations have beside those of the requests. */
+    extraRoutes = 0;
     private revision = 1;
     private lastId = 0;
 
-    constructor(network: number, routers: number, private readonly repeats: PlayRepeats) {
+    constructor(
+        network: number,
+        routers: number,
+        private readonly repeats: PlayRepeats,
+        fleetOptions: Partial<ProcessFleetOptions> = {},
+    ) {
         this.fleet = new ProcessFleet({
             network,
             controllers: 3,
@@ -72,6 +83,7 @@
             retrySlack: 50,
             hasSmallRouters: true,
             graceS: GRACE_S,
+            ...fleetOptions,
         });
         this.probes = new ReadinessProbes(this.fleet);
         this.engines = ["engines", "engines", "plain"].map((service, i) =>
@@ -80,7 +92,7 @@
     }
 
     async start(): Promise<void> {
-        await this.fleet.start(createBundle(this.revision, this.repeats));
+        await this.fleet.start(createBundle(this.revision, this.repeats, 0));
         await Promise.all(this.engines.map(engine => engine.start()));
         this.probes.start();
         for (const router of this.fleet.listRouters()) {
@@ -201,12 +213,22 @@
 
     /** Puts a configuration that adds a route; resolves when it is acknowledged. */
     async putNextBundle(): Promise<void> {
-        this.revision += 1;
+        const bundle = this.createNextBundle();
         const sentAt = performance.now();
-        await waitUntil("the configuration", () => this.fleet.putBundle(createBundle(this.revision, this.repeats)));
+        await waitUntil("the configuration", () => this.fleet.putBundle(bundle));
         this.audit.recordBundle(sentAt, performance.now());
     }
 
+    /** Creates a configuration that adds a route, which is the newest path from now on. */
+    createNextBundle(): WireBundle {
+        this.revision += 1;
+        return createBundle(this.revision, this.repeats, this.extraRoutes);
+    }
+
+    getRevision(): number {
+        return this.revision;
+    }
+
     /** Uses a connection, and then new ones to routers that are ready, until told to stop. */
     async runCaller(
         first: KeptConnection,
@@ -240,8 +262,8 @@
 }
 
 /** Creates a configuration whose routes and tokens outlast a stop. */
-function createBundle(revision: number, repeats: PlayRepeats): object {
-    const bundle = createWireBundle(revision);
+function createBundle(revision: number, repeats: PlayRepeats, extraRoutes: number) {
+    const bundle = createLargeWireBundle(revision, extraRoutes);
     const engines = { ...bundle.backends[0]!, engine: { slots: 64, kv_capacity: 500_000, stride: 5 } };
     const plain = bundle.routes.find(({ backend }) => backend === "plain")!;
     const versions = Array.from({ length: revision }, (_, i) => ({
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -12,14 +12,18 @@
     CALLER_PORT,
     formatBoxSettings,
     METRICS_PORT,
+    PEER_PORT,
     READINESS_PORT,
     SMALL_BOX_LIMITS,
 } from "./boxSettingsText.js";
 import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
+import { type CutDirection, CutRelay } from "./cutRelay.js";
 import { tryOpenLogFolder } from "./testLogs.js";
 import { waitUntil } from "./waiting.js";
 
 const CALL_TIMEOUT_MS = 2_000;
+/** Longer than a controller waits for a new leader. */
+const CONFIG_TIMEOUT_MS = 8_000;
 const START_TIMEOUT_MS = 90_000;
 export const ENGINE_REPORT_MS = 400;
 /** Build whose programs run; another one can be named to compare it. */
@@ -38,6 +42,15 @@
     readonly hasSmallRouters?: boolean;
     /** The longest that a planned stop takes, in seconds; the platform's default if undefined. */
     readonly graceS?: number;
+    /** Whether the links from each box to the controllers can be cut. */
+    readonly hasCuttableLinks?: boolean;
+}
+
+/** How a controller has answered an operator. */
+export interface ConfigAnswer {
+    /** Undefined if it did not answer in time. */
+    readonly status: number | undefined;
+    readonly text: string;
 }
 
 /** How a process ended. */
@@ -67,12 +80,19 @@
     private readonly processes = new Map<string, ChildProcess>();
     private readonly startedBoxes = new Set<string>();
     private readonly faults = new Map<string, BoxFaults>();
+    /** Relays on the links from a box to the controllers, by the controller's peer address. */
+    private readonly links = new Map<string, ReadonlyMap<string, CutRelay>>();
+    /** Ports of these relays, by box and the controller's peer address. */
+    private readonly linkPorts = new Map<string, Readonly<Record<string, number>>>();
 
     constructor(readonly options: ProcessFleetOptions) {}
 
     /** Creates the folder of the boxes, which are then started one by one. */
     async open(): Promise<void> {
         this.folder = await mkdtemp(join(tmpdir(), "loomwinch-processes-"));
+        if (this.options.hasCuttableLinks === true) {
+            await Promise.all([...this.listControllers(), ...this.listRouters()].map(box => this.openLinks(box)));
+        }
     }
 
     /** Starts all boxes and puts the bundle; resolves when every router is ready. */
@@ -91,6 +111,7 @@
 
     async close(keepsLogs = false): Promise<void> {
         await Promise.all([...this.processes.values()].map(child => endProcess(child)));
+        this.forEachLink(link => link.stop());
         if (!keepsLogs) {
             await rm(this.folder, { recursive: true });
         }
@@ -120,6 +141,15 @@
         this.signal(box, "SIGUSR2");
     }
 
+    /** Cuts a box off from the controllers, without telling either. `forward` is the way from the box. */
+    cutFromControllers(box: string, direction?: CutDirection): void {
+        this.links.get(box)!.forEach(link => link.cutSilently(direction));
+    }
+
+    healLinks(): void {
+        this.forEachLink(link => link.heal());
+    }
+
     signal(box: string, signal: NodeJS.Signals): void {
         this.processes.get(box)!.kill(signal);
     }
@@ -186,6 +216,16 @@
         return false;
     }
 
+    /** Sends a configuration to one controller, as it is. */
+    putText(box: string, text: string): Promise<ConfigAnswer> {
+        return this.sendConfig(box, { method: "PUT", body: text });
+    }
+
+    /** Reads the configuration from one controller. */
+    readConfig(box: string): Promise<ConfigAnswer> {
+        return this.sendConfig(box, { method: "GET" });
+    }
+
     listControllers(): string[] {
         return Array.from({ length: this.options.controllers }, (_, i) => `c${i + 1}`);
     }
@@ -208,17 +248,49 @@
         return `127.${this.options.network}.${group}.${box.slice(1)}`;
     }
 
-    private hasPreload(box: string): boolean {
+    private async sendConfig(box: string, options: { method: "GET" | "PUT"; body?: string; }): Promise<ConfigAnswer> {
+        try {
+            const signal = AbortSignal.timeout(CONFIG_TIMEOUT_MS);
+            const answer = await request(`${this.getControlUrl(box)}/loomwinch/config`, { ...options, signal });
+            return { status: answer.statusCode, text: await answer.body.text() };
+        }
+        catch (error) {
+            return { status: undefined, text: String(error) };
+        }
+    }
+
+    private async openLinks(box: string): Promise<void> {
+        const links = new Map<string, CutRelay>();
+        for (const controller of this.listControllers().filter(other => other !== box)) {
+            links.set(`${this.getIp(controller)}:${PEER_PORT}`, new CutRelay(PEER_PORT, this.getIp(controller)));
+        }
+        this.links.set(box, links);
+        const ports = await Promise.all([...links].map(async ([address, link]) => [address, await link.start()]));
+        this.linkPorts.set(box, Object.fromEntries(ports) as Record<string, number>);
+    }
+
+    private forEachLink(act: (link: CutRelay) => void): void {
+        this.links.forEach(links => links.forEach(act));
+    }
+
+    private isSmall(box: string): boolean {
         return this.options.hasSmallRouters === true && box.startsWith("r");
     }
 
+    private hasPreload(box: string): boolean {
+        return this.isSmall(box) || this.links.has(box);
+    }
+
     private createPreloadEnv(box: string): NodeJS.ProcessEnv {
         if (!this.hasPreload(box)) {
             return {};
         }
         this.faults.set(box, SOUND);
         this.writeFaults(box);
-        return { [SoakVariables.links]: "{}", [SoakVariables.faults]: this.getFaultsPath(box) };
+        return {
+            [SoakVariables.links]: JSON.stringify(this.linkPorts.get(box) ?? {}),
+            [SoakVariables.faults]: this.getFaultsPath(box),
+        };
     }
 
     /** The box may be reading the file because of a change before. */
@@ -250,7 +322,7 @@
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
-                ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
+                ${this.isSmall(box) ? SMALL_BOX_LIMITS : ""}
             `,
         });
     }
