Routers fetch a newer configuration from the router that serves it, too

What callers saw: a router answered over a relayed connection by a newer configuration, and after the connection had ended, or its serving router had been killed, by the older one, for as long as it was cut off from the controllers (2.7 s in the scene).

Cause: the serving router obeys a configuration at once, and its notices tell the relaying one its revision. The relaying router could fetch a configuration from controllers only. The bound (no older one 250 ms after a newer one) held only where both had contact with the controllers.

Change: a router that is notified of a newer revision than its own fetches that configuration from the sender, through the queue of controllers' announcements, so that there is still one download at a time and none of a revision that is there. A router's configuration comes from a controller, which announces what a majority has stored, so that nothing is obeyed earlier than it is accepted. A router of an earlier version refuses the call as unknown, and controllers are asked as before.

Known limit: a serving router that is lost before the fetch. The log field `controller` of the fetch is now `source`.

--- a/src/daemons/directRouter/bundleFetcher.ts
+++ b/src/daemons/directRouter/bundleFetcher.ts
@@ -1,5 +1,5 @@
 /**
- * Fetches the newest announced bundle, from one controller at a time: parallel downloads of one bundle would compete
+ * Fetches the newest announced bundle, from one controller or other router at a time: parallel downloads of one bundle would compete
  * with responses to callers for bandwidth. Fetching 1,700 routes in full from each of five controllers occupies a link of
  * 7 Mbit/s for 2.6 s per version. Pauses after applying a version (see `versionCooldown.ts`).
  */
@@ -8,7 +8,7 @@
 import { computeCooldownMs } from "../../domain/versionCooldown.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
-import { decodeBundle, type EncodedBundle } from "../../protocol/bundleTransfer.js";
+import { decodeBundle, encodeBundle, type EncodedBundle } from "../../protocol/bundleTransfer.js";
 import { getBundleMethod } from "../../protocol/fleetMethods.js";
 
 /** Bounds the exponential growth of the fetch timeout after consecutive failures. */
@@ -21,13 +21,15 @@
 }
 
 export class BundleFetcher {
-    /** The newest revision announced by each controller, if newer than the current one, in order of announcement. */
+    /** The newest revision announced by each controller or other router, if newer than the current one, in order of announcement. */
     private readonly announced = new Map<string, number>();
     private current: StoredBundle | undefined;
     private isFetching = false;
     private consecutiveFailures = 0;
     /** Set when a delta could not be decoded or applied, so that the next fetch requests the full bundle. */
     private needsFullBundle = false;
+    /** The current bundle in full, for other routers. */
+    private encoding: { readonly revision: number; readonly bundle: Promise<EncodedBundle>; } | undefined;
 
     /** `callTimeoutMs`: initial timeout of a fetch, after which another controller is tried. */
     constructor(
@@ -38,12 +40,12 @@
     ) {}
 
     /**
-     * Records that a controller has a bundle, and fetches it. Resolves when no announced bundle is left to fetch, or
+     * Records that a controller or another router has a bundle, and fetches it. Resolves when no announced bundle is left to fetch, or
      * immediately if another call is already fetching.
      */
-    async fetchAnnouncement(controller: string, revision: number): Promise<void> {
+    async fetchAnnouncement(source: string, revision: number): Promise<void> {
         if (revision > this.getCurrentRevision()) {
-            this.announced.set(controller, Math.max(revision, this.announced.get(controller) ?? revision));
+            this.announced.set(source, Math.max(revision, this.announced.get(source) ?? revision));
         }
         if (this.isFetching) {
             return;
@@ -57,6 +59,18 @@
         }
     }
 
+    /** Encodes the current bundle for another router that has `heldRevision`; undefined if it is not newer. */
+    async tryGetEncoded(heldRevision: number | undefined): Promise<EncodedBundle | undefined> {
+        const { current } = this;
+        if (current === undefined || current.revision <= (heldRevision ?? -1)) {
+            return undefined;
+        }
+        if (this.encoding?.revision !== current.revision) {
+            this.encoding = { revision: current.revision, bundle: encodeBundle(current, undefined) };
+        }
+        return this.encoding.bundle;
+    }
+
     private async fetchAnnounced(): Promise<void> {
         for (;;) {
             const source = this.trySelectSource();
@@ -67,21 +81,21 @@
         }
     }
 
-    /** Returns the first controller that announced the newest revision. */
+    /** Returns the first that announced the newest revision. */
     private trySelectSource(): string | undefined {
         const newestRevision = Math.max(...this.announced.values());
-        return [...this.announced.keys()].find(controller => this.announced.get(controller) === newestRevision);
+        return [...this.announced.keys()].find(source => this.announced.get(source) === newestRevision);
     }
 
-    /** Fetches once. A controller that fails or has no newer bundle is not retried until it announces a bundle again. */
-    private async fetchFrom(controller: string): Promise<void> {
+    /** Fetches once. A source that fails or has no newer bundle is not retried until it announces a bundle again. */
+    private async fetchFrom(source: string): Promise<void> {
         const startedAt = performance.now();
         let restMs = 0;
-        const revision = this.announced.get(controller);
-        this.announced.delete(controller);
+        const revision = this.announced.get(source);
+        this.announced.delete(source);
         try {
             const answer = await this.network.call(
-                controller,
+                source,
                 getBundleMethod,
                 { held: this.needsFullBundle ? undefined : this.current?.revision },
                 this.computeTimeoutMs(),
@@ -92,7 +106,7 @@
                 await this.applyBundle(answer.bundle);
                 restMs = computeCooldownMs(performance.now() - fetchedAt);
                 this.log.info("bundle_fetched", {
-                    controller,
+                    source,
                     revision: answer.bundle.revision,
                     base: answer.bundle.base,
                     packed_length: answer.bundle.packed.length,
@@ -102,7 +116,7 @@
         }
         catch (error) {
             this.consecutiveFailures += 1;
-            this.log.warn("bundle_not_fetched", { controller, revision, error: String(error) });
+            this.log.warn("bundle_not_fetched", { source, revision, error: String(error) });
         }
         if (restMs > 0) {
             await setTimeout(restMs);
@@ -115,9 +129,9 @@
         this.needsFullBundle = false;
         await this.listener.receiveBundle(bundle.revision, bundle.text);
         this.current = bundle;
-        for (const [controller, revision] of this.announced) {
+        for (const [source, revision] of this.announced) {
             if (revision <= bundle.revision) {
-                this.announced.delete(controller);
+                this.announced.delete(source);
             }
         }
     }
--- a/src/daemons/directRouter/controllerFeeds.ts
+++ b/src/daemons/directRouter/controllerFeeds.ts
@@ -1,7 +1,8 @@
 /** Follows the seed controllers and the members reported by a controller that has a majority. */
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
-import type { PeerNetwork } from "../../ports/peer.js";
+import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
+import { bundleNoticeMethod, getBundleMethod } from "../../protocol/fleetMethods.js";
 import { BundleFetcher, type BundleListener } from "./bundleFetcher.js";
 import { ControllerFeed, type ControllerFeedOptions, type FeedListener } from "./controllerFeed.js";
 
@@ -13,6 +14,11 @@
     readonly readinessTimeoutMs: number;
 }
 
+/** Calls back when another router serves a newer bundle than this one. */
+export interface RouterRevisionSource {
+    onNewerRevision(handler: (router: string, revision: number) => void): void;
+}
+
 export class ControllerFeeds {
     private readonly feeds = new Map<string, ControllerFeed>();
     /** Monotonic clock, milliseconds. */
@@ -61,6 +67,17 @@
         }
     }
 
+    /** Registers handlers for notifications on the connections that this router opens. */
+    addHandlers(handlers: PeerHandlers): void {
+        handlers.add(bundleNoticeMethod, notice => this.handleBundleNotice(notice.controller, notice.revision));
+    }
+
+    /** Fetches bundles from other routers too, as this one may be cut off from the controllers, and passes on its own. */
+    enableRouterSources(source: RouterRevisionSource, handlers: PeerHandlers): void {
+        source.onNewerRevision((router, revision) => void this.fetcher.fetchAnnouncement(router, revision));
+        handlers.add(getBundleMethod, async ({ held }) => ({ bundle: await this.fetcher.tryGetEncoded(held) }));
+    }
+
     /** Whether a controller with a majority has responded, or `unconfirmedReadyMs` has elapsed without one. */
     isReady(): boolean {
         const feeds = [...this.feeds.values()];
--- a/src/daemons/directRouter/directRouterDaemon.ts
+++ b/src/daemons/directRouter/directRouterDaemon.ts
@@ -25,12 +25,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import type { PeerHandlers, PeerNetwork } from "../../ports/peer.js";
-import {
-    bundleNoticeMethod,
-    evacuationNoticeMethod,
-    type FollowAnswer,
-    upstreamNoticeMethod,
-} from "../../protocol/fleetMethods.js";
+import { evacuationNoticeMethod, type FollowAnswer, upstreamNoticeMethod } from "../../protocol/fleetMethods.js";
 import type { RepeatsOptions } from "../../settings/repeatSettings.js";
 import type { EventLoopMonitor } from "../eventLoopMonitor.js";
 import { AdmissionMonitor } from "./admissionMonitor.js";
@@ -199,6 +194,7 @@
     enableConnectionRelay(coordinator: RelayCoordinator, handlers: PeerHandlers): void {
         this.coordinator = coordinator;
         coordinator.addHandlers(handlers);
+        this.controllerFeeds.enableRouterSources(coordinator, handlers);
         this.otherRouters.onMembershipChange(others => coordinator.setOthers(others));
     }
 
@@ -209,10 +205,7 @@
 
     /** Registers handlers for notifications on the connections that this router opens. */
     addHandlers(handlers: PeerHandlers): void {
-        handlers.add(
-            bundleNoticeMethod,
-            notice => this.controllerFeeds.handleBundleNotice(notice.controller, notice.revision),
-        );
+        this.controllerFeeds.addHandlers(handlers);
         this.prepaidBorrower.addHandlers(handlers);
         this.placementSharer.addHandlers(handlers);
         handlers.add(upstreamNoticeMethod, notice => this.upstreamReceiver.receive(notice.upstreams));
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -60,6 +60,7 @@
     private readonly stoppingRouters = new Set<string>();
     private relay: CoordinatedRelay | undefined;
     private readonly closingHandlers: (() => void)[] = [];
+    private readonly newerRevisionHandlers: ((router: string, revision: number) => void)[] = [];
     private loggedAt = -Infinity;
     /** Monotonic clock, milliseconds. */
     private revisionChangedAt = -Infinity;
@@ -116,6 +117,11 @@
         this.closingHandlers.push(handler);
     }
 
+    /** Registers a handler that is called when another router serves a newer configuration than this one. */
+    onNewerRevision(handler: (router: string, revision: number) => void): void {
+        this.newerRevisionHandlers.push(handler);
+    }
+
     start(): void {
         this.utilization.onSample(utilization => this.recordSample(utilization));
     }
@@ -231,6 +237,9 @@
                 this.stoppingRouters.delete(earliest!);
             }
         }
+        if (load.revision > (this.router.getBundleRevision() ?? -1)) {
+            this.newerRevisionHandlers.forEach(handler => handler(load.address, load.revision));
+        }
         if (load.relayVersion === RELAY_VERSION) {
             this.policy.recordLoad(load, this.clock.getMonotonicMs());
         }
--- a/test/daemons/bundleFetch.test.ts
+++ b/test/daemons/bundleFetch.test.ts
@@ -1,4 +1,7 @@
-/** Guards against a router downloading the same bundle from several controllers at once. */
+/**
+ * Guards against a router downloading the same bundle from several controllers at once, and against one that stays with an older bundle
+ * than other routers because it is cut off from the controllers.
+ */
 import t, { type Test } from "tap";
 import type { BundleListener } from "../../src/daemons/directRouter/bundleFetcher.js";
 import type { FeedListener } from "../../src/daemons/directRouter/controllerFeed.js";
@@ -6,8 +9,8 @@
 import { createRefusal, RefusalError } from "../../src/domain/resultCodes.js";
 import { SystemClock } from "../../src/ports/clock.js";
 import type { Log } from "../../src/ports/log.js";
-import { type Peer, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
-import { encodeBundle, type EncodedBundle } from "../../src/protocol/bundleTransfer.js";
+import { type Peer, PeerHandlers, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
+import { decodeBundle, encodeBundle, type EncodedBundle } from "../../src/protocol/bundleTransfer.js";
 import { getBundleMethod } from "../../src/protocol/fleetMethods.js";
 import { settlePromises } from "../tools/fakes.js";
 import { waitUntil } from "../tools/waiting.js";
@@ -126,3 +129,40 @@
     }
     t.same(network.fetches.map(fetch => fetch.timeoutMs), [1_000, 2_000, 4_000, 8_000, 8_000, 8_000]);
 });
+
+/** Lets other routers be sources; returns what announces a bundle of one, and what asks for the own one. */
+function enableRouters(feeds: ControllerFeeds) {
+    let announce: (router: string, revision: number) => void = () => undefined;
+    const handlers = new PeerHandlers();
+    feeds.enableRouterSources({ onNewerRevision: handler => void (announce = handler) }, handlers);
+    const ask = async (held: number | undefined): Promise<EncodedBundle | undefined> => {
+        const answer = await handlers.handle(getBundleMethod.name, { held }, undefined as unknown as Peer);
+        return (answer as { bundle?: EncodedBundle; }).bundle;
+    };
+    return { announce: (router: string, revision: number) => announce(router, revision), ask };
+}
+
+void t.test("a newer bundle of another router is fetched from it, and passed on to routers that have an older one", async t => {
+    const { network, feeds } = startFeeds(t);
+    const { announce, ask } = enableRouters(feeds);
+    t.equal(await ask(undefined), undefined, "nothing to pass on yet");
+    announce("r2", 3);
+    await network.answerNext(await encodeBundle({ revision: 3, text: "{3}" }, undefined));
+    t.same(network.calledAddresses, ["r2"]);
+    t.same(decodeBundle(await ask(2), undefined), { revision: 3, text: "{3}" });
+    t.same(decodeBundle(await ask(undefined), undefined), { revision: 3, text: "{3}" });
+    t.equal(await ask(3), undefined);
+    t.equal(await ask(4), undefined);
+    announce("r3", 3);
+    t.same(network.calledAddresses, ["r2"], "the same bundle is not fetched again");
+});
+
+void t.test("if a router does not pass on its bundle, the controllers that announced it are asked", async t => {
+    const { network, feeds } = startFeeds(t);
+    const { announce } = enableRouters(feeds);
+    announce("r2", 3);
+    void feeds.handleBundleNotice("c1", 3);
+    network.rejectNext();
+    await settlePromises();
+    t.same(network.calledAddresses, ["r2", "c1"]);
+});
--- a/test/fleet/changesInTrouble.test.ts
+++ b/test/fleet/changesInTrouble.test.ts
@@ -45,6 +45,7 @@
 function checkVersions(t: Test): void {
     const older = listOlderAnswers(play.answers);
     t.same(older.slice(-MAX_SHOWN), [], `no answers by older configurations, ${older.length} found`);
+    t.ok(play.answers.some(({ status }) => status === 200), "callers have seen the newer one");
     t.comment(`answers ${JSON.stringify(play.outcomes)}`);
     play.closeConnections();
 }
