Requests are not relayed to a router that has not announced the newer configuration

What callers saw: a router answered by a newer configuration, and requests on connections that it had relayed before were answered by the older one of a serving router that had been paused (SIGSTOP, 1.2 s) during the change.

Cause: the serving router ends relayed connections 250 ms after it reads that the relaying one has another revision. A paused one reads the notice and the requests together when it goes on, so that the 250 ms began too late.

Change: the relaying router serves a request that begins on a relayed connection itself while the neighbour has last announced an older revision. The same is done already where the link is lost. New connections were not relayed to such a neighbour before either, and relayed ones end with the answer after a change, so that only requests of the moment between the two routers' changes are served here in addition.

--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -63,6 +63,8 @@
     readonly isReachable: (address: string) => boolean;
     /** Whether a router has announced that its process is about to end, by its peer address. */
     readonly isStopping: (address: string) => boolean;
+    /** Whether a router is known to serve an older configuration than this one, by its peer address. */
+    readonly isOutdated: (address: string) => boolean;
     /** Identifies this process to the routers that it relays to. */
     readonly instance: string;
     /** Time after which a connection attempt to another router is given up, in milliseconds. */
@@ -165,6 +167,11 @@
         return !this.options.isReachable(address) && !this.options.isStopping(address);
     }
 
+    /** Whether a router is known to serve an older configuration than this one. */
+    isOutdated(address: string): boolean {
+        return this.options.isOutdated(address);
+    }
+
     getInstance(): string {
         return this.options.instance;
     }
--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -45,8 +45,11 @@
 /** Why this router closed a relayed connection regularly. */
 export type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
 
-/** Why the caller of a relayed connection is served by this router. `late`: the other router has not answered in time. */
-export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset";
+/**
+ * Why the caller of a relayed connection is served by this router. `late`: the other router has not answered in time; `outdated`: it has not
+ * announced the configuration that this one serves.
+ */
+export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset" | "outdated";
 
 /** Why a relayed connection was reset. */
 export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
@@ -253,9 +256,10 @@
         this.answerReads = 0;
         const isFirst = this.exchange?.resolveLoss("closed").type === "idle";
         this.exchange?.recordRequest(chunk, this.lastBytesAt);
-        if (isFirst && this.relay.isLost(this.target.address)) {
+        const cause = isFirst ? this.tryGetFirstCause() : undefined;
+        if (cause !== undefined) {
             // Nothing of this request has been passed on.
-            this.failOver("linkLost", "closed");
+            this.failOver(cause, "closed");
             return;
         }
         if (this.isPaced) {
@@ -266,6 +270,15 @@
         }
     }
 
+    /** Returns why a request is not to be passed on, nothing of which has been; undefined if it is. */
+    private tryGetFirstCause(): FailoverCause | undefined {
+        if (this.relay.isLost(this.target.address)) {
+            return "linkLost";
+        }
+        // A router that is paused would answer by the older configuration when it goes on.
+        return this.relay.isOutdated(this.target.address) ? "outdated" : undefined;
+    }
+
     /** Sends the preamble together with the first bytes, which saves a packet. */
     private addPreamble(chunk: Buffer): Buffer {
         if (this.isPreambleSent) {
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -22,8 +22,8 @@
 const MIN_LOGGED_CHANGE = 0.05;
 /** Version of the preamble and of the confirmations on relayed connections (docs/design/connection-relay.md). Connections are relayed only to routers that know it. */
 const RELAY_VERSION = 3;
-/** Number of routers that have announced their stop and are remembered. */
-const MAX_STOPPING_ROUTERS = 64;
+/** Number of routers whose announcements are remembered: of their stop, and of the revision of their configuration. */
+const MAX_ANNOUNCING_ROUTERS = 64;
 /** Time after a change in which all connections are examined. Later, each is examined after its answer. */
 const CLOSING_PERIOD_MS = 5_000;
 /** Refusals should be sent within a quarter of the latency goal. */
@@ -58,6 +58,8 @@
     private readonly relayNotifier: RelayNotifier;
     /** Peer addresses of routers that have announced their stop, the earliest first. */
     private readonly stoppingRouters = new Set<string>();
+    /** Revisions of the configurations of other routers, by peer address, the one that was announced first at the beginning. */
+    private readonly revisions = new Map<string, number>();
     private relay: CoordinatedRelay | undefined;
     private readonly closingHandlers: (() => void)[] = [];
     private readonly newerRevisionHandlers: ((router: string, revision: number) => void)[] = [];
@@ -219,6 +221,12 @@
         return this.stoppingRouters.has(address);
     }
 
+    /** Whether a router has last announced an older configuration than this one serves. */
+    isRouterOutdated(address: string): boolean {
+        const announced = this.revisions.get(address);
+        return announced !== undefined && announced < (this.router.getBundleRevision() ?? -1);
+    }
+
     recordConnectFailure(address: string): void {
         this.policy.recordFailure(address, this.clock.getMonotonicMs());
     }
@@ -233,10 +241,11 @@
         if (!load.isAccepting) {
             this.stoppingRouters.add(load.address);
             const [earliest] = this.stoppingRouters;
-            if (this.stoppingRouters.size > MAX_STOPPING_ROUTERS) {
+            if (this.stoppingRouters.size > MAX_ANNOUNCING_ROUTERS) {
                 this.stoppingRouters.delete(earliest!);
             }
         }
+        this.recordRevision(load);
         if (load.revision > (this.router.getBundleRevision() ?? -1)) {
             this.newerRevisionHandlers.forEach(handler => handler(load.address, load.revision));
         }
@@ -245,6 +254,15 @@
         }
     }
 
+    private recordRevision({ address, revision }: RouterLoad): void {
+        this.revisions.delete(address);
+        this.revisions.set(address, revision);
+        const [earliest] = this.revisions.keys();
+        if (this.revisions.size > MAX_ANNOUNCING_ROUTERS) {
+            this.revisions.delete(earliest!);
+        }
+    }
+
     private createNotice(now: number): RelayNotice {
         const closesInMs = this.router.tryGetClosesInMs(now);
         return {
--- a/test/adapters/leavingOrders.test.ts
+++ b/test/adapters/leavingOrders.test.ts
@@ -62,6 +62,7 @@
     connectTimeoutMs: 1_000,
     maxConnections: 1_000,
     isReachable: () => true,
+    isOutdated: () => false,
     isStopping: () => false,
     instance: createRandomId(),
     getMaxReadDelayMs: () => 0,
--- a/test/adapters/relayFailover.test.ts
+++ b/test/adapters/relayFailover.test.ts
@@ -96,3 +96,18 @@
     t.equal(setup.lost[0]!.mayHaveRun, false);
     t.equal(neighbour.bytesRead, received);
 });
+
+// Guards against answers by an older configuration of a router that was paused when the configuration changed.
+void t.test("a request that comes while the serving router has an older configuration is not passed on", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup);
+    setup.outdated.add("r2");
+    neighbour.write(ANSWER);
+    t.equal(String((await once(caller, "data"))[0]), ANSWER, "a request that was passed on before is answered");
+    const received = neighbour.bytesRead;
+    caller.write("second");
+    await waitUntil("failed over", () => setup.lost.length === 1);
+    t.equal(String(setup.lost[0]!.bytes), "second");
+    t.equal(setup.lost[0]!.mayHaveRun, false);
+    t.equal(neighbour.bytesRead, received);
+});
--- a/test/tools/relaySetup.ts
+++ b/test/tools/relaySetup.ts
@@ -25,6 +25,8 @@
     readonly lost: (LostRequest & { readonly caller: Socket; })[];
     /** Routers that have announced their stop. */
     readonly stopping: Set<string>;
+    /** Peer addresses of routers that serve an older configuration. */
+    readonly outdated: Set<string>;
     target: { address: string; relayAddress: string; };
     connectCaller(): Promise<Socket>;
 }
@@ -46,6 +48,7 @@
     const lost: (LostRequest & { readonly caller: Socket; })[] = [];
     const unreachable = new Set<string>();
     const stopping = new Set<string>();
+    const outdated = new Set<string>();
     const neighbourPort = await listen(
         t,
         createServer({ allowHalfOpen: true }, socket => accepted.push(socket.on("error", () => undefined))),
@@ -54,6 +57,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         maxConnections: options.maxConnections ?? 10,
         isReachable: address => !unreachable.has(address),
+        isOutdated: address => outdated.has(address),
         isStopping: address => stopping.has(address),
         instance: createRandomId(),
         getMaxReadDelayMs: () => 0,
@@ -82,6 +86,7 @@
         lost,
         unreachable,
         stopping,
+        outdated,
         target: { address: "r2", relayAddress: `127.0.0.1:${neighbourPort}` },
         connectCaller: async () => {
             const caller = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
