--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -142,8 +142,12 @@
     }
 
     /** Cuts a box off from the controllers, without telling either. `forward` is the way from the box. */
-    cutFromControllers(box: string, direction?: CutDirection): void {
+    cutFromControllers(box: string, direction: CutDirection = "both"): void {
         this.links.get(box)!.forEach(link => link.cutSilently(direction));
+        const opposite = direction === "both" ? "both" : direction === "forward" ? "back" : "forward";
+        for (const controller of this.listControllers()) {
+            this.links.get(controller)!.get(`${this.getIp(box)}:${PEER_PORT}`)?.cutSilently(opposite);
+        }
     }
 
     healLinks(): void {
