--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -3,18 +3,13 @@
  * time, so that each chunk is passed on by plain event handlers, and timeouts share one timer.
  */
 import type { Socket } from "node:net";
-import type { RequestRetention } from "../../domain/relayedExchange.js";
+import type { RequestRetention, RequestTerms } from "../../domain/relayedExchange.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import { DeadlineQueue } from "../deadlineQueue.js";
 import type { ReadPacer } from "../readPacer.js";
-import {
-    type FailoverCause,
-    type RelayCloseCause,
-    RelayedConnection,
-    type RelayProgress,
-    type RelayTarget,
-} from "./relayedConnection.js";
+import { RelayedConnection, type RelayTarget } from "./relayedConnection.js";
+import type { FailoverCause, RelayCloseCause, RelayProgress } from "./relayEvents.js";
 
 /** Size of the buffer into which all connections to other routers are read. */
 const READ_BUFFER_BYTES = 65_536;
@@ -34,14 +29,6 @@
     readonly startedAt: number;
 }
 
-/** What a router needs to know of a request in order to wait for its answer. */
-export interface RequestTerms {
-    /** Whether its route allows another attempt. */
-    readonly mayRepeat: boolean;
-    /** From when the request was passed on, in milliseconds. */
-    readonly timeoutMs: number;
-}
-
 /** Serves the callers of relayed connections here when the router that they were relayed to is lost. */
 export interface RelayFailover {
     readonly retention: RequestRetention;
@@ -62,6 +49,8 @@
     readonly isConnected: (address: string) => boolean;
     /** Whether a router has announced that its process is about to end, by its peer address. */
     readonly isStopping: (address: string) => boolean;
+    /** Whether a router is known to serve an older configuration than this one, by its peer address. */
+    readonly isOutdated: (address: string) => boolean;
     /** Identifies this process to the routers that it relays to. */
     readonly instance: string;
     /** Time after which a connection attempt to another router is given up, in milliseconds. */
@@ -176,6 +165,11 @@
         return !this.options.isReachable(address) && !this.options.isStopping(address);
     }
 
+    /** Whether a router is known to serve an older configuration than this one. */
+    isOutdated(address: string): boolean {
+        return this.options.isOutdated(address);
+    }
+
     getInstance(): string {
         return this.options.instance;
     }
--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -1,11 +1,12 @@
 /** One relayed connection: passes bytes between a caller and the router that serves it, and decides what becomes of the caller if that is lost. */
 import { connect, type Socket } from "node:net";
-import { type NeighbourEnd, RelayedExchange } from "../../domain/relayedExchange.js";
+import { type NeighbourEnd, RelayedExchange, resolveLostLink } from "../../domain/relayedExchange.js";
 import { tryReadArrived } from "../arrivedInput.js";
 import { waitForNextPoll } from "../nextPoll.js";
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { isResetAtEnd } from "../socketReset.js";
 import type { ConnectionRelay, LostRequest } from "./connectionRelay.js";
+import type { FailoverCause, RelayCloseCause, RelayProgress, RelayResetCause } from "./relayEvents.js";
 import { encodeRelayPreamble } from "./relayPreamble.js";
 
 /** Reads of an answer that are never followed by a pause: the head, and the first bytes of the body. */
@@ -14,12 +15,6 @@
 /** Time from the connection to the neighbour until a request that the caller had sent before it is read, in milliseconds. */
 const FIRST_REQUEST_WINDOW_MS = 250;
 
-/**
- * Longest silence on a relayed connection after its neighbour's peer link was lost, in milliseconds, while a part of an answer is there. A process that is
- * only paused or slow goes on; the system finds out within about this time that a box is gone.
- */
-const LOST_LINK_TIMEOUT_MS = 10_000;
-
 /** Silence after which the system asks whether the box of the other router still answers, in milliseconds. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
 
@@ -31,32 +26,6 @@
     readonly relayAddress: string;
 }
 
-/** What a relayed connection has carried, for logs. Bytes, milliseconds. */
-export interface RelayProgress {
-    readonly age_ms: number;
-    /** Estimated time in the listen queue. */
-    readonly unaccepted_ms: number;
-    /** Local port of the connection to the other router. */
-    readonly port: number | undefined;
-    /** Time since bytes were last passed on. */
-    readonly quiet_ms: number;
-    readonly request_bytes: number;
-    readonly answer_bytes: number;
-    /** Bytes of the answer that the caller has not taken. */
-    readonly unsent_bytes: number;
-    /** Whether bytes of an answer have come since the caller last sent something. */
-    readonly answering: boolean;
-}
-
-/** Why this router closed a relayed connection regularly. */
-export type RelayCloseCause = "callerKeepsOpen" | "callerLeft" | "stopping";
-
-/** Why this router serves the caller of a relayed connection. `late`: without a link to the other router, its time to answer is over. */
-export type FailoverCause = "late" | "linkLost" | "neighbourClosed" | "neighbourReset" | "stopping";
-
-/** Why a relayed connection was reset. */
-export type RelayResetCause = "neighbourLost" | "neighbourUnreachable" | "stopping";
-
 /** A caller's connection and its continuation to another router. Either buffers at most its high-water mark. */
 export class RelayedConnection {
     /** Whether the neighbour has sent everything. */
@@ -83,6 +52,7 @@
     /** When the peer link to the neighbour was lost; undefined while there is one. Monotonic clock, milliseconds. */
     private linkLostAt: number | undefined;
     private linkTimer: NodeJS.Timeout | undefined;
+    private callerHandlers: readonly (readonly [string, (bytes: Buffer) => void])[] = [];
     /** Whether the caller's connection has no neighbour any more, and waits for a request that is served here. */
     private isDetached = false;
 
@@ -187,11 +157,14 @@
         this.state = "open";
         this.openedAt = performance.now();
         this.relay.recordConnected();
-        caller.on("data", this.handleRequest);
-        caller.on("end", this.handleCallerEnd);
-        caller.on("drain", this.handleCallerDrain);
-        caller.on("error", this.handleCallerClose);
-        caller.on("close", this.handleCallerClose);
+        this.callerHandlers = [
+            ["data", this.handleRequest],
+            ["end", this.handleCallerEnd],
+            ["drain", this.handleCallerDrain],
+            ["error", this.handleCallerClose],
+            ["close", this.handleCallerClose],
+        ];
+        this.callerHandlers.forEach(([event, handler]) => caller.on(event, handler));
         neighbour.on("end", () => void this.handleNeighbourEnd());
         neighbour.on("drain", () => caller.resume());
         neighbour.on("close", () => this.handleNeighbourClose());
@@ -267,9 +240,10 @@
         this.answerReads = 0;
         const isFirst = this.exchange?.getState() === "idle";
         this.exchange?.recordRequest(chunk, this.lastBytesAt);
-        if (isFirst && (this.linkLostAt !== undefined || this.relay.isLost(this.target.address))) {
+        const cause = isFirst ? this.tryGetFirstCause() : undefined;
+        if (cause !== undefined) {
             // Nothing of this request has been passed on.
-            this.failOver("linkLost", "closed");
+            this.failOver(cause, "closed");
             return;
         }
         if (this.isPaced) {
@@ -280,6 +254,15 @@
         }
     }
 
+    /** Returns why a request is not to be passed on, nothing of which has been; undefined if it is. */
+    private tryGetFirstCause(): FailoverCause | undefined {
+        if (this.linkLostAt !== undefined || this.relay.isLost(this.target.address)) {
+            return "linkLost";
+        }
+        // A router that is paused would answer by the older configuration when it goes on.
+        return this.relay.isOutdated(this.target.address) ? "outdated" : undefined;
+    }
+
     /** Sends the preamble together with the first bytes, which saves a packet. */
     private addPreamble(chunk: Buffer): Buffer {
         if (this.isPreambleSent) {
@@ -360,21 +343,25 @@
             return;
         }
         const exchange = this.exchange!;
-        const state = exchange.getState();
-        if (state === "idle") {
+        const action = resolveLostLink(
+            exchange,
+            this.relay.tryGetTerms(exchange.tryGetHead()),
+            this.relay.isStopping(this.target.address),
+            Math.max(this.lastBytesAt, this.linkLostAt),
+        );
+        if (action.type === "detach") {
             this.detach("linkLost");
-            return;
         }
-        const isUnanswered = state === "unanswered";
-        const terms = isUnanswered ? this.relay.tryGetTerms(exchange.tryGetHead()) : undefined;
-        if (terms?.mayRepeat === true && !this.relay.isStopping(this.target.address)) {
+        else if (action.type === "failOver") {
             this.failOver("linkLost", "reset");
-            return;
         }
-        const endsAt = terms === undefined
-            ? Math.max(this.lastBytesAt, this.linkLostAt) + LOST_LINK_TIMEOUT_MS
-            : exchange.getStartedAt() + terms.timeoutMs;
-        const remainingMs = endsAt - performance.now();
+        else {
+            this.waitWithoutLink(action.until);
+        }
+    }
+
+    private waitWithoutLink(until: number): void {
+        const remainingMs = until - performance.now();
         if (remainingMs <= 0) {
             this.handleLoss("reset", "late");
         }
@@ -507,11 +494,7 @@
             );
         }
         caller.pause();
-        caller.off("data", this.handleRequest);
-        caller.off("end", this.handleCallerEnd);
-        caller.off("drain", this.handleCallerDrain);
-        caller.off("error", this.handleCallerClose);
-        caller.off("close", this.handleCallerClose);
+        this.callerHandlers.forEach(([event, handler]) => caller.off(event, handler));
         this.finish();
         neighbour.resetAndDestroy();
         handOver({ bytes, mayHaveRun, startedAt: exchange.getStartedAt() });
--- a/src/domain/relayedExchange.ts
+++ b/src/domain/relayedExchange.ts
@@ -33,6 +33,48 @@
  */
 export type ExchangeState = "idle" | "unanswered" | "answering" | "unframed" | "unknown";
 
+/** What a router needs to know of a request in order to wait for its answer. */
+export interface RequestTerms {
+    /** Whether its route allows another attempt. */
+    readonly mayRepeat: boolean;
+    /** From when the request was passed on, in milliseconds. */
+    readonly timeoutMs: number;
+}
+
+/** What becomes of a connection without a link to its serving router. `wait`: until `until`, monotonic clock, milliseconds. */
+export type LostLinkAction =
+    | { readonly type: "detach"; }
+    | { readonly type: "failOver"; }
+    | { readonly type: "wait"; readonly until: number; };
+
+/**
+ * Longest silence on a relayed connection without a link to its serving router, in milliseconds. A process that is only paused or slow goes on; the
+ * system finds out within about this time that a box is gone.
+ */
+const MAX_SILENCE_MS = 10_000;
+
+/**
+ * Decides how long a serving router is waited for without a link to it, which may be paused, slow or about to end (`isStopping`): a request that may be
+ * repeated is not kept waiting; the others may be running. `terms`: of an unanswered request. Monotonic clock, milliseconds.
+ */
+export function resolveLostLink(
+    exchange: Pick<RelayedExchange, "getState" | "getStartedAt">,
+    terms: RequestTerms | undefined,
+    isStopping: boolean,
+    quietSince: number,
+): LostLinkAction {
+    const state = exchange.getState();
+    if (state === "idle") {
+        return { type: "detach" };
+    }
+    if (state !== "unanswered" || terms === undefined) {
+        return { type: "wait", until: quietSince + MAX_SILENCE_MS };
+    }
+    return terms.mayRepeat && !isStopping
+        ? { type: "failOver" }
+        : { type: "wait", until: exchange.getStartedAt() + terms.timeoutMs };
+}
+
 /** How the connection to the serving router ended. A reset discards what was sent before it, also a confirmation. */
 export type NeighbourEnd = "closed" | "reset";
 
@@ -80,7 +122,11 @@
         if (this.answers.isInMessage()) {
             return this.answers.isUnframed() ? "unframed" : "answering";
         }
-        return this.hasRequest ? "unanswered" : "idle";
+        if (!this.hasRequest) {
+            // The rest of a request whose answer has ended is no further request.
+            return this.requests.isInMessage() ? "unknown" : "idle";
+        }
+        return "unanswered";
     }
 
     /** Returns when the request under way began. Monotonic clock, milliseconds. */
--- a/test/adapters/leavingOrders.test.ts
+++ b/test/adapters/leavingOrders.test.ts
@@ -63,6 +63,7 @@
     maxConnections: 1_000,
     isReachable: () => true,
     isConnected: () => true,
+    isOutdated: () => false,
     isStopping: () => false,
     instance: createRandomId(),
     getMaxReadDelayMs: () => 0,
--- a/test/adapters/relayFailover.test.ts
+++ b/test/adapters/relayFailover.test.ts
@@ -2,8 +2,8 @@
 import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import t, { type Test } from "tap";
-import type { RequestTerms } from "../../src/adapters/http/connectionRelay.js";
 import { RelayListener } from "../../src/adapters/http/relayListener.js";
+import type { RequestTerms } from "../../src/domain/relayedExchange.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { createRelaySetup, listen, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
@@ -242,3 +242,18 @@
     await closed;
     t.ok(receivedBytes > MANY_BYTES, `${receivedBytes} bytes`);
 });
+
+// Guards against answers by an older configuration of a router that was paused when the configuration changed.
+void t.test("a request that comes while the serving router has an older configuration is not passed on", async t => {
+    const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
+    const { caller, neighbour } = await openRelayed(setup, REQUEST);
+    setup.outdated.add("r2");
+    neighbour.write(ANSWER);
+    t.equal(String((await once(caller, "data"))[0]), ANSWER, "a request that was passed on before is answered");
+    const received = neighbour.bytesRead;
+    caller.write(REQUEST);
+    await waitUntil("failed over", () => setup.lost.length === 1);
+    t.equal(String(setup.lost[0]!.bytes), REQUEST);
+    t.equal(setup.lost[0]!.mayHaveRun, false);
+    t.equal(neighbour.bytesRead, received);
+});
--- a/test/domain/relayedExchange.test.ts
+++ b/test/domain/relayedExchange.test.ts
@@ -1,6 +1,11 @@
 /** Guards against requests that are lost, or run again, when the router that serves a relayed connection is lost. */
 import t from "tap";
-import { type NeighbourEnd, RelayedExchange, RequestRetention } from "../../src/domain/relayedExchange.js";
+import {
+    type NeighbourEnd,
+    RelayedExchange,
+    RequestRetention,
+    resolveLostLink,
+} from "../../src/domain/relayedExchange.js";
 
 const REQUEST = Buffer.from("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}");
 const CONFIRMATION = Buffer.from("HTTP/1.1 102 Processing\r\n\r\n");
@@ -109,3 +114,22 @@
     t.equal(retention.getRetainedBytes(), 0);
     t.end();
 });
+
+void t.test("without a link, only a request that may be repeated is not waited for, and each wait has an end", t => {
+    const { exchange } = createExchange();
+    const repeatable = { mayRepeat: true, timeoutMs: 500 };
+    const other = { mayRepeat: false, timeoutMs: 500 };
+    t.same(resolveLostLink(exchange, undefined, false, 50), { type: "detach" });
+    exchange.recordRequest(REQUEST, 7);
+    t.same(resolveLostLink(exchange, repeatable, false, 50), { type: "failOver" });
+    t.same(
+        resolveLostLink(exchange, repeatable, true, 50),
+        { type: "wait", until: 507 },
+        "it is about to end by itself",
+    );
+    t.same(resolveLostLink(exchange, other, false, 50), { type: "wait", until: 507 });
+    t.same(resolveLostLink(exchange, undefined, false, 50), { type: "wait", until: 10_050 }, "without a route");
+    exchange.readAnswer(ANSWER.subarray(0, ANSWER.length - 1));
+    t.same(resolveLostLink(exchange, repeatable, false, 50), { type: "wait", until: 10_050 }, "a part of an answer");
+    t.end();
+});
--- a/test/tools/relaySetup.ts
+++ b/test/tools/relaySetup.ts
@@ -2,11 +2,11 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import type { Test } from "tap";
-import { ConnectionRelay, type LostRequest, type RequestTerms } from "../../src/adapters/http/connectionRelay.js";
+import { ConnectionRelay, type LostRequest } from "../../src/adapters/http/connectionRelay.js";
 import { ReadPacer } from "../../src/adapters/readPacer.js";
 import { isResetAtEnd } from "../../src/adapters/socketReset.js";
 import { createRandomId } from "../../src/domain/identifiers.js";
-import { RequestRetention } from "../../src/domain/relayedExchange.js";
+import { RequestRetention, type RequestTerms } from "../../src/domain/relayedExchange.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { waitUntil } from "./waiting.js";
@@ -25,6 +25,8 @@
     readonly lost: (LostRequest & { readonly caller: Socket; })[];
     /** Routers that have announced their stop. */
     readonly stopping: Set<string>;
+    /** Peer addresses of routers that serve an older configuration. */
+    readonly outdated: Set<string>;
     target: { address: string; relayAddress: string; };
     connectCaller(): Promise<Socket>;
 }
@@ -46,6 +48,7 @@
     const lost: (LostRequest & { readonly caller: Socket; })[] = [];
     const unreachable = new Set<string>();
     const stopping = new Set<string>();
+    const outdated = new Set<string>();
     const neighbourPort = await listen(
         t,
         createServer({ allowHalfOpen: true }, socket => accepted.push(socket.on("error", () => undefined))),
@@ -55,6 +58,7 @@
         maxConnections: options.maxConnections ?? 10,
         isReachable: address => !unreachable.has(address),
         isConnected: address => !unreachable.has(address),
+        isOutdated: address => outdated.has(address),
         isStopping: address => stopping.has(address),
         instance: createRandomId(),
         getMaxReadDelayMs: () => 0,
@@ -84,6 +88,7 @@
         lost,
         unreachable,
         stopping,
+        outdated,
         target: { address: "r2", relayAddress: `127.0.0.1:${neighbourPort}` },
         connectCaller: async () => {
             const caller = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
