Soak: routers are lost while they serve relayed connections

The soak killed and paused routers at random, and judged lost answers only beside planned work. A request that ended without an answer because the router that served it for another one was lost passed unnoticed.

KeptCallers take their habits and the audit as parameters; an answer that was reset after its head counts as begun, and its bytes are checked like all others.

--- a/test/soak/keptCallers.ts
+++ b/test/soak/keptCallers.ts
@@ -1,11 +1,16 @@
 /** Callers that keep a connection and use it until it is closed, and that open new ones where the platform would. */
 import { Agent, type IncomingMessage, request } from "node:http";
 import { CALLER_PORT, READINESS_PORT } from "../tools/boxSettingsText.js";
-import type { LossAudit } from "../tools/lossAudit.js";
 import { wait } from "../tools/waiting.js";
 import type { SoakBox } from "./soakBox.js";
 import { type CallerOutcome, createHeaders, EVENT_END, type RequestKind, type SoakCallers } from "./soakCallers.js";
-import { LARGE_ANSWER_BYTES, LARGE_LOOKUP_PATH, QUIET_STREAM_PATH } from "./soakEngine.js";
+import {
+    LARGE_ANSWER_BYTES,
+    LARGE_LOOKUP_PATH,
+    QUIET_STREAM_PATH,
+    SLOW_CHANGE_PATH,
+    SLOW_LOOKUP_PATH,
+} from "./soakEngine.js";
 
 /** Longer than the grace period of a stop; the timeout of the routes is longer. */
 const DEADLINE_MS = 10_000;
@@ -13,18 +18,33 @@
 const SHORT_TIMEOUT_MS = 4_000;
 /** How long a caller waits beyond its deadline for an answer. */
 const PATIENCE_MS = 2_000;
-/** Callers open their first connections one after the other, also while routers relay. */
-const OPENING_MS = 5_000;
 const NO_ROUTER_PAUSE_MS = 100;
 const MAX_SHORT_PAUSE_MS = 250;
-const MAX_LONG_PAUSE_MS = 7_000;
-/** Longest silence in the middle of a stream, before a large answer is read, and between the parts of a body. */
-const MAX_SILENCE_MS = 3_000;
 const PROBE_PERIOD_MS = 1_000;
 const MAX_FAILED_PROBES = 1;
 
 const BODY_PARTS = ["{", "}"] as const;
 
+/** What callers send and when, in milliseconds. */
+export interface CallerHabits {
+    readonly count: number;
+    /** Callers open their first connections one after the other in this time, also while routers relay. */
+    readonly openingMs: number;
+    readonly maxLongPauseMs: number;
+    /** Longest silence in the middle of a stream, before a large answer is read, and between the parts of a body. */
+    readonly maxSilenceMs: number;
+    /** Whether lookups and changes whose body is sent in one part take a second. */
+    readonly areSlow: boolean;
+}
+
+/** Judges how answers end. */
+export interface AnswerAudit {
+    recordDeadline?(id: string, ms: number): void;
+    recordSent(id: string, router: string, at: number): void;
+    /** `hasBegun`: whether the head of the answer arrived. */
+    recordAnswerEnd(id: string, at: number, isWhole: boolean, cause: string | undefined, hasBegun: boolean): void;
+}
+
 /** One request: how its caller sends it and reads the answer. */
 interface KeptRequest {
     readonly kind: RequestKind;
@@ -76,14 +96,15 @@
 
     /** `callers`: judge the answers together with their own. */
     constructor(
-        count: number,
+        private readonly habits: CallerHabits,
         private readonly routers: readonly SoakBox[],
-        private readonly probes: ReadinessProbes,
+        private readonly probes: Pick<ReadinessProbes, "listReady">,
         private readonly callers: SoakCallers,
-        private readonly losses: LossAudit,
+        private readonly losses: AnswerAudit,
         private readonly random: () => number,
     ) {
-        this.tasks = Array.from({ length: count }, (_, i) => this.runCaller(i, i / count * OPENING_MS));
+        const { count, openingMs } = habits;
+        this.tasks = Array.from({ length: count }, (_, i) => this.runCaller(i, i / count * openingMs));
     }
 
     /** Resolves when every request has ended. */
@@ -95,7 +116,7 @@
     /** One caller in four opens a connection for each request, and one in four pauses for long. */
     private async runCaller(index: number, delayMs: number): Promise<void> {
         const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-        const maxPauseMs = index % 4 === 1 ? MAX_LONG_PAUSE_MS : MAX_SHORT_PAUSE_MS;
+        const maxPauseMs = index % 4 === 1 ? this.habits.maxLongPauseMs : MAX_SHORT_PAUSE_MS;
         let router: SoakBox | undefined;
         await wait(delayMs);
         while (this.running) {
@@ -120,7 +141,8 @@
     }
 
     private createRequest(): KeptRequest {
-        const silenceMs = Math.round(this.random() * MAX_SILENCE_MS);
+        const { maxSilenceMs, areSlow } = this.habits;
+        const silenceMs = Math.round(this.random() * maxSilenceMs);
         const kind = this.random();
         if (kind < 0.4) {
             return { kind: "stream", path: `${QUIET_STREAM_PATH}${silenceMs}`, partsMs: 0, lateMs: 0 };
@@ -131,23 +153,35 @@
         if (kind < 0.6) {
             return { kind: "lookup", path: "/l/x", partsMs: silenceMs, lateMs: 0 };
         }
-        return { kind: kind < 0.8 ? "lookup" : "change", path: kind < 0.8 ? "/l/x" : "/c/x", partsMs: 0, lateMs: 0 };
+        const lookupPath = areSlow ? SLOW_LOOKUP_PATH : "/l/x";
+        const changePath = areSlow ? SLOW_CHANGE_PATH : "/c/x";
+        return kind < 0.8
+            ? { kind: "lookup", path: lookupPath, partsMs: 0, lateMs: 0 }
+            : { kind: "change", path: changePath, partsMs: 0, lateMs: 0 };
     }
 
     private async exchange(agent: Agent, router: SoakBox, sent: KeptRequest): Promise<void> {
         const { kind, path, partsMs } = sent;
         const id = this.callers.registerRequest(kind, this.routers.indexOf(router), DEADLINE_MS);
         const isSlow = path.startsWith(QUIET_STREAM_PATH) || path === LARGE_LOOKUP_PATH;
-        this.losses.recordDeadline(id, isSlow ? DEADLINE_MS : SHORT_TIMEOUT_MS);
+        this.losses.recordDeadline?.(id, isSlow ? DEADLINE_MS : SHORT_TIMEOUT_MS);
         const outcome = await new Promise<CallerOutcome>(resolve => {
             const headers = { ...createHeaders(id, kind, DEADLINE_MS), "content-length": BODY_PARTS.join("").length };
             const signal = AbortSignal.timeout(DEADLINE_MS + PATIENCE_MS);
             const host = router.options.ip;
             const call = request({ agent, host, port: CALLER_PORT, method: "POST", path, headers, signal });
             call.on("finish", () => this.losses.recordSent(id, router.options.name, performance.now()));
-            call.on("response", message => void this.receive(id, message, sent).then(resolve));
+            let hasBegun = false;
+            call.on("response", message => {
+                hasBegun = true;
+                void this.receive(id, message, sent).then(resolve);
+            });
             call.on("error", ({ message }) => {
-                this.losses.recordAnswerEnd(id, performance.now(), false, message);
+                if (hasBegun) {
+                    // The answer ends with the same error.
+                    return;
+                }
+                this.losses.recordAnswerEnd(id, performance.now(), false, message, false);
                 resolve(createOutcome(id, kind, undefined, ""));
             });
             call.write(BODY_PARTS[0]);
@@ -168,7 +202,7 @@
         catch (error) {
             cause = String(error);
         }
-        this.losses.recordAnswerEnd(id, performance.now(), message.complete, cause);
+        this.losses.recordAnswerEnd(id, performance.now(), message.complete, cause, true);
         return createOutcome(id, kind, message.complete ? message : undefined, text);
     }
 }
--- a/test/soak/plannedPhase.ts
+++ b/test/soak/plannedPhase.ts
@@ -5,13 +5,19 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { LossAudit } from "../tools/lossAudit.js";
 import { wait, waitUntil } from "../tools/waiting.js";
-import { isRouterReady, KeptCallers, ReadinessProbes } from "./keptCallers.js";
+import { type CallerHabits, isRouterReady, KeptCallers, ReadinessProbes } from "./keptCallers.js";
 import { GRACE_MS, RELAY_PORT, type SoakBox } from "./soakBox.js";
 import type { SoakCallers } from "./soakCallers.js";
 import type { RunBook } from "./soakEngine.js";
 import type { SoakOperator } from "./soakOperator.js";
 
-const KEPT_CALLERS = 30;
+const HABITS: CallerHabits = {
+    count: 30,
+    openingMs: 5_000,
+    maxLongPauseMs: 7_000,
+    maxSilenceMs: 3_000,
+    areSlow: false,
+};
 /** Time from the last disruption until planned work is judged, and from when a router is busy until it relays connections. */
 const CALM_MS = 3_500;
 /** Time in which stops begin; the last one ends up to a grace period later. */
@@ -45,7 +51,7 @@
     });
     book.losses = losses;
     const probes = new ReadinessProbes(routers);
-    const keptCallers = new KeptCallers(KEPT_CALLERS, routers, probes, callers, losses, createRandom(seed));
+    const keptCallers = new KeptCallers(HABITS, routers, probes, callers, losses, createRandom(seed));
     const work = new PlannedWork(targets, losses, createRandom(seed), story);
     try {
         await work.run();
@@ -57,7 +63,7 @@
     return [...work.faults, ...losses.listLosses()];
 }
 
-function createRandom(seed: number): () => number {
+export function createRandom(seed: number): () => number {
     // Seeds near each other begin alike.
     const generator = xoroshiro128plus(seed * 0x9e3779b1);
     return () => (generator.next() >>> 0) / 2 ** 32;
--- a/test/soak/relayCounter.ts
+++ b/test/soak/relayCounter.ts
@@ -18,12 +18,15 @@
      * connect that were given up for one of these reasons.
      */
     readonly reset: number;
+    /** Relayed connections whose callers were served on, as the other router was lost. */
+    readonly failedOver: number;
     /** Connections served locally because the other router could not be reached. */
     readonly keptLocal: number;
 }
 
-export function formatRelayCounts({ relayed, reset, keptLocal }: RelayCounts): string {
-    return `connections: at least ${relayed} relayed, ${reset} reset, ${keptLocal} served locally after a failed attempt`;
+export function formatRelayCounts({ relayed, reset, failedOver, keptLocal }: RelayCounts): string {
+    const keptText = `${keptLocal} served locally after a failed attempt`;
+    return `connections: at least ${relayed} relayed, ${reset} reset, ${failedOver} failed over, ${keptText}`;
 }
 
 export class RelayCounter {
@@ -45,10 +48,12 @@
     async stop(): Promise<RelayCounts> {
         this.running = false;
         await Promise.all(this.tasks);
-        const reasons = (await Promise.all(this.routers.map(readFailureReasons))).flat();
+        const logs = await Promise.all(this.routers.map(readLog));
+        const reasons = logs.flatMap(listFailureReasons);
+        const failedOver = logs.join("").split(" event=relay_failed_over ").length - 1;
         const reset = reasons.filter(reason => RESET_REASONS.has(reason)).length;
         const relayed = [...this.latest.values()].reduce((sum, count) => sum + count, this.relayedBefore);
-        return { relayed, reset, keptLocal: reasons.length - reset };
+        return { relayed, reset, failedOver, keptLocal: reasons.length - reset };
     }
 
     private async runReading(router: SoakBox): Promise<void> {
@@ -77,8 +82,11 @@
     }
 }
 
-async function readFailureReasons(router: SoakBox): Promise<string[]> {
+async function readLog(router: SoakBox): Promise<string> {
     // A router that was never started has no log.
-    const text = await readFile(router.getLogPath(), "utf8").catch(() => "");
-    return [...text.matchAll(/ event=relay_failed .*reason=(\S+)/gu)].map(([, reason]) => reason!);
+    return readFile(router.getLogPath(), "utf8").catch(() => "");
+}
+
+function listFailureReasons(log: string): string[] {
+    return [...log.matchAll(/ event=relay_failed .*reason=(\S+)/gu)].map(([, reason]) => reason!);
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -12,6 +12,7 @@
 import { checkDeadlyPart } from "./deadlyPart.js";
 import { checkLeavingCallers } from "./leavingPhase.js";
 import { checkLeftRequests } from "./leftRequestsPhase.js";
+import { playLostRouters } from "./lostRoutersPhase.js";
 import { playPlannedPhase } from "./plannedPhase.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
 import { checkSharedLimits } from "./sharedLimits.js";
@@ -124,10 +125,12 @@
         await this.waitServing(callers);
         this.relayCounter.start();
         const { routers, operator, book } = this;
-        const losses = await playPlannedPhase({ routers, operator, callers, book }, this.options.seed, this.story);
+        const targets = { routers, operator, callers, book };
+        const losses = await playPlannedPhase(targets, this.options.seed, this.story);
         if (this.options.faultMs === 0) {
             return [...losses, ...operator.faults, ...findCallerFaults(callers, book)];
         }
+        losses.push(...await playLostRouters(targets, this.options.seed, this.story));
         this.faults = new SoakFaults(
             { routers: this.routers, controllers: this.controllers, engines: this.engines },
             this.random,
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -13,7 +13,7 @@
 /** Where a router accepts connections that other routers relay to it. */
 export const RELAY_PORT = PEER_PORT + 1;
 /** Pause before a process that has ended is started again. */
-const RESTART_MS = 250;
+export const RESTART_MS = 250;
 /** The longest that a planned stop takes. */
 export const GRACE_MS = 8_000;
 const HEARTBEAT_MS = 400;
--- a/test/soak/soakEngine.ts
+++ b/test/soak/soakEngine.ts
@@ -9,8 +9,10 @@
 /** Tokens of one event of a stream. */
 export const TOKENS_PER_EVENT = 5;
 const EVENT_MS = 15;
-/** A lookup of this path takes a while. */
+/** A lookup or change of these paths takes a while. */
 export const SLOW_LOOKUP_PATH = "/l/slow";
+export const SLOW_CHANGE_PATH = "/c/slow";
+const SLOW_PATHS: readonly (string | undefined)[] = [SLOW_LOOKUP_PATH, SLOW_CHANGE_PATH];
 const SLOW_LOOKUP_MS = 1_000;
 /** A stream of this path and a number is silent for so many milliseconds in its middle. */
 export const QUIET_STREAM_PATH = "/s/quiet/";
@@ -271,7 +273,7 @@
         }
         else {
             const size = message.url === LARGE_LOOKUP_PATH ? LARGE_ANSWER_BYTES : 0;
-            this.answerLookup(id, message.url === SLOW_LOOKUP_PATH ? SLOW_LOOKUP_MS : EVENT_MS, response, size);
+            this.answerLookup(id, SLOW_PATHS.includes(message.url) ? SLOW_LOOKUP_MS : EVENT_MS, response, size);
         }
     }
 
