--- a/test/adapters/connectionRelay.test.ts
+++ b/test/adapters/connectionRelay.test.ts
@@ -3,7 +3,14 @@
 import { connect, createServer } from "node:net";
 import { Worker } from "node:worker_threads";
 import t, { type Test } from "tap";
-import { CONNECT_TIMEOUT_MS, createRelaySetup, listen, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
+import {
+    CONNECT_TIMEOUT_MS,
+    createRelaySetup,
+    listen,
+    openRelayed,
+    readChunk,
+    waitForEnd,
+} from "../tools/relaySetup.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
 const MANY_BYTES = 20_000_000;
