--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -16,12 +16,14 @@
     SMALL_BOX_LIMITS,
 } from "./boxSettingsText.js";
 import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
+import type { CpuLimiter } from "./cpuLimiter.js";
 import { tryOpenLogFolder } from "./testLogs.js";
 import { waitUntil } from "./waiting.js";
 
 const CALL_TIMEOUT_MS = 2_000;
 const START_TIMEOUT_MS = 90_000;
 export const ENGINE_REPORT_MS = 400;
+const SIGHUP_BIT = 1n;
 /** Build whose programs run; another one can be named to compare it. */
 const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
 const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
@@ -38,6 +40,10 @@
     readonly hasSmallRouters?: boolean;
     /** The longest that a planned stop takes, in seconds; the platform's default if undefined. */
     readonly graceS?: number;
+    /** CPU time that boxes get; that of routers is in their settings as well. Unlimited if undefined. */
+    readonly cpu?: { readonly limiter: CpuLimiter; readonly routerCores: number; readonly controllerCores: number; };
+    /** Disks that may be lost at once; the platform's default for tests if undefined. */
+    readonly toleratedLosses?: number;
 }
 
 /** How a process ended. */
@@ -110,7 +116,23 @@
         const main = [join(programRoot, "dist", "platform", "main.js"), role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
         const args = [...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
-        this.processes.set(box, spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box)));
+        const child = spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box));
+        this.processes.set(box, child);
+        const { cpu } = this.options;
+        cpu?.limiter.limit(child, role === "router" ? cpu.routerCores : cpu.controllerCores);
+    }
+
+    /** Kills all processes at the same moment. `lostDisks`: boxes whose disks are empty afterwards. */
+    async killAll(lostDisks: readonly string[] = []): Promise<void> {
+        await Promise.all([...this.processes.values()].map(child => endProcess(child)));
+        for (const box of lostDisks) {
+            await rm(join(this.folder, box), { recursive: true });
+            await mkdir(join(this.folder, box));
+        }
+    }
+
+    startAll(): void {
+        [...this.listControllers(), ...this.listRouters()].forEach(box => this.startBox(box));
     }
 
     /** Keeps the event loop of a router on a small box busy. `fraction`: of its time, from 0 to 1 (exclusive). */
@@ -146,6 +168,23 @@
         }
     }
 
+    /** Tells a running process that its settings file has changed, in the slack of repeats. */
+    changeSettings(box: string, retrySlack: number): void {
+        const path = join(this.folder, `${box}.toml`);
+        writeFileSync(path, readFileSync(path, "utf8").replace(/retry_slack = \d+/, `retry_slack = ${retrySlack}`));
+        this.signal(box, "SIGHUP");
+    }
+
+    /** Returns whether a process handles SIGHUP, which ends it while Node.js itself starts. */
+    handlesReload(box: string): boolean {
+        const folder = `/proc/${this.processes.get(box)!.pid}`;
+        // Before it runs the program, the new process has the handlers of the test.
+        const runsProgram = readFileSync(join(folder, "cmdline"), "utf8").includes(join("platform", "main.js"));
+        const status = readFileSync(join(folder, "status"), "utf8");
+        const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
+        return runsProgram && (BigInt(`0x${caught}`) & SIGHUP_BIT) !== 0n;
+    }
+
     async restartBox(box: string, signal?: NodeJS.Signals): Promise<void> {
         await endProcess(this.processes.get(box)!, signal);
         this.startBox(box);
@@ -237,13 +276,20 @@
     }
 
     private formatSettings(box: string): string {
-        const { retryRatio, retrySlack, graceS } = this.options;
+        const { retryRatio, retrySlack, graceS, toleratedLosses, cpu } = this.options;
+        const cpuLimits = `
+            [limits]
+            cpu_quota = ${cpu?.routerCores}
+            cores = 1
+            memory_mb = 300
+        `;
         return formatBoxSettings({
             name: box,
             ip: this.getIp(box),
             seeds: this.listControllers().slice(0, 3).map(seed => `${this.getIp(seed)}:${ADMIN_PORT}`),
             isFirstStart: !this.startedBoxes.has(box),
             dataFolder: join(this.folder, box),
+            ...(toleratedLosses === undefined ? {} : { toleratedLosses }),
             heartbeatMs: ENGINE_REPORT_MS,
             sections: `
                 [bounds]
@@ -251,6 +297,7 @@
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
                 ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
+                ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
             `,
         });
     }
--- a/test/tools/tokenEngine.ts
+++ b/test/tools/tokenEngine.ts
@@ -17,15 +17,19 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private readonly running = new Set<string>();
+    /** Operators' interfaces of the controllers that it tells about itself: the first one that answers. */
+    private controllers: readonly string[];
     private sequence = 0;
     private isStopped = false;
 
     /** `address`: what routers connect to. */
     constructor(
-        private readonly fleet: ProcessFleet,
+        fleet: ProcessFleet,
         private readonly address: string,
         private readonly service = "engines",
+        private readonly id = "e1",
     ) {
+        this.controllers = fleet.listControllers().map(box => fleet.getControlUrl(box));
         this.server = createServer((message, response) => void this.answer(message, response));
         this.server.keepAliveTimeout = 60_000;
         this.server.on("connection", (socket: Socket) => this.sockets.add(socket));
@@ -45,6 +49,10 @@
         this.server.close();
     }
 
+    setControllers(urls: readonly string[]): void {
+        this.controllers = urls;
+    }
+
     /** Whether runs go on when their router has closed the connection for sending, as is usual for half-closed ones. */
     setHalfOpen(isHalfOpen: boolean): void {
         (this.server as unknown as { httpAllowHalfOpen: boolean; }).httpAllowHalfOpen = isHalfOpen;
@@ -59,11 +67,10 @@
     }
 
     private async runReports(): Promise<void> {
-        const controllers = this.fleet.listControllers().map(box => this.fleet.getControlUrl(box));
         while (!this.isStopped) {
             this.sequence += 1;
             if (this.isReporting) {
-                await registerUpstream(controllers, "e1", {
+                await registerUpstream(this.controllers, this.id, {
                     backend: this.service,
                     address: this.address,
                     zone: "z",
@@ -88,7 +95,7 @@
         this.count(account, promptTokens!);
         response.writeHead(200, {
             "Attempt-Id": id,
-            "Instance-Signature": `e1.${id}`,
+            "Instance-Signature": `${this.id}.${id}`,
             "Content-Type": "text/event-stream",
         });
         const events = maxOutputTokens! / TOKENS_PER_EVENT;
