--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -23,7 +23,6 @@
 const CALL_TIMEOUT_MS = 2_000;
 const START_TIMEOUT_MS = 90_000;
 export const ENGINE_REPORT_MS = 400;
-const SIGHUP_BIT = 1n;
 /** Build whose programs run; another one can be named to compare it. */
 const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
 const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
@@ -168,23 +167,6 @@
         }
     }
 
-    /** Tells a running process that its settings file has changed, in the slack of repeats. */
-    changeSettings(box: string, retrySlack: number): void {
-        const path = join(this.folder, `${box}.toml`);
-        writeFileSync(path, readFileSync(path, "utf8").replace(/retry_slack = \d+/, `retry_slack = ${retrySlack}`));
-        this.signal(box, "SIGHUP");
-    }
-
-    /** Returns whether a process handles SIGHUP, which ends it while Node.js itself starts. */
-    handlesReload(box: string): boolean {
-        const folder = `/proc/${this.processes.get(box)!.pid}`;
-        // Before it runs the program, the new process has the handlers of the test.
-        const runsProgram = readFileSync(join(folder, "cmdline"), "utf8").includes(join("platform", "main.js"));
-        const status = readFileSync(join(folder, "status"), "utf8");
-        const caught = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
-        return runsProgram && (BigInt(`0x${caught}`) & SIGHUP_BIT) !== 0n;
-    }
-
     async restartBox(box: string, signal?: NodeJS.Signals): Promise<void> {
         await endProcess(this.processes.get(box)!, signal);
         this.startBox(box);
