--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -17,6 +17,7 @@
     SMALL_BOX_LIMITS,
 } from "./boxSettingsText.js";
 import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
+import type { CpuLimiter } from "./cpuLimiter.js";
 import { type CutDirection, CutRelay } from "./cutRelay.js";
 import { tryOpenLogFolder } from "./testLogs.js";
 import { waitUntil } from "./waiting.js";
@@ -44,6 +45,10 @@
     readonly graceS?: number;
     /** Whether the links from each box to the controllers can be cut. */
     readonly hasCuttableLinks?: boolean;
+    /** CPU time that boxes get; that of routers is in their settings as well. Unlimited if undefined. */
+    readonly cpu?: { readonly limiter: CpuLimiter; readonly routerCores: number; readonly controllerCores: number; };
+    /** Disks that may be lost at once; the platform's default for tests if undefined. */
+    readonly toleratedLosses?: number;
 }
 
 /** How a controller has answered an operator. */
@@ -131,7 +136,23 @@
         const main = [join(programRoot, "dist", "platform", "main.js"), role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
         const args = [...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
-        this.processes.set(box, spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box)));
+        const child = spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box));
+        this.processes.set(box, child);
+        const { cpu } = this.options;
+        cpu?.limiter.limit(child, role === "router" ? cpu.routerCores : cpu.controllerCores);
+    }
+
+    /** Kills all processes at the same moment. `lostDisks`: boxes whose disks are empty afterwards. */
+    async killAll(lostDisks: readonly string[] = []): Promise<void> {
+        await Promise.all([...this.processes.values()].map(child => endProcess(child)));
+        for (const box of lostDisks) {
+            await rm(join(this.folder, box), { recursive: true });
+            await mkdir(join(this.folder, box));
+        }
+    }
+
+    startAll(): void {
+        [...this.listControllers(), ...this.listRouters()].forEach(box => this.startBox(box));
     }
 
     /** Keeps the event loop of a router on a small box busy. `fraction`: of its time, from 0 to 1 (exclusive). */
@@ -313,20 +334,32 @@
     }
 
     private formatSettings(box: string): string {
-        const { retryRatio, retrySlack, graceS } = this.options;
+        const { retryRatio, retrySlack, graceS, toleratedLosses, cpu } = this.options;
+        const cpuLimits = `
+            [limits]
+            cpu_quota = ${cpu?.routerCores}
+            cores = 1
+            memory_mb = 300
+        `;
         return formatBoxSettings({
             name: box,
             ip: this.getIp(box),
             seeds: this.listControllers().slice(0, 3).map(seed => `${this.getIp(seed)}:${ADMIN_PORT}`),
             isFirstStart: !this.startedBoxes.has(box),
             dataFolder: join(this.folder, box),
+            ...(toleratedLosses === undefined ? {} : { toleratedLosses }),
             heartbeatMs: ENGINE_REPORT_MS,
             sections: `
                 [bounds]
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
+<<<<<<< HEAD
                 ${this.isSmall(box) ? SMALL_BOX_LIMITS : ""}
+=======
+                ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
+                ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
+>>>>>>> c82e10fa7900fb1eb46ae516d4e7b5e5a2098def
             `,
         });
     }
