--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -67,7 +67,7 @@
     private readonly halfClosed = new DeadlineQueue<RelayedConnection>(
         HALF_CLOSED_TIMEOUT_MS,
         connection => connection.isOpen(),
-        connection => connection.expire(),
+        connection => connection.endOverdue(),
     );
     /** Shared by all connections: each read is copied before the next one. */
     private readonly readBuffer = Buffer.allocUnsafeSlow(READ_BUFFER_BYTES);
--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -444,7 +444,7 @@
     }
 
     /** Ends a connection whose caller has sent nothing for too long, or closes one that the caller keeps open after its end. */
-    expire(): void {
+    endOverdue(): void {
         if (this.isDetached && !this.hasNeighbourEnded) {
             this.endCaller();
         }
--- a/src/domain/messageFraming.ts
+++ b/src/domain/messageFraming.ts
@@ -187,7 +187,8 @@
 
 export class RequestFraming extends MessageFraming {
     private headText: string | undefined;
-    private wasAnnounced = false;
+    /** Whether the beginning of the request under way was reported. */
+    private isReported = false;
 
     /** `onBegin`: called at the first byte of each request. */
     constructor(private readonly onBegin: () => void) {
@@ -197,7 +198,7 @@
     override read(bytes: Buffer): Buffer {
         const passed = super.read(bytes);
         if (!this.isInMessage() && !LINE_ENDS.test(this.partial.toString("latin1"))) {
-            this.announce();
+            this.reportBegin();
         }
         return passed;
     }
@@ -208,18 +209,18 @@
     }
 
     protected override readHeadText(head: string): HeadKind {
-        this.announce();
+        this.reportBegin();
         this.headText = head.trimStart();
         return REQUEST_LINE.test(this.headText) ? "message" : "invalid";
     }
 
     protected override handleEnd(): void {
-        this.wasAnnounced = false;
+        this.isReported = false;
     }
 
-    private announce(): void {
-        if (!this.wasAnnounced) {
-            this.wasAnnounced = true;
+    private reportBegin(): void {
+        if (!this.isReported) {
+            this.isReported = true;
             this.headText = undefined;
             this.onBegin();
         }
