--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -354,12 +354,9 @@
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
-<<<<<<< HEAD
                 ${this.isSmall(box) ? SMALL_BOX_LIMITS : ""}
-=======
                 ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
                 ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
->>>>>>> c82e10fa7900fb1eb46ae516d4e7b5e5a2098def
             `,
         });
     }
