--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -355,7 +355,6 @@
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
                 ${this.isSmall(box) ? SMALL_BOX_LIMITS : ""}
-                ${this.hasPreload(box) ? SMALL_BOX_LIMITS : ""}
                 ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
             `,
         });
