--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -10,6 +10,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import { tryReadArrived } from "../arrivedInput.js";
+import { endLingering } from "./lingeringEnd.js";
 
 /**
  * Longest time for which a close may have lain at the router that relays a connection, in milliseconds. What it spends is not told; at
@@ -20,12 +21,6 @@
 /** Why an answer was not delivered whole. */
 export type UndeliveredCause = "callerClosed" | "relayClosed" | "aborted" | "stopping";
 
-/**
- * Time for which a connection that this router has ended is read on, in milliseconds. If it were closed while a further request arrives,
- * the system would reset it, and discard what the caller has not taken of the last answer.
- */
-const LINGER_MS = 1_000;
-
 export class CallerConnections {
     private readonly connections = new Map<Socket, CallerConnection>();
     /** Connections that this router has reset, and why. */
@@ -181,8 +176,7 @@
         if (!this.ended.has(socket) && (isMalformed || isIdle)) {
             this.ended.add(socket);
             this.metrics.addCount("connections_ended_idle");
-            socket.end();
-            setTimeout(() => socket.destroy(), LINGER_MS).unref();
+            endLingering(socket);
         }
     }
 
--- a/src/adapters/http/relayListener.ts
+++ b/src/adapters/http/relayListener.ts
@@ -6,13 +6,12 @@
 import { parseAddress } from "../rpc/tcpNetwork.js";
 import { startListening } from "../startListening.js";
 import type { AcceptMonitor } from "./acceptMonitor.js";
+import { endLingering } from "./lingeringEnd.js";
 import { readRelayPreamble, type RelayPreamble } from "./relayPreamble.js";
 
 /** Time within which the first bytes of a relayed connection must arrive: callers may open connections ahead of requests. */
 const PREAMBLE_TIMEOUT_MS = 15_000;
 
-/** Time in which a connection beyond the limit is read on, so that closing it does not reset it, in milliseconds. */
-const LINGER_MS = 1_000;
 /** Maximum number of connections beyond the limit that are ended at the same time; further ones are reset. */
 const MAX_ENDING_CONNECTIONS = 256;
 
@@ -83,7 +82,6 @@
         socket.once("close", () => this.endingCount -= 1);
         socket.on("error", () => undefined);
         socket.resume();
-        socket.end();
-        setTimeout(() => socket.destroy(), LINGER_MS).unref();
+        endLingering(socket);
     }
 }
--- a/test/adapters/relayFailover.test.ts
+++ b/test/adapters/relayFailover.test.ts
@@ -6,7 +6,7 @@
 import type { RequestTerms } from "../../src/domain/relayedExchange.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
-import { createRelaySetup, listen, openRelayed, readChunk, waitForEnd } from "../tools/relaySetup.js";
+import { createRelaySetup, listen, openRelayed, readChunk, type RelaySetup, waitForEnd } from "../tools/relaySetup.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
 /** Returns a port on which nobody listens. */
@@ -17,6 +17,14 @@
     return port;
 }
 
+/** Connects a caller whose first request the neighbour has answered, and returns both ends. */
+async function openAnswered(setup: RelaySetup): ReturnType<typeof openRelayed> {
+    const connection = await openRelayed(setup, REQUEST);
+    connection.neighbour.write(ANSWER);
+    await once(connection.caller, "data");
+    return connection;
+}
+
 const REPEATABLE: RequestTerms = { mayRepeat: true, timeoutMs: 10_000 };
 const NOT_REPEATABLE: RequestTerms = { mayRepeat: false, timeoutMs: 300 };
 const MANY_BYTES = 20_000_000;
@@ -72,9 +80,7 @@
 
 void t.test("a connection without a request outlives the router that served it, untouched, and its next request is a new one", async t => {
     const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const { caller, neighbour } = await openRelayed(setup, REQUEST);
-    neighbour.write(ANSWER);
-    await once(caller, "data");
+    const { caller, neighbour } = await openAnswered(setup);
     const readBytes = caller.bytesRead;
     neighbour.resetAndDestroy();
     await wait(200);
@@ -90,9 +96,7 @@
 
 void t.test("a connection without a request and without a serving router is closed regularly after a while", async t => {
     const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const { caller, neighbour } = await openRelayed(setup, REQUEST);
-    neighbour.write(ANSWER);
-    await once(caller, "data");
+    const { caller, neighbour } = await openAnswered(setup);
     const end = waitForEnd(caller);
     neighbour.resetAndDestroy();
     t.equal(await end, "end");
@@ -182,9 +186,7 @@
 
 void t.test("a request that comes while the link to the serving router is lost is not passed on", async t => {
     const setup = await createRelaySetup(t, { terms: NOT_REPEATABLE });
-    const { caller, neighbour } = await openRelayed(setup, REQUEST);
-    neighbour.write(ANSWER);
-    await once(caller, "data");
+    const { caller, neighbour } = await openAnswered(setup);
     const received = neighbour.bytesRead;
     setup.unreachable.add("r2");
     caller.write(REQUEST);
