Controllers log failed elections, silent replicas and the losses that the replica set still bears

From the logs of the incident one could not tell whether a majority was down, refused votes, or whether the set counted replicas that are gone. A failed election now says how many votes were granted of how many needed, and who refused, may not vote or did not answer; the leader logs replicas that it no longer hears and each change of the number of losses that are still borne; the same as metrics. Votes carry whether the voter may vote. The order of changes to the replica set stays as it was.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -5,6 +5,7 @@
 import type { LogOutput } from "./adapters/keyValueLog.js";
 import type { ReadPacer } from "./adapters/readPacer.js";
 import { LogStorage } from "./consensus/logStorage.js";
+import { ReplicaSetMonitor } from "./consensus/replicaSetMonitor.js";
 import { ReplicaSetReconciler } from "./consensus/replicaSetReconciler.js";
 import { ReplicatedLog } from "./consensus/replicatedLog.js";
 import { BundleControllerDaemon } from "./daemons/bundleController/bundleControllerDaemon.js";
@@ -188,9 +189,13 @@
 function createReplicaSetReconciler(
     replica: ReplicatedLog,
     settings: BundleControllerSettings,
-    { clock, log, network, peerAddress }: RoleBase,
+    { clock, log, metrics, network, peerAddress }: RoleBase,
 ): ReplicaSetReconciler {
-    return new ReplicaSetReconciler(replica, network, clock, log, {
+    const monitor = new ReplicaSetMonitor(log, metrics, {
+        silentAfterMs: settings.removeReplicaAfterMs / 2,
+        toleratedLosses: (settings.minimumLiveReplicas - 1) / 2,
+    });
+    return new ReplicaSetReconciler(replica, network, clock, log, monitor, {
         self: { name: peerAddress, address: peerAddress },
         periodMs: settings.electionTimeoutMs / 2,
         removeAfterMs: settings.removeReplicaAfterMs,
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -17,6 +17,8 @@
 export interface VoteAnswer {
     readonly term: number;
     readonly granted: boolean;
+    /** False if the replica may not vote until it has recovered from the loss of its disk. */
+    readonly isMember?: boolean | undefined;
 }
 
 const entrySchema = z.object({
--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -8,7 +8,9 @@
 import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
 import { getLeaderAddress } from "./leaderAddress.js";
 import { joinMethod } from "./messages.js";
+import type { ReplicaCondition } from "./replicaCondition.js";
 import type { ReplicaAddress } from "./replicaSet.js";
+import type { ReplicaSetMonitor } from "./replicaSetMonitor.js";
 import type { ReplicatedLog } from "./replicatedLog.js";
 
 /** Times in milliseconds. */
@@ -32,6 +34,7 @@
         private readonly network: PeerNetwork,
         private readonly clock: Clock,
         private readonly log: Log,
+        private readonly monitor: ReplicaSetMonitor,
         private readonly options: ReplicaSetReconcilerOptions,
     ) {}
 
@@ -43,6 +46,7 @@
     async runReconciliation(): Promise<void> {
         while (!this.replica.isStopped()) {
             await this.clock.wait(this.options.periodMs);
+            this.observeReplicas();
             if (this.replica.isLeader() && this.replica.isReplicaSetCommitted()) {
                 await this.reconcileOnce();
             }
@@ -88,6 +92,20 @@
         return this.network.call(leader.address, joinMethod, joiner, this.options.callTimeoutMs);
     }
 
+    private observeReplicas(): void {
+        const { replicas } = this.replica;
+        if (this.replica.isLeader()) {
+            this.monitor.observeAsLeader(this.listConditions());
+        }
+        else {
+            this.monitor.observeAsFollower(replicas.getVoters().length, replicas.getQuorumSize());
+        }
+    }
+
+    private listConditions(): ReplicaCondition[] {
+        return this.listReplicas().map(replica => ({ ...replica, silentMs: this.getMsSinceContact(replica.name) }));
+    }
+
     private async reconcileOnce(): Promise<void> {
         const next = this.tryAddOne() ?? this.tryPromoteOne() ?? this.tryRemoveOne();
         if (next === undefined) {
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -11,6 +11,7 @@
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerMethod, PeerNetwork } from "../ports/peer.js";
 import { ConditionVariable } from "./conditionVariable.js";
+import { ElectionReporter } from "./electionReporter.js";
 import { EntryAgeCollector } from "./entryAgeCollector.js";
 import { isLeaderExpected } from "./expectedLeader.js";
 import { runJoinLoop } from "./joining.js";
@@ -33,13 +34,13 @@
     type VoteParams,
 } from "./messages.js";
 import { type PeerProgress, PeerProgressTracker } from "./peerProgress.js";
-import { PeerReplicator } from "./peerReplicator.js";
 import { PendingProposals } from "./pendingProposals.js";
 import { checkCommand, convertForwardingError, createNoMajorityError } from "./proposalErrors.js";
 import { type ReplicaAddress, ReplicaSet } from "./replicaSet.js";
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
+import { ReplicationTasks } from "./replicationTasks.js";
 import { SnapshotReceiver } from "./snapshotReceiver.js";
-import { collectVotes, computeElectionTimeoutMs, createVoteParams, hasVotedFor, isLogUpToDate } from "./voting.js";
+import { computeElectionTimeoutMs, createVoteParams, hasVotedFor, isLogUpToDate, VoteRequester } from "./voting.js";
 
 export class ReplicatedLog {
     readonly state: DeclaredState;
@@ -56,6 +57,9 @@
     private readonly replicationSignal = new ConditionVariable();
     private readonly applier: LogApplier;
     private readonly snapshotReceiver = new SnapshotReceiver();
+    private readonly electionReporter: ElectionReporter;
+    private readonly replicationTasks: ReplicationTasks;
+    private readonly voteRequester: VoteRequester;
     private stopped = false;
 
     constructor(
@@ -66,9 +70,18 @@
         private readonly options: ReplicatedLogOptions,
     ) {
         this.proposals = new PendingProposals(options.proposeTimeoutMs, options.electionTimeoutMs);
+        this.electionReporter = new ElectionReporter(log, clock);
         this.replicas = new ReplicaSet(storage, options);
+        this.voteRequester = new VoteRequester(
+            network,
+            this.replicas,
+            this.electionReporter,
+            options.electionTimeoutMs,
+            term => this.observeTerm(term),
+        );
         this.entryAges = new EntryAgeCollector(storage, this.replicas, network, log, () => this.isLeader());
         this.peerProgress = new PeerProgressTracker(options.name, this.replicas);
+        this.replicationTasks = new ReplicationTasks(this, storage, network, clock, options, this.peerProgress);
         this.applier = new LogApplier(storage, this.proposals, log, options.snapshotEvery);
         this.state = this.applier.state;
         if (storage.snapshot !== undefined) {
@@ -236,7 +249,9 @@
             () => this.advanceCommit(),
             error => this.log.error("log_append_failed", { error: String(error) }),
         );
-        this.updateReplication(command);
+        if (command.type === "setReplicas") {
+            this.replicationTasks.updatePeers();
+        }
         this.replicationSignal.notifyAll();
         return answer;
     }
@@ -321,7 +336,7 @@
     private async runElection(): Promise<void> {
         this.leader = undefined;
         const proposed = createVoteParams(this.storage, this.options.name, this.storage.term + 1);
-        if (!await this.collectVotes(preVoteMethod, proposed)) {
+        if (!await this.voteRequester.requestVotes("preVote", proposed)) {
             return;
         }
         if (this.storage.term + 1 !== proposed.term || this.stopped) {
@@ -329,33 +344,29 @@
         }
         this.role = "candidate";
         await this.storage.saveTerm(proposed.term, this.options.name);
-        const won = await this.collectVotes(
-            voteMethod,
-            createVoteParams(this.storage, this.options.name, proposed.term),
-        );
+        const params = createVoteParams(this.storage, this.options.name, proposed.term);
+        const won = await this.voteRequester.requestVotes("vote", params);
         if (won && this.role === "candidate" && this.storage.term === proposed.term && !this.stopped) {
             this.becomeLeader();
         }
     }
 
-    private collectVotes(method: typeof voteMethod, params: VoteParams): Promise<boolean> {
-        const { network, replicas, options: { electionTimeoutMs } } = this;
-        const observeTerm = (term: number): void => this.observeTerm(term);
-        return collectVotes(network, replicas, electionTimeoutMs, method, params, observeTerm);
-    }
-
     /** Answers whether this replica would grant a vote, so that a returning candidate does not raise the term in vain. */
     private handlePreVote(params: VoteParams): VoteAnswer {
         const isTimedOut = this.clock.getMonotonicMs() - this.lastLeaderContactAt >= this.options.electionTimeoutMs;
         const isLeaderless = this.role !== "leader" && isTimedOut;
         const granted = params.term > this.storage.term && this.storage.isMember && isLeaderless
             && isLogUpToDate(this.storage, params);
-        return { term: this.storage.term, granted };
+        return this.createVoteAnswer(granted);
+    }
+
+    private createVoteAnswer(granted: boolean): VoteAnswer {
+        return { term: this.storage.term, granted, isMember: this.storage.isMember };
     }
 
     private async handleVote(params: VoteParams): Promise<VoteAnswer> {
         if (params.term < this.storage.term || !this.storage.isMember) {
-            return { term: this.storage.term, granted: false };
+            return this.createVoteAnswer(false);
         }
         const candidate = isLogUpToDate(this.storage, params) ? params.candidate : undefined;
         if (params.term > this.storage.term) {
@@ -368,7 +379,7 @@
             await this.saveVote(params.term, candidate);
         }
         await this.storage.waitSynced();
-        return { term: this.storage.term, granted: hasVotedFor(this.storage, params) };
+        return this.createVoteAnswer(hasVotedFor(this.storage, params));
     }
 
     /** Restarts the election timeout when granting a vote, before the vote is synced. */
@@ -406,8 +417,9 @@
     private becomeLeader(): void {
         this.role = "leader";
         this.leader = this.options.name;
+        this.electionReporter.recordLeader();
         this.log.info("leader_elected", { term: this.storage.term, last_index: this.storage.getLastIndex() });
-        this.replicas.getPeers().forEach(peer => this.startReplication(peer));
+        this.replicationTasks.startAll();
         // Entries of earlier terms are committed only through an entry of the new term.
         const initialReplicas = this.replicas.tryGetInitialReplicas();
         this.appendProposal(
@@ -416,26 +428,6 @@
             .catch(error => this.log.warn("term_not_opened", { error: String(error) }));
     }
 
-    private startReplication(peer: ReplicaAddress): void {
-        const now = this.clock.getMonotonicMs();
-        const progress = this.peerProgress.reset(peer.name, this.storage.getLastIndex() + 1, now);
-        void new PeerReplicator(this, this.storage, this.network, this.clock, this.options, peer, progress).run();
-    }
-
-    /** Starts replication to added replicas and stops it to removed ones. */
-    private updateReplication(command: Command): void {
-        if (command.type !== "setReplicas") {
-            return;
-        }
-        const peers = this.replicas.getPeers();
-        peers.filter(peer => this.peerProgress.tryGet(peer.name) === undefined).forEach(peer =>
-            this.startReplication(peer)
-        );
-        this.peerProgress.getNames().filter(name => !peers.some(peer => peer.name === name)).forEach(name =>
-            this.peerProgress.remove(name)
-        );
-    }
-
     /** @param sentAt When the answered message was sent. */
     recordAppendAnswer(answer: AppendAnswer, progress: PeerProgress, sentAt: number): void {
         if (answer.term > this.storage.term) {
@@ -513,6 +505,7 @@
         this.role = "follower";
         if (this.leader !== leader) {
             this.log.info("leader_followed", { leader, term });
+            this.electionReporter.recordLeader();
         }
         this.leader = leader;
         if (term > this.storage.term) {
--- a/src/consensus/voting.ts
+++ b/src/consensus/voting.ts
@@ -1,7 +1,8 @@
 /** Vote requests, and the checks a replica makes before it grants a vote. */
-import type { PeerMethod, PeerNetwork } from "../ports/peer.js";
+import type { PeerNetwork } from "../ports/peer.js";
+import type { ElectionReporter, ElectionStage, VoteCount } from "./electionReporter.js";
 import type { LogStorage } from "./logStorage.js";
-import type { VoteAnswer, VoteParams } from "./messages.js";
+import { preVoteMethod, type VoteAnswer, voteMethod, type VoteParams } from "./messages.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
 
@@ -33,40 +34,61 @@
     return params.lastTerm > lastTerm || (params.lastTerm === lastTerm && params.lastIndex >= lastIndex);
 }
 
-/** Requests votes from all voters and resolves to whether a majority granted them, as soon as that is decided. */
-export function collectVotes(
-    network: PeerNetwork,
-    replicas: ReplicaSet,
-    timeoutMs: number,
-    method: PeerMethod<VoteParams, VoteAnswer>,
-    params: VoteParams,
-    observeTerm: (term: number) => void,
-): Promise<boolean> {
-    return new Promise(resolve => {
-        let granted = 1;
-        const peers = replicas.getPeers().filter(other => replicas.isVoter(other.name));
-        const majority = replicas.getQuorumSize();
-        let outstanding = peers.length;
-        const resolveIfDecided = (): void => {
-            if (granted >= majority) {
-                resolve(true);
-            }
-            else if (outstanding === 0) {
-                resolve(false);
-            }
-        };
-        for (const peer of peers) {
-            network.call(peer.address, method, params, timeoutMs).then(
-                answer => {
-                    observeTerm(answer.term);
-                    granted += answer.granted ? 1 : 0;
-                },
-                () => undefined,
-            ).finally(() => {
-                outstanding -= 1;
-                resolveIfDecided();
-            });
+/** Requests votes from all voters. */
+export class VoteRequester {
+    constructor(
+        private readonly network: PeerNetwork,
+        private readonly replicas: ReplicaSet,
+        private readonly reporter: ElectionReporter,
+        private readonly timeoutMs: number,
+        private readonly observeTerm: (term: number) => void,
+    ) {}
+
+    /** Resolves to whether a majority granted its vote, as soon as that is decided. A failure is logged. */
+    async requestVotes(stage: ElectionStage, params: VoteParams): Promise<boolean> {
+        const votes = await this.collectVotes(stage === "preVote" ? preVoteMethod : voteMethod, params);
+        const isWon = votes.granted >= votes.needed;
+        if (!isWon) {
+            this.reporter.reportFailure(stage, params.term, votes);
         }
-        resolveIfDecided();
-    });
+        return isWon;
+    }
+
+    private collectVotes(method: typeof voteMethod, params: VoteParams): Promise<VoteCount> {
+        const { network, replicas, timeoutMs } = this;
+        return new Promise(resolve => {
+            const peers = replicas.getPeers().filter(other => replicas.isVoter(other.name));
+            const needed = replicas.getQuorumSize();
+            const refusedBy: string[] = [];
+            const nonMembers: string[] = [];
+            const unanswered = new Set(peers.map(peer => peer.name));
+            let granted = 1;
+            let outstanding = peers.length;
+            const resolveIfDecided = (): void => {
+                if (granted >= needed || outstanding === 0) {
+                    resolve({ granted, needed, refusedBy, nonMembers, unanswered: [...unanswered] });
+                }
+            };
+            const recordAnswer = (name: string, answer: VoteAnswer): void => {
+                unanswered.delete(name);
+                this.observeTerm(answer.term);
+                if (answer.granted) {
+                    granted += 1;
+                }
+                else {
+                    (answer.isMember === false ? nonMembers : refusedBy).push(name);
+                }
+            };
+            for (const peer of peers) {
+                network.call(peer.address, method, params, timeoutMs).then(
+                    answer => recordAnswer(peer.name, answer),
+                    () => undefined,
+                ).finally(() => {
+                    outstanding -= 1;
+                    resolveIfDecided();
+                });
+            }
+            resolveIfDecided();
+        });
+    }
 }
--- a/test/consensus/replicaSet.test.ts
+++ b/test/consensus/replicaSet.test.ts
@@ -5,10 +5,12 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import t from "tap";
 import { LogStorage } from "../../src/consensus/logStorage.js";
+import { ReplicaSetMonitor } from "../../src/consensus/replicaSetMonitor.js";
 import { ReplicaSetReconciler } from "../../src/consensus/replicaSetReconciler.js";
 import { ReplicatedLog } from "../../src/consensus/replicatedLog.js";
 import { SystemClock } from "../../src/ports/clock.js";
 import { NoLog } from "../../src/ports/log.js";
+import { NoMetrics } from "../../src/ports/metrics.js";
 import { PeerHandlers } from "../../src/ports/peer.js";
 import { FakeJournal } from "../tools/fakes.js";
 import { MemoryNetwork, type MemoryProcesses, type NetworkFaults } from "../tools/memoryNetwork.js";
@@ -58,7 +60,11 @@
                 random: this.random,
             },
         );
-        const reconciler = new ReplicaSetReconciler(replica, network, clock, new NoLog(), {
+        const monitor = new ReplicaSetMonitor(new NoLog(), new NoMetrics(), {
+            silentAfterMs: REMOVE_AFTER_MS / 2,
+            toleratedLosses: TOLERATED_FAILURES,
+        });
+        const reconciler = new ReplicaSetReconciler(replica, network, clock, new NoLog(), monitor, {
             self: { name, address: name },
             periodMs: 25,
             removeAfterMs: REMOVE_AFTER_MS,
