--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -84,13 +84,18 @@
     private readonly logFolder = tryOpenLogFolder();
     private readonly processes = new Map<string, ChildProcess>();
     private readonly startedBoxes = new Set<string>();
+    private readonly controllers: string[];
+    private lastController: number;
     private readonly faults = new Map<string, BoxFaults>();
     /** Relays on the links from a box to the controllers, by the controller's peer address. */
     private readonly links = new Map<string, ReadonlyMap<string, CutRelay>>();
     /** Ports of these relays, by box and the controller's peer address. */
     private readonly linkPorts = new Map<string, Readonly<Record<string, number>>>();
 
-    constructor(readonly options: ProcessFleetOptions) {}
+    constructor(readonly options: ProcessFleetOptions) {
+        this.lastController = options.controllers;
+        this.controllers = Array.from({ length: options.controllers }, (_, i) => `c${i + 1}`);
+    }
 
     /** Creates the folder of the boxes, which are then started one by one. */
     async open(): Promise<void> {
@@ -144,11 +149,7 @@
 
     /** Kills all processes at the same moment. `lostDisks`: boxes whose disks are empty afterwards. */
     async killAll(lostDisks: readonly string[] = []): Promise<void> {
-        await Promise.all([...this.processes.values()].map(child => endProcess(child)));
-        for (const box of lostDisks) {
-            await rm(join(this.folder, box), { recursive: true });
-            await mkdir(join(this.folder, box));
-        }
+        await this.killBoxes([...this.processes.keys()], lostDisks);
     }
 
     startAll(): void {
@@ -251,8 +252,44 @@
         return this.sendConfig(box, { method: "GET" });
     }
 
+    /** Starts a controller with an empty disk at another address. Returns its box. */
+    async addController(): Promise<string> {
+        this.lastController += 1;
+        const box = `c${this.lastController}`;
+        this.controllers.push(box);
+        await mkdir(join(this.folder, box));
+        this.startedBoxes.add(box);
+        this.startBox(box);
+        return box;
+    }
+
+    /** Ends a controller for good; resolves when its process has ended. */
+    async removeController(box: string, signal: NodeJS.Signals): Promise<void> {
+        this.controllers.splice(this.controllers.indexOf(box), 1);
+        await endProcess(this.processes.get(box)!, signal);
+        this.processes.delete(box);
+    }
+
+    /** Kills some boxes at the same moment. `lostDisks`: those whose disks are empty afterwards. */
+    async killBoxes(boxes: readonly string[], lostDisks: readonly string[] = []): Promise<void> {
+        await Promise.all(boxes.map(box => endProcess(this.processes.get(box)!)));
+        for (const box of lostDisks) {
+            await rm(join(this.folder, box), { recursive: true });
+            await mkdir(join(this.folder, box));
+        }
+    }
+
+    /** Returns the controller that was elected last, by the logs of those that have not been removed. */
+    findLeader(): string {
+        const elections = this.controllers.flatMap(box =>
+            this.listLogLines(box, /event=leader_elected/).map(line => ({ box, time: line.split(" ")[0]! }))
+        );
+        return elections.sort((a, b) => a.time.localeCompare(b.time)).at(-1)!.box;
+    }
+
+    /** The controllers that have not been removed. */
     listControllers(): string[] {
-        return Array.from({ length: this.options.controllers }, (_, i) => `c${i + 1}`);
+        return [...this.controllers];
     }
 
     listRouters(): string[] {
--- a/test/tools/returningPlay.ts
+++ b/test/tools/returningPlay.ts
@@ -10,7 +10,7 @@
 import { wait, waitUntil } from "./waiting.js";
 import { createLargeWireBundle } from "./wireBundle.js";
 
-const ROUTERS = 6;
+const DEFAULT_ROUTERS = 6;
 const CONTROLLERS = 5;
 const ROUTER_CORES = 0.51;
 const CONTROLLER_CORES = 1.6;
@@ -55,6 +55,7 @@
     readonly requestsPerS: number;
     /** Prepaid tokens of each set of accounts, all together. Requests are for one set at a time. */
     readonly prepaid: readonly number[];
+    readonly routers?: number;
     /** CPU time of a box; that of the deployment if undefined. */
     readonly routerCores?: number;
     readonly controllerCores?: number;
@@ -78,7 +79,7 @@
         this.fleet = new ProcessFleet({
             network: options.network,
             controllers: CONTROLLERS,
-            routers: ROUTERS,
+            routers: options.routers ?? DEFAULT_ROUTERS,
             retryRatio: 0.2,
             retrySlack: 50,
             cpu: {
@@ -115,10 +116,17 @@
         await this.limiter.stop();
     }
 
-    /** Puts a configuration; resolves when it is acknowledged. */
-    async putNextBundle(extraRoutes: number): Promise<void> {
+    /** Puts a configuration; resolves to its revision when it is acknowledged. */
+    async putNextBundle(extraRoutes = EXTRA_ROUTES): Promise<number> {
         this.revision += 1;
         await waitUntil("the configuration", () => this.fleet.putBundle(this.createBundle(extraRoutes)));
+        return this.revision;
+    }
+
+    /** Lets engines report to the controllers that there are now. */
+    updateControllers(): void {
+        const urls = this.fleet.listControllers().map(box => this.fleet.getControlUrl(box));
+        this.engines.forEach(engine => engine.setControllers(urls));
     }
 
     /** Sends requests until `stopLoad`, whether or not earlier ones were answered. */
