A lost controller no longer counts as a voter once its successor does

Cause: a removed controller stayed a voter for ten seconds without contact, and for ten more with each new leader, so that the successor made six voters of which five ran and a majority was four. With one other voter silent for five seconds it was not removed at all. One that was removed while it was paused never asked to be added again, since its own log said that it votes.

Now one decision (replicaSetPolicy.ts) withdraws the vote of a replica that is silent for half of catch_up_s, or that announces its stop, if the others then bear more losses; it stays a non-voter, so that a pause costs it nothing. It compares what the live voters bear with what the settings promise, in place of a constant. The silence of replicas is passed on to the next leader. A stopping controller announces it (log.leave). A controller that hears no leader asks to be added, also at the replicas that its log names.

ConditionVariable forgets waiters whose time is over.

--- a/src/bundleWiring.ts
+++ b/src/bundleWiring.ts
@@ -46,6 +46,7 @@
 } from "./settings/crashSuspectSettings.js";
 import { checkReadPacingSettings, type ReadPacingSettings } from "./settings/readPacingSettings.js";
 import { type RepeatPermitsOptions, repeatPermitsSchema, repeatsSchema } from "./settings/repeatSettings.js";
+import { type ReplicaSetOptions, replicaSetSchema } from "./settings/replicaSetSettings.js";
 
 /**
  * Time at the end of a planned stop in which other processes receive what this one has sent. It and the last report of prepaid tokens
@@ -81,10 +82,7 @@
     readonly snapshotEvery: number;
     /** Delay before a failed disk write is retried. */
     readonly retryWriteMs: number;
-    /** Time without contact after which a replica may be removed. */
-    readonly removeReplicaAfterMs: number;
-    /** Number of voters that must be reachable before an unreachable one is removed. */
-    readonly minimumLiveReplicas: number;
+    readonly replicaSet: ReplicaSetOptions;
     readonly upstreamEnds: UpstreamEndsOptions;
     readonly repeatPermits: RepeatPermitsOptions;
 }
@@ -128,6 +126,7 @@
 ): Promise<RunningBundleRole<BundleControllerDaemon>> {
     parseSection("upstreamEnds", upstreamEndsSchema, settings.upstreamEnds);
     parseSection("repeatPermits", repeatPermitsSchema, settings.repeatPermits);
+    parseSection("replicaSet", replicaSetSchema, settings.replicaSet);
     await mkdir(settings.dataFolder, { recursive: true });
     const base = await createRoleBase({ ...settings, role: "controller", listen: settings.peerAddress });
     const { clock, log, metrics, network, handlers, loop, peerAddress } = base;
@@ -191,17 +190,19 @@
     settings: BundleControllerSettings,
     { clock, log, metrics, network, peerAddress }: RoleBase,
 ): ReplicaSetReconciler {
-    const monitor = new ReplicaSetMonitor(log, metrics, {
-        silentAfterMs: settings.removeReplicaAfterMs / 2,
-        toleratedLosses: (settings.minimumLiveReplicas - 1) / 2,
-    });
-    return new ReplicaSetReconciler(replica, network, clock, log, monitor, {
-        self: { name: peerAddress, address: peerAddress },
-        periodMs: settings.electionTimeoutMs / 2,
-        removeAfterMs: settings.removeReplicaAfterMs,
-        minLiveVoters: settings.minimumLiveReplicas,
-        callTimeoutMs: settings.electionTimeoutMs,
-    });
+    return new ReplicaSetReconciler(
+        replica,
+        network,
+        clock,
+        log,
+        new ReplicaSetMonitor(log, metrics, settings.replicaSet),
+        {
+            self: { name: peerAddress, address: peerAddress },
+            periodMs: settings.electionTimeoutMs / 2,
+            callTimeoutMs: settings.electionTimeoutMs,
+            replicaSet: settings.replicaSet,
+        },
+    );
 }
 
 /** Starts a router that connects to its upstreams directly, without its server for callers. */
--- a/src/consensus/conditionVariable.ts
+++ b/src/consensus/conditionVariable.ts
@@ -11,11 +11,15 @@
     /** Resolves at the next notification, or after `timeoutMs`. */
     wait(timeoutMs: number): Promise<void> {
         return new Promise(resolve => {
-            const timer = setTimeout(resolve, timeoutMs);
-            this.waiters.push(() => {
+            const wake = (): void => {
                 clearTimeout(timer);
                 resolve();
-            });
+            };
+            const timer = setTimeout(() => {
+                this.waiters = this.waiters.filter(waiter => waiter !== wake);
+                resolve();
+            }, timeoutMs);
+            this.waiters.push(wake);
         });
     }
 }
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -3,6 +3,7 @@
 import { type Command, commandSchema, type LogEntry, replicaSchema } from "../domain/commands.js";
 import { type ApplyResult } from "../domain/declaredState.js";
 import { createPeerMethod } from "../ports/peer.js";
+import type { ReplicaAddress } from "./replicaSet.js";
 
 const nonNegativeInt = z.int().min(0);
 const replicaName = z.string().max(128);
@@ -27,6 +28,10 @@
     at: z.number(),
     command: commandSchema,
 });
+/** A replica that the leader has not heard from for a while, in milliseconds. */
+const silentReplicaSchema = z.object({ name: replicaName, ms: z.number().min(0) });
+export type SilentReplica = z.infer<typeof silentReplicaSchema>;
+
 const appendSchema = z.object({
     term: nonNegativeInt,
     leader: replicaName,
@@ -34,6 +39,7 @@
     previousTerm: nonNegativeInt,
     entries: z.array(entrySchema).max(4096),
     commitIndex: nonNegativeInt,
+    silentReplicas: z.array(silentReplicaSchema).max(64).optional(),
 });
 export type AppendParams = Omit<z.infer<typeof appendSchema>, "entries"> & { readonly entries: readonly LogEntry[]; };
 export interface AppendAnswer {
@@ -103,8 +109,10 @@
     z.object({ index: z.int().min(0), term: z.int().min(0) }),
 );
 
+const replicaAddress = z.object({ name: z.string().min(1).max(128), address: z.string().min(3).max(128) });
+
 /** Requests that a controller be added to the replica set. Any controller accepts it and forwards it to the leader. */
-export const joinMethod = createPeerMethod<{ name: string; address: string; }, { isReplica: boolean; }>(
-    "log.join",
-    z.object({ name: z.string().min(1).max(128), address: z.string().min(3).max(128) }),
-);
+export const joinMethod = createPeerMethod<ReplicaAddress, { isReplica: boolean; }>("log.join", replicaAddress);
+
+/** Announces that a controller stops, so that its vote may be withdrawn. Any controller forwards it to the leader. */
+export const leaveMethod = createPeerMethod<ReplicaAddress, { isVoter: boolean; }>("log.leave", replicaAddress);
--- a/src/consensus/peerReplicator.ts
+++ b/src/consensus/peerReplicator.ts
@@ -3,7 +3,7 @@
 import type { PeerNetwork } from "../ports/peer.js";
 import type { LogStorage } from "./logStorage.js";
 import { appendMethod, snapshotMethod, type SnapshotParams } from "./messages.js";
-import type { PeerProgress } from "./peerProgress.js";
+import type { PeerProgress, PeerProgressTracker } from "./peerProgress.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 import type { ReplicatedLog } from "./replicatedLog.js";
 import type { ReplicatedLogOptions } from "./replicatedLogOptions.js";
@@ -24,6 +24,7 @@
         private readonly network: PeerNetwork,
         private readonly clock: Clock,
         private readonly options: ReplicatedLogOptions,
+        private readonly tracker: PeerProgressTracker,
         private readonly peer: ReplicaAddress,
         private readonly progress: PeerProgress,
     ) {
@@ -61,6 +62,7 @@
         const { replica, storage, progress, options } = this;
         const previousIndex = progress.nextIndex - 1;
         const sentAt = this.clock.getMonotonicMs();
+        const silentReplicas = this.tracker.listSilentPeers(sentAt, options.electionTimeoutMs * 2);
         const params = {
             term: this.term,
             leader: options.name,
@@ -68,6 +70,7 @@
             previousTerm: storage.tryGetTerm(previousIndex) ?? 0,
             entries: storage.getEntriesFrom(progress.nextIndex, MAX_ENTRIES_PER_APPEND, MAX_MESSAGE_LENGTH),
             commitIndex: replica.getCommitIndex(),
+            ...(silentReplicas.length === 0 ? {} : { silentReplicas }),
         };
         const answer = await this.network.call(this.peer.address, appendMethod, params, options.electionTimeoutMs);
         replica.recordAppendAnswer(answer, progress, sentAt);
@@ -106,9 +109,7 @@
         }
         else {
             this.replica.observeTerm(answer.term);
-            if (answer.isMember) {
-                this.progress.lastContactAt = sentAt;
-            }
+            this.tracker.recordAnswer(this.progress, answer.isMember, sentAt);
         }
         return answer.success;
     }
--- a/src/consensus/replicaSet.ts
+++ b/src/consensus/replicaSet.ts
@@ -8,7 +8,7 @@
 }
 
 /** Replica set at startup, from the settings. */
-export interface ReplicaSetOptions {
+export interface InitialReplicaSet {
     readonly name: string;
     /** The other members of the initial replica set. */
     readonly others: readonly ReplicaAddress[];
@@ -19,7 +19,12 @@
 }
 
 export class ReplicaSet {
-    constructor(private readonly storage: LogStorage, private readonly options: ReplicaSetOptions) {}
+    constructor(private readonly storage: LogStorage, private readonly options: InitialReplicaSet) {}
+
+    /** Returns all replicas, including this one and non-voting ones; empty if the set is not defined by the log yet. */
+    list(): readonly Replica[] {
+        return this.storage.replicas;
+    }
 
     /** Returns all replicas except this one, including non-voting ones. */
     getPeers(): readonly ReplicaAddress[] {
--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -1,33 +1,54 @@
 /**
- * Reconciles the replica set with the running controllers, one change at a time. A new controller is added as a non-voter
- * and promoted once it holds all committed entries. An unresponsive replica is removed if enough voters remain live.
+ * Reconciles the replica set with the running controllers, one change at a time, as `replicaSetPolicy.ts` decides. A controller asks
+ * to be added when it is no voter or hears no leader, and asks for its vote to be withdrawn when it stops.
  */
-import type { Replica } from "../domain/commands.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
-import type { PeerHandlers, PeerNetwork } from "../ports/peer.js";
+import type { PeerHandlers, PeerMethod, PeerNetwork } from "../ports/peer.js";
+import type { ReplicaSetOptions } from "../settings/replicaSetSettings.js";
+import { ConditionVariable } from "./conditionVariable.js";
 import { getLeaderAddress } from "./leaderAddress.js";
-import { joinMethod } from "./messages.js";
-import type { ReplicaCondition } from "./replicaCondition.js";
+import { joinMethod, leaveMethod } from "./messages.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 import type { ReplicaSetMonitor } from "./replicaSetMonitor.js";
+import {
+    MAX_REPLICAS,
+    type ObservedReplica,
+    type ReplicaSetChange,
+    selectReplicaSetChange,
+} from "./replicaSetPolicy.js";
 import type { ReplicatedLog } from "./replicatedLog.js";
 
+/** Number of periods for which a replica that announced its stop counts as leaving; it repeats the announcement each period. */
+const LEAVING_PERIODS = 4;
+/** Further changes in one turn; the rest follows in the next one. */
+const MAX_CHANGES_PER_TURN = 8;
+/** Attempts to join are logged this often while their results stay the same. */
+const JOIN_LOG_PERIOD_MS = 5_000;
+
 /** Times in milliseconds. */
 export interface ReplicaSetReconcilerOptions {
     readonly self: ReplicaAddress;
     /** Interval at which the leader reconciles the replica set, and at which a controller retries to join. */
     readonly periodMs: number;
-    /** Time without an answer after which a replica may be removed. */
-    readonly removeAfterMs: number;
-    /** Live voters required to remove a replica, so that the rest still tolerates the configured number of failures. */
-    readonly minLiveVoters: number;
     readonly callTimeoutMs: number;
+    readonly replicaSet: ReplicaSetOptions;
 }
 
 export class ReplicaSetReconciler {
     /** Controllers to be added, by name. */
     private readonly joinRequests = new Map<string, ReplicaAddress>();
+    /** Until when replicas count as leaving, by name. */
+    private readonly leavingUntil = new Map<string, number>();
+    private readonly wakeSignal = new ConditionVariable();
+    /** Since when this process has led in its term without a stall; what others did before is not held against them. */
+    private observedSince = -Infinity;
+    private observedTerm = -1;
+    private lastTurnAt = -Infinity;
+    private commitIndexAtLastTurn = Infinity;
+    private isStopping = false;
+    private lastJoinResult = "";
+    private lastJoinLoggedAt = -Infinity;
 
     constructor(
         private readonly replica: ReplicatedLog,
@@ -40,142 +61,187 @@
 
     addHandlers(handlers: PeerHandlers): void {
         handlers.add(joinMethod, params => this.handleJoin(params));
+        handlers.add(leaveMethod, params => this.handleLeave(params));
     }
 
     /** Reconciles the replica set periodically while this replica is the leader, until it stops. */
     async runReconciliation(): Promise<void> {
         while (!this.replica.isStopped()) {
-            await this.clock.wait(this.options.periodMs);
-            this.observeReplicas();
-            if (this.replica.isLeader() && this.replica.isReplicaSetCommitted()) {
-                await this.reconcileOnce();
+            await this.wakeSignal.wait(this.options.periodMs);
+            this.observeTurn();
+            if (this.replica.isLeader()) {
+                await this.reconcile();
+            }
+            else {
+                const { replicas } = this.replica;
+                this.monitor.observeAsFollower(replicas.getVoters().length, replicas.getQuorumSize());
             }
+            this.commitIndexAtLastTurn = this.replica.getCommitIndex();
         }
     }
 
-    /** Requests to be added from known controllers whenever this one is not a voter, until the replica stops. */
+    /**
+     * Requests to be added from known controllers, until the replica stops, whenever this one is not a voter or hears no leader: it
+     * may have been removed while it was suspended or cut off, and does not know of it.
+     */
     async runJoinRequests(getKnownAddresses: () => readonly string[]): Promise<void> {
-        while (!this.replica.isStopped()) {
-            if (!this.replica.replicas.getVoters().includes(this.options.self.name)) {
-                await this.requestJoin(getKnownAddresses());
+        while (!this.replica.isStopped() && !this.isStopping) {
+            const isVoter = this.replica.replicas.isVoter(this.options.self.name);
+            if (!isVoter || !this.replica.isConnectedToMajority()) {
+                const peers = this.replica.replicas.getPeers().map(peer => peer.address);
+                await this.requestJoin([...new Set([...getKnownAddresses(), ...peers])]);
             }
             await this.clock.wait(this.options.periodMs);
         }
     }
 
+    /**
+     * Asks the leader to withdraw this replica's vote if the others bear more losses without it, repeatedly until the replica stops:
+     * a successor may become a voter meanwhile.
+     */
+    async runLeave(): Promise<void> {
+        this.isStopping = true;
+        const { self, periodMs } = this.options;
+        while (!this.replica.isStopped()) {
+            try {
+                await this.callLeader(leaveMethod, self, params => this.recordLeaving(params));
+            }
+            catch (error) {
+                this.log.info("leave_not_announced", { error: String(error) });
+            }
+            await this.clock.wait(periodMs);
+        }
+    }
+
     /** Sends a join request to each address in turn until one answers that this controller is a replica. */
     private async requestJoin(addresses: readonly string[]): Promise<void> {
+        const errors: { address: string; error: string; }[] = [];
         for (const address of addresses.filter(address => address !== this.options.self.address)) {
             try {
-                const answer = await this.network.call(
-                    address,
-                    joinMethod,
-                    this.options.self,
-                    this.options.callTimeoutMs,
-                );
+                const { self, callTimeoutMs } = this.options;
+                const answer = await this.network.call(address, joinMethod, self, callTimeoutMs);
                 if (answer.isReplica) {
                     return;
                 }
             }
             catch (error) {
-                this.log.info("join_not_answered", { address, error: String(error) });
+                errors.push({ address, error: String(error) });
             }
         }
+        this.logJoinErrors(errors);
     }
 
-    private async handleJoin(joiner: ReplicaAddress): Promise<{ isReplica: boolean; }> {
-        if (this.replica.isLeader()) {
-            this.joinRequests.set(joiner.name, joiner);
-            return { isReplica: this.replica.replicas.has(joiner.name) };
+    private logJoinErrors(errors: readonly { address: string; error: string; }[]): void {
+        const result = JSON.stringify(errors);
+        const now = this.clock.getMonotonicMs();
+        if (result !== this.lastJoinResult || now - this.lastJoinLoggedAt >= JOIN_LOG_PERIOD_MS) {
+            this.lastJoinResult = result;
+            this.lastJoinLoggedAt = now;
+            errors.forEach(error => this.log.info("join_not_answered", error));
         }
-        const leader = getLeaderAddress(this.replica);
-        return this.network.call(leader.address, joinMethod, joiner, this.options.callTimeoutMs);
     }
 
-    private observeReplicas(): void {
-        const { replicas } = this.replica;
-        if (this.replica.isLeader()) {
-            this.monitor.observeAsLeader(this.listConditions());
-        }
-        else {
-            this.monitor.observeAsFollower(replicas.getVoters().length, replicas.getQuorumSize());
-        }
+    private handleJoin(joiner: ReplicaAddress): Promise<{ isReplica: boolean; }> {
+        return this.callLeader(joinMethod, joiner, params => this.recordJoinRequest(params));
     }
 
-    private listConditions(): ReplicaCondition[] {
-        return this.listReplicas().map(replica => ({ ...replica, silentMs: this.getMsSinceContact(replica.name) }));
+    private handleLeave(leaving: ReplicaAddress): Promise<{ isVoter: boolean; }> {
+        return this.callLeader(leaveMethod, leaving, params => this.recordLeaving(params));
     }
 
-    private async reconcileOnce(): Promise<void> {
-        const next = this.tryAddOne() ?? this.tryPromoteOne() ?? this.tryRemoveOne();
-        if (next === undefined) {
-            return;
-        }
-        try {
-            await this.replica.propose({ type: "setReplicas", replicas: next });
-            this.log.info("replicas_changed", { replicas: next.map(formatReplica).join(",") });
-        }
-        catch (error) {
-            this.log.warn("replicas_not_changed", { error: String(error) });
+    /** Calls the leader, or `handle` if this replica leads. Throws noMajority if no leader is known. */
+    private async callLeader<P, R>(method: PeerMethod<P, R>, params: P, handle: (params: P) => R): Promise<R> {
+        if (this.replica.isLeader()) {
+            return handle(params);
         }
+        return this.network.call(getLeaderAddress(this.replica).address, method, params, this.options.callTimeoutMs);
     }
 
-    private listReplicas(): Replica[] {
-        const { replicas } = this.replica;
-        return [this.options.self, ...replicas.getPeers()].map(({ name, address }) => ({
-            name,
-            address,
-            voting: replicas.isVoter(name),
-        }));
+    private recordJoinRequest(joiner: ReplicaAddress): { isReplica: boolean; } {
+        const isReplica = this.replica.replicas.has(joiner.name);
+        if (!isReplica && this.joinRequests.size < MAX_REPLICAS) {
+            this.joinRequests.set(joiner.name, joiner);
+            this.wakeSignal.notifyAll();
+        }
+        return { isReplica };
     }
 
-    private tryAddOne(): Replica[] | undefined {
-        for (const [name, joiner] of this.joinRequests) {
-            this.joinRequests.delete(name);
-            if (!this.replica.replicas.has(name)) {
-                return [...this.listReplicas(), { ...joiner, voting: false }];
+    private recordLeaving({ name }: ReplicaAddress): { isVoter: boolean; } {
+        const isVoter = this.replica.replicas.isVoter(name);
+        if (this.replica.replicas.has(name)) {
+            const isNew = !this.isLeaving(name);
+            this.leavingUntil.set(name, this.clock.getMonotonicMs() + LEAVING_PERIODS * this.options.periodMs);
+            if (isNew) {
+                this.wakeSignal.notifyAll();
             }
         }
-        return undefined;
+        return { isVoter };
+    }
+
+    private isLeaving(name: string): boolean {
+        return (this.leavingUntil.get(name) ?? -Infinity) > this.clock.getMonotonicMs();
     }
 
-    private tryPromoteOne(): Replica[] | undefined {
-        const ready = this.listReplicas().find(replica => !replica.voting && this.isCaughtUp(replica.name));
-        return ready === undefined
-            ? undefined
-            : this.listReplicas().map(replica =>
-                replica === ready || replica.name === ready.name
-                    ? { ...replica, voting: true }
-                    : replica
-            );
+    /** Notes when this process began to lead, or went on after a stall, in which it could not hear the others. */
+    private observeTurn(): void {
+        const now = this.clock.getMonotonicMs();
+        const { periodMs, callTimeoutMs } = this.options;
+        const term = this.replica.getTerm();
+        if (
+            !this.replica.isLeader() || term !== this.observedTerm || now - this.lastTurnAt > periodMs + callTimeoutMs
+        ) {
+            this.observedSince = now;
+            this.observedTerm = term;
+        }
+        this.lastTurnAt = now;
     }
 
-    private isCaughtUp(name: string): boolean {
-        const progress = this.replica.tryGetPeerProgress(name);
-        return progress !== undefined && progress.isMember && progress.matchIndex >= this.replica.getCommitIndex()
-            && this.getMsSinceContact(name) < this.options.removeAfterMs;
+    /** Whether replicas that did not answer have had the time to. */
+    private canJudge(): boolean {
+        return this.clock.getMonotonicMs() - this.observedSince >= this.options.callTimeoutMs;
     }
 
-    private tryRemoveOne(): Replica[] | undefined {
-        const replicas = this.listReplicas();
-        const expired = replicas.find(replica => this.getMsSinceContact(replica.name) > this.options.removeAfterMs);
-        const liveVoters = replicas.filter(replica =>
-            replica.voting && this.getMsSinceContact(replica.name) < this.options.removeAfterMs / 2
-        );
-        return expired === undefined || liveVoters.length < this.options.minLiveVoters
-            ? undefined
-            : replicas.filter(replica => replica !== expired);
+    private async reconcile(): Promise<void> {
+        for (let changes = 0; changes < MAX_CHANGES_PER_TURN; changes++) {
+            if (!this.replica.isLeader() || !this.replica.isReplicaSetCommitted() || !this.canJudge()) {
+                return;
+            }
+            const replicas = this.listObservedReplicas();
+            this.monitor.observeAsLeader(replicas);
+            const change = selectReplicaSetChange(replicas, [...this.joinRequests.values()], this.options.replicaSet);
+            if (change === undefined || !await this.applyChange(change)) {
+                return;
+            }
+        }
     }
 
-    private getMsSinceContact(name: string): number {
-        if (name === this.options.self.name) {
-            return 0;
+    private async applyChange({ reason, replicas }: ReplicaSetChange): Promise<boolean> {
+        try {
+            await this.replica.propose({ type: "setReplicas", replicas: [...replicas] });
+            replicas.forEach(({ name }) => this.joinRequests.delete(name));
+            this.log.info("replicas_changed", {
+                reason,
+                replicas: replicas.map(({ name, voting }) => voting ? name : `${name}(nonVoting)`).join(","),
+            });
+            return true;
+        }
+        catch (error) {
+            this.log.warn("replicas_not_changed", { reason, error: String(error) });
+            return false;
         }
-        const progress = this.replica.tryGetPeerProgress(name);
-        return progress === undefined ? 0 : this.clock.getMonotonicMs() - progress.lastContactAt;
     }
-}
 
-function formatReplica(replica: Replica): string {
-    return replica.voting ? replica.name : `${replica.name}(joining)`;
+    private listObservedReplicas(): ObservedReplica[] {
+        const now = this.clock.getMonotonicMs();
+        return this.replica.replicas.list().map(replica => {
+            const progress = this.replica.tryGetPeerProgress(replica.name);
+            const isLeaving = this.isLeaving(replica.name);
+            if (progress === undefined) {
+                return { ...replica, silentMs: 0, isCaughtUp: replica.name === this.options.self.name, isLeaving };
+            }
+            const heardAt = replica.voting ? progress.lastVotingAnswerAt : progress.lastAnswerAt;
+            const isCaughtUp = progress.isMember && progress.matchIndex >= this.commitIndexAtLastTurn;
+            return { ...replica, silentMs: now - heardAt, isCaughtUp, isLeaving };
+        });
+    }
 }
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -434,11 +434,7 @@
             this.stepDown(answer.term);
             return;
         }
-        progress.isMember = answer.isMember;
-        if (answer.isMember) {
-            // A replica that lost its disk may have forgotten a vote for another leader, so its answers don't count.
-            progress.lastContactAt = Math.max(progress.lastContactAt, sentAt);
-        }
+        this.peerProgress.recordAnswer(progress, answer.isMember, sentAt);
         if (answer.success) {
             progress.matchIndex = Math.max(progress.matchIndex, answer.index);
             progress.nextIndex = progress.matchIndex + 1;
@@ -475,6 +471,7 @@
         if (params.term !== this.storage.term) {
             return this.createAppendAnswer(false, 0);
         }
+        this.peerProgress.recordSilentReplicas(params.silentReplicas ?? [], this.clock.getMonotonicMs());
         this.applier.recordCommitted(params.commitIndex);
         const conflictIndex = this.storage.tryFindConflictIndex(params.previousIndex, params.previousTerm);
         if (conflictIndex !== undefined) {
--- a/src/consensus/replicatedLogOptions.ts
+++ b/src/consensus/replicatedLogOptions.ts
@@ -1,7 +1,7 @@
-import type { ReplicaSetOptions } from "./replicaSet.js";
+import type { InitialReplicaSet } from "./replicaSet.js";
 
 /** Startup options of a replica. Times in milliseconds. */
-export interface ReplicatedLogOptions extends ReplicaSetOptions {
+export interface ReplicatedLogOptions extends InitialReplicaSet {
     readonly electionTimeoutMs: number;
     readonly heartbeatMs: number;
     /** How long a proposal waits for its entry to be applied. */
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -35,7 +35,7 @@
     private startTask(peer: ReplicaAddress): void {
         const now = this.clock.getMonotonicMs();
         const progress = this.progress.reset(peer.name, this.storage.getLastIndex() + 1, now);
-        void new PeerReplicator(this.replica, this.storage, this.network, this.clock, this.options, peer, progress)
-            .run();
+        const { replica, storage, network, clock, options } = this;
+        void new PeerReplicator(replica, storage, network, clock, options, this.progress, peer, progress).run();
     }
 }
--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -138,6 +138,11 @@
         this.seeds = seeds;
     }
 
+    /** Announces the stop of this controller, so that another one may vote in its place; it goes on serving until `stop`. */
+    startLeaving(): void {
+        void this.reconciler.runLeave();
+    }
+
     async stop(): Promise<void> {
         this.registrations.stop();
         this.streamOrigins.stop();
--- a/test/consensus/replicaSet.test.ts
+++ b/test/consensus/replicaSet.test.ts
@@ -18,8 +18,7 @@
 
 const INITIAL_REPLICAS = ["a:1", "b:1", "c:1"];
 const JOINING_REPLICAS = ["d:1", "e:1"];
-const REMOVE_AFTER_MS = 600;
-const TOLERATED_FAILURES = 1;
+const REPLICA_SET = { toleratedLosses: 1, silentAfterMs: 300, removeAfterMs: 600 };
 
 class ReplicaSetSimulation {
     readonly processes: MemoryProcesses = new Map();
@@ -60,17 +59,14 @@
                 random: this.random,
             },
         );
-        const monitor = new ReplicaSetMonitor(new NoLog(), new NoMetrics(), {
-            silentAfterMs: REMOVE_AFTER_MS / 2,
-            toleratedLosses: TOLERATED_FAILURES,
-        });
-        const reconciler = new ReplicaSetReconciler(replica, network, clock, new NoLog(), monitor, {
-            self: { name, address: name },
-            periodMs: 25,
-            removeAfterMs: REMOVE_AFTER_MS,
-            minLiveVoters: 2 * TOLERATED_FAILURES + 1,
-            callTimeoutMs: 60,
-        });
+        const reconciler = new ReplicaSetReconciler(
+            replica,
+            network,
+            clock,
+            new NoLog(),
+            new ReplicaSetMonitor(new NoLog(), new NoMetrics(), REPLICA_SET),
+            { self: { name, address: name }, periodMs: 25, callTimeoutMs: 60, replicaSet: REPLICA_SET },
+        );
         replica.addHandlers(handlers);
         reconciler.addHandlers(handlers);
         this.processes.set(name, handlers);
--- a/test/platform/boxSettings.test.ts
+++ b/test/platform/boxSettings.test.ts
@@ -33,6 +33,7 @@
         operatorListen: "10.1.0.41:8229",
         callerListen: undefined,
         toleratedLosses: 2,
+        catchUpMs: 4_000,
         stopWithinMs: 8_000,
     });
     t.end();
