A successor asks all controllers that it knows at once to be added

What operators saw: a successor whose settings name seeds that are gone waits for each of them in turn before it asks a living one (up to 500 ms for each that does not answer), out of the four seconds after which further disks may be lost.

Now it asks all at once. joinRequests.test failed on the code before: the living third seed was not asked within 200 ms.

--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -113,22 +113,20 @@
         }
     }
 
-    /** Sends a join request to each address in turn until one answers that this controller is a replica. */
+    /** Sends a join request to all addresses at once, since some may be gone and not answer in time. */
     private async requestJoin(addresses: readonly string[]): Promise<void> {
-        const errors: { address: string; error: string; }[] = [];
-        for (const address of addresses.filter(address => address !== this.options.self.address)) {
-            try {
-                const { self, callTimeoutMs } = this.options;
-                const answer = await this.network.call(address, joinMethod, self, callTimeoutMs);
-                if (answer.isReplica) {
-                    return;
-                }
-            }
-            catch (error) {
-                errors.push({ address, error: String(error) });
-            }
+        const { self, callTimeoutMs } = this.options;
+        const others = addresses.filter(address => address !== self.address);
+        const answers = await Promise.allSettled(
+            others.map(address => this.network.call(address, joinMethod, self, callTimeoutMs)),
+        );
+        if (!answers.some(answer => answer.status === "fulfilled" && answer.value.isReplica)) {
+            this.logJoinErrors(
+                answers.flatMap((answer, i) =>
+                    answer.status === "rejected" ? [{ address: others[i]!, error: String(answer.reason) }] : []
+                ),
+            );
         }
-        this.logJoinErrors(errors);
     }
 
     private logJoinErrors(errors: readonly { address: string; error: string; }[]): void {
