Replica set: requests that outlive a leadership are discarded; a scene counts from the start of the successor's process

Requests to join and announcements of stops are repeated to the leader of the moment, so a replica that no longer leads discards them; it would otherwise add a controller that is long gone when it leads again.

Test tools: at load 38 a successor's process had not begun to listen 3 s and 4 s after it was spawned (its first log line came 4.2 s later), so that two scenes of replacedBesideFaults.test played no replacement. The scenes now count catch_up_s from the moment at which the successor listens; the time itself stays.

--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -74,6 +74,9 @@
             }
             else {
                 const { replicas } = this.replica;
+                // Controllers repeat their requests to the leader of the moment.
+                this.joinRequests.clear();
+                this.leavingUntil.clear();
                 this.monitor.observeAsFollower(replicas.getVoters().length, replicas.getQuorumSize());
             }
             this.commitIndexAtLastTurn = this.replica.getCommitIndex();
@@ -166,6 +169,9 @@
 
     private recordLeaving({ name }: ReplicaAddress): { isVoter: boolean; } {
         const isVoter = this.replica.replicas.isVoter(name);
+        [...this.leavingUntil.keys()].filter(other => !this.isLeaving(other)).forEach(other =>
+            this.leavingUntil.delete(other)
+        );
         if (this.replica.replicas.has(name)) {
             const isNew = !this.isLeaving(name);
             this.leavingUntil.set(name, this.clock.getMonotonicMs() + LEAVING_PERIODS * this.options.periodMs);
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -252,7 +252,7 @@
         return this.sendConfig(box, { method: "GET" });
     }
 
-    /** Starts a controller with an empty disk at another address. Returns its box. */
+    /** Starts a controller with an empty disk at another address. Returns its box once its process listens. */
     async addController(): Promise<string> {
         this.lastController += 1;
         const box = `c${this.lastController}`;
@@ -260,6 +260,7 @@
         await mkdir(join(this.folder, box));
         this.startedBoxes.add(box);
         this.startBox(box);
+        await waitUntil(`${box} to start`, () => this.listLogLines(box, /event=controller_started/).length > 0);
         return box;
     }
 
--- a/test/tools/replacementPlay.ts
+++ b/test/tools/replacementPlay.ts
@@ -16,11 +16,22 @@
 /** Requests of this period are counted as served once another such period has passed. */
 const COUNT_MS = 1_500;
 
+interface ReplacementPlayOptions {
+    /** Whether the links between the controllers of the beginning can be cut. */
+    readonly hasCuttableLinks?: boolean;
+}
+
 class ReplacementPlay {
     private readonly play: ReturningPlay;
 
-    constructor(network: number) {
-        this.play = new ReturningPlay({ network, routers: ROUTERS, requestsPerS: REQUESTS_PER_S, prepaid: [PREPAID] });
+    constructor(network: number, options: ReplacementPlayOptions) {
+        this.play = new ReturningPlay({
+            network,
+            routers: ROUTERS,
+            requestsPerS: REQUESTS_PER_S,
+            prepaid: [PREPAID],
+            ...options,
+        });
     }
 
     get fleet(): ReturningPlay["fleet"] {
@@ -132,8 +143,9 @@
     t: Test,
     network: number,
     scene: (play: ReplacementPlay) => Promise<void>,
+    options: ReplacementPlayOptions = {},
 ): Promise<void> {
-    const play = new ReplacementPlay(network);
+    const play = new ReplacementPlay(network, options);
     t.teardown(() => play.close());
     await play.start();
     await scene(play);
--- a/test/tools/returningPlay.ts
+++ b/test/tools/returningPlay.ts
@@ -56,6 +56,7 @@
     /** Prepaid tokens of each set of accounts, all together. Requests are for one set at a time. */
     readonly prepaid: readonly number[];
     readonly routers?: number;
+    readonly hasCuttableLinks?: boolean;
     /** CPU time of a box; that of the deployment if undefined. */
     readonly routerCores?: number;
     readonly controllerCores?: number;
@@ -88,6 +89,7 @@
                 controllerCores: options.controllerCores ?? CONTROLLER_CORES,
             },
             toleratedLosses: 2,
+            hasCuttableLinks: options.hasCuttableLinks ?? false,
         });
         this.engines = Array.from({ length: ENGINES }, (_, i) => {
             const id = `e${i + 1}`;
