explain tells why a request was refused while the controllers had no leader

What operators saw: of a request refused as LW1306 notReady or LW2005 noMajority, `loomwinch explain` printed the refusal alone and marked it as its own cause, although the controllers' logs among the given files say which votes were missing.

Cause: only lines with the request's id, and those of quarantines and stops, were read.

Now it also prints, of each controller, the last election_failed (at most 10 s before the refusal) and the last leader_elected, fault_tolerance_changed and replicas_changed (at most 60 s before it), eight lines of each event at most, and marks the last failed election unless a leader was elected after it. The selection (leaderState.ts) does no I/O. Routers with sidecars name the code of a refusal in another field, which is read as well.

Test: leaderState.test.

--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -4,6 +4,14 @@
 import { formatValue } from "../adapters/keyValueLog.js";
 import { isSubset } from "../domain/crashEvidence.js";
 import { createRefusal, RefusalError } from "../domain/resultCodes.js";
+import {
+    compareTimes,
+    isLeaderlessRefusal,
+    isLeaderStateBefore,
+    LEADER_STATE_EVENTS,
+    selectLeaderState,
+    tryFindFailedElection,
+} from "./leaderState.js";
 
 /** A parsed log line. */
 export interface LogLine {
@@ -35,7 +43,8 @@
 /**
  * Prints the lines of a request and marks the cause of a refusal; of a quarantine also the lines of the requests that ended
  * upstreams; of an answer that was not delivered, the stops of the router and of the one that relayed its connection, and when that
- * one read the caller's close. Throws notFound if there are no such lines.
+ * one read the caller's close; of a refusal for want of a leader, what controllers logged of elections and of the replica set. Throws
+ * notFound if there are no such lines.
  */
 export async function explainRequest(request: string, paths: readonly string[]): Promise<void> {
     const ownLines = await readLinesOfFiles(paths, [request], line => line.fields.get("request") === request);
@@ -44,7 +53,14 @@
         ? []
         : await readLinesOfFiles(paths, quarantine.map(getValue), line => isEvidence(line, quarantine));
     const stopLines = await readStopLines(ownLines, paths);
-    const lines = [...ownLines, ...stopLines, ...evidence.filter(line => line.fields.get("request") !== request)];
+    // First, so that a failed election of the same millisecond counts as before the refusal.
+    const leaderLines = await readLeaderState(ownLines, paths);
+    const lines = [
+        ...leaderLines,
+        ...ownLines,
+        ...stopLines,
+        ...evidence.filter(line => line.fields.get("request") !== request),
+    ];
     if (lines.length === 0) {
         throw new RefusalError(
             createRefusal("notFound", `request ${request} does not appear in any of ${paths.length} log files`),
@@ -58,7 +74,7 @@
  * theirs.
  */
 export function formatTimeline(lines: readonly LogLine[], request?: string): string[] {
-    const sortedLines = [...lines].sort((a, b) => a.time < b.time ? -1 : Number(a.time > b.time));
+    const sortedLines = [...lines].sort(compareTimes);
     const cause = findRefusalCause(sortedLines);
     return sortedLines.map(line => `${line === cause ? CAUSE_MARKER : " "} ${formatLine(line, request)}`);
 }
@@ -123,6 +139,17 @@
     return readLinesOfFiles(paths, [...STOP_EVENTS, RELAYED_CLOSE_EVENT], isSelected);
 }
 
+/** Reads what controllers logged of elections and of the replica set before a refusal for want of a leader. */
+async function readLeaderState(ownLines: readonly LogLine[], paths: readonly string[]): Promise<LogLine[]> {
+    const refusal = ownLines.find(isLeaderlessRefusal);
+    return refusal === undefined
+        ? []
+        : selectLeaderState(
+            refusal,
+            await readLinesOfFiles(paths, LEADER_STATE_EVENTS, line => isLeaderStateBefore(refusal, line)),
+        );
+}
+
 /** Returns the value of an attribute, which a line may name without its kind. */
 function getValue(attribute: string): string {
     return attribute.slice(attribute.indexOf(":") + 1);
@@ -159,13 +186,16 @@
     return lines;
 }
 
-/** Finds the last cause event before the refusal, or the refusal itself if there is none. */
+/** Finds the last failed election or cause event before the refusal, or the refusal itself if there is none. */
 function findRefusalCause(sortedLines: readonly LogLine[]): LogLine | undefined {
     const refusalIndex = sortedLines.findIndex(line => line.event === REFUSAL_EVENT);
-    return refusalIndex < 0
-        ? undefined
-        : sortedLines.slice(0, refusalIndex).filter(line => CAUSE_EVENTS.has(line.event)).at(-1)
-            ?? sortedLines[refusalIndex];
+    if (refusalIndex < 0) {
+        return undefined;
+    }
+    const earlierLines = sortedLines.slice(0, refusalIndex);
+    return tryFindFailedElection(earlierLines)
+        ?? earlierLines.filter(line => CAUSE_EVENTS.has(line.event)).at(-1)
+        ?? sortedLines[refusalIndex];
 }
 
 function formatLine({ time, name, event, fields }: LogLine, request: string | undefined): string {
