A controller that announced its stop counts as lost in logs and metrics, as it does in the decision

The metric log_losses_borne showed one loss too many until a stopping controller had been silent for silentAfterMs; one function now says which replicas are lost, for the decision and the monitor.

--- a/src/consensus/replicaCondition.ts
+++ b/src/consensus/replicaCondition.ts
@@ -7,12 +7,14 @@
     readonly voting: boolean;
     /** Time since the replica last answered as one that may vote, in milliseconds; 0 for the leader itself. */
     readonly silentMs: number;
+    /** Whether the replica has announced that its process stops. */
+    readonly isLeaving: boolean;
 }
 
 /** Fault tolerance of a replica set. */
 export interface FaultTolerance {
     readonly voters: number;
-    /** Voters that have answered within the time after which a replica is silent. */
+    /** Voters that have answered within the time after which a replica is silent, and that are not leaving. */
     readonly liveVoters: number;
     /** Voters that form a majority. */
     readonly majority: number;
@@ -24,13 +26,14 @@
     return Math.floor(voters / 2) + 1;
 }
 
-/** `isLive`: whether a voter counts as one that is not lost. */
-export function computeFaultTolerance<T extends { readonly voting: boolean; }>(
-    replicas: readonly T[],
-    isLive: (replica: T) => boolean,
-): FaultTolerance {
+/** Whether a replica has not answered for longer than `silentAfterMs` milliseconds, or will not for much longer. */
+export function isLost({ silentMs, isLeaving }: ReplicaCondition, silentAfterMs: number): boolean {
+    return isLeaving || silentMs > silentAfterMs;
+}
+
+export function computeFaultTolerance(replicas: readonly ReplicaCondition[], silentAfterMs: number): FaultTolerance {
     const voters = replicas.filter(replica => replica.voting);
-    const liveVoters = voters.filter(isLive).length;
+    const liveVoters = voters.filter(replica => !isLost(replica, silentAfterMs)).length;
     const majority = computeMajority(voters.length);
     return { voters: voters.length, liveVoters, majority, lossesBorne: liveVoters - majority };
 }
--- a/src/consensus/replicaSetMonitor.ts
+++ b/src/consensus/replicaSetMonitor.ts
@@ -22,7 +22,7 @@
 
     /** Records what the leader sees; called several times a second. */
     observeAsLeader(replicas: readonly ReplicaCondition[]): void {
-        const tolerance = computeFaultTolerance(replicas, replica => !this.isSilent(replica));
+        const tolerance = computeFaultTolerance(replicas, this.options.silentAfterMs);
         replicas.forEach(replica => this.logContact(replica, tolerance));
         this.forgetRemoved(replicas);
         this.logTolerance(tolerance);
--- a/src/consensus/replicaSetPolicy.ts
+++ b/src/consensus/replicaSetPolicy.ts
@@ -5,7 +5,7 @@
  */
 import type { Replica } from "../domain/commands.js";
 import type { ReplicaSetOptions } from "../settings/replicaSetSettings.js";
-import { computeFaultTolerance, type FaultTolerance, type ReplicaCondition } from "./replicaCondition.js";
+import { computeFaultTolerance, isLost, type ReplicaCondition } from "./replicaCondition.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 
 /** Maximum number of replicas in a `setReplicas` entry. */
@@ -15,8 +15,6 @@
 export interface ObservedReplica extends ReplicaCondition {
     /** Whether the replica may vote and has all entries but the latest. */
     readonly isCaughtUp: boolean;
-    /** Whether the replica has announced that its process stops. */
-    readonly isLeaving: boolean;
 }
 
 export interface ReplicaSetChange {
@@ -55,21 +53,24 @@
     replicas: readonly ObservedReplica[],
     options: ReplicaSetOptions,
 ): ReplicaSetChange | undefined {
-    const tolerance = computeLiveTolerance(replicas, options);
-    const lost = replicas.filter(replica => replica.voting && isLost(replica, options)).sort(compareSilence)[0];
+    const tolerance = computeFaultTolerance(replicas, options.silentAfterMs);
+    const lost =
+        replicas.filter(replica => replica.voting && isLost(replica, options.silentAfterMs)).sort(compareSilence)[0];
     const minVoters = 2 * options.toleratedLosses + 1;
     if (lost === undefined || tolerance.lossesBorne < 0 || tolerance.voters <= minVoters) {
         return undefined;
     }
     const isDue = tolerance.lossesBorne < options.toleratedLosses || lost.silentMs > options.removeAfterMs;
     return isDue
-        ? { reason: lost.isLeaving ? "leaving" : "silent", replicas: setVoting(replicas, lost, false) }
+        ? { reason: lost.isLeaving ? "leaving" : "silent", replicas: copyWithVote(replicas, lost, false) }
         : undefined;
 }
 
 function tryPromote(replicas: readonly ObservedReplica[], options: ReplicaSetOptions): ReplicaSetChange | undefined {
-    const ready = replicas.find(replica => !replica.voting && replica.isCaughtUp && !isLost(replica, options));
-    return ready === undefined ? undefined : { reason: "caughtUp", replicas: setVoting(replicas, ready, true) };
+    const ready = replicas.find(replica =>
+        !replica.voting && replica.isCaughtUp && !isLost(replica, options.silentAfterMs)
+    );
+    return ready === undefined ? undefined : { reason: "caughtUp", replicas: copyWithVote(replicas, ready, true) };
 }
 
 function tryRemove(
@@ -82,20 +83,12 @@
         : { reason: "removed", replicas: replicas.filter(replica => replica !== expired).map(getReplica) };
 }
 
-function computeLiveTolerance(replicas: readonly ObservedReplica[], options: ReplicaSetOptions): FaultTolerance {
-    return computeFaultTolerance(replicas, replica => !isLost(replica, options));
-}
-
-function isLost({ silentMs, isLeaving }: ObservedReplica, { silentAfterMs }: ReplicaSetOptions): boolean {
-    return isLeaving || silentMs > silentAfterMs;
-}
-
 /** Longest silence first. A replica that is leaving still answers, so it comes after those that do not. */
 function compareSilence(a: ObservedReplica, b: ObservedReplica): number {
     return b.silentMs - a.silentMs;
 }
 
-function setVoting(replicas: readonly ObservedReplica[], changed: ObservedReplica, voting: boolean): Replica[] {
+function copyWithVote(replicas: readonly ObservedReplica[], changed: ObservedReplica, voting: boolean): Replica[] {
     return replicas.map(replica => ({ ...getReplica(replica), voting: replica === changed ? voting : replica.voting }));
 }
 
