Findings of the review of the replica set: withdrawn votes, votes of the dead, removals without end, an even number of voters

Progress of an earlier leadership is forgotten. - A sixth voter beside five live ones bears no more losses, and of two halves of six none has a majority: a replica that is not needed stays a non-voter. Additions, promotions and announced stops no longer wait until silence can be judged; the metrics go on while a change waits.

--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -1,6 +1,6 @@
 /** RPC methods of the replicated log: Raft (Ongaro and Ousterhout, 2014) with pre-vote and check-quorum. */
 import * as z from "zod";
-import { type Command, commandSchema, type LogEntry, replicaSchema } from "../domain/commands.js";
+import { type Command, commandSchema, type LogEntry, MAX_REPLICAS, replicaSchema } from "../domain/commands.js";
 import { type ApplyResult } from "../domain/declaredState.js";
 import { createPeerMethod } from "../ports/peer.js";
 import type { ReplicaAddress } from "./replicaSet.js";
@@ -39,7 +39,7 @@
     previousTerm: nonNegativeInt,
     entries: z.array(entrySchema).max(4096),
     commitIndex: nonNegativeInt,
-    silentReplicas: z.array(silentReplicaSchema).max(64).optional(),
+    silentReplicas: z.array(silentReplicaSchema).max(MAX_REPLICAS).optional(),
 });
 export type AppendParams = Omit<z.infer<typeof appendSchema>, "entries"> & { readonly entries: readonly LogEntry[]; };
 export interface AppendAnswer {
@@ -60,7 +60,7 @@
     offset: nonNegativeInt,
     piece: z.string(),
     done: z.boolean(),
-    replicas: z.array(replicaSchema).max(64).optional(),
+    replicas: z.array(replicaSchema).max(MAX_REPLICAS).optional(),
 });
 export type SnapshotParams = z.infer<typeof snapshotSchema>;
 
--- a/src/consensus/peerProgress.ts
+++ b/src/consensus/peerProgress.ts
@@ -1,4 +1,5 @@
 /** Replication progress of a leader's peers: how far each log matches, and when each last answered. */
+import { MAX_REPLICAS } from "../domain/commands.js";
 import type { SilentReplica } from "./messages.js";
 import type { ReplicaSet } from "./replicaSet.js";
 
@@ -25,9 +26,16 @@
 
     constructor(private readonly self: string, private readonly replicas: ReplicaSet) {}
 
-    /** Starts tracking a peer from `nextIndex`, discarding earlier progress. */
-    reset(name: string, nextIndex: number, now: number): PeerProgress {
-        const lastAnswerAt = this.toldAnswersAt.get(name) ?? now;
+    /** Forgets the peers of an earlier leadership. Returns when the leader before this one last heard from those that it called silent. */
+    startLeading(): ReadonlyMap<string, number> {
+        const { toldAnswersAt } = this;
+        this.toldAnswersAt = new Map();
+        this.peers.clear();
+        return toldAnswersAt;
+    }
+
+    /** Starts tracking a peer from `nextIndex`, discarding earlier progress. `lastAnswerAt`: as an earlier leader has told. */
+    reset(name: string, nextIndex: number, now: number, lastAnswerAt = now): PeerProgress {
         const progress = {
             nextIndex,
             matchIndex: 0,
@@ -47,10 +55,11 @@
 
     /** Returns the peers that have not answered for longer than `silentAfterMs`, for `recordSilentReplicas` at the others. */
     listSilentPeers(now: number, silentAfterMs: number): SilentReplica[] {
-        return [...this.peers].flatMap(([name, { lastVotingAnswerAt }]) => {
-            const ms = now - lastVotingAnswerAt;
+        const silent = [...this.peers].flatMap(([name, { lastVotingAnswerAt, lastAnswerAt }]) => {
+            const ms = now - (this.replicas.isVoter(name) ? lastVotingAnswerAt : lastAnswerAt);
             return ms > silentAfterMs ? [{ name, ms }] : [];
         });
+        return silent.slice(0, MAX_REPLICAS);
     }
 
     /** @param sentAt When the answered message was sent. */
--- a/src/consensus/replicaCondition.ts
+++ b/src/consensus/replicaCondition.ts
@@ -5,7 +5,7 @@
     readonly name: string;
     readonly address: string;
     readonly voting: boolean;
-    /** Time since the replica last answered as one that may vote, in milliseconds; 0 for the leader itself. */
+    /** Time since a voter last answered as one that may vote, or a non-voter at all, in milliseconds; 0 for the leader itself. */
     readonly silentMs: number;
     /** Whether the replica has announced that its process stops. */
     readonly isLeaving: boolean;
--- a/src/consensus/replicaSetPolicy.ts
+++ b/src/consensus/replicaSetPolicy.ts
@@ -3,17 +3,14 @@
  * of a replacement. A voter that is lost keeps its place as a non-voter until it answers again or is removed, and is never replaced
  * by fewer voters than the promise needs.
  */
-import type { Replica } from "../domain/commands.js";
+import { MAX_REPLICAS, type Replica } from "../domain/commands.js";
 import type { ReplicaSetOptions } from "../settings/replicaSetSettings.js";
 import { computeFaultTolerance, isLost, type ReplicaCondition } from "./replicaCondition.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 
-/** Maximum number of replicas in a `setReplicas` entry. */
-export const MAX_REPLICAS = 64;
-
 /** A replica as the leader sees it, with what decides whether it may vote. */
 export interface ObservedReplica extends ReplicaCondition {
-    /** Whether the replica may vote and has all entries but the latest. */
+    /** Whether the replica may vote, has all entries but the latest, and answered within an election timeout. */
     readonly isCaughtUp: boolean;
 }
 
@@ -48,29 +45,38 @@
         : { reason: "added", replicas: [...replicas.map(getReplica), { ...joiner, voting: false }] };
 }
 
-/** With an even number of voters, one that is lost raises the majority and adds nothing to it. */
+/** A lost voter that makes the number of voters even raises the majority and adds nothing to it. */
 function tryWithdrawVote(
     replicas: readonly ObservedReplica[],
     options: ReplicaSetOptions,
 ): ReplicaSetChange | undefined {
     const tolerance = computeFaultTolerance(replicas, options.silentAfterMs);
-    const lost =
-        replicas.filter(replica => replica.voting && isLost(replica, options.silentAfterMs)).sort(compareSilence)[0];
+    const lost = listLostVoters(replicas, options).sort(compareSilence)[0];
     const minVoters = 2 * options.toleratedLosses + 1;
     if (lost === undefined || tolerance.lossesBorne < 0 || tolerance.voters <= minVoters) {
         return undefined;
     }
-    const isDue = tolerance.lossesBorne < options.toleratedLosses || lost.silentMs > options.removeAfterMs;
+    const isDue = tolerance.lossesBorne < options.toleratedLosses || isEven(tolerance.voters)
+        || lost.silentMs > options.removeAfterMs;
     return isDue
         ? { reason: lost.isLeaving ? "leaving" : "silent", replicas: copyWithVote(replicas, lost, false) }
         : undefined;
 }
 
+/**
+ * Keeps a replica that is not needed as a non-voter: with an even number of live voters a further loss is not borne, and two halves
+ * that are cut off from each other have no majority.
+ */
 function tryPromote(replicas: readonly ObservedReplica[], options: ReplicaSetOptions): ReplicaSetChange | undefined {
-    const ready = replicas.find(replica =>
+    const ready = replicas.filter(replica =>
         !replica.voting && replica.isCaughtUp && !isLost(replica, options.silentAfterMs)
     );
-    return ready === undefined ? undefined : { reason: "caughtUp", replicas: copyWithVote(replicas, ready, true) };
+    const { voters, lossesBorne } = computeFaultTolerance(replicas, options.silentAfterMs);
+    const isNeeded = lossesBorne < options.toleratedLosses || isEven(voters) || ready.length >= 2
+        || listLostVoters(replicas, options).length > 0;
+    return ready.length > 0 && isNeeded
+        ? { reason: "caughtUp", replicas: copyWithVote(replicas, ready[0]!, true) }
+        : undefined;
 }
 
 function tryRemove(
@@ -83,6 +89,14 @@
         : { reason: "removed", replicas: replicas.filter(replica => replica !== expired).map(getReplica) };
 }
 
+function listLostVoters(replicas: readonly ObservedReplica[], { silentAfterMs }: ReplicaSetOptions): ObservedReplica[] {
+    return replicas.filter(replica => replica.voting && isLost(replica, silentAfterMs));
+}
+
+function isEven(count: number): boolean {
+    return count % 2 === 0;
+}
+
 /** Longest silence first. A replica that is leaving still answers, so it comes after those that do not. */
 function compareSilence(a: ObservedReplica, b: ObservedReplica): number {
     return b.silentMs - a.silentMs;
--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -2,6 +2,7 @@
  * Reconciles the replica set with the running controllers, one change at a time, as `replicaSetPolicy.ts` decides. A controller asks
  * to be added when it is no voter or hears no leader, and asks for its vote to be withdrawn when it stops.
  */
+import { MAX_REPLICAS } from "../domain/commands.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerHandlers, PeerMethod, PeerNetwork } from "../ports/peer.js";
@@ -11,12 +12,7 @@
 import { joinMethod, leaveMethod } from "./messages.js";
 import type { ReplicaAddress } from "./replicaSet.js";
 import type { ReplicaSetMonitor } from "./replicaSetMonitor.js";
-import {
-    MAX_REPLICAS,
-    type ObservedReplica,
-    type ReplicaSetChange,
-    selectReplicaSetChange,
-} from "./replicaSetPolicy.js";
+import { type ObservedReplica, type ReplicaSetChange, selectReplicaSetChange } from "./replicaSetPolicy.js";
 import type { ReplicatedLog } from "./replicatedLog.js";
 
 /** Number of periods for which a replica that announced its stop counts as leaving; it repeats the announcement each period. */
@@ -80,6 +76,7 @@
                 this.monitor.observeAsFollower(replicas.getVoters().length, replicas.getQuorumSize());
             }
             this.commitIndexAtLastTurn = this.replica.getCommitIndex();
+            this.lastTurnAt = this.clock.getMonotonicMs();
         }
     }
 
@@ -105,12 +102,16 @@
     async runLeave(): Promise<void> {
         this.isStopping = true;
         const { self, periodMs } = this.options;
+        let lastError = "";
         while (!this.replica.isStopped()) {
             try {
                 await this.callLeader(leaveMethod, self, params => this.recordLeaving(params));
             }
             catch (error) {
-                this.log.info("leave_not_announced", { error: String(error) });
+                if (String(error) !== lastError) {
+                    lastError = String(error);
+                    this.log.info("leave_not_announced", { error: lastError });
+                }
             }
             await this.clock.wait(periodMs);
         }
@@ -197,22 +198,22 @@
             this.observedSince = now;
             this.observedTerm = term;
         }
-        this.lastTurnAt = now;
     }
 
     /** Whether replicas that did not answer have had the time to. */
-    private canJudge(): boolean {
+    private canJudgeSilence(): boolean {
         return this.clock.getMonotonicMs() - this.observedSince >= this.options.callTimeoutMs;
     }
 
     private async reconcile(): Promise<void> {
-        for (let changes = 0; changes < MAX_CHANGES_PER_TURN; changes++) {
-            if (!this.replica.isLeader() || !this.replica.isReplicaSetCommitted() || !this.canJudge()) {
-                return;
-            }
+        for (let changes = 0; changes < MAX_CHANGES_PER_TURN && this.replica.isLeader(); changes++) {
             const replicas = this.listObservedReplicas();
-            this.monitor.observeAsLeader(replicas);
-            const change = selectReplicaSetChange(replicas, [...this.joinRequests.values()], this.options.replicaSet);
+            if (this.canJudgeSilence()) {
+                this.monitor.observeAsLeader(replicas);
+            }
+            const change = this.replica.isReplicaSetCommitted()
+                ? selectReplicaSetChange(replicas, [...this.joinRequests.values()], this.options.replicaSet)
+                : undefined;
             if (change === undefined || !await this.applyChange(change)) {
                 return;
             }
@@ -237,6 +238,7 @@
 
     private listObservedReplicas(): ObservedReplica[] {
         const now = this.clock.getMonotonicMs();
+        const canJudgeSilence = this.canJudgeSilence();
         return this.replica.replicas.list().map(replica => {
             const progress = this.replica.tryGetPeerProgress(replica.name);
             const isLeaving = this.isLeaving(replica.name);
@@ -244,8 +246,9 @@
                 return { ...replica, silentMs: 0, isCaughtUp: replica.name === this.options.self.name, isLeaving };
             }
             const heardAt = replica.voting ? progress.lastVotingAnswerAt : progress.lastAnswerAt;
-            const isCaughtUp = progress.isMember && progress.matchIndex >= this.commitIndexAtLastTurn;
-            return { ...replica, silentMs: now - heardAt, isCaughtUp, isLeaving };
+            const isCaughtUp = progress.isMember && progress.matchIndex >= this.commitIndexAtLastTurn
+                && now - progress.lastVotingAnswerAt <= this.options.callTimeoutMs;
+            return { ...replica, silentMs: canJudgeSilence ? now - heardAt : 0, isCaughtUp, isLeaving };
         });
     }
 }
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -339,7 +339,8 @@
         if (!await this.voteRequester.requestVotes("preVote", proposed)) {
             return;
         }
-        if (this.storage.term + 1 !== proposed.term || this.stopped) {
+        const hasHeardLeader = this.leader !== undefined;
+        if (this.storage.term + 1 !== proposed.term || this.stopped || hasHeardLeader || !this.isElectable()) {
             return;
         }
         this.role = "candidate";
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -20,7 +20,8 @@
 
     /** Starts replication to every peer, for a leader that was just elected. */
     startAll(): void {
-        this.replica.replicas.getPeers().forEach(peer => this.startTask(peer));
+        const toldAnswersAt = this.progress.startLeading();
+        this.replica.replicas.getPeers().forEach(peer => this.startTask(peer, toldAnswersAt.get(peer.name)));
     }
 
     /** Starts replication to added replicas and stops it to removed ones, after the replica set has changed. */
@@ -32,9 +33,9 @@
         );
     }
 
-    private startTask(peer: ReplicaAddress): void {
+    private startTask(peer: ReplicaAddress, lastAnswerAt?: number): void {
         const now = this.clock.getMonotonicMs();
-        const progress = this.progress.reset(peer.name, this.storage.getLastIndex() + 1, now);
+        const progress = this.progress.reset(peer.name, this.storage.getLastIndex() + 1, now, lastAnswerAt);
         const { replica, storage, network, clock, options } = this;
         void new PeerReplicator(replica, storage, network, clock, options, this.progress, peer, progress).run();
     }
--- a/src/consensus/voting.ts
+++ b/src/consensus/voting.ts
@@ -62,7 +62,8 @@
             const refusedBy: string[] = [];
             const nonMembers: string[] = [];
             const unanswered = new Set(peers.map(peer => peer.name));
-            let granted = 1;
+            // The set may have changed since the pre-vote.
+            let granted = replicas.isVoter(params.candidate) ? 1 : 0;
             let outstanding = peers.length;
             const resolveIfDecided = (): void => {
                 if (granted >= needed || outstanding === 0) {
--- a/src/domain/commands.ts
+++ b/src/domain/commands.ts
@@ -55,6 +55,9 @@
     })).max(2000),
 });
 
+/** Maximum number of replicas of the log. */
+export const MAX_REPLICAS = 64;
+
 /** A replica of the log. A non-voting replica receives entries but does not count towards a majority. */
 export const replicaSchema = z.strictObject({
     name: z.string().min(1).max(128),
@@ -69,7 +72,7 @@
  */
 export const setReplicasCommand = z.strictObject({
     type: z.literal("setReplicas"),
-    replicas: z.array(replicaSchema).min(1).max(64),
+    replicas: z.array(replicaSchema).min(1).max(MAX_REPLICAS),
 });
 export type Replica = z.infer<typeof replicaSchema>;
 
