--- a/test/tools/memoryNetwork.ts
+++ b/test/tools/memoryNetwork.ts
@@ -12,6 +12,13 @@
     duplicateRate: number;
     /** Addresses cut off from all others, in both directions. */
     readonly partitioned: Set<string>;
+    /** Links on which nothing arrives, as formatted by `formatLink`. Default: none. */
+    readonly cutLinks?: ReadonlySet<string>;
+}
+
+/** Formats the direction of a link. */
+export function formatLink(from: string, to: string): string {
+    return `${from}>${to}`;
 }
 
 /** Handlers of each running process by its address. */
@@ -54,7 +61,17 @@
         if (handlers === undefined || this.faults.partitioned.has(address) || this.faults.partitioned.has(this.self)) {
             throw new RefusalError(createRefusal("peerGone", address, "unknown"));
         }
-        return handlers.handle(method, params, new UnreachablePeer());
+        await this.waitWhileCut(this.self, address);
+        const answer = await handlers.handle(method, params, new UnreachablePeer());
+        await this.waitWhileCut(address, this.self);
+        return answer;
+    }
+
+    /** A message on a link that is cut is lost, which its sender notices only by its own timeout. */
+    private waitWhileCut(from: string, to: string): Promise<void> {
+        return this.faults.cutLinks?.has(formatLink(from, to)) === true
+            ? new Promise(() => undefined)
+            : Promise.resolve();
     }
 }
 
