A controller that returns after its removal is not removed again for its silence before

A controller that was removed while it was paused, and came back to another leader than the one before its pause, was added and removed in turn: seven additions and six removals within 0.2 s while its answers were late by two election timeouts, each with two entries of the log.

Cause: a new leader kept what the former one had told of silent replicas for its whole term, so that a replica which was added again began with its old silence, longer than removeAfterMs. A leader that led a second time also kept its progress of peers which had been removed in between: such a peer, added again, was sent nothing until it had been removed once more.

Change: what was told counts for the replicas of the set at the election, and progress of an earlier term is discarded there.

Without the one or the other, the first or the second of the two new tests fails; with both they pass.

--- a/src/consensus/peerProgress.ts
+++ b/src/consensus/peerProgress.ts
@@ -45,6 +45,11 @@
         this.toldAnswersAt = new Map(silent.map(({ name, ms }) => [name, now - ms]));
     }
 
+    /** Forgets what `recordSilentReplicas` recorded: a peer that is added later is not held to its silence before. */
+    forgetSilentReplicas(): void {
+        this.toldAnswersAt = new Map();
+    }
+
     /** Returns the peers that have not answered for longer than `silentAfterMs`, for `recordSilentReplicas` at the others. */
     listSilentPeers(now: number, silentAfterMs: number): SilentReplica[] {
         return [...this.peers].flatMap(([name, { lastVotingAnswerAt }]) => {
@@ -76,6 +81,10 @@
         this.peers.delete(name);
     }
 
+    clear(): void {
+        this.peers.clear();
+    }
+
     /** Returns the latest time since which a majority has answered, counting the leader but not `exclude`. */
     getMajorityContactAt(now: number, exclude?: string): number {
         const counted = this.replicas.getVoters().filter(voter => voter !== exclude);
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -20,7 +20,10 @@
 
     /** Starts replication to every peer, for a leader that was just elected. */
     startAll(): void {
+        // Peers of an earlier term of this leader may have been removed since.
+        this.progress.clear();
         this.replica.replicas.getPeers().forEach(peer => this.startTask(peer));
+        this.progress.forgetSilentReplicas();
     }
 
     /** Starts replication to added replicas and stops it to removed ones, after the replica set has changed. */
--- a/test/consensus/silenceOfReplicas.test.ts
+++ b/test/consensus/silenceOfReplicas.test.ts
@@ -11,7 +11,7 @@
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
 import { type Controller, ControllerSimulation, ELECTION_TIMEOUT_MS } from "../tools/controllerSimulation.js";
-import { MemoryNetwork } from "../tools/memoryNetwork.js";
+import { formatLink, MemoryNetwork } from "../tools/memoryNetwork.js";
 import { VirtualProcess, VirtualTime } from "../tools/virtualTime.js";
 
 const FOUNDERS = ["a:1", "b:1", "c:1", "d:1", "e:1"];
@@ -182,6 +182,57 @@
     },
 );
 
+/** Lets a controller return that was removed, over a link on which its answers to the leader are late. Returns the changes of the set. */
+async function returnLate(simulation: ControllerSimulation, paused: Controller): Promise<string[]> {
+    const traced = simulation.history.trace.length;
+    const link = formatLink(paused.name, simulation.tryGetLeader()!.name);
+    simulation.cutLinks.add(link);
+    paused.process.resume();
+    await waitFor(simulation, "the addition", () => isReplica(simulation, paused.name));
+    await pass(simulation, 2 * ELECTION_TIMEOUT_MS);
+    simulation.cutLinks.delete(link);
+    await waitFor(simulation, "the vote", () => isVoter(simulation, paused.name));
+    await pass(simulation, SETTLING_MS);
+    return simulation.history.trace.slice(traced).flatMap(line => /"reason":"(\w+)"/.exec(line)?.[1] ?? []);
+}
+
+addTest(
+    "a controller that returns to another leader is added once, and not removed for its former silence",
+    async (t, simulation) => {
+        await startSuccessor(simulation);
+        const paused = getFollower(simulation);
+        await pauseUntilRemoved(simulation, paused, true);
+        t.same(await returnLate(simulation, paused), ["added", "caughtUp"]);
+    },
+);
+
+/** Pauses each leader until `name` leads. */
+async function changeLeaderTo(simulation: ControllerSimulation, name: string): Promise<void> {
+    while (simulation.tryGetLeader()?.name !== name) {
+        const former = simulation.tryGetLeader()!;
+        former.process.pause();
+        await waitFor(simulation, "another leader", () => simulation.tryGetLeader() !== undefined);
+        former.process.resume();
+        await waitFor(simulation, "the end of the former term", () => !former.replica.isLeader());
+        await pass(simulation, 2 * ELECTION_TIMEOUT_MS);
+    }
+}
+
+addTest(
+    "a controller that returns to a leader which led before it was removed is added once",
+    async (t, simulation) => {
+        await startSuccessor(simulation);
+        const [first, second] = simulation.listRunning().sort((a, b) =>
+            Number(b.replica.isLeader()) - Number(a.replica.isLeader())
+        );
+        await changeLeaderTo(simulation, second!.name);
+        const paused = simulation.listRunning().find(({ name }) => name !== first!.name && name !== second!.name)!;
+        await pauseUntilRemoved(simulation, paused, false);
+        await changeLeaderTo(simulation, first!.name);
+        t.same(await returnLate(simulation, paused), ["added", "caughtUp"]);
+    },
+);
+
 /** Names of voters, as addresses, of a set with one more voter than two losses need. */
 const SIX = [...FOUNDERS, SUCCESSOR];
 
