A leader that is elected again goes on counting the silence of replicas

A lost controller kept its vote for silentAfterMs after the election of a leader that had stepped down and was elected again itself, where another new leader withdraws it silentAfterMs after the loss.

Cause: only followers are told of silent replicas. A leader began anew with all peers at its second election.

Change: a leader that steps down, or votes for another one, records which replicas it does not hear, as if it had told itself. What the next leader tells replaces it.

--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -370,6 +370,9 @@
         }
         const candidate = isLogUpToDate(this.storage, params) ? params.candidate : undefined;
         if (params.term > this.storage.term) {
+            if (this.role === "leader") {
+                this.replicationTasks.recordSilence();
+            }
             this.role = "follower";
             this.leader = undefined;
             this.proposals.failAll();
@@ -400,6 +403,7 @@
     private stepDown(term: number): void {
         if (this.role === "leader") {
             this.lastLedAt = this.getMajorityContactAt();
+            this.replicationTasks.recordSilence();
         }
         this.role = "follower";
         this.leader = undefined;
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -35,6 +35,12 @@
         );
     }
 
+    /** Records which replicas this leader does not hear, for the case that it is elected again before another one is. */
+    recordSilence(): void {
+        const now = this.clock.getMonotonicMs();
+        this.progress.recordSilentReplicas(this.progress.listSilentPeers(now, this.options.electionTimeoutMs * 2), now);
+    }
+
     private startTask(peer: ReplicaAddress): void {
         const now = this.clock.getMonotonicMs();
         const progress = this.progress.reset(peer.name, this.storage.getLastIndex() + 1, now);
--- a/test/consensus/silenceOfReplicas.test.ts
+++ b/test/consensus/silenceOfReplicas.test.ts
@@ -233,6 +233,31 @@
     },
 );
 
+addTest(
+    "the silence of a lost controller does not begin anew with a leader that is elected again",
+    async (t, simulation) => {
+        await startSuccessor(simulation);
+        const lost = getFollower(simulation).name;
+        const leader = simulation.tryGetLeader()!;
+        const term = leader.replica.getTerm();
+        simulation.kill(lost);
+        await pass(simulation, REPLICA_SET.silentAfterMs - SETTLING_MS);
+        // Only the leader goes on appending entries, and none of them arrives, so that none of the others can be elected.
+        const others = simulation.listRunning().filter(({ name }) => name !== leader.name);
+        others.forEach(({ name, process }) => {
+            simulation.cutLinks.add(formatLink(leader.name, name));
+            process.pause();
+        });
+        await waitFor(simulation, "the leader to step down", () => !leader.replica.isLeader());
+        simulation.cutLinks.clear();
+        others.forEach(({ process }) => process.resume());
+        await waitFor(simulation, "its election", () => leader.replica.isLeader());
+        t.ok(leader.replica.getTerm() > term);
+        t.ok(isVoter(simulation, lost), "it may answer yet");
+        await waitFor(simulation, "the withdrawal of the vote", () => !isVoter(simulation, lost));
+    },
+);
+
 /** Names of voters, as addresses, of a set with one more voter than two losses need. */
 const SIX = [...FOUNDERS, SUCCESSOR];
 
