--- a/src/consensus/peerProgress.ts
+++ b/src/consensus/peerProgress.ts
@@ -21,8 +21,8 @@
 
 export class PeerProgressTracker {
     private readonly peers = new Map<string, PeerProgress>();
-    /** When the current leader last heard from the replicas that it calls silent. Monotonic clock, milliseconds. */
-    private toldAnswersAt: ReadonlyMap<string, number> = new Map();
+    /** When the current leader last heard from the replicas that it calls silent, and was heard itself. Monotonic clock, milliseconds. */
+    private toldAnswersAt: Map<string, number> = new Map();
 
     constructor(private readonly self: string, private readonly replicas: ReplicaSet) {}
 
@@ -48,9 +48,15 @@
         return progress;
     }
 
-    /** Records which replicas the leader does not hear, for the case that this replica leads next. */
-    recordSilentReplicas(silent: readonly SilentReplica[], now: number): void {
+    /**
+     * Records which replicas the leader does not hear, for the case that this replica leads next. `leader`: the other replica that
+     * leads, which was heard now.
+     */
+    recordSilentReplicas(silent: readonly SilentReplica[], now: number, leader?: string): void {
         this.toldAnswersAt = new Map(silent.map(({ name, ms }) => [name, now - ms]));
+        if (leader !== undefined) {
+            this.toldAnswersAt.set(leader, now);
+        }
     }
 
     /** Returns the peers that have not answered for longer than `silentAfterMs`, for `recordSilentReplicas` at the others. */
--- a/src/consensus/replicatedLog.ts
+++ b/src/consensus/replicatedLog.ts
@@ -371,6 +371,9 @@
         }
         const candidate = isLogUpToDate(this.storage, params) ? params.candidate : undefined;
         if (params.term > this.storage.term) {
+            if (this.role === "leader") {
+                this.replicationTasks.recordSilence();
+            }
             this.role = "follower";
             this.leader = undefined;
             this.proposals.failAll();
@@ -401,6 +404,7 @@
     private stepDown(term: number): void {
         if (this.role === "leader") {
             this.lastLedAt = this.getMajorityContactAt();
+            this.replicationTasks.recordSilence();
         }
         this.role = "follower";
         this.leader = undefined;
@@ -472,7 +476,7 @@
         if (params.term !== this.storage.term) {
             return this.createAppendAnswer(false, 0);
         }
-        this.peerProgress.recordSilentReplicas(params.silentReplicas ?? [], this.clock.getMonotonicMs());
+        this.peerProgress.recordSilentReplicas(params.silentReplicas ?? [], this.clock.getMonotonicMs(), params.leader);
         this.applier.recordCommitted(params.commitIndex);
         const conflictIndex = this.storage.tryFindConflictIndex(params.previousIndex, params.previousTerm);
         if (conflictIndex !== undefined) {
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -33,6 +33,12 @@
         );
     }
 
+    /** Records when this leader last heard from each peer, for the case that it is elected again before another one is. */
+    recordSilence(): void {
+        const now = this.clock.getMonotonicMs();
+        this.progress.recordSilentReplicas(this.progress.listSilentPeers(now, 0), now);
+    }
+
     private startTask(peer: ReplicaAddress, lastAnswerAt?: number): void {
         const now = this.clock.getMonotonicMs();
         const progress = this.progress.reset(peer.name, this.storage.getLastIndex() + 1, now, lastAnswerAt);
