Test tools: routers that are removed for good and replaced, controllers that go silent, seeds that settings name

A controller that goes silent accepts connections and never answers: its callers wait for their time limits, where the address of a killed one refuses connections at once.

--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -26,6 +26,7 @@
 /** Longer than a controller waits for a new leader. */
 const CONFIG_TIMEOUT_MS = 8_000;
 const START_TIMEOUT_MS = 90_000;
+const MAX_SEEDS = 3;
 export const ENGINE_REPORT_MS = 400;
 /** Build whose programs run; another one can be named to compare it. */
 const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
@@ -86,6 +87,10 @@
     private readonly startedBoxes = new Set<string>();
     private readonly controllers: string[];
     private lastController: number;
+    private readonly routers: string[];
+    private lastRouter: number;
+    /** Seeds in settings that are written from now on; the first controllers that there are if undefined. */
+    private seeds: readonly string[] | undefined;
     private readonly faults = new Map<string, BoxFaults>();
     /** Relays on the links from a box to the controllers, by the controller's peer address. */
     private readonly links = new Map<string, ReadonlyMap<string, CutRelay>>();
@@ -94,6 +99,8 @@
 
     constructor(readonly options: ProcessFleetOptions) {
         this.lastController = options.controllers;
+        this.lastRouter = options.routers;
+        this.routers = Array.from({ length: options.routers }, (_, i) => `r${i + 1}`);
         this.controllers = Array.from({ length: options.controllers }, (_, i) => `c${i + 1}`);
     }
 
@@ -270,6 +277,33 @@
         this.processes.delete(box);
     }
 
+    /** Removes a controller for good in such a way that its address accepts connections and nobody answers. */
+    silenceController(box: string): void {
+        this.controllers.splice(this.controllers.indexOf(box), 1);
+        this.signal(box, "SIGSTOP");
+    }
+
+    /** Names the seeds in the settings of processes that are started from now on, whether or not they run. */
+    setSeeds(boxes: readonly string[]): void {
+        this.seeds = boxes;
+    }
+
+    /** Starts a router at another address. Returns its box. */
+    addRouter(): string {
+        this.lastRouter += 1;
+        const box = `r${this.lastRouter}`;
+        this.routers.push(box);
+        this.startBox(box);
+        return box;
+    }
+
+    /** Ends a router for good; resolves when its process has ended. */
+    async removeRouter(box: string, signal: NodeJS.Signals): Promise<void> {
+        this.routers.splice(this.routers.indexOf(box), 1);
+        await endProcess(this.processes.get(box)!, signal);
+        this.processes.delete(box);
+    }
+
     /** Kills some boxes at the same moment. `lostDisks`: those whose disks are empty afterwards. */
     async killBoxes(boxes: readonly string[], lostDisks: readonly string[] = []): Promise<void> {
         await Promise.all(boxes.map(box => endProcess(this.processes.get(box)!)));
@@ -292,8 +326,9 @@
         return [...this.controllers];
     }
 
+    /** The routers that have not been removed. */
     listRouters(): string[] {
-        return Array.from({ length: this.options.routers }, (_, i) => `r${i + 1}`);
+        return [...this.routers];
     }
 
     getControlUrl(box: string): string {
@@ -381,7 +416,9 @@
         return formatBoxSettings({
             name: box,
             ip: this.getIp(box),
-            seeds: this.listControllers().slice(0, 3).map(seed => `${this.getIp(seed)}:${ADMIN_PORT}`),
+            seeds: (this.seeds ?? this.listControllers().slice(0, MAX_SEEDS)).map(seed =>
+                `${this.getIp(seed)}:${ADMIN_PORT}`
+            ),
             isFirstStart: !this.startedBoxes.has(box),
             dataFolder: join(this.folder, box),
             ...(toleratedLosses === undefined ? {} : { toleratedLosses }),
--- a/test/tools/replacementPlay.ts
+++ b/test/tools/replacementPlay.ts
@@ -16,7 +16,7 @@
 /** Requests of this period are counted as served once another such period has passed. */
 const COUNT_MS = 1_500;
 
-class ReplacementPlay {
+export class ReplacementPlay {
     private readonly play: ReturningPlay;
 
     constructor(network: number) {
@@ -63,6 +63,19 @@
         return this.addController();
     }
 
+    /** Lets a controller go silent for good, and starts its successor later. Returns the successor's box. */
+    async replaceSilent(box: string, gapMs = 1_000): Promise<string> {
+        this.fleet.silenceController(box);
+        this.play.updateControllers();
+        await wait(gapMs);
+        return this.addController();
+    }
+
+    /** Counts the requests that were sent in a period. */
+    count(from: number, to: number): ReturnType<ReturningPlay["count"]> {
+        return this.play.count(from, to);
+    }
+
     /** Puts a configuration. Returns its revision once it is acknowledged. */
     acknowledge(): Promise<number> {
         return this.play.putNextBundle();
--- a/test/tools/tokenEngine.ts
+++ b/test/tools/tokenEngine.ts
@@ -27,7 +27,7 @@
         fleet: ProcessFleet,
         private readonly address: string,
         private readonly service = "engines",
-        private readonly id = "e1",
+        readonly id = "e1",
     ) {
         this.controllers = fleet.listControllers().map(box => fleet.getControlUrl(box));
         this.server = createServer((message, response) => void this.answer(message, response));
