Routers that were lost for good no longer share limits

What callers saw: after routers were killed and replaced by others, each of the new ones opened fewer connections to an upstream than its part of max_conns, to the end, so that fewer requests ran at the same time. Rates of cold and limited upstreams and the tokens that routers hold in advance are divided by the same number.

Cause: the number of routers that report prepaid tokens was the number of routers with grants. The ledger keeps the grants of a router that ended without a closing report until a router of the same name comes back, as it must, since they may have been spent. So a router that was killed and never came back counted without a bound.

All controllers record the reports, so that the silence of a router does not begin anew with a leader. Grants stay as they are.

--- a/src/daemons/bundleController/bundleControllerDaemon.ts
+++ b/src/daemons/bundleController/bundleControllerDaemon.ts
@@ -73,7 +73,7 @@
         private readonly options: BundleControllerOptions,
     ) {
         this.seeds = options.seeds;
-        this.prepaid = new PrepaidService(replica, network, log);
+        this.prepaid = new PrepaidService(replica, network, clock, log);
         this.repeatPermits = new RepeatPermitService(replica, network, clock, log, metrics, options.repeatPermits);
         this.upstreamEnds = new UpstreamEndService(
             replica,
@@ -126,7 +126,7 @@
         void this.reconciler.runReconciliation();
         void this.reconciler.runJoinRequests(() => this.seeds);
         void this.registrations.runHeartbeatBatches();
-        void this.prepaid.runLogging(this.clock);
+        void this.prepaid.runLogging();
         void this.repeatPermits.runEviction();
         void this.upstreamEnds.runEviction();
         void this.serviceVersions.runEviction(() => this.registrations.list());
--- a/src/daemons/bundleController/prepaidService.ts
+++ b/src/daemons/bundleController/prepaidService.ts
@@ -7,6 +7,7 @@
 import type { PrepaidReportCommand } from "../../domain/bundleCommands.js";
 import { PredecessorLifetimes } from "../../domain/predecessorLifetimes.js";
 import type { PrepaidResult } from "../../domain/prepaidLedger.js";
+import { ReportingRouters } from "../../domain/reportingRouters.js";
 import type { Clock } from "../../ports/clock.js";
 import type { Log } from "../../ports/log.js";
 import type { PeerNetwork } from "../../ports/peer.js";
@@ -20,17 +21,28 @@
 /** Runs on every controller. Only the leader's instance proposes; the others forward reports to it. */
 export class PrepaidService {
     private readonly processLifetimes = new PredecessorLifetimes();
+    /** Recorded on every controller, so that the silence of a router does not begin anew with a leader. */
+    private readonly reportingRouters = new ReportingRouters();
 
     constructor(
         private readonly replica: ReplicatedLog,
         private readonly network: PeerNetwork,
+        private readonly clock: Clock,
         private readonly log: Log,
-    ) {}
+    ) {
+        replica.onApplied(({ command }, result) => {
+            if (command.type === "reportPrepaid" && (result as PrepaidResult).taken) {
+                this.recordReport(command);
+            }
+        });
+        this.recordSnapshot();
+        replica.onSnapshotLoaded(() => this.recordSnapshot());
+    }
 
     /** Periodically logs the accounts with the lowest fraction of free tokens, on the leader. */
-    async runLogging(clock: Clock): Promise<void> {
+    async runLogging(): Promise<void> {
         while (!this.replica.isStopped()) {
-            await clock.wait(LOG_PERIOD_MS);
+            await this.clock.wait(LOG_PERIOD_MS);
             if (this.replica.isLeader()) {
                 for (const state of this.replica.state.prepaid.listMostDepleted(MAX_LOGGED_ACCOUNTS)) {
                     this.log.info("prepaid_account", { ...state });
@@ -51,7 +63,21 @@
     private async proposeReport(report: PrepaidReportCommand): Promise<PrepaidResult> {
         const predecessor = await this.tryMeasurePredecessorLifetime(report);
         const { result } = await this.replica.propose({ ...report, predecessor });
-        return result as PrepaidResult;
+        return { ...(result as PrepaidResult), routers: this.reportingRouters.count(this.clock.getMonotonicMs()) };
+    }
+
+    private recordReport({ router, closing }: PrepaidReportCommand): void {
+        if (closing) {
+            this.reportingRouters.recordClosed(router);
+        }
+        else {
+            this.reportingRouters.recordReport(router, this.clock.getMonotonicMs());
+        }
+    }
+
+    private recordSnapshot(): void {
+        const now = this.clock.getMonotonicMs();
+        this.replica.state.prepaid.listRouters().forEach(router => this.reportingRouters.recordGranted(router, now));
     }
 
     /** Returns undefined if no previous process of the router has open grants, or if its lifetime cannot be bounded. */
--- a/src/domain/prepaidLedger.ts
+++ b/src/domain/prepaidLedger.ts
@@ -81,6 +81,7 @@
      * answer.
      */
     readonly awaitsConfirmation: boolean;
+    /** Number of routers that hold grants; in a leader's answer, of those that still report. */
     readonly routers: number;
     readonly accounts: readonly PrepaidAnswer[];
     /** Revision of the bundle whose limits were in effect; controllers of earlier versions do not state it. */
@@ -175,6 +176,11 @@
             : { answered: known.answered, newest: known.newest };
     }
 
+    /** Lists the routers that hold grants, whether or not they are still running. */
+    listRouters(): string[] {
+        return [...this.grantees.keys()];
+    }
+
     /** Returns the tokens of an account that are not granted to any router. */
     getFree(account: string): number {
         const entry = this.accounts.get(account);
