Tests of processes that go on counting on controllers that were removed for good

Routers whose three seeds go silent or are killed, and are replaced, one after the other; a router that starts again with one living seed; a controller that joins by way of two silent seeds; a controller that lost its disk and none of whose seeds is left. These show no fault; nothing in the logic is changed.

--- a/test/tools/replacementPlay.ts
+++ b/test/tools/replacementPlay.ts
@@ -18,6 +18,8 @@
 
 export class ReplacementPlay {
     private readonly play: ReturningPlay;
+    /** Other plays of a test file write to the same logs. */
+    private readonly createdAt = new Date();
 
     constructor(network: number) {
         this.play = new ReturningPlay({ network, routers: ROUTERS, requestsPerS: REQUESTS_PER_S, prepaid: [PREPAID] });
@@ -71,6 +73,25 @@
         return this.addController();
     }
 
+    /** Returns the lines that a box has logged since a time, in this play, and that match. */
+    listLines(box: string, pattern: RegExp, since = this.createdAt): string[] {
+        const isLater = (line: string): boolean => line.slice(line.indexOf("=") + 1) >= since.toISOString();
+        return this.fleet.listLogLines(box, pattern).filter(isLater);
+    }
+
+    /** Returns the addresses that vote by the latest change of the replica set; none before the first change. */
+    listVoters(): string[] {
+        const changes = this.fleet.listControllers().flatMap(box => this.listLines(box, /event=replicas_changed/));
+        const [, replicas = ""] = /replicas=(\S+)/.exec(changes.sort().at(-1) ?? "") ?? [];
+        return replicas.split(",").filter(name => name !== "" && !name.endsWith("(nonVoting)"));
+    }
+
+    /** Resolves when a controller votes. */
+    async waitVotes(box: string): Promise<void> {
+        const prefix = `${this.fleet.getIp(box)}:`;
+        await waitUntil(`${box} to vote`, () => this.listVoters().some(address => address.startsWith(prefix)));
+    }
+
     /** Counts the requests that were sent in a period. */
     count(from: number, to: number): ReturnType<ReturningPlay["count"]> {
         return this.play.count(from, to);
