--- a/test/consensus/silenceOfReplicas.test.ts
+++ b/test/consensus/silenceOfReplicas.test.ts
@@ -193,6 +193,7 @@
     simulation.kill(lost.name);
     const hasReplaced = (): boolean => isVoter(simulation, standby.name) && !isVoter(simulation, lost.name);
     await waitFor(simulation, "the vote", hasReplaced, REPLICA_SET.silentAfterMs + SETTLING_MS);
+    await pass(simulation, SETTLING_MS);
 }
 
 /** Lets a controller return that was removed, over a link on which its answers to the leader are late. Returns the changes of the set. */
--- a/test/tools/replacementPlay.ts
+++ b/test/tools/replacementPlay.ts
@@ -21,8 +21,10 @@
     readonly hasCuttableLinks?: boolean;
 }
 
-class ReplacementPlay {
+export class ReplacementPlay {
     private readonly play: ReturningPlay;
+    /** Other plays of a test file write to the same logs. */
+    private readonly createdAt = new Date();
 
     constructor(network: number, options: ReplacementPlayOptions) {
         this.play = new ReturningPlay({
@@ -74,6 +76,38 @@
         return this.addController();
     }
 
+    /** Lets a controller go silent for good, and starts its successor later. Returns the successor's box. */
+    async replaceSilent(box: string, gapMs = 1_000): Promise<string> {
+        this.fleet.silenceController(box);
+        this.play.updateControllers();
+        await wait(gapMs);
+        return this.addController();
+    }
+
+    /** Returns the lines that a box has logged since a time, in this play, and that match. */
+    listLines(box: string, pattern: RegExp, since = this.createdAt): string[] {
+        const isLater = (line: string): boolean => line.slice(line.indexOf("=") + 1) >= since.toISOString();
+        return this.fleet.listLogLines(box, pattern).filter(isLater);
+    }
+
+    /** Returns the addresses that vote by the latest change of the replica set; none before the first change. */
+    listVoters(): string[] {
+        const changes = this.fleet.listControllers().flatMap(box => this.listLines(box, /event=replicas_changed/));
+        const [, replicas = ""] = /replicas=(\S+)/.exec(changes.sort().at(-1) ?? "") ?? [];
+        return replicas.split(",").filter(name => name !== "" && !name.endsWith("(nonVoting)"));
+    }
+
+    /** Resolves when a controller votes. */
+    async waitVotes(box: string): Promise<void> {
+        const prefix = `${this.fleet.getIp(box)}:`;
+        await waitUntil(`${box} to vote`, () => this.listVoters().some(address => address.startsWith(prefix)));
+    }
+
+    /** Counts the requests that were sent in a period. */
+    count(from: number, to: number): ReturnType<ReturningPlay["count"]> {
+        return this.play.count(from, to);
+    }
+
     /** Puts a configuration. Returns its revision once it is acknowledged. */
     acknowledge(): Promise<number> {
         return this.play.putNextBundle();
