Soak: controllers are replaced in every seed with faults

Callers and operators lost the configuration, and the fleet its majority, when disks were lost after a controller had been replaced, and no seed of the soak replaced one.

A new phase plays a fleet of its own: five controllers of which two disks may be lost. One or two are removed by SIGTERM or SIGKILL and replaced at new addresses beside kills, pauses, cuts, SIGHUPs and new configurations; catch_up_s after the last of it two disks are lost, in half of the seeds with the power. The acknowledged configuration has to be read back, a change to be acknowledged and requests to be served within recover_s. Every reading of the operator is judged. LOOMWINCH_PROGRAM_ROOT also names the programs of the soak.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -15,6 +15,7 @@
 import { playLostRouters } from "./lostRoutersPhase.js";
 import { playPlannedPhase } from "./plannedPhase.js";
 import { RelayCounter, type RelayCounts } from "./relayCounter.js";
+import { playReplacedControllers } from "./replacedControllersPhase.js";
 import { checkSharedLimits } from "./sharedLimits.js";
 import { type BoxRole, RELAY_PORT, SoakBox } from "./soakBox.js";
 import { findCallerFaults, SoakCallers } from "./soakCallers.js";
@@ -72,12 +73,12 @@
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const soak = new Soak(options, await mkdtemp(join(options.folder ?? tmpdir(), `soak-${options.seed}-`)));
-    let faults: string[];
+    const faults = options.faultMs === 0 ? [] : await soak.playReplacedControllers();
     try {
-        faults = await soak.run();
+        faults.push(...await soak.run());
     }
     catch (error) {
-        faults = [String(error)];
+        faults.push(String(error));
     }
     const relayCounts = await soak.countRelayed();
     await soak.close();
@@ -114,6 +115,13 @@
         this.operator = new SoakOperator(admins, this.random);
     }
 
+    /** In a fleet of its own, since the controllers of this one bear the loss of one disk alone. */
+    playReplacedControllers(): Promise<string[]> {
+        const { seed, controllers, callers } = this.options;
+        const { network, folder } = this;
+        return playReplacedControllers({ seed, network, controllers, callers, folder }, this.story);
+    }
+
     /** Answers the promises that were broken. */
     async run(): Promise<string[]> {
         await Promise.all(this.controllers.map(box => box.start()));
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -5,7 +5,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { CALLER_PORT, formatBoxSettings, PEER_PORT, SMALL_BOX_LIMITS } from "../tools/boxSettingsText.js";
-import { endProcess, isRunning, spawnNode } from "../tools/childProcesses.js";
+import { endProcess, isRunning, programPath, spawnNode } from "../tools/childProcesses.js";
 import { CutRelay } from "../tools/cutRelay.js";
 import { type BoxFaults, SoakVariables, SOUND } from "./preload.js";
 import { SOAK_LIMITS } from "./soakEngine.js";
@@ -32,6 +32,8 @@
     readonly folder: string;
     /** Disks that may be lost at once. */
     readonly toleratedLosses: number;
+    /** Whether it joins a fleet that has been started before. */
+    readonly joinsFleet?: boolean;
 }
 
 export class SoakBox {
@@ -44,12 +46,13 @@
     private readonly ports: Record<string, number> = {};
     private child: ChildProcess | undefined;
     private faults = SOUND;
-    private isFirstStart = true;
+    private isFirstStart: boolean;
     private isWanted = true;
     private isWiping = false;
 
     constructor(readonly options: SoakBoxOptions) {
         this.entrance = new CutRelay(CALLER_PORT, options.ip);
+        this.isFirstStart = options.joinsFleet !== true;
     }
 
     /** Opens the relays and starts the process. Answers the port at which callers reach it. */
@@ -92,10 +95,10 @@
     }
 
     /** Ends the process for good. */
-    async stop(): Promise<void> {
+    async stop(signal?: NodeJS.Signals): Promise<void> {
         this.isWanted = false;
         if (this.child !== undefined) {
-            await endProcess(this.child);
+            await endProcess(this.child, signal);
         }
         this.links.forEach(link => link.stop());
         this.entrance.stop();
@@ -128,7 +131,7 @@
             [SoakVariables.links]: JSON.stringify(this.ports),
             [SoakVariables.faults]: this.getFaultsPath(),
         };
-        const args = ["--import", preload, join(root, "platform", "main.js"), role];
+        const args = ["--import", preload, programPath, role];
         const child = spawnNode(args, env, this.getLogPath());
         child.once("exit", code => void this.handleExit(code ?? undefined));
         this.child = child;
--- a/test/soak/soakOperator.ts
+++ b/test/soak/soakOperator.ts
@@ -31,13 +31,27 @@
         await Promise.all(this.tasks);
     }
 
-    /** Sends the next revision until a controller has acknowledged it. */
-    async putNext(): Promise<void> {
+    /** Sends the next revision until a controller has acknowledged it; returns false if none has in time. */
+    async putNext(timeoutMs = Infinity): Promise<boolean> {
         this.revision += 1;
         const { revision } = this;
+        const until = performance.now() + timeoutMs;
         while (!await this.put(revision)) {
+            if (performance.now() >= until) {
+                return false;
+            }
             await wait();
         }
+        return true;
+    }
+
+    /** Asks all controllers at once. Returns the first revision that one answers. */
+    async tryReadFirst(): Promise<number | undefined> {
+        const readings = this.controllers.map(async controller => {
+            const revision = await this.tryReadRevision(controller);
+            return revision ?? Promise.reject(new Error(`${controller} does not answer`));
+        });
+        return Promise.any(readings).catch(() => undefined);
     }
 
     /** A path that is routed only by the newest acknowledged revision. */
@@ -55,20 +69,30 @@
 
     private async runReading(): Promise<void> {
         while (this.running) {
-            const least = this.acknowledged;
-            const read = await this.tryCall("GET");
-            if (read?.status === 200) {
-                const { config_rev: revision } = JSON.parse(read.text) as { config_rev: number; };
-                if (revision < least) {
-                    this.faults.push(`revision ${revision} was read after ${least} was acknowledged`);
-                }
-            }
+            await this.tryReadRevision(this.chooseController());
             await wait();
         }
     }
 
+    private async tryReadRevision(controller: string): Promise<number | undefined> {
+        const least = this.acknowledged;
+        const read = await this.tryCall(controller, "GET");
+        if (read?.status !== 200) {
+            return undefined;
+        }
+        const { config_rev: revision } = JSON.parse(read.text) as { config_rev: number; };
+        if (revision < least) {
+            this.faults.push(`revision ${revision} was read after ${least} was acknowledged`);
+        }
+        return revision;
+    }
+
+    private chooseController(): string {
+        return this.controllers[Math.floor(this.random() * this.controllers.length)]!;
+    }
+
     private async put(revision: number): Promise<boolean> {
-        const answer = await this.tryCall("PUT", JSON.stringify(createSoakBundle(revision)));
+        const answer = await this.tryCall(this.chooseController(), "PUT", JSON.stringify(createSoakBundle(revision)));
         if (answer?.status === 200) {
             this.acknowledged = Math.max(this.acknowledged, revision);
         }
@@ -79,10 +103,10 @@
     }
 
     private async tryCall(
+        controller: string,
         method: "GET" | "PUT",
         body?: string,
     ): Promise<{ status: number; text: string; } | undefined> {
-        const controller = this.controllers[Math.floor(this.random() * this.controllers.length)]!;
         try {
             const signal = AbortSignal.timeout(TIMEOUT_MS);
             const answer = await request(`http://${controller}/loomwinch/config`, {
--- a/test/tools/childProcesses.ts
+++ b/test/tools/childProcesses.ts
@@ -1,6 +1,14 @@
 /** Processes that a test starts. None of them survives it. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { createWriteStream } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+/** Build whose programs run; another one can be named to compare it. */
+const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
+const ownRoot = join(fileURLToPath(import.meta.url), "..", "..", "..", "..");
+/** The program of a box. */
+export const programPath = join(process.env[PROGRAM_ROOT_VARIABLE] ?? ownRoot, "dist", "platform", "main.js");
 
 /** Also where the test itself breaks off, nothing that it started goes on. */
 const children = new Set<ChildProcess>();
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -16,7 +16,7 @@
     READINESS_PORT,
     SMALL_BOX_LIMITS,
 } from "./boxSettingsText.js";
-import { endProcess, isRunning, spawnNode } from "./childProcesses.js";
+import { endProcess, isRunning, programPath, spawnNode } from "./childProcesses.js";
 import type { CpuLimiter } from "./cpuLimiter.js";
 import { type CutDirection, CutRelay } from "./cutRelay.js";
 import { tryOpenLogFolder } from "./testLogs.js";
@@ -27,10 +27,7 @@
 const CONFIG_TIMEOUT_MS = 8_000;
 const START_TIMEOUT_MS = 90_000;
 export const ENGINE_REPORT_MS = 400;
-/** Build whose programs run; another one can be named to compare it. */
-const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
 const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
-const programRoot = process.env[PROGRAM_ROOT_VARIABLE] ?? join(testFolder, "..", "..");
 
 export interface ProcessFleetOptions {
     /** Second part of the addresses; unique for each test file. */
@@ -138,7 +135,7 @@
             LOOMWINCH_NODE_FILE: settingsPath,
             LOOMWINCH_FLEET_SECRET: "process-fleet-secret",
         };
-        const main = [join(programRoot, "dist", "platform", "main.js"), role];
+        const main = [programPath, role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
         const args = [...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
         const child = spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box));
