A replica that stands by no longer asks to be added while it hears the leader

Controllers that are no voters asked all that they know to add them, four times a second; one that stands by is no voter for as long as it is not needed. It asks when its own log does not name it, or it hears no leader. joinRequests.test: 3 requests within 400 ms on the code before, none now.

--- a/src/consensus/replicaSetReconciler.ts
+++ b/src/consensus/replicaSetReconciler.ts
@@ -1,6 +1,6 @@
 /**
  * Reconciles the replica set with the running controllers, one change at a time, as `replicaSetPolicy.ts` decides. A controller asks
- * to be added when it is no voter or hears no leader, and asks for its vote to be withdrawn when it stops.
+ * to be added when it is not in the set or hears no leader, and asks for its vote to be withdrawn when it stops.
  */
 import { MAX_REPLICAS } from "../domain/commands.js";
 import type { Clock } from "../ports/clock.js";
@@ -81,14 +81,15 @@
     }
 
     /**
-     * Requests to be added from known controllers, until the replica stops, whenever this one is not a voter or hears no leader: it
+     * Requests to be added from known controllers, until the replica stops, whenever this one is not in the set or hears no leader: it
      * may have been removed while it was suspended or cut off, and does not know of it.
      */
     async runJoinRequests(getKnownAddresses: () => readonly string[]): Promise<void> {
         while (!this.replica.isStopped() && !this.isStopping) {
-            const isVoter = this.replica.replicas.isVoter(this.options.self.name);
-            if (!isVoter || !this.replica.isConnectedToMajority()) {
-                const peers = this.replica.replicas.getPeers().map(peer => peer.address);
+            const { replicas } = this.replica;
+            const isInSet = replicas.list().some(({ name }) => name === this.options.self.name);
+            if (!isInSet || !this.replica.isConnectedToMajority()) {
+                const peers = replicas.getPeers().map(peer => peer.address);
                 await this.requestJoin([...new Set([...getKnownAddresses(), ...peers])]);
             }
             await this.clock.wait(this.options.periodMs);
--- a/test/consensus/joinRequests.test.ts
+++ b/test/consensus/joinRequests.test.ts
@@ -9,7 +9,7 @@
 import { SystemClock } from "../../src/ports/clock.js";
 import { NoLog } from "../../src/ports/log.js";
 import { NoMetrics } from "../../src/ports/metrics.js";
-import { Peer, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
+import { Peer, PeerHandlers, type PeerMethod, PeerNetwork } from "../../src/ports/peer.js";
 import { FakeJournal } from "../tools/fakes.js";
 import { wait, waitUntil } from "../tools/waiting.js";
 
@@ -19,6 +19,7 @@
 /** No address answers; the addresses that were asked to add a controller are recorded. */
 class SilentNetwork extends PeerNetwork {
     readonly asked = new Set<string>();
+    count = 0;
 
     override connect(): Promise<Peer> {
         return Promise.reject(new RefusalError(createRefusal("peerGone")));
@@ -27,6 +28,7 @@
     override async call<P, R>(address: string, method: PeerMethod<P, R>, _params: P, timeoutMs: number): Promise<R> {
         if (method.name === joinMethod.name) {
             this.asked.add(address);
+            this.count += 1;
         }
         await wait(timeoutMs);
         throw new RefusalError(createRefusal("peerTimeout", method.name, "unknown"));
@@ -38,7 +40,7 @@
     network: PeerNetwork,
     seeds: readonly string[],
     records: readonly object[] = [],
-): void {
+): PeerHandlers {
     const clock = new SystemClock();
     const storage = new LogStorage({ journal: new FakeJournal(true), records, tornBytes: 0 }, clock);
     const replica = new ReplicatedLog(storage, network, clock, new NoLog(), {
@@ -60,9 +62,12 @@
         callTimeoutMs: ELECTION_TIMEOUT_MS,
         replicaSet: REPLICA_SET,
     });
+    const handlers = new PeerHandlers();
+    replica.addHandlers(handlers);
     t.teardown(() => replica.stop());
     replica.start();
     void reconciler.runJoinRequests(() => seeds);
+    return handlers;
 }
 
 void t.test("a successor asks a living seed although the seeds before it do not answer", async t => {
@@ -85,3 +90,23 @@
         ELECTION_TIMEOUT_MS * 3,
     );
 });
+
+void t.test("a replica that stands by as a non-voter does not ask again and again while it hears the leader", async t => {
+    const network = new SilentNetwork();
+    const replicas = ["self", "a", "b"].map(name => ({ name, address: name, voting: name !== "self" }));
+    const handlers = startController(t, network, ["seed"], [
+        { type: "member" },
+        { type: "term", term: 1 },
+        { type: "entries", entries: [{ index: 1, term: 1, at: 0, command: { type: "setReplicas", replicas } }] },
+    ]);
+    const heartbeat = { term: 1, leader: "a", previousIndex: 1, previousTerm: 1, commitIndex: 1, entries: [] };
+    const hear = async (ms: number): Promise<void> => {
+        for (const until = performance.now() + ms; performance.now() < until; await wait(20)) {
+            await handlers.handle("log.append", heartbeat, undefined as never);
+        }
+    };
+    await hear(ELECTION_TIMEOUT_MS * 2);
+    network.count = 0;
+    await hear(ELECTION_TIMEOUT_MS);
+    t.equal(network.count, 0);
+});
