--- a/src/consensus/peerProgress.ts
+++ b/src/consensus/peerProgress.ts
@@ -22,16 +22,16 @@
 export class PeerProgressTracker {
     private readonly peers = new Map<string, PeerProgress>();
     /** When the current leader last heard from the replicas that it calls silent, and was heard itself. Monotonic clock, milliseconds. */
-    private toldAnswersAt: Map<string, number> = new Map();
+    private reportedAnswersAt: Map<string, number> = new Map();
 
     constructor(private readonly self: string, private readonly replicas: ReplicaSet) {}
 
     /** Forgets the peers of an earlier leadership. Returns when the leader before this one last heard from those that it called silent. */
     startLeading(): ReadonlyMap<string, number> {
-        const { toldAnswersAt } = this;
-        this.toldAnswersAt = new Map();
+        const { reportedAnswersAt } = this;
+        this.reportedAnswersAt = new Map();
         this.peers.clear();
-        return toldAnswersAt;
+        return reportedAnswersAt;
     }
 
     /** Starts tracking a peer from `nextIndex`, discarding earlier progress. `lastAnswerAt`: as an earlier leader has told. */
@@ -53,9 +53,9 @@
      * leads, which was heard now.
      */
     recordSilentReplicas(silent: readonly SilentReplica[], now: number, leader?: string): void {
-        this.toldAnswersAt = new Map(silent.map(({ name, ms }) => [name, now - ms]));
+        this.reportedAnswersAt = new Map(silent.map(({ name, ms }) => [name, now - ms]));
         if (leader !== undefined) {
-            this.toldAnswersAt.set(leader, now);
+            this.reportedAnswersAt.set(leader, now);
         }
     }
 
--- a/src/consensus/replicationTasks.ts
+++ b/src/consensus/replicationTasks.ts
@@ -20,8 +20,8 @@
 
     /** Starts replication to every peer, for a leader that was just elected. */
     startAll(): void {
-        const toldAnswersAt = this.progress.startLeading();
-        this.replica.replicas.getPeers().forEach(peer => this.startTask(peer, toldAnswersAt.get(peer.name)));
+        const reportedAnswersAt = this.progress.startLeading();
+        this.replica.replicas.getPeers().forEach(peer => this.startTask(peer, reportedAnswersAt.get(peer.name)));
     }
 
     /** Starts replication to added replicas and stops it to removed ones, after the replica set has changed. */
