--- a/src/consensus/replicaSet.ts
+++ b/src/consensus/replicaSet.ts
@@ -1,6 +1,7 @@
 /** Current replica set: as defined by the latest `setReplicas` entry, or by the settings if there is none. */
 import type { Replica } from "../domain/commands.js";
 import type { LogStorage } from "./logStorage.js";
+import { computeMajority } from "./replicaCondition.js";
 
 export interface ReplicaAddress {
     readonly name: string;
@@ -52,7 +53,7 @@
 
     /** Returns the number of voters that form a majority. */
     getQuorumSize(): number {
-        return Math.floor(this.getVoters().length / 2) + 1;
+        return computeMajority(this.getVoters().length);
     }
 
     /** Returns the replicas for the first entry of a new log; undefined if the set is fixed or already in the log. */
