--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -155,11 +155,7 @@
 
     /** Decides on a new connection; one that is not accepted is to be closed before anything is read from it. */
     tryAccept(): boolean {
-        const isAccepted = this.connectionShedding.tryAccept(this.clock.getMonotonicMs());
-        if (!isAccepted) {
-            this.metrics.addCount("connections_closed_unread");
-        }
-        return isAccepted;
+        return this.connectionShedding.tryAccept(this.clock.getMonotonicMs());
     }
 
     /** Chooses the router to relay a new connection to; undefined if it is to be served locally. */
