--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -27,6 +27,7 @@
 const CONFIG_TIMEOUT_MS = 8_000;
 const START_TIMEOUT_MS = 90_000;
 const MAX_SEEDS = 3;
+const DEFAULT_ROUTER_MEMORY_MB = 300;
 export const ENGINE_REPORT_MS = 400;
 const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
 
@@ -45,6 +46,10 @@
     readonly hasCuttableLinks?: boolean;
     /** CPU time that boxes get; that of routers is in their settings as well. Unlimited if undefined. */
     readonly cpu?: { readonly limiter: CpuLimiter; readonly routerCores: number; readonly controllerCores: number; };
+    /** Arguments of Node.js for every box. */
+    readonly nodeArgs?: readonly string[];
+    /** Memory of a router in its settings, in MB; used with `cpu`. */
+    readonly routerMemoryMb?: number;
     /** Disks that may be lost at once; the platform's default for tests if undefined. */
     readonly toleratedLosses?: number;
 }
@@ -144,7 +149,7 @@
         };
         const main = [programPath, role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
-        const args = [...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
+        const args = [...(this.options.nodeArgs ?? []), ...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
         const child = spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box));
         this.processes.set(box, child);
         const { cpu } = this.options;
@@ -408,11 +413,12 @@
 
     private formatSettings(box: string): string {
         const { retryRatio, retrySlack, graceS, toleratedLosses, cpu } = this.options;
+        const { routerMemoryMb = DEFAULT_ROUTER_MEMORY_MB } = this.options;
         const cpuLimits = `
             [limits]
             cpu_quota = ${cpu?.routerCores}
             cores = 1
-            memory_mb = 300
+            memory_mb = ${routerMemoryMb}
         `;
         return formatBoxSettings({
             name: box,
@@ -429,7 +435,7 @@
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
-                ${this.isSmall(box) ? SMALL_BOX_LIMITS : ""}
+                ${this.isSmall(box) && cpu === undefined ? SMALL_BOX_LIMITS : ""}
                 ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
             `,
         });
