A saturated router refuses the requests on connections that it does not serve, instead of resetting them

Cause: ConnectionShedding decides as a connection is accepted, and the router destroyed a connection that it did not accept. Its request lay unread in the socket, so that the system reset it. The caller could not tell that it had not run.

The router now reads what has arrived and refuses the request with 503 routerOverloaded and a short Retry-After, by its framing alone.

--- a/src/adapters/http/acceptMonitor.ts
+++ b/src/adapters/http/acceptMonitor.ts
@@ -32,6 +32,11 @@
         return this.arrivalEstimator.createConnectionArrival(now, estimatedAt);
     }
 
+    /** See `ListenQueue`. */
+    mayHaveOverflowed(): boolean {
+        return this.queue.mayHaveOverflowed(performance.now());
+    }
+
     /** A poll that accepts no connection has found none. */
     private async checkEmpty(acceptedCount: number): Promise<void> {
         const now = performance.now();
--- a/src/daemons/directRouter/relayCoordinator.ts
+++ b/src/daemons/directRouter/relayCoordinator.ts
@@ -31,6 +31,9 @@
 const MAX_ANNOUNCING_ROUTERS = 64;
 /** Time after a change in which all connections are examined. Later, each is examined after its answer. */
 const CLOSING_PERIOD_MS = 5_000;
+/** Range of Retry-After for callers that are better served by another router, so that they do not all return at once. */
+const MIN_UNSERVED_RETRY_AFTER_MS = 50;
+const MAX_UNSERVED_RETRY_AFTER_MS = 250;
 /** Refusals should be sent within a quarter of the latency goal. */
 const MAX_LAG_GOAL_FRACTION = 0.25;
 
@@ -153,11 +156,18 @@
         this.relayNotifier.sendDue(now);
     }
 
-    /** Decides on a new connection; one that is not accepted is to be closed before anything is read from it. */
+    /** Decides on a new connection; one that is not accepted is not served (`createUnservedRefusal`). */
     tryAccept(): boolean {
         return this.connectionShedding.tryAccept(this.clock.getMonotonicMs());
     }
 
+    /** Creates the refusal of a request on a connection that is not accepted. Other routers have spare capacity. */
+    createUnservedRefusal(): Refusal {
+        const rangeMs = MAX_UNSERVED_RETRY_AFTER_MS - MIN_UNSERVED_RETRY_AFTER_MS;
+        const retryAfterMs = Math.round(MIN_UNSERVED_RETRY_AFTER_MS + this.random() * rangeMs);
+        return createRefusal("routerOverloaded", undefined, "no", retryAfterMs);
+    }
+
     /** Chooses the router to relay a new connection to; undefined if it is to be served locally. */
     tryChooseRouter(): RouterLoad | undefined {
         return this.policy.tryChooseRouter(
--- a/src/domain/connectionShedding.ts
+++ b/src/domain/connectionShedding.ts
@@ -1,6 +1,6 @@
 /**
- * Limits the rate at which a router that is out of CPU time accepts connections. The others are closed before anything is read
- * from them, which costs little and lets callers try another router at once; a request that has been read could only be refused.
+ * Limits the rate at which a router that is out of CPU time accepts connections. Requests on the others are refused without being
+ * parsed, which costs little and lets callers try another router at once.
  */
 
 /** Nominal interval between calls of `recordSample`, in milliseconds. */
@@ -86,7 +86,7 @@
         }
     }
 
-    /** Decides on a new connection: returns whether to accept it; otherwise it is to be closed unread. */
+    /** Decides on a new connection: returns whether to accept it. */
     tryAccept(now: number): boolean {
         const isAccepted = this.tryTakeToken(this.limitPerSecond, now);
         this.acceptedCount += isAccepted ? 1 : 0;
--- a/src/domain/listenQueue.ts
+++ b/src/domain/listenQueue.ts
@@ -13,12 +13,19 @@
     readonly estimatedAt: number;
 }
 
+/**
+ * Time after which the system has sent what it dropped from a full queue again, or has given the connection up, in milliseconds: its
+ * fourth repetition comes after 15 s.
+ */
+const OVERFLOW_MEMORY_MS = 16_000;
+
 /** All times are monotonic, in milliseconds. */
 export class ListenQueue {
     /** When the last `capacity` connections were accepted since the queue was empty, the earliest first. */
     private readonly acceptedAt: number[] = [];
     private emptyAt: number;
     private lastEstimatedAt = -Infinity;
+    private fullAt = -Infinity;
 
     /** `capacity`: maximum number of connections that wait. */
     constructor(private readonly capacity: number, now: number) {
@@ -44,9 +51,18 @@
         const isFull = this.acceptedAt.length === this.capacity;
         const earliestAt = isFull ? Math.max(this.emptyAt, this.acceptedAt.shift()!) : this.emptyAt;
         this.acceptedAt.push(now);
+        this.fullAt = this.acceptedAt.length === this.capacity ? now : this.fullAt;
         const foundAt = hasWaited ? Math.min(readAt, (earliestAt + now) / 2) : readAt;
         const estimatedAt = Math.max(this.lastEstimatedAt, foundAt);
         this.lastEstimatedAt = estimatedAt;
         return { earliestAt: Math.min(earliestAt, estimatedAt), estimatedAt };
     }
+
+    /**
+     * Whether the queue may have been full so recently that the system may have dropped the last packets of a connection's setup, and with them
+     * what its caller has sent. The caller takes such a connection for established.
+     */
+    mayHaveOverflowed(now: number): boolean {
+        return now - this.fullAt < OVERFLOW_MEMORY_MS;
+    }
 }
--- a/test/domain/listenQueue.test.ts
+++ b/test/domain/listenQueue.test.ts
@@ -63,3 +63,16 @@
     );
     t.end();
 });
+
+void t.test("a queue that was full may have lost packets until the system has sent them again", async t => {
+    const queue = new ListenQueue(CAPACITY, 0);
+    for (let i = 1; i < CAPACITY; i++) {
+        queue.recordAccepted(1_000 + i, 1_000, 900);
+    }
+    t.notOk(queue.mayHaveOverflowed(1_100), "one place was free");
+    queue.recordAccepted(1_200, 1_000, 900);
+    t.ok(queue.mayHaveOverflowed(1_200));
+    queue.recordEmpty(1_300);
+    t.ok(queue.mayHaveOverflowed(17_000));
+    t.notOk(queue.mayHaveOverflowed(17_300));
+});
