A router that stops reads what has arrived before it ends a connection as idle

Cause: in the closing phase connections without a request are ended right after a poll for I/O, so that what has arrived is read before. A connection that this poll has accepted is read only in the next one, and was ended in between. The relay closed connections over which nothing had come in the same way.

Both now read what has arrived from the system before they end a connection, and serve or refuse the request.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -158,6 +158,22 @@
         return this.connections.size - this.ended.size;
     }
 
+    /**
+     * Reads what has arrived on a connection, and returns whether that is a part of a request. The event loop may not have read it yet: it reads
+     * from a connection only in the turns after the one in which it accepts it.
+     */
+    private readArrived(socket: Socket, connection: CallerConnection): boolean {
+        if (socket.destroyed || socket.readableEnded) {
+            return false;
+        }
+        const arrived = tryReadArrived(socket);
+        if (arrived === undefined || arrived.bytes.length === 0) {
+            return false;
+        }
+        returnBytes(socket, connection, arrived.bytes);
+        return true;
+    }
+
     private recordClosed(connection: CallerConnection): void {
         if (connection.hasClosed()) {
             return;
@@ -173,7 +189,7 @@
     private endIfIdle(socket: Socket, connection: CallerConnection): void {
         const isMalformed = this.malformed.has(socket) && connection.listExchanges().length === 0;
         const isIdle = connection.isIdle(socket.bytesRead) && this.isClosing(socket);
-        if (!this.ended.has(socket) && (isMalformed || isIdle)) {
+        if (!this.ended.has(socket) && (isMalformed || (isIdle && !this.readArrived(socket, connection)))) {
             this.ended.add(socket);
             this.metrics.addCount("connections_ended_idle");
             endLingering(socket);
--- a/src/adapters/http/connectionRelay.ts
+++ b/src/adapters/http/connectionRelay.ts
@@ -144,7 +144,7 @@
     /** Closes the connections over which callers have sent nothing: the routers that they are relayed to do not know whose they are. */
     closeUnused(): void {
         for (const connection of this.connections) {
-            if (connection.isUnused()) {
+            if (connection.isUnused() && !connection.forwardArrived()) {
                 connection.close("stopping");
             }
         }
--- a/src/adapters/http/relayedConnection.ts
+++ b/src/adapters/http/relayedConnection.ts
@@ -96,6 +96,15 @@
         return this.state === "open" && (this.isDetached || !this.isPreambleSent) && this.delayedBytes === undefined;
     }
 
+    /** Passes on what has arrived and the event loop has not read yet; returns whether there was anything. */
+    forwardArrived(): boolean {
+        const bytes = Buffer.concat(tryReadArrived(this.caller)?.bytes ?? []);
+        if (bytes.length > 0) {
+            this.handleRequest(bytes);
+        }
+        return bytes.length > 0;
+    }
+
     /** Whether bytes of the caller were passed on that no answer has followed. */
     isUnanswered(): boolean {
         return this.isPreambleSent && this.answerReads === 0;
@@ -486,12 +495,8 @@
         const mayHaveRun = exchange.mayHaveRun(end);
         const bytes = exchange.tryGetRequest();
         if (!this.isDetached) {
-            this.relay.logFailover(
-                this.target,
-                cause,
-                { mayHaveRun, isRetained: bytes !== undefined },
-                this.getProgress(),
-            );
+            const request = { mayHaveRun, isRetained: bytes !== undefined };
+            this.relay.logFailover(this.target, cause, request, this.getProgress());
         }
         caller.pause();
         this.callerHandlers.forEach(([event, handler]) => caller.off(event, handler));
