A process that stops closes its listener once no connection waits to be accepted

Callers of a stopping router had their connections reset, although they had been established and their requests sent up to 700 ms before: 10 of 10 requests behind ten unused connections, without a line that names them.

Cause: a drain stops listening as soon as no connection owes an answer. An event loop accepts one connection of a listener for each poll, so that others may wait in the listen queue at that moment, and the system resets these as the listener is closed. Unused connections in front of them are ended at once and leave nothing that is owed.

stopListening accepts until a poll has found nothing, at most as many times as the queue has places. Routers, controllers and the HTTP servers of the product's own roles use it.

--- a/src/adapters/http/appConnections.ts
+++ b/src/adapters/http/appConnections.ts
@@ -4,6 +4,7 @@
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
 import { waitForNextPoll } from "../nextPoll.js";
+import { stopListening } from "../stopListening.js";
 import { CallerConnections } from "./callerConnections.js";
 
 /** Limit on the total size of a request's headers. */
@@ -61,7 +62,7 @@
         this.startAnnouncing();
         this.isClosing = true;
         // The method of the HTTP server would also destroy connections whose last answer is complete and not sent.
-        NetServer.prototype.close.call(server);
+        await stopListening(server, () => NetServer.prototype.close.call(server));
         this.logProgress("closing", startedAt);
         while (this.callers.countOpen() > 0 && performance.now() - startedAt < limitMs) {
             await waitForNextPoll();
--- a/src/daemons/connectionDrain.ts
+++ b/src/daemons/connectionDrain.ts
@@ -10,8 +10,8 @@
 
 /** The connections of a process with its callers, and with the routers that it relays to. */
 export interface DrainableServer {
-    /** Stops accepting connections. */
-    stopListening(): void;
+    /** Accepts the connections that wait for it, and stops listening. */
+    stopListening(): Promise<void>;
     /** Ends the connections that carry no request. Called right after a poll for I/O. */
     endIdleConnections(): void;
     /** Returns the number of connections whose last byte is not handed to the operating system. */
@@ -59,7 +59,7 @@
         else if (isListening) {
             // What was accepted until now is examined once more.
             isListening = false;
-            server.stopListening();
+            await server.stopListening();
         }
         else {
             logProgress("drained");
--- a/test/daemons/connectionDrain.test.ts
+++ b/test/daemons/connectionDrain.test.ts
@@ -33,8 +33,9 @@
         this.endedAt = spans.map(() => undefined);
     }
 
-    stopListening(): void {
+    stopListening(): Promise<void> {
         this.isListening = false;
+        return Promise.resolve();
     }
 
     endIdleConnections(): void {
