--- a/test/fleet/queuedConnections.test.ts
+++ b/test/fleet/queuedConnections.test.ts
@@ -38,7 +38,7 @@
 const limiter = new CpuLimiter();
 const play: PlannedPlay = await startPlay(NETWORK, ROUTERS, undefined, {
     cpu: { limiter, routerCores: ROUTER_CORES, controllerCores: CONTROLLER_CORES },
-    routerMemoryMb: ROUTER_MEMORY_MB,
+    memoryMb: ROUTER_MEMORY_MB,
     nodeArgs: NODE_ARGS,
 });
 t.teardown(async () => {
--- a/test/tools/boxSettingsText.ts
+++ b/test/tools/boxSettingsText.ts
@@ -6,13 +6,20 @@
 export const READINESS_PORT = 8220;
 export const METRICS_PORT = 9464;
 
-/** Limits of a small box, which relays connections, reads streams at a pace and borrows tokens in advance while it is loaded. */
-export const SMALL_BOX_LIMITS = `
-    [limits]
-    cpu_quota = 0.3
-    cores = 1.2
-    memory_mb = 300
-`;
+/** CPU time of a small box, which relays connections, reads streams at a pace and borrows tokens in advance while it is loaded. */
+export const SMALL_BOX_CORES = 0.36;
+const DEFAULT_MEMORY_MB = 300;
+
+/** Formats the limits of a box. `cores`: its CPU time; not limited if undefined. */
+export function formatBoxLimits(cores: number | undefined, memoryMb = DEFAULT_MEMORY_MB): string {
+    return `
+        [limits]
+        ${cores === undefined ? "" : `cpu_quota = ${cores}`}
+        memory_mb = ${memoryMb}
+    `;
+}
+
+export const SMALL_BOX_LIMITS = formatBoxLimits(SMALL_BOX_CORES);
 
 export interface BoxSettingsText {
     readonly name: string;
--- a/test/tools/childProcesses.ts
+++ b/test/tools/childProcesses.ts
@@ -1,8 +1,9 @@
 /** Processes that a test starts. None of them survives it. */
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess, execFile, spawn } from "node:child_process";
 import { createWriteStream } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
 
 /** Build whose programs run; another one can be named to compare it. */
 const PROGRAM_ROOT_VARIABLE = "LOOMWINCH_PROGRAM_ROOT";
@@ -14,6 +15,13 @@
 const children = new Set<ChildProcess>();
 process.once("exit", () => children.forEach(child => child.kill("SIGKILL")));
 
+/** Builds the program as it is deployed; resolves to its path. */
+export async function buildDeployedProgram(): Promise<string> {
+    const root = process.env[PROGRAM_ROOT_VARIABLE] ?? ownRoot;
+    await promisify(execFile)(process.execPath, [join(root, "platform", "build.mjs")], { cwd: root });
+    return join(root, "target", "main.mjs");
+}
+
 /** Starts Node.js with `args`. `logPath`: a file to which its output is added; it is discarded otherwise. */
 export function spawnNode(args: readonly string[], env: NodeJS.ProcessEnv, logPath?: string): ChildProcess {
     const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"], env });
--- a/test/tools/plannedPlay.ts
+++ b/test/tools/plannedPlay.ts
@@ -28,14 +28,15 @@
     readonly tookMs: number;
 }
 
-/** What a request of a play may cost: sends in all, and whether a stream may go on at another engine. */
+/** What a request of a play may cost: sends in all, whether a stream may go on at another engine, and the length of its body. */
 export interface PlayRepeats {
     readonly attempts: number;
     readonly resumable: boolean;
+    readonly maxBodyBytes?: number;
 }
 
 /** A stream that may be resumed goes on at another engine after a silence. */
-const NO_REPEATS: PlayRepeats = { attempts: 1, resumable: false };
+export const NO_REPEATS: PlayRepeats = { attempts: 1, resumable: false };
 
 export async function startPlay(
     network: number,
@@ -273,6 +274,7 @@
     }));
     return {
         ...bundle,
+        limits: { ...bundle.limits, max_body_bytes: repeats.maxBodyBytes ?? bundle.limits.max_body_bytes },
         routes: [...bundle.routes, ...versions].map(route => ({
             ...route,
             timeout_ms: DEADLINE_MS,
--- a/test/tools/processFleet.ts
+++ b/test/tools/processFleet.ts
@@ -10,11 +10,12 @@
 import {
     ADMIN_PORT,
     CALLER_PORT,
+    formatBoxLimits,
     formatBoxSettings,
     METRICS_PORT,
     PEER_PORT,
     READINESS_PORT,
-    SMALL_BOX_LIMITS,
+    SMALL_BOX_CORES,
 } from "./boxSettingsText.js";
 import { endProcess, isRunning, programPath, spawnNode } from "./childProcesses.js";
 import type { CpuLimiter } from "./cpuLimiter.js";
@@ -27,7 +28,6 @@
 const CONFIG_TIMEOUT_MS = 8_000;
 const START_TIMEOUT_MS = 90_000;
 const MAX_SEEDS = 3;
-const DEFAULT_ROUTER_MEMORY_MB = 300;
 export const ENGINE_REPORT_MS = 400;
 const testFolder = join(dirname(fileURLToPath(import.meta.url)), "..");
 
@@ -46,10 +46,12 @@
     readonly hasCuttableLinks?: boolean;
     /** CPU time that boxes get; that of routers is in their settings as well. Unlimited if undefined. */
     readonly cpu?: { readonly limiter: CpuLimiter; readonly routerCores: number; readonly controllerCores: number; };
+    /** Program of every box; the unbundled one if undefined. */
+    readonly program?: string;
     /** Arguments of Node.js for every box. */
     readonly nodeArgs?: readonly string[];
-    /** Memory of a router in its settings, in MB; used with `cpu`. */
-    readonly routerMemoryMb?: number;
+    /** Memory of each box in its settings, in MB; the default of a test if undefined. */
+    readonly memoryMb?: number;
     /** Disks that may be lost at once; the platform's default for tests if undefined. */
     readonly toleratedLosses?: number;
 }
@@ -147,7 +149,7 @@
             LOOMWINCH_NODE_FILE: settingsPath,
             LOOMWINCH_FLEET_SECRET: "process-fleet-secret",
         };
-        const main = [programPath, role];
+        const main = [this.options.program ?? programPath, role];
         const preload = ["--import", join(testFolder, "soak", "preload.js")];
         const args = [...(this.options.nodeArgs ?? []), ...nodeArgs, ...(this.hasPreload(box) ? preload : []), ...main];
         const child = spawnNode(args, { ...env, ...this.createPreloadEnv(box) }, this.getLogPath(box));
@@ -185,6 +187,15 @@
         this.forEachLink(link => link.heal());
     }
 
+    getPid(box: string): number {
+        return this.processes.get(box)!.pid!;
+    }
+
+    /** Whether the process of a box has not ended. */
+    isBoxRunning(box: string): boolean {
+        return isRunning(this.processes.get(box)!);
+    }
+
     signal(box: string, signal: NodeJS.Signals): void {
         this.processes.get(box)!.kill(signal);
     }
@@ -412,14 +423,7 @@
     }
 
     private formatSettings(box: string): string {
-        const { retryRatio, retrySlack, graceS, toleratedLosses, cpu } = this.options;
-        const { routerMemoryMb = DEFAULT_ROUTER_MEMORY_MB } = this.options;
-        const cpuLimits = `
-            [limits]
-            cpu_quota = ${cpu?.routerCores}
-            cores = 1
-            memory_mb = ${routerMemoryMb}
-        `;
+        const { retryRatio, retrySlack, graceS, toleratedLosses } = this.options;
         return formatBoxSettings({
             name: box,
             ip: this.getIp(box),
@@ -435,9 +439,19 @@
                 retry_ratio = ${retryRatio}
                 retry_slack = ${retrySlack}
                 ${graceS === undefined ? "" : `grace_s = ${graceS}`}
-                ${this.isSmall(box) && cpu === undefined ? SMALL_BOX_LIMITS : ""}
-                ${cpu !== undefined && box.startsWith("r") ? cpuLimits : ""}
+                ${this.formatLimits(box)}
             `,
         });
     }
+
+    private formatLimits(box: string): string {
+        const { cpu, memoryMb } = this.options;
+        if (cpu !== undefined && box.startsWith("r")) {
+            return formatBoxLimits(cpu.routerCores, memoryMb);
+        }
+        if (this.isSmall(box)) {
+            return formatBoxLimits(SMALL_BOX_CORES, memoryMb);
+        }
+        return memoryMb === undefined ? "" : formatBoxLimits(undefined, memoryMb);
+    }
 }
--- a/test/tools/runTests.ts
+++ b/test/tools/runTests.ts
@@ -15,6 +15,8 @@
 /** Test files that run at once: several of them start a fleet of processes each. */
 const JOBS = 2;
 const FILE_TIMEOUT_S = 240;
+/** Test files that measure the memory of processes, and run one at a time after the others. */
+const SINGLE_FILES = /\bhostileClients\.test\.js$/;
 
 /** The result of one named test. */
 interface TestResult {
@@ -29,7 +31,22 @@
     }).sort();
 }
 
-function runTap(files: readonly string[], logFolder: string): Promise<{ output: string; code: number; }> {
+interface TapRun {
+    readonly output: string;
+    readonly code: number;
+}
+
+async function runAll(files: readonly string[], logFolder: string): Promise<TapRun> {
+    const isSingle = (file: string): boolean => SINGLE_FILES.test(file);
+    const shared = await runTap(files.filter(file => !isSingle(file)), logFolder, JOBS);
+    const single = await runTap(files.filter(isSingle), logFolder, 1);
+    return { output: shared.output + single.output, code: Math.max(shared.code, single.code) };
+}
+
+function runTap(files: readonly string[], logFolder: string, jobs: number): Promise<TapRun> {
+    if (files.length === 0) {
+        return Promise.resolve({ output: "", code: 0 });
+    }
     const tap = join(root, "node_modules", "tap", "dist", "esm", "run.mjs");
     const args = [
         tap,
@@ -37,7 +54,7 @@
         "--disable-coverage",
         "--allow-empty-coverage",
         "--reporter=tap",
-        `--jobs=${JOBS}`,
+        `--jobs=${jobs}`,
         `--timeout=${FILE_TIMEOUT_S}`,
     ];
     return new Promise(resolve => {
@@ -87,7 +104,7 @@
 
 const files = process.argv.length > 2 ? process.argv.slice(2) : findTestFiles(testFolder);
 const logFolder = process.env[TEST_LOGS_VARIABLE] ?? mkdtempSync(join(tmpdir(), "loomwinch-test-logs-"));
-const { output, code } = await runTap(files, logFolder);
+const { output, code } = await runAll(files, logFolder);
 keepLogsOfFailures(output, logFolder);
 const results = getResults(output);
 const knownRed = readKnownRed();
