--- a/src/domain/bodyMemory.ts
+++ b/src/domain/bodyMemory.ts
@@ -60,17 +60,17 @@
         this.activeAt = now;
     }
 
-    /** Records that `receivedBytes` have arrived in all. Returns false if the body exceeds what may be held. */
-    tryRecordReceived(receivedBytes: number, now: number): boolean {
+    /** Records that a part of the body has arrived, and that holding all of it takes `heldBytes`. Returns false if that exceeds what may be held. */
+    tryRecordHeld(heldBytes: number, now: number): boolean {
         this.activeAt = now;
-        const extraBytes = receivedBytes - this.bytes;
+        const extraBytes = heldBytes - this.bytes;
         if (extraBytes <= 0 || this.isReleased) {
             return !this.isReleased;
         }
         if (!this.memory.tryAdd(extraBytes, now)) {
             return false;
         }
-        this.bytes = receivedBytes;
+        this.bytes = heldBytes;
         return true;
     }
 
--- a/test/domain/bodyMemory.test.ts
+++ b/test/domain/bodyMemory.test.ts
@@ -40,9 +40,9 @@
 void t.test("bodies without a declared length are counted as they arrive", t => {
     const memory = createMemory();
     const [first, second] = [0, 0].map(bytes => memory.tryReserve(bytes, 0, () => undefined)!);
-    t.ok(first!.tryRecordReceived(MAX_BYTES - 10, 0));
-    t.ok(second!.tryRecordReceived(20, 0));
-    t.equal(second!.tryRecordReceived(30, 0), false);
+    t.ok(first!.tryRecordHeld(MAX_BYTES - 10, 0));
+    t.ok(second!.tryRecordHeld(20, 0));
+    t.equal(second!.tryRecordHeld(30, 0), false);
     second!.release();
     t.equal(memory.getHeldBytes(), MAX_BYTES - 10);
     t.end();
@@ -55,7 +55,7 @@
     const [, slow, complete, last] = ["stalled", "slow", "complete", "last"].map(reserve);
     complete!.finish();
     last!.finish();
-    slow!.tryRecordReceived(1, STALLED_MS - 1);
+    slow!.tryRecordHeld(1, STALLED_MS - 1);
     t.equal(memory.tryReserve(1, STALLED_MS - 1, () => undefined), undefined);
     t.ok(memory.tryReserve(1, STALLED_MS, () => undefined));
     t.same(evicted, ["stalled"]);
