HTTP servers close connections that send too many requests ahead of their answers

One process of clients ended a router by 20 connections of requests without headers, or with the usual ones, and routers and controllers by 40 to 200 connections at the readiness path and the metrics, with answers unread (heap of 64 MB, machines of 200 MB).

Cause: Node.js parses all requests of one read before it answers the first, and creates a request and a response for each, some 3,600 for 64 KiB; it stops reading only for answers that wait to be written, and a request that waits for its upstream has none. Requests without a Host header were refused by the server itself, outside of anything that counts. Readiness and metrics had no limit of connections, and no time for answers to be read.

PipelineLimit counts the requests of a connection whose answers are not delivered, and all that were sent ahead. It closes a connection beyond either limit and stops the parser, which would otherwise go on in what was read; several connections that became readable together would hold all of their requests until they are closed. All HTTP servers use it; readiness and metrics get a limit of connections and of silence as well. Ordinary callers send one request at a time and are not counted.

--- a/src/adapters/http/appConnections.ts
+++ b/src/adapters/http/appConnections.ts
@@ -6,6 +6,7 @@
 import { waitForNextPoll } from "../nextPoll.js";
 import { stopListening } from "../stopListening.js";
 import { CallerConnections } from "./callerConnections.js";
+import { CALLER_PIPELINE_LIMITS, PipelineLimit } from "./pipelineLimit.js";
 
 /** Limit on the total size of a request's headers. */
 export const MAX_HEADER_BYTES = 16 * 1024;
@@ -23,7 +24,7 @@
     private isAnnouncing = false;
     private isClosing = false;
 
-    constructor(private readonly log: Log, metrics: Metrics) {
+    constructor(private readonly log: Log, private readonly metrics: Metrics) {
         this.callers = new CallerConnections(log, metrics, () => this.isClosing);
     }
 
@@ -33,20 +34,30 @@
             headersTimeout: HEADERS_TIMEOUT_MS,
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+            // Requests that the server refuses by itself would not be limited.
+            requireHostHeader: false,
         };
-        const server = createServer(options, (request, response) => {
-            const name = `${request.method} ${request.url}`;
-            if (this.callers.isEnded(request.socket)) {
-                this.log.info("request_crossed_close", { request: name });
-                request.resume();
-                return;
-            }
-            this.callers.beginExchange(request, response, name);
-            this.responses.add(response);
-            response.once("close", () => this.responses.delete(response));
-            response.shouldKeepAlive &&= !this.isAnnouncing;
-            handle(request, response);
-        });
+        const limit = new PipelineLimit("callers", CALLER_PIPELINE_LIMITS, this.log, this.metrics);
+        const server = createServer(
+            options,
+            limit.wrap((request, response) => {
+                if (request.headers.host === undefined && request.httpVersion === "1.1") {
+                    response.writeHead(400, { "Connection": "close", "Content-Length": 0 }).end();
+                    return;
+                }
+                const name = `${request.method} ${request.url}`;
+                if (this.callers.isEnded(request.socket)) {
+                    this.log.info("request_crossed_close", { request: name });
+                    request.resume();
+                    return;
+                }
+                this.callers.beginExchange(request, response, name);
+                this.responses.add(response);
+                response.once("close", () => this.responses.delete(response));
+                response.shouldKeepAlive &&= !this.isAnnouncing;
+                handle(request, response);
+            }),
+        );
         return server.on("connection", socket => this.callers.add(socket));
     }
 
--- a/src/adapters/prometheusMetrics.ts
+++ b/src/adapters/prometheusMetrics.ts
@@ -1,7 +1,9 @@
 /** Metrics in the Prometheus text format, served over HTTP. */
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { type Log, NoLog } from "../ports/log.js";
 import { Metrics } from "../ports/metrics.js";
+import { createServiceServer } from "./http/serviceServer.js";
 import { startListening } from "./startListening.js";
 
 const NAME_PREFIX = "loomwinch_";
@@ -15,10 +17,16 @@
     private readonly gauges = new Map<string, Gauge>();
     private readonly timings = new Map<string, Histogram>();
     private server: Server | undefined;
+    /** Metrics are served before the process has a log. */
+    private log: Log = new NoLog();
+
+    setLog(log: Log): void {
+        this.log = log;
+    }
 
     /** Serves the metrics at any path of `host`:`port`. Resolves once the server is listening. */
     async listen(host: string, port: number): Promise<void> {
-        const server = createServer((_request, response) => {
+        const server = createServiceServer("metrics", this.log, this, (_request, response) => {
             this.registry.metrics().then(
                 text => response.writeHead(200, { "Content-Type": this.registry.contentType }).end(text),
                 () => response.writeHead(500).end(),
