A connection between processes takes short lines until its other side has proved that it knows the fleet secret

Anyone can connect there.

Cause: the limit of 8 MiB a line, which configurations need, held from the first byte on.

Until the handshake is complete a line has at most 8 KiB, and at most 1,024 connections wait for it; the calls of the handshake have some hundred bytes. Such connections are logged together, once a second, in place of a peer_closed for each.

--- a/src/adapters/rpc/lineReader.ts
+++ b/src/adapters/rpc/lineReader.ts
@@ -8,10 +8,13 @@
 
 const NEWLINE = 0x0a;
 
-/** Yields the lines of a socket without their newlines until the socket ends. Throws peerLineTooLong or peerStalled. */
+/**
+ * Yields the lines of a socket without their newlines until the socket ends. Throws peerLineTooLong or peerStalled. `getMaxBytes`: returns the
+ * longest line that the other side may send at present.
+ */
 export async function* readLines(
     socket: Socket,
-    maxBytes = MAX_LINE_BYTES,
+    getMaxBytes = () => MAX_LINE_BYTES,
     timeoutMs = LINE_TIMEOUT_MS,
 ): AsyncGenerator<string> {
     let parts: Buffer[] = [];
@@ -47,6 +50,7 @@
                 length += data.length - start;
                 startLineTimer();
             }
+            const maxBytes = getMaxBytes();
             if (length > maxBytes) {
                 throw new RefusalError(createRefusal("peerLineTooLong", `line exceeds ${maxBytes} bytes`));
             }
--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -4,9 +4,11 @@
 import { createRefusal, formatRefusal, getRefusal, RefusalError } from "../../domain/resultCodes.js";
 import { type Log } from "../../ports/log.js";
 import { Peer, PeerHandlers, type PeerIdentity, PeerNetwork } from "../../ports/peer.js";
+import { EventSummary } from "../eventSummary.js";
 import { waitForNextPoll } from "../nextPoll.js";
 import { startListening } from "../startListening.js";
 import { areProofsEqual, computeProof, type HandshakeNonces, helloMethod, proveMethod } from "./handshake.js";
+import { MAX_LINE_BYTES } from "./lineReader.js";
 import { TcpPeer } from "./tcpPeer.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -16,6 +18,10 @@
 /** How long a call waits for a connection to an address where the last attempt failed. */
 const RECONNECT_TIMEOUT_MS = 60;
 const NONCE_BYTES = 12;
+/** Longest line before the other side has proved that it knows the fleet secret: the calls of the handshake are shorter. */
+const MAX_HANDSHAKE_LINE_BYTES = 8_192;
+/** Maximum number of connections whose other side has not proved that; further ones are closed. */
+const MAX_UNAUTHENTICATED_CONNECTIONS = 1_024;
 
 export interface TcpNetworkOptions {
     readonly identity: PeerIdentity;
@@ -39,11 +45,15 @@
 export class TcpNetwork extends PeerNetwork {
     private readonly entries = new Map<string, PeerEntry>();
     private readonly accepted = new Set<TcpPeer>();
+    /** Accepted connections whose other side has not proved yet that it knows the fleet secret. */
+    private readonly unauthenticated = new Set<TcpPeer>();
+    private readonly unknownPeers: EventSummary;
     private server: Server | undefined;
     private closed = false;
 
     constructor(private readonly options: TcpNetworkOptions) {
         super();
+        this.unknownPeers = new EventSummary(options.log, "peers_unknown_closed");
     }
 
     /** Listens for connections from other processes and resolves to the port. */
@@ -149,24 +159,30 @@
     }
 
     private async handleConnection(socket: Socket): Promise<void> {
-        const session = this.createAcceptedSession(socket);
-        this.accepted.add(session.peer);
-        const timer = setTimeout(() => session.closeUnlessAuthenticated(), HANDSHAKE_TIMEOUT_MS);
-        await session.peer.run();
+        if (this.unauthenticated.size >= MAX_UNAUTHENTICATED_CONNECTIONS) {
+            this.unknownPeers.record();
+            socket.destroy();
+            return;
+        }
+        const peer = this.createAcceptedPeer(socket);
+        this.accepted.add(peer);
+        this.unauthenticated.add(peer);
+        const timer = setTimeout(() => this.unauthenticated.has(peer) && peer.close(), HANDSHAKE_TIMEOUT_MS);
+        await peer.run();
         clearTimeout(timer);
-        this.accepted.delete(session.peer);
-        if (session.peer.closedBy !== undefined) {
-            this.options.log.warn("peer_closed", {
-                peer: session.peer.identity.name,
-                reason: formatRefusal(session.peer.closedBy),
-            });
+        this.accepted.delete(peer);
+        const wasAuthenticated = !this.unauthenticated.delete(peer);
+        if (peer.closedBy !== undefined && wasAuthenticated) {
+            this.options.log.warn("peer_closed", { peer: peer.identity.name, reason: formatRefusal(peer.closedBy) });
+        }
+        else if (peer.closedBy !== undefined) {
+            this.unknownPeers.record();
         }
     }
 
-    private createAcceptedSession(socket: Socket): { peer: TcpPeer; closeUnlessAuthenticated: () => void; } {
+    private createAcceptedPeer(socket: Socket): TcpPeer {
         const { secret } = this.options;
         let claim: { identity: PeerIdentity; nonces: HandshakeNonces; } | undefined;
-        let isAuthenticated = false;
         const handshake = new PeerHandlers();
         handshake.add(helloMethod, params => {
             const nonce = randomBytes(NONCE_BYTES).toString("hex");
@@ -183,7 +199,7 @@
                 setImmediate(() => peer.close());
                 throw new RefusalError(createRefusal("peerUntrusted"));
             }
-            isAuthenticated = true;
+            this.unauthenticated.delete(peer);
             peer.identity = claim.identity;
             return { ok: true as const };
         });
@@ -193,9 +209,11 @@
                 ? handshake.handle(name, params, from)
                 : this.options.handlers.handle(name, params, from);
         const isAllowed = (method: string): boolean =>
-            isAuthenticated || method === helloMethod.name || method === proveMethod.name;
-        const peer = new TcpPeer(socket, handlers, isAllowed);
-        return { peer, closeUnlessAuthenticated: () => isAuthenticated || peer.close() };
+            !this.unauthenticated.has(peer) || method === helloMethod.name || method === proveMethod.name;
+        const getMaxLineBytes = (): number =>
+            this.unauthenticated.has(peer) ? MAX_HANDSHAKE_LINE_BYTES : MAX_LINE_BYTES;
+        const peer: TcpPeer = new TcpPeer(socket, handlers, isAllowed, getMaxLineBytes);
+        return peer;
     }
 }
 
--- a/src/adapters/rpc/tcpPeer.ts
+++ b/src/adapters/rpc/tcpPeer.ts
@@ -54,6 +54,7 @@
         private readonly socket: Socket,
         private readonly handlers: PeerHandlers,
         private readonly isCallAllowed: CallFilter,
+        private readonly getMaxLineBytes?: () => number,
     ) {
         super();
         socket.setNoDelay(true);
@@ -66,7 +67,7 @@
     /** Reads and handles messages until the connection ends. */
     async run(): Promise<void> {
         try {
-            for await (const line of readLines(this.socket)) {
+            for await (const line of readLines(this.socket, this.getMaxLineBytes)) {
                 this.lastReceivedAtMs = performance.now();
                 this.hasTimedOutCall = false;
                 this.handleMessage(line);
