--- a/src/domain/relayedExchange.ts
+++ b/src/domain/relayedExchange.ts
@@ -4,6 +4,9 @@
  */
 import { AnswerFraming, RequestFraming } from "./messageFraming.js";
 
+/** Pieces of a request are merged up to this size. */
+const MAX_MERGED_BYTES = 4_096;
+
 /** Limits the bytes of requests that all relayed connections of a router retain. */
 export class RequestRetention {
     private retainedBytes = 0;
@@ -161,7 +164,7 @@
             return;
         }
         if (this.retention.tryReserve(bytes.length, this.chunkBytes)) {
-            this.chunks.push(bytes);
+            this.addChunk(this.chunks, bytes);
             this.chunkBytes += bytes.length;
         }
         else {
@@ -169,6 +172,17 @@
         }
     }
 
+    /** A buffer for each small piece would cost many times its bytes. */
+    private addChunk(chunks: Buffer[], bytes: Buffer): void {
+        const last = chunks.at(-1);
+        if (last !== undefined && last.length + bytes.length <= MAX_MERGED_BYTES) {
+            chunks[chunks.length - 1] = Buffer.concat([last, bytes]);
+        }
+        else {
+            chunks.push(bytes);
+        }
+    }
+
     private beginRequest(): void {
         this.isPipelined ||= this.hasRequest;
         this.hasRequest = true;
