--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,7 @@
 import { wait, waitUntil } from "../tools/waiting.js";
 import { checkDeadlyLookup } from "./deadlyLookup.js";
 import { checkDeadlyPart } from "./deadlyPart.js";
+import { playHostileClients } from "./hostilePhase.js";
 import { checkLeavingCallers } from "./leavingPhase.js";
 import { checkLeftRequests } from "./leftRequestsPhase.js";
 import { playLostRouters } from "./lostRoutersPhase.js";
@@ -161,6 +162,7 @@
             ...await this.checkResumptions(callers),
             ...await checkDeadlyPart(callers, this.book, this.routers.length),
             ...await checkDeadlyLookup(callers, this.book, this.routers.length),
+            ...await this.checkHostileClients(callers),
             ...await this.checkLeaving(callers),
             ...await this.checkPlannedStop(callers),
         ];
@@ -227,6 +229,13 @@
         return broken;
     }
 
+    /** Clients that do not behave end no process, and others are served after them. */
+    private async checkHostileClients(callers: SoakCallers): Promise<string[]> {
+        const ended = await playHostileClients([...this.routers, ...this.controllers], this.random, this.story);
+        await this.waitServing(callers);
+        return ended;
+    }
+
     /** Streams that their callers left go on at other routers about as often as new ones begin. */
     private async checkResumptions(callers: SoakCallers): Promise<string[]> {
         this.engines.forEach((engine, i) => engine.release(ENGINES[i]!.version));
--- a/test/soak/soakBox.ts
+++ b/test/soak/soakBox.ts
@@ -17,6 +17,8 @@
 /** The longest that a planned stop takes. */
 export const GRACE_MS = 8_000;
 const HEARTBEAT_MS = 400;
+/** As deployed. */
+const HEAP_ARGUMENT = "--max-old-space-size=160";
 const root = join(fileURLToPath(import.meta.url), "..", "..", "..");
 
 export type BoxRole = "router" | "controller";
@@ -73,6 +75,11 @@
         return this.child !== undefined && isRunning(this.child);
     }
 
+    /** Returns the process, which is another one after each start; undefined while there is none. */
+    getPid(): number | undefined {
+        return this.isRunning() ? this.child!.pid : undefined;
+    }
+
     /** Sends a signal to the process, if it runs. A process that ends is started again. */
     signal(signal: NodeJS.Signals): void {
         this.child?.kill(signal);
@@ -131,7 +138,7 @@
             [SoakVariables.links]: JSON.stringify(this.ports),
             [SoakVariables.faults]: this.getFaultsPath(),
         };
-        const args = ["--import", preload, programPath, role];
+        const args = [HEAP_ARGUMENT, "--import", preload, programPath, role];
         const child = spawnNode(args, env, this.getLogPath());
         child.once("exit", code => void this.handleExit(code ?? undefined));
         this.child = child;
