--- a/test/platform/boxSettings.test.ts
+++ b/test/platform/boxSettings.test.ts
@@ -53,14 +53,14 @@
 }
 
 // Guards against a bound on request bodies that does not fit the box, and against one where the box names no memory.
-void t.test("the memory of request bodies is a fifth of the box's, and not bounded if that is unknown", async t => {
+void t.test("the memory of request bodies is an eighth of the box's, and not bounded if that is unknown", async t => {
     process.env["LOOMWINCH_FLEET_SECRET"] = "test-fleet-secret";
     const create = (limits: string) =>
         createRouterSettings(parseBoxSettings(VALID_SETTINGS + limits), new EngineClient());
     t.equal(create("").router.bodyMemory, undefined);
     t.same(create("[limits]\nmemory_mb = 210").router.bodyMemory, {
-        maxBytes: 42_000_000,
-        maxUpstreamBytes: 10_500_000,
+        maxBytes: 26_250_000,
+        maxUpstreamBytes: 6_562_500,
     });
     await t.rejects(startDirectRouter(create("[limits]\nmemory_mb = 2")), {
         message: /settingsInvalid: bodyMemory\.maxBytes: .*1000000/,
