--- a/src/adapters/connectionLimit.ts
+++ b/src/adapters/connectionLimit.ts
@@ -22,7 +22,7 @@
         return;
     }
     server.maxConnections = Math.floor(maxDescriptors * LISTENER_FRACTION);
-    const dropped = new EventSummary(log, "connections_dropped", { listener });
+    const dropped = new EventSummary(count => log.warn("connections_dropped", { listener, count }));
     server.on("drop", () => {
         metrics.addCount("connections_dropped");
         dropped.record();
--- a/src/adapters/eventSummary.ts
+++ b/src/adapters/eventSummary.ts
@@ -1,5 +1,4 @@
-/** Logs how often an event has happened, with a bounded number of lines. */
-import type { Log, LogFields } from "../ports/log.js";
+/** Counts events that clients can bring about as often as they like, so that they are logged with a bounded number of lines. */
 
 /** Interval between two lines, in milliseconds. */
 const LOG_PERIOD_MS = 1_000;
@@ -8,12 +7,8 @@
     private count = 0;
     private timer: NodeJS.Timeout | undefined;
 
-    /** `fields`: of each line, beside the `count`. */
-    constructor(
-        private readonly log: Log,
-        private readonly event: string,
-        private readonly fields: LogFields = {},
-    ) {}
+    /** `logCount`: logs how many events there were since the last line. */
+    constructor(private readonly logCount: (count: number) => void) {}
 
     record(): void {
         this.count += 1;
@@ -21,8 +16,9 @@
     }
 
     private flush(): void {
+        const { count } = this;
         this.timer = undefined;
-        this.log.warn(this.event, { ...this.fields, count: this.count });
         this.count = 0;
+        this.logCount(count);
     }
 }
--- a/src/adapters/http/pipelineLimit.ts
+++ b/src/adapters/http/pipelineLimit.ts
@@ -33,7 +33,7 @@
         log: Log,
         private readonly metrics: Metrics,
     ) {
-        this.closed = new EventSummary(log, "connections_closed_pipelined", { listener });
+        this.closed = new EventSummary(count => log.warn("connections_closed_pipelined", { listener, count }));
     }
 
     /**
--- a/src/adapters/rpc/tcpNetwork.ts
+++ b/src/adapters/rpc/tcpNetwork.ts
@@ -53,7 +53,7 @@
 
     constructor(private readonly options: TcpNetworkOptions) {
         super();
-        this.unknownPeers = new EventSummary(options.log, "peers_unknown_closed");
+        this.unknownPeers = new EventSummary(count => options.log.warn("peers_unknown_closed", { count }));
     }
 
     /** Listens for connections from other processes and resolves to the port. */
