One place reads ahead of the event loop on a caller's connection

hasLeft and readArrived read what has arrived and returned its bytes to the HTTP server by the same lines.

--- a/src/adapters/http/callerConnections.ts
+++ b/src/adapters/http/callerConnections.ts
@@ -9,7 +9,7 @@
 } from "../../domain/callerConnection.js";
 import type { Log } from "../../ports/log.js";
 import type { Metrics } from "../../ports/metrics.js";
-import { tryReadArrived } from "../arrivedInput.js";
+import { type ArrivedInput, tryReadArrived } from "../arrivedInput.js";
 import { endLingering } from "./lingeringEnd.js";
 
 /**
@@ -105,11 +105,7 @@
         if (connection === undefined || socket.destroyed || socket.readableEnded) {
             return true;
         }
-        const arrived = tryReadArrived(socket);
-        if (arrived !== undefined && arrived.bytes.length > 0) {
-            returnBytes(socket, connection, arrived.bytes);
-        }
-        if (arrived?.hasEnded === true) {
+        if (readAhead(socket, connection)?.hasEnded === true) {
             this.recordClosed(connection);
         }
         return connection.hasClosed();
@@ -163,15 +159,8 @@
      * from a connection only in the turns after the one in which it accepts it.
      */
     private readArrived(socket: Socket, connection: CallerConnection): boolean {
-        if (socket.destroyed || socket.readableEnded) {
-            return false;
-        }
-        const arrived = tryReadArrived(socket);
-        if (arrived === undefined || arrived.bytes.length === 0) {
-            return false;
-        }
-        returnBytes(socket, connection, arrived.bytes);
-        return true;
+        const arrived = socket.destroyed || socket.readableEnded ? undefined : readAhead(socket, connection);
+        return arrived !== undefined && arrived.bytes.length > 0;
     }
 
     private recordClosed(connection: CallerConnection): void {
@@ -247,6 +236,15 @@
     }
 }
 
+/** Reads what has arrived on a connection, and hands its bytes to the HTTP server; undefined where that is not known. */
+function readAhead(socket: Socket, connection: CallerConnection): ArrivedInput | undefined {
+    const arrived = tryReadArrived(socket);
+    if (arrived !== undefined && arrived.bytes.length > 0) {
+        returnBytes(socket, connection, arrived.bytes);
+    }
+    return arrived;
+}
+
 /** Hands bytes of a further request to the HTTP server, which otherwise reads them from the system itself. */
 function returnBytes(socket: Socket, connection: CallerConnection, bytes: readonly Buffer[]): void {
     // A listener for data makes the HTTP parser take all data from the stream, so that the order is kept.
