--- a/test/fleet/hostileClients.test.ts
+++ b/test/fleet/hostileClients.test.ts
@@ -1,12 +1,10 @@
 /** Clients that send more than they should and read nothing end no process, and ordinary callers are served after them. */
-import { once } from "node:events";
 import { readdirSync, readFileSync } from "node:fs";
-import { dirname, join } from "node:path";
-import { fileURLToPath } from "node:url";
 import t from "tap";
 import { ADMIN_PORT, CALLER_PORT, METRICS_PORT, PEER_PORT, READINESS_PORT } from "../tools/boxSettingsText.js";
-import { buildDeployedProgram, endProcess, spawnNode } from "../tools/childProcesses.js";
+import { buildDeployedProgram, endProcess } from "../tools/childProcesses.js";
 import { type CrowdKind, CrowdKinds, type CrowdOptions } from "../tools/crowdOptions.js";
+import { startCrowd } from "../tools/crowdProcess.js";
 import { NO_REPEATS, startPlay } from "../tools/plannedPlay.js";
 import { PlayPaths } from "../tools/playEngine.js";
 import { waitUntil } from "../tools/waiting.js";
@@ -149,14 +147,6 @@
     return readdirSync(`/proc/${pid}/fd`).length;
 }
 
-/** Resolves when the crowd has sent what the other side takes. */
-async function startCrowd(options: CrowdOptions) {
-    const program = join(dirname(fileURLToPath(import.meta.url)), "..", "tools", "hostileCrowd.js");
-    const child = spawnNode([program, JSON.stringify(options)], {});
-    await once(child.stdout!, "data");
-    return child;
-}
-
 for (const { name, box, ...crowd } of scenes) {
     void t.test(`memory is bounded beside ${name}`, async t => {
         const fleetOptions = { program, memoryMb: MEMORY_MB, nodeArgs: [`--max-old-space-size=${HEAP_MB}`] };
--- a/test/soak/hostilePhase.ts
+++ b/test/soak/hostilePhase.ts
@@ -1,10 +1,8 @@
 /** Clients that send more than they should and read nothing: no process ends. */
-import { once } from "node:events";
-import { dirname, join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { ADMIN_PORT, CALLER_PORT, METRICS_PORT, PEER_PORT, READINESS_PORT } from "../tools/boxSettingsText.js";
-import { endProcess, spawnNode } from "../tools/childProcesses.js";
-import { CrowdKinds, type CrowdOptions } from "../tools/crowdOptions.js";
+import { endProcess } from "../tools/childProcesses.js";
+import { CrowdKinds } from "../tools/crowdOptions.js";
+import { startCrowd } from "../tools/crowdProcess.js";
 import type { SoakBox } from "./soakBox.js";
 
 const CROWDS = 2;
@@ -47,7 +45,7 @@
         const name = `${options.kind} on ${connections} connections to port ${target.port} of ${box.options.name}`;
         story.push(name);
         const pidsBefore = boxes.map(other => other.getPid());
-        await playCrowd(options);
+        await endProcess(await startCrowd(options));
         boxes.forEach((other, j) => {
             if (other.getPid() !== pidsBefore[j]) {
                 faults.push(`the process of ${other.options.name} has ended beside ${name}`);
@@ -56,10 +54,3 @@
     }
     return faults;
 }
-
-async function playCrowd(options: CrowdOptions): Promise<void> {
-    const program = join(dirname(fileURLToPath(import.meta.url)), "..", "tools", "hostileCrowd.js");
-    const crowd = spawnNode([program, JSON.stringify(options)], {});
-    await once(crowd.stdout!, "data");
-    await endProcess(crowd);
-}
